--- /dev/null
+++ b/src/bookkeeping/amounts.rs
@@ -0,0 +1,85 @@
+//! Amounts of resources in thousandths, so that sums compare exactly.
+
+use std::ops::{AddAssign, SubAssign};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Amounts {
+    pub cpus: i64,
+    pub gpus: i64,
+    pub memory: i64,
+}
+
+fn up(v: f64) -> i64 {
+    (v * 1000.0 - 1e-6).ceil() as i64
+}
+
+fn down(v: f64) -> i64 {
+    (v * 1000.0 + 1e-6).floor() as i64
+}
+
+impl Amounts {
+    /// What a task takes: rounded up.
+    pub fn need(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        Amounts {
+            cpus: up(cpus),
+            gpus: up(gpus),
+            memory: up(memory_gb),
+        }
+    }
+
+    /// What a machine or a limit offers: rounded down.
+    pub fn offer(cpus: f64, gpus: f64, memory_gb: f64) -> Self {
+        Amounts {
+            cpus: down(cpus),
+            gpus: down(gpus),
+            memory: down(memory_gb),
+        }
+    }
+
+    pub fn fits(&self, room: &Amounts) -> bool {
+        self.cpus <= room.cpus && self.gpus <= room.gpus && self.memory <= room.memory
+    }
+
+    pub fn minus(mut self, other: Amounts) -> Amounts {
+        self -= other;
+        self
+    }
+
+    /// How many of `each` fit into this.
+    pub fn count(&self, each: &Amounts) -> i64 {
+        [
+            (self.cpus, each.cpus),
+            (self.gpus, each.gpus),
+            (self.memory, each.memory),
+        ]
+        .iter()
+        .filter(|(_, e)| *e > 0)
+        .map(|(r, e)| (r.max(&0)) / e)
+        .min()
+        .unwrap_or(i64::MAX)
+    }
+
+    pub fn scaled(self, n: i64) -> Amounts {
+        Amounts {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            memory: self.memory * n,
+        }
+    }
+}
+
+impl AddAssign for Amounts {
+    fn add_assign(&mut self, o: Amounts) {
+        self.cpus += o.cpus;
+        self.gpus += o.gpus;
+        self.memory += o.memory;
+    }
+}
+
+impl SubAssign for Amounts {
+    fn sub_assign(&mut self, o: Amounts) {
+        self.cpus -= o.cpus;
+        self.gpus -= o.gpus;
+        self.memory -= o.memory;
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,10 @@
+//! What the service knows: the in-memory model, the records it keeps in the
+//! state service, and the rate budgets towards the outside.
+
+pub mod amounts;
+pub mod budget;
+pub mod model;
+pub mod records;
+
+/// Milliseconds of the steady clock since the process began.
+pub type Ms = u64;
--- /dev/null
+++ b/src/bookkeeping/model.rs
@@ -0,0 +1,650 @@
+//! The leader's picture of jobs, machines and what runs where. Names are
+//! mapped to dense indices at the door; everything inside uses those.
+
+use super::{Ms, amounts::Amounts, records::Bits};
+use crate::protocol::{
+    cloud::MachineType,
+    settings::{Settings, Team},
+    users::{JobSpec, JobState, JobStatus, Kind},
+    workers::Why,
+};
+use std::{collections::HashMap, net::SocketAddr};
+
+pub const NONE: u32 = u32::MAX;
+const DONE: u32 = u32::MAX - 1;
+
+/// Where one task of a job is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    Nowhere,
+    Done,
+    On(u32),
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub id: String,
+    pub spec: JobSpec,
+    pub team: usize,
+    pub image: u32,
+    /// Allowed machine types, by index.
+    pub types: Vec<bool>,
+    pub zone: Option<usize>,
+    pub need: Amounts,
+    pub at_ms: u64,
+    /// Steady-clock time at which this leader first knew of it.
+    pub known_ms: Ms,
+    pub done: Bits,
+    pub done_n: u32,
+    slots: Vec<u32>,
+    /// Tasks before this index are not waiting.
+    hint: u32,
+    /// Tasks that are, or may be, on a machine.
+    pub live: u32,
+    pub running: u32,
+    /// Withdrawn as the record says.
+    pub cancelled: bool,
+    /// A withdrawal that the record does not hold yet.
+    pub cancel_wanted: bool,
+    pub version: u64,
+    /// Chunks of `done` that the record lacks.
+    pub dirty: Vec<bool>,
+    pub writing: bool,
+    pub failures: u32,
+    pub backoff_until: Ms,
+}
+
+impl Job {
+    pub fn place(&self, task: u32) -> Place {
+        match self.slots.get(task as usize) {
+            Some(&NONE) | None => Place::Nowhere,
+            Some(&DONE) => Place::Done,
+            Some(&m) => Place::On(m),
+        }
+    }
+
+    pub fn waiting(&self) -> u32 {
+        self.spec.tasks - self.done_n - self.live
+    }
+
+    pub fn complete(&self) -> bool {
+        self.done_n == self.spec.tasks
+    }
+
+    pub fn next_waiting(&mut self) -> Option<u32> {
+        while (self.hint as usize) < self.slots.len() {
+            if self.slots[self.hint as usize] == NONE {
+                return Some(self.hint);
+            }
+            self.hint += 1;
+        }
+        None
+    }
+
+    pub fn is_dirty(&self) -> bool {
+        self.dirty.iter().any(|d| *d)
+    }
+
+    pub fn mark_done(&mut self, task: u32) {
+        if self.done.set(task) {
+            self.done_n += 1;
+            self.dirty[(task / super::records::CHUNK_TASKS) as usize] = true;
+            if self.slots[task as usize] != NONE {
+                self.live -= 1;
+            }
+            self.slots[task as usize] = DONE;
+        }
+    }
+
+    fn occupy(&mut self, task: u32, machine: u32) {
+        debug_assert_eq!(self.slots[task as usize], NONE);
+        self.slots[task as usize] = machine;
+        self.live += 1;
+    }
+
+    fn vacate(&mut self, task: u32, machine: u32) {
+        if self.slots[task as usize] == machine {
+            self.slots[task as usize] = NONE;
+            self.live -= 1;
+            self.hint = self.hint.min(task);
+        }
+    }
+
+    pub fn status(&self) -> JobStatus {
+        JobStatus {
+            id: self.id.clone(),
+            state: if self.cancelled {
+                JobState::Cancelled
+            } else if self.running > 0 {
+                JobState::Running
+            } else {
+                JobState::Queued
+            },
+            done: self.done_n,
+            running: self.running,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Decided, no command given yet.
+    New,
+    /// A launch was given; whether it was carried out is open.
+    Sent,
+    Fetching,
+    /// Waits for its gang.
+    Waiting,
+    Running,
+    Saving,
+    Ended(Why),
+}
+
+/// A task that is, or may be, on a machine, or that ended there and has not
+/// been reaped.
+#[derive(Debug)]
+pub struct Assignment {
+    pub name: String,
+    /// `NONE` once its job is over.
+    pub job: u32,
+    pub task: u32,
+    pub attempt: u64,
+    pub team: usize,
+    pub need: Amounts,
+    pub phase: Phase,
+    /// Grace in seconds of the halt that is wanted.
+    pub stop: Option<f64>,
+    pub stop_since: Ms,
+    /// Token of a direct launch that had no answer: it may be carried out
+    /// until the machine has seen a higher one. 0: none.
+    pub doubt: u64,
+    /// The report whose response carried the launch.
+    pub sent_seq: u64,
+    pub since: Ms,
+}
+
+impl Assignment {
+    pub fn live(&self) -> bool {
+        !matches!(self.phase, Phase::Ended(_))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Roster {
+    Absent,
+    Present,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub name: String,
+    pub addr: Option<SocketAddr>,
+    pub type_ix: usize,
+    pub zone: usize,
+    pub spot: bool,
+    pub capacity: Amounts,
+    pub used: Amounts,
+    pub tasks: Vec<Assignment>,
+    pub session: u64,
+    pub seq: u64,
+    /// Reports of earlier sessions are no news.
+    pub min_session: u64,
+    pub seen_token: u64,
+    pub fence: u64,
+    /// Heard in this term, and not lapsed since.
+    pub up: bool,
+    /// Stood in the roster when this term began and has neither been heard
+    /// nor lapsed: anything may run on it.
+    pub unknown: bool,
+    /// When a report was last answered with 200.
+    pub answered: Ms,
+    pub heard: Ms,
+    pub roster: Roster,
+    pub version: u64,
+    pub writing: bool,
+    pub releasing: bool,
+    pub release_marked: bool,
+    pub release_sent: bool,
+    pub gone: bool,
+    /// Steady-clock time at which it is to be taken away.
+    pub notice: Option<Ms>,
+    pub since: Ms,
+    pub idle_since: Ms,
+    pub listed: Ms,
+    pub failures: u32,
+    pub quarantined: bool,
+    /// A direct order is on its way.
+    pub ordering: bool,
+    pub order_retry: Ms,
+    pub images: Vec<u32>,
+}
+
+impl Machine {
+    pub fn free(&self) -> Amounts {
+        self.capacity.minus(self.used)
+    }
+    pub fn live_tasks(&self) -> usize {
+        self.tasks.iter().filter(|t| t.live()).count()
+    }
+    /// May new tasks be placed here?
+    pub fn usable(&self) -> bool {
+        self.up
+            && !self.releasing
+            && !self.quarantined
+            && self.notice.is_none()
+            && self.roster == Roster::Present
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Names {
+    index: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    pub fn intern(&mut self, name: &str) -> u32 {
+        if let Some(i) = self.index.get(name) {
+            return *i;
+        }
+        let i = self.names.len() as u32;
+        self.index.insert(name.to_owned(), i);
+        self.names.push(name.to_owned());
+        i
+    }
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.index.get(name).map(|i| *i as usize)
+    }
+    pub fn name(&self, i: usize) -> &str {
+        &self.names[i]
+    }
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+}
+
+/// Why a submission can never run.
+pub type Never = String;
+
+#[derive(Debug, Default)]
+pub struct Model {
+    pub zones: Names,
+    pub team_names: Names,
+    pub teams: Vec<Team>,
+    pub usage: Vec<Amounts>,
+    pub types: Vec<MachineType>,
+    pub images: Names,
+    pub jobs: Vec<Option<Job>>,
+    free_jobs: Vec<u32>,
+    by_ref: HashMap<String, u32>,
+    pub machines: Vec<Option<Machine>>,
+    free_machines: Vec<u32>,
+    by_name: HashMap<String, u32>,
+}
+
+impl Model {
+    pub fn new(settings: &Settings, types: Vec<MachineType>) -> Self {
+        let mut m = Model {
+            types,
+            ..Model::default()
+        };
+        for z in &settings.cluster.zones {
+            m.zones.intern(z);
+        }
+        for t in &settings.cluster.teams {
+            m.team_names.intern(&t.name);
+        }
+        m.teams = settings.cluster.teams.clone();
+        m.usage = vec![Amounts::default(); m.teams.len()];
+        m
+    }
+
+    pub fn type_index(&self, name: &str) -> Option<usize> {
+        self.types.iter().position(|t| t.name == name)
+    }
+
+    /// Whether the team stays within its limit with `n` more such tasks.
+    pub fn within_limit(&self, team: usize, need: &Amounts, n: i64) -> bool {
+        let Some(t) = self.teams.get(team) else {
+            return false;
+        };
+        let limit = Amounts::offer(t.cpus_max, t.gpus_max, 0.0);
+        let used = self.usage[team];
+        (limit.cpus == 0 || used.cpus + n * need.cpus <= limit.cpus)
+            && (limit.gpus == 0 || used.gpus + n * need.gpus <= limit.gpus)
+    }
+
+    pub fn job_ix(&self, id: &str) -> Option<u32> {
+        self.by_ref.get(id).copied()
+    }
+    pub fn job(&self, ix: u32) -> Option<&Job> {
+        self.jobs.get(ix as usize)?.as_ref()
+    }
+    pub fn job_mut(&mut self, ix: u32) -> Option<&mut Job> {
+        self.jobs.get_mut(ix as usize)?.as_mut()
+    }
+    pub fn machine_ix(&self, name: &str) -> Option<u32> {
+        self.by_name.get(name).copied()
+    }
+    pub fn machine(&self, ix: u32) -> Option<&Machine> {
+        self.machines.get(ix as usize)?.as_ref()
+    }
+    pub fn machine_mut(&mut self, ix: u32) -> Option<&mut Machine> {
+        self.machines.get_mut(ix as usize)?.as_mut()
+    }
+    pub fn live_jobs(&self) -> usize {
+        self.by_ref.len()
+    }
+    pub fn machine_count(&self) -> usize {
+        self.by_name.len()
+    }
+
+    pub fn insert_job(
+        &mut self,
+        spec: JobSpec,
+        at_ms: u64,
+        version: u64,
+        done: Bits,
+        cancelled: bool,
+        now: Ms,
+    ) -> u32 {
+        if let Some(ix) = self.job_ix(&spec.id) {
+            return ix;
+        }
+        let n = spec.tasks;
+        let slots = (0..n)
+            .map(|i| if done.get(i) { DONE } else { NONE })
+            .collect();
+        let job = Job {
+            id: spec.id.clone(),
+            team: self.team_names.find(&spec.team).unwrap_or(usize::MAX),
+            image: self.images.intern(&spec.image),
+            types: self
+                .types
+                .iter()
+                .map(|t| {
+                    spec.types
+                        .as_ref()
+                        .is_none_or(|allowed| allowed.contains(&t.name))
+                })
+                .collect(),
+            // An unknown zone is one that no machine is in.
+            zone: spec
+                .zone
+                .as_ref()
+                .map(|z| self.zones.find(z).unwrap_or(usize::MAX)),
+            need: Amounts::need(spec.cpus, spec.gpus, spec.memory_gb),
+            at_ms,
+            known_ms: now,
+            done_n: done.count(),
+            dirty: vec![false; done.chunks()],
+            done,
+            slots,
+            hint: 0,
+            live: 0,
+            running: 0,
+            cancelled,
+            cancel_wanted: false,
+            version,
+            writing: false,
+            failures: 0,
+            backoff_until: 0,
+            spec,
+        };
+        let ix = match self.free_jobs.pop() {
+            Some(ix) => ix,
+            None => {
+                self.jobs.push(None);
+                self.jobs.len() as u32 - 1
+            }
+        };
+        self.by_ref.insert(job.id.clone(), ix);
+        self.jobs[ix as usize] = Some(job);
+        ix
+    }
+
+    /// Forgets a job that is over. Tasks of it that are still on machines
+    /// keep counting there, and are told to stop.
+    pub fn remove_job(&mut self, ix: u32, now: Ms) {
+        let Some(job) = self.jobs.get_mut(ix as usize).and_then(Option::take) else {
+            return;
+        };
+        self.by_ref.remove(&job.id);
+        for m in self.machines.iter_mut().flatten() {
+            for a in m.tasks.iter_mut().filter(|a| a.job == ix) {
+                a.job = NONE;
+                if a.live() && a.stop.is_none() {
+                    a.stop = Some(0.0);
+                    a.stop_since = now;
+                }
+            }
+        }
+        self.free_jobs.push(ix);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn insert_machine(
+        &mut self,
+        name: &str,
+        addr: &str,
+        type_name: &str,
+        zone: &str,
+        spot: bool,
+        now: Ms,
+    ) -> Option<u32> {
+        if let Some(ix) = self.machine_ix(name) {
+            return Some(ix);
+        }
+        let type_ix = self.type_index(type_name)?;
+        let t = &self.types[type_ix];
+        let capacity = Amounts::offer(t.cpus, t.gpus, t.memory_gb);
+        let machine = Machine {
+            name: name.to_owned(),
+            addr: addr.parse().ok(),
+            type_ix,
+            zone: self.zones.intern(zone) as usize,
+            spot,
+            capacity,
+            used: Amounts::default(),
+            tasks: Vec::new(),
+            session: 0,
+            seq: 0,
+            min_session: 0,
+            seen_token: 0,
+            fence: 0,
+            up: false,
+            unknown: false,
+            answered: 0,
+            heard: 0,
+            roster: Roster::Absent,
+            version: 0,
+            writing: false,
+            releasing: false,
+            release_marked: false,
+            release_sent: false,
+            gone: false,
+            notice: None,
+            since: now,
+            idle_since: now,
+            listed: now,
+            failures: 0,
+            quarantined: false,
+            ordering: false,
+            order_retry: 0,
+            images: Vec::new(),
+        };
+        let ix = match self.free_machines.pop() {
+            Some(ix) => ix,
+            None => {
+                self.machines.push(None);
+                self.machines.len() as u32 - 1
+            }
+        };
+        self.by_name.insert(machine.name.clone(), ix);
+        self.machines[ix as usize] = Some(machine);
+        Some(ix)
+    }
+
+    /// A machine that is surely gone: nothing is on it any more.
+    pub fn remove_machine(&mut self, ix: u32) {
+        self.clear_machine(ix);
+        if let Some(m) = self.machines.get_mut(ix as usize).and_then(Option::take) {
+            self.by_name.remove(&m.name);
+            self.free_machines.push(ix);
+        }
+    }
+
+    /// All tasks of the machine are surely gone.
+    pub fn clear_machine(&mut self, ix: u32) {
+        let Some(m) = self.machines.get_mut(ix as usize).and_then(Option::as_mut) else {
+            return;
+        };
+        let tasks = std::mem::take(&mut m.tasks);
+        for a in tasks {
+            if a.live() {
+                self.release_resources(ix, &a);
+            }
+        }
+    }
+
+    fn release_resources(&mut self, machine: u32, a: &Assignment) {
+        if let Some(m) = self.machine_mut(machine) {
+            m.used -= a.need;
+        }
+        if let Some(u) = self.usage.get_mut(a.team) {
+            *u -= a.need;
+        }
+        if let Some(job) = self.job_mut(a.job) {
+            if a.phase == Phase::Running {
+                job.running -= 1;
+            }
+            job.vacate(a.task, machine);
+        }
+    }
+
+    /// Adds a task to a machine's list and counts what it takes.
+    pub fn assign(
+        &mut self,
+        job_ix: u32,
+        task: u32,
+        machine: u32,
+        attempt: u64,
+        phase: Phase,
+        now: Ms,
+    ) {
+        let Some(job) = self.jobs.get_mut(job_ix as usize).and_then(Option::as_mut) else {
+            return;
+        };
+        job.occupy(task, machine);
+        if phase == Phase::Running {
+            job.running += 1;
+        }
+        let (team, need, image) = (job.team, job.need, job.image);
+        let name = format!("{}/{task}", job.id);
+        if let Some(u) = self.usage.get_mut(team) {
+            *u += need;
+        }
+        if let Some(m) = self.machine_mut(machine) {
+            m.used += need;
+            if !m.images.contains(&image) {
+                m.images.push(image);
+                if m.images.len() > 8 {
+                    m.images.remove(0);
+                }
+            }
+            m.tasks.push(Assignment {
+                name,
+                job: job_ix,
+                task,
+                attempt,
+                team,
+                need,
+                phase,
+                stop: None,
+                stop_since: 0,
+                doubt: 0,
+                sent_seq: 0,
+                since: now,
+            });
+        }
+    }
+
+    /// A task reported by a machine whose job is not known, or that should
+    /// not be there: it is stopped, or reaped if it has ended.
+    pub fn assign_stray(&mut self, machine: u32, name: &str, attempt: u64, phase: Phase, now: Ms) {
+        if let Some(m) = self.machine_mut(machine) {
+            m.tasks.push(Assignment {
+                name: name.to_owned(),
+                job: NONE,
+                task: 0,
+                attempt,
+                team: usize::MAX,
+                need: Amounts::default(),
+                phase,
+                stop: Some(0.0),
+                stop_since: now,
+                doubt: 0,
+                sent_seq: 0,
+                since: now,
+            });
+        }
+    }
+
+    pub fn set_phase(&mut self, machine: u32, at: usize, phase: Phase) {
+        let Some(m) = self.machine_mut(machine) else {
+            return;
+        };
+        let a = &mut m.tasks[at];
+        let (before, job_ix, task, team, need) = (a.phase, a.job, a.task, a.team, a.need);
+        a.phase = phase;
+        if before == phase {
+            return;
+        }
+        let was_live = !matches!(before, Phase::Ended(_));
+        let is_live = !matches!(phase, Phase::Ended(_));
+        if was_live && !is_live {
+            m.used -= need;
+            if let Some(u) = self.usage.get_mut(team) {
+                *u -= need;
+            }
+        }
+        if let Some(job) = self.job_mut(job_ix) {
+            if before == Phase::Running {
+                job.running -= 1;
+            }
+            if phase == Phase::Running {
+                job.running += 1;
+            }
+            if was_live && !is_live {
+                if phase == Phase::Ended(Why::Done) && job.spec.kind != Kind::Service {
+                    job.mark_done(task);
+                } else {
+                    job.vacate(task, machine);
+                }
+            }
+        }
+    }
+
+    /// Takes an entry off the machine's list: it is not there.
+    pub fn unassign(&mut self, machine: u32, at: usize) {
+        let Some(m) = self.machine_mut(machine) else {
+            return;
+        };
+        let a = m.tasks.swap_remove(at);
+        if a.live() {
+            self.release_resources(machine, &a);
+        }
+    }
+
+    /// Live tasks of a job per zone.
+    pub fn zones_of(&self, job: u32) -> Vec<u32> {
+        let mut n = vec![0; self.zones.len()];
+        for m in self.machines.iter().flatten() {
+            n[m.zone] += m.tasks.iter().filter(|a| a.job == job && a.live()).count() as u32;
+        }
+        n
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/records.rs
@@ -0,0 +1,140 @@
+//! What is kept in the state service, and under which keys.
+
+use crate::protocol::users::{JobSpec, JobState};
+use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD};
+use serde::{Deserialize, Serialize};
+
+pub const LEADER: &str = "leader";
+pub const JOBS: &str = "j/";
+pub const CHUNKS: &str = "c/";
+pub const FINALS: &str = "f/";
+pub const ROSTER: &str = "m/";
+/// Notices to the leader of jobs that another node accepted.
+pub const NOTICES: &str = "n/";
+
+/// Finished tasks a chunk holds: 1 KiB of bits. The first chunk is part of
+/// the job's record, the others have keys of their own, so that a job of
+/// 100,000 tasks fits any sensible value limit.
+pub const CHUNK_TASKS: u32 = 8192;
+
+pub fn job_key(id: &str) -> String {
+    format!("{JOBS}{id}")
+}
+pub fn final_key(id: &str) -> String {
+    format!("{FINALS}{id}")
+}
+pub fn chunk_key(id: &str, chunk: usize) -> String {
+    format!("{CHUNKS}{id}/{chunk}")
+}
+pub fn machine_key(name: &str) -> String {
+    format!("{ROSTER}{name}")
+}
+pub fn notice_key(id: &str) -> String {
+    format!("{NOTICES}{id}")
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    #[serde(rename = "n")]
+    pub node: String,
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    #[serde(rename = "d")]
+    pub spec: JobSpec,
+    /// Time of day of the acceptance, in milliseconds.
+    #[serde(rename = "a")]
+    pub at_ms: u64,
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub cancelled: bool,
+    /// Finished tasks of the first chunk.
+    #[serde(rename = "b", default, skip_serializing_if = "String::is_empty")]
+    pub done: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    #[serde(rename = "s")]
+    pub state: JobState,
+    #[serde(rename = "n")]
+    pub done: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    #[serde(rename = "a")]
+    pub addr: String,
+    #[serde(rename = "t")]
+    pub type_name: String,
+    #[serde(rename = "z")]
+    pub zone: String,
+    #[serde(rename = "s")]
+    pub spot: bool,
+    /// Its release has been decided.
+    #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
+    pub releasing: bool,
+}
+
+/// A set of task numbers.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Bits(Vec<u8>);
+
+impl Bits {
+    pub fn with_len(n: u32) -> Self {
+        Bits(vec![0; (n as usize).div_ceil(8)])
+    }
+    pub fn get(&self, i: u32) -> bool {
+        self.0
+            .get(i as usize / 8)
+            .is_some_and(|b| b & (1 << (i % 8)) != 0)
+    }
+    /// Returns whether it is new.
+    pub fn set(&mut self, i: u32) -> bool {
+        match self.0.get_mut(i as usize / 8) {
+            Some(b) if *b & (1 << (i % 8)) == 0 => {
+                *b |= 1 << (i % 8);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    pub fn chunks(&self) -> usize {
+        self.0.len().div_ceil(CHUNK_TASKS as usize / 8)
+    }
+
+    /// One chunk as text, without trailing zeros.
+    pub fn chunk(&self, chunk: usize) -> String {
+        let size = CHUNK_TASKS as usize / 8;
+        let end = self.0.len().min((chunk + 1) * size);
+        let bytes = self.0.get(chunk * size..end).unwrap_or(&[]);
+        let used = bytes.iter().rposition(|b| *b != 0).map_or(0, |p| p + 1);
+        STANDARD_NO_PAD.encode(&bytes[..used])
+    }
+
+    /// Adds a chunk read from the store.
+    pub fn load(&mut self, chunk: usize, text: &str) {
+        let start = chunk * CHUNK_TASKS as usize / 8;
+        if let Ok(bytes) = STANDARD_NO_PAD.decode(text) {
+            for (i, b) in bytes.iter().enumerate() {
+                if let Some(slot) = self.0.get_mut(start + i) {
+                    *slot |= b;
+                }
+            }
+        }
+    }
+
+    pub fn count(&self) -> u32 {
+        self.0.iter().map(|b| b.count_ones()).sum()
+    }
+}
+
+/// Whether the job's record can always be written within the value limit.
+pub fn record_fits(spec: &JobSpec, value_kb: f64) -> bool {
+    let chunk = (spec.tasks.min(CHUNK_TASKS) as usize).div_ceil(8) * 4 / 3 + 4;
+    let len = serde_json::to_vec(spec).map_or(usize::MAX / 2, |v| v.len());
+    ((len + chunk + 100) as f64) <= value_kb * 1024.0
+}
--- /dev/null
+++ b/src/coordination/dispatch.rs
@@ -0,0 +1,290 @@
+//! Wanted tasks against reported tasks, for one machine at a time: what a
+//! report changes in the model, and which commands follow.
+
+use crate::{
+    bookkeeping::{
+        Ms,
+        model::{Model, NONE, Phase, Place},
+    },
+    protocol::{
+        users::Kind,
+        workers::{Command, Report, TaskState, Why, split_task},
+    },
+};
+
+/// Commands in one message; a response line must stay under 64 KiB.
+const MAX_COMMANDS: usize = 300;
+
+/// What the leader must know of a report beyond the model's changes.
+#[derive(Debug, Default, PartialEq)]
+pub struct News {
+    /// Tasks, jobs or the machine's readiness changed.
+    pub changed: bool,
+    /// (job, cause) of tasks that ended.
+    pub ended: Vec<(u32, Why)>,
+}
+
+fn phase_of(state: TaskState, why: Option<Why>) -> Phase {
+    match state {
+        TaskState::Fetching => Phase::Fetching,
+        TaskState::Waiting => Phase::Waiting,
+        TaskState::Running => Phase::Running,
+        TaskState::Saving => Phase::Saving,
+        TaskState::Exited => Phase::Ended(why.unwrap_or(Why::Other)),
+    }
+}
+
+/// Takes in what a worker says. `term_floor` is the lowest token of this
+/// term: a message that has not seen it is no news, as commands of an earlier
+/// leader may still be carried out after it.
+///
+/// `beat`: it is a report, not the answer to a direct order. Only a report is
+/// sure to be later than the response to the report before it.
+pub fn take_in(
+    model: &mut Model,
+    ix: u32,
+    report: &Report,
+    term_floor: u64,
+    beat: bool,
+    now: Ms,
+) -> News {
+    let mut news = News::default();
+    let Some(m) = model.machine_mut(ix) else {
+        return news;
+    };
+    if report.token < term_floor
+        || report.session < m.min_session
+        || (m.up && (report.session, report.seq) <= (m.session, m.seq))
+    {
+        return news;
+    }
+    if report.session > m.session && !m.tasks.is_empty() && m.up {
+        // A new session: everything of the old one is gone, including
+        // commands still on their way, which name the old session.
+        model.clear_machine(ix);
+        news.changed = true;
+    }
+    let Some(m) = model.machine_mut(ix) else {
+        return news;
+    };
+    if !m.up {
+        m.up = true;
+        m.unknown = false;
+        m.idle_since = now;
+        news.changed = true;
+    }
+    m.session = report.session;
+    m.seq = report.seq;
+    m.min_session = report.session;
+    m.seen_token = m.seen_token.max(report.token);
+    m.heard = now;
+    if let Ok(addr) = report.addr.parse() {
+        m.addr = Some(addr);
+    }
+    let notice = report.notice_s.map(|s| now + (s.max(0.0) * 1000.0) as Ms);
+    if notice.is_some() && m.notice.is_none() {
+        news.changed = true;
+    }
+    m.notice = notice;
+    let seen_token = m.seen_token;
+
+    let mut listed = vec![false; m.tasks.len()];
+    for t in &report.tasks {
+        let phase = phase_of(t.state, t.why);
+        let found = model.machine(ix).and_then(|m| {
+            m.tasks
+                .iter()
+                .position(|a| a.attempt == t.attempt && a.name == t.task)
+        });
+        match found {
+            Some(at) => {
+                if at < listed.len() {
+                    listed[at] = true;
+                }
+                let Some(a) = model.machine(ix).and_then(|m| m.tasks.get(at)) else {
+                    continue;
+                };
+                if a.phase == phase || !a.live() {
+                    continue;
+                }
+                let job = a.job;
+                if let Phase::Ended(why) = phase {
+                    news.ended.push((job, why));
+                    if let Some(m) = model.machine_mut(ix)
+                        && why == Why::Done
+                    {
+                        m.failures = 0;
+                    }
+                }
+                news.changed = true;
+                model.set_phase(ix, at, phase);
+            }
+            None => {
+                news.changed = true;
+                adopt(model, ix, &t.task, t.attempt, phase, now);
+            }
+        }
+    }
+    // Launched, but not on the machine.
+    for at in (0..listed.len()).rev() {
+        if listed[at] {
+            continue;
+        }
+        let Some(a) = model.machine(ix).and_then(|m| m.tasks.get(at)) else {
+            continue;
+        };
+        let ordering = model.machine(ix).is_some_and(|m| m.ordering);
+        match a.phase {
+            // Ended and reaped.
+            Phase::Ended(_) => model.unassign(ix, at),
+            Phase::New | Phase::Sent => {
+                // A direct launch without an answer may come yet, unless the
+                // machine has seen a higher token; one in a response can't
+                // that the report didn't get, once a later report is made.
+                let open = if a.doubt != 0 {
+                    ordering || seen_token <= a.doubt
+                } else {
+                    a.phase == Phase::Sent && (!beat || report.seq <= a.sent_seq)
+                };
+                if open {
+                    continue;
+                }
+                let withdrawn = a.stop.is_some();
+                if withdrawn {
+                    model.unassign(ix, at);
+                    news.changed = true;
+                } else if let Some(m) = model.machine_mut(ix) {
+                    m.tasks[at].doubt = 0;
+                    m.tasks[at].phase = Phase::New;
+                }
+            }
+            // It was there and is not any more, in the same session. Nothing
+            // in the protocol does this; the newest message is to be believed.
+            _ => {
+                log::error!("task {} vanished from a live session", a.name);
+                model.unassign(ix, at);
+                news.changed = true;
+            }
+        }
+    }
+    if let Some(m) = model.machine_mut(ix)
+        && m.live_tasks() > 0
+    {
+        m.idle_since = now;
+    }
+    news
+}
+
+/// A task that an earlier leader started.
+fn adopt(model: &mut Model, ix: u32, name: &str, attempt: u64, phase: Phase, now: Ms) {
+    let known = split_task(name).and_then(|(id, task)| Some((model.job_ix(id)?, task)));
+    let Some((job_ix, task)) = known else {
+        model.assign_stray(ix, name, attempt, phase, now);
+        return;
+    };
+    let Some(job) = model.job_mut(job_ix) else {
+        return;
+    };
+    let ended = matches!(phase, Phase::Ended(_));
+    if phase == Phase::Ended(Why::Done) && job.spec.kind != Kind::Service && task < job.spec.tasks {
+        job.mark_done(task);
+    }
+    if !ended && task < job.spec.tasks && job.place(task) == Place::Nowhere {
+        let cancelled = job.cancelled || job.cancel_wanted;
+        model.assign(job_ix, task, ix, attempt, phase, now);
+        if cancelled && let Some(a) = model.machine_mut(ix).and_then(|m| m.tasks.last_mut()) {
+            a.stop = Some(0.0);
+            a.stop_since = now;
+        }
+        return;
+    }
+    model.assign_stray(ix, name, attempt, phase, now);
+    // An ended task keeps its job, so that it is reaped only once recorded.
+    if ended && let Some(a) = model.machine_mut(ix).and_then(|m| m.tasks.last_mut()) {
+        a.job = job_ix;
+        a.task = task;
+    }
+}
+
+/// Commands for a machine, and marks what they launch as sent. `direct`: the
+/// token of a direct order; in the response to report `seq` it is `None`.
+pub fn commands(model: &mut Model, ix: u32, direct: Option<u64>, seq: u64) -> Vec<Command> {
+    let mut out = Vec::new();
+    let Some(m) = model.machines.get_mut(ix as usize).and_then(Option::as_mut) else {
+        return out;
+    };
+    let seen = m.seen_token;
+    for a in &mut m.tasks {
+        if out.len() >= MAX_COMMANDS {
+            break;
+        }
+        let (task, attempt) = (a.name.clone(), a.attempt);
+        match a.phase {
+            Phase::Ended(why) => {
+                // After a reap, a launch of that attempt which is still on
+                // its way would start it again; and a task's end must be
+                // recorded before the only witness is removed.
+                let in_doubt = a.doubt != 0 && seen <= a.doubt;
+                let recorded = why != Why::Done
+                    || a.job == NONE
+                    || model
+                        .jobs
+                        .get(a.job as usize)
+                        .and_then(Option::as_ref)
+                        .is_none_or(|j| !j.is_dirty() && !j.writing);
+                if !in_doubt && recorded {
+                    out.push(Command::Forget { task, attempt });
+                }
+            }
+            Phase::New | Phase::Sent => {
+                if let Some(grace_s) = a.stop {
+                    out.push(Command::Stop {
+                        task,
+                        attempt,
+                        grace_s,
+                    });
+                } else if a.phase == Phase::New {
+                    a.phase = Phase::Sent;
+                    a.sent_seq = seq;
+                    a.doubt = direct.unwrap_or(0);
+                    out.push(Command::Start { task, attempt });
+                }
+            }
+            _ => {
+                if let Some(grace_s) = a.stop
+                    && !(a.phase == Phase::Saving && grace_s > 0.0)
+                {
+                    out.push(Command::Stop {
+                        task,
+                        attempt,
+                        grace_s,
+                    });
+                }
+            }
+        }
+    }
+    out
+}
+
+/// A direct order was not carried out, or was answered: what it launched is
+/// no longer in doubt.
+pub fn settle_direct(model: &mut Model, ix: u32, token: u64, executed: bool) {
+    if let Some(m) = model.machine_mut(ix) {
+        for a in m.tasks.iter_mut().filter(|a| a.doubt == token) {
+            a.doubt = 0;
+            if a.phase == Phase::Sent {
+                a.phase = if executed { Phase::Sent } else { Phase::New };
+            }
+        }
+    }
+}
+
+/// Is there anything to tell the machine that shouldn't wait for its report?
+pub fn wants_direct(model: &Model, ix: u32) -> bool {
+    model.machine(ix).is_some_and(|m| {
+        m.up && m.addr.is_some()
+            && m.tasks
+                .iter()
+                .any(|a| a.phase == Phase::New && a.stop.is_none())
+    })
+}
--- /dev/null
+++ b/src/coordination/election.rs
@@ -0,0 +1,147 @@
+//! Who leads, and until when. The leader's key stands in the state service
+//! under a lease; authority ends a margin before the lease can.
+
+use crate::bookkeeping::Ms;
+
+/// Life of the lease behind the leader's key.
+pub const LIFE: Ms = 4000;
+/// Taken off every span of authority: timers fire late, clocks drift.
+const MARGIN: Ms = 150;
+/// How long a promise not to seek leadership holds.
+pub const PROMISE: Ms = 1300;
+
+/// A span shortened for a steady clock that may run fast or slow by 0.05%.
+fn safe(span: Ms) -> Ms {
+    span - span / 1000 - MARGIN
+}
+
+#[derive(Debug)]
+pub struct Election {
+    pub me: String,
+    pub incarnation: u64,
+    started: Ms,
+    /// The term this process leads, with the state service's lease.
+    lead: Option<Lead>,
+    /// Leader and term as last read.
+    pub seen: Option<(String, u64)>,
+    promised_until: Ms,
+    /// An attempt to become leader had no answer: the lease under which it
+    /// was made. Until that is surely over, it may still succeed.
+    pub doubt: Option<u64>,
+    /// A term whose leader said that it has stopped.
+    replaceable: Option<u64>,
+    highest: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lead {
+    pub term: u64,
+    pub lease: u64,
+    until: Ms,
+}
+
+impl Election {
+    pub fn new(me: &str, incarnation: u64, now: Ms) -> Self {
+        Election {
+            me: me.to_owned(),
+            incarnation,
+            started: now,
+            lead: None,
+            seen: None,
+            promised_until: 0,
+            doubt: None,
+            replaceable: None,
+            highest: 0,
+        }
+    }
+
+    pub fn lead(&self) -> Option<Lead> {
+        self.lead
+    }
+
+    /// The term in which this process may act right now.
+    pub fn authority(&self, now: Ms) -> Option<u64> {
+        self.lead.filter(|l| now < l.until).map(|l| l.term)
+    }
+
+    /// The key was read from the state service.
+    pub fn saw(&mut self, leader: Option<(String, u64)>) {
+        if let Some((_, term)) = &leader {
+            self.highest = self.highest.max(*term);
+        }
+        self.seen = leader;
+    }
+
+    /// With which version of the leader's key may this node try to replace
+    /// it? 0: it must not exist.
+    pub fn may_seek(&self, now: Ms) -> Option<u64> {
+        // A process that has just started may have forgotten a promise.
+        if self.lead.is_some()
+            || self.doubt.is_some()
+            || now < self.promised_until
+            || now < self.started + PROMISE + MARGIN
+        {
+            return None;
+        }
+        match &self.seen {
+            None => Some(0),
+            Some((_, term)) if self.replaceable == Some(*term) => Some(*term),
+            Some(_) => None,
+        }
+    }
+
+    pub fn won(&mut self, term: u64, lease: u64, lease_asked: Ms) {
+        self.highest = self.highest.max(term);
+        self.seen = Some((self.me.clone(), term));
+        self.doubt = None;
+        self.lead = Some(Lead {
+            term,
+            lease,
+            until: lease_asked + safe(LIFE),
+        });
+    }
+
+    /// A renewal sent at `sent` succeeded.
+    pub fn renewed(&mut self, sent: Ms) {
+        if let Some(l) = &mut self.lead {
+            l.until = l.until.max(sent + safe(LIFE));
+        }
+    }
+
+    /// All other nodes promised, when asked at `sent`, to seek nothing.
+    pub fn promised_by_all(&mut self, sent: Ms) {
+        if let Some(l) = &mut self.lead {
+            l.until = l.until.max(sent + safe(PROMISE));
+        }
+    }
+
+    /// Stops acting. Returns the lease to give back.
+    pub fn resign(&mut self) -> Option<Lead> {
+        self.seen = None;
+        self.lead.take()
+    }
+
+    /// A leader asks for a promise. `state_fails`: this node's own fresh
+    /// request to the state service just failed.
+    pub fn grant(&mut self, now: Ms, term: u64, for_ms: Ms, state_fails: bool) -> bool {
+        if !state_fails || term < self.highest || self.lead.is_some() || self.doubt.is_some() {
+            return false;
+        }
+        if for_ms > PROMISE {
+            return false;
+        }
+        self.highest = term;
+        self.promised_until = self
+            .promised_until
+            .max(now + for_ms + for_ms / 1000 + MARGIN);
+        true
+    }
+
+    pub fn resigned(&mut self, term: u64) {
+        self.replaceable = Some(term);
+        // Whoever said so asked for nothing further of a promise to it.
+        if term >= self.highest {
+            self.promised_until = 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/leader.rs
@@ -0,0 +1,1363 @@
+//! The leader of one term: binds the model, placement, dispatch and
+//! provisioning. It is told of events and asked for what to do next.
+
+use super::{
+    dispatch,
+    placement::{self, Candidate, Policy},
+    provision::{self, Bin, Demand, Offer},
+};
+use crate::{
+    bookkeeping::{
+        Ms,
+        amounts::Amounts,
+        model::{Model, NONE, Phase, Roster},
+        records::{
+            self, Bits, FinalRecord, JobRecord, LEADER, MachineRecord, chunk_key, final_key,
+            job_key, machine_key,
+        },
+    },
+    protocol::{
+        cloud::{ListedMachine, ListedState, MachineType, Rent},
+        options::Options,
+        settings::Settings,
+        state::{Guard, Txn, Write},
+        users::{JobSpec, JobState, JobStatus, Kind, Priority},
+        workers::{DirectOrder, Report, ReportReply, Why},
+    },
+};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc};
+
+/// Bits of a token below the term: fences raised for one machine.
+const FENCE_BITS: u32 = 20;
+/// Taken on top of a worker's lease before its tasks count as gone.
+const LAPSE_MARGIN: Ms = 500;
+const MAX_FINALS: usize = 20_000;
+/// How long a kind of machine that was refused is not asked for again.
+const REFUSED: Ms = 10_000;
+
+fn millis(s: f64) -> Ms {
+    (s.max(0.0) * 1000.0) as Ms
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Item {
+    Cancel(u32, String),
+    Final(u32, String, JobState),
+    Progress(u32, String, Vec<usize>),
+    Roster(u32, String),
+    Mark(u32, String),
+    Drop(String),
+}
+
+/// One transaction and what it says.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub txn: Txn,
+    pub items: Vec<Item>,
+}
+
+#[derive(Debug, Clone)]
+pub enum CloudOp {
+    Rent(Rent),
+    Release(Vec<String>),
+}
+
+#[derive(Debug, Clone)]
+pub struct Direct {
+    pub machine: String,
+    pub addr: SocketAddr,
+    pub order: DirectOrder,
+}
+
+/// How a direct order came out.
+pub enum DirectOutcome {
+    Executed(Report),
+    Refused(Option<Report>),
+    NotSent,
+    NoAnswer,
+}
+
+pub struct Leader {
+    settings: Rc<Settings>,
+    options: Options,
+    pub model: Model,
+    pub term: u64,
+    acquired: Ms,
+    /// Jobs and roster have been read.
+    pub loaded: bool,
+    settled: bool,
+    attempts: u64,
+    requests: u64,
+    pub finals: HashMap<String, JobStatus>,
+    policy: Policy,
+    shapes: Vec<(Amounts, u64)>,
+    /// Something changed since placement was last tried.
+    changed: bool,
+    provision_at: Ms,
+    list_at: Ms,
+    refused: HashMap<(usize, usize, bool), Ms>,
+    renting: u32,
+    /// Machines released or dropped; late reports of them mean nothing.
+    released: HashMap<String, Ms>,
+    orphans: Vec<String>,
+    drops: Vec<(String, u64)>,
+    order: Vec<u32>,
+}
+
+impl Leader {
+    pub fn new(
+        settings: Rc<Settings>,
+        options: Options,
+        types: Vec<MachineType>,
+        term: u64,
+        now: Ms,
+    ) -> Self {
+        let model = Model::new(&settings, types);
+        let policy = Policy {
+            threshold: options.threshold,
+            load: options.load,
+            shapes: options.shapes.iter().map(Policy::shape).collect(),
+        };
+        Leader {
+            settings,
+            options,
+            model,
+            term,
+            acquired: now,
+            loaded: false,
+            settled: false,
+            attempts: 0,
+            requests: 0,
+            finals: HashMap::new(),
+            policy,
+            shapes: Vec::new(),
+            changed: true,
+            provision_at: 0,
+            list_at: 0,
+            refused: HashMap::new(),
+            renting: 0,
+            released: HashMap::new(),
+            orphans: Vec::new(),
+            drops: Vec::new(),
+            order: Vec::new(),
+        }
+    }
+
+    fn floor(&self) -> u64 {
+        self.term << FENCE_BITS
+    }
+
+    fn token(&self, ix: u32) -> u64 {
+        self.floor() | self.model.machine(ix).map_or(0, |m| m.fence)
+    }
+
+    fn lapse_after(&self) -> Ms {
+        let lease = millis(self.settings.cluster.workers.lease_s);
+        lease + lease / 500 + LAPSE_MARGIN
+    }
+
+    pub fn settled(&self) -> bool {
+        self.settled
+    }
+
+    // ---- taking over ----
+
+    pub fn load_job(&mut self, record: JobRecord, version: u64, now: Ms) -> u32 {
+        let mut done = Bits::with_len(record.spec.tasks);
+        done.load(0, &record.done);
+        self.learn_shape(&record.spec);
+        self.changed = true;
+        self.model.insert_job(
+            record.spec,
+            record.at_ms,
+            version,
+            done,
+            record.cancelled,
+            now,
+        )
+    }
+
+    pub fn load_chunk(&mut self, id: &str, chunk: usize, text: &str) {
+        let Some(job) = self.model.job_ix(id).and_then(|ix| self.model.job_mut(ix)) else {
+            self.orphans.push(chunk_key(id, chunk));
+            return;
+        };
+        let mut bits = Bits::with_len(job.spec.tasks);
+        bits.load(chunk, text);
+        for t in 0..job.spec.tasks {
+            if bits.get(t) {
+                job.mark_done(t);
+            }
+        }
+        if let Some(d) = job.dirty.get_mut(chunk) {
+            *d = false;
+        }
+    }
+
+    pub fn load_machine(&mut self, name: &str, record: MachineRecord, version: u64, now: Ms) {
+        let ix = self.model.insert_machine(
+            name,
+            &record.addr,
+            &record.type_name,
+            &record.zone,
+            record.spot,
+            now,
+        );
+        if let Some(m) = ix.and_then(|ix| self.model.machine_mut(ix)) {
+            m.roster = Roster::Present;
+            m.version = version;
+            m.releasing = record.releasing;
+            m.release_marked = record.releasing;
+            m.unknown = true;
+            m.answered = self.acquired;
+        }
+    }
+
+    // ---- workers ----
+
+    /// `None`: not a machine to answer.
+    pub fn on_beat(&mut self, report: &Report, now: Ms) -> Option<ReportReply> {
+        if !self.loaded {
+            // The lease must not lapse while the records are being read.
+            return Some(ReportReply {
+                token: self.floor(),
+                commands: Vec::new(),
+            });
+        }
+        if self.released.contains_key(&report.machine) {
+            return None;
+        }
+        let ix = self.model.insert_machine(
+            &report.machine,
+            &report.addr,
+            &report.type_name,
+            &report.zone,
+            report.spot,
+            now,
+        )?;
+        self.take_in(ix, report, true, now);
+        let m = self.model.machine_mut(ix)?;
+        m.answered = now;
+        let fresh = m.up && (report.session, report.seq) == (m.session, m.seq);
+        let commands = if fresh {
+            dispatch::commands(&mut self.model, ix, None, report.seq)
+        } else {
+            Vec::new()
+        };
+        Some(ReportReply {
+            token: self.token(ix),
+            commands,
+        })
+    }
+
+    fn take_in(&mut self, ix: u32, report: &Report, beat: bool, now: Ms) {
+        let floor = self.floor();
+        let news = dispatch::take_in(&mut self.model, ix, report, floor, beat, now);
+        self.changed |= news.changed;
+        for (job_ix, why) in news.ended {
+            self.on_ended(ix, job_ix, why, now);
+        }
+    }
+
+    fn on_ended(&mut self, machine: u32, job_ix: u32, why: Why, now: Ms) {
+        let Some(job) = self.model.job_mut(job_ix) else {
+            return;
+        };
+        match why {
+            Why::Done => {
+                job.failures = 0;
+                if job.spec.kind == Kind::Gang {
+                    // A gang's tasks complete together.
+                    for t in 0..job.spec.tasks {
+                        job.mark_done(t);
+                    }
+                }
+            }
+            Why::Error | Why::Unknown | Why::Other | Why::NoRoom | Why::Busy => {
+                job.failures += 1;
+                let failures = job.failures;
+                // Guards against relaunching a job that fails everywhere in
+                // a tight loop.
+                if failures > 2 {
+                    job.backoff_until = now + (500 << failures.min(7));
+                }
+                let id = job.id.clone();
+                if let Some(m) = self.model.machine_mut(machine)
+                    && failures <= 3
+                {
+                    m.failures += 1;
+                    if m.failures >= 3 && why == Why::Error && !m.quarantined {
+                        m.quarantined = true;
+                        log::info!("machine {} quarantined: tasks fail on it", m.name);
+                    }
+                    log::debug!("task of {id} failed on {}: {why:?}", m.name);
+                }
+            }
+            Why::Stopped | Why::Peers | Why::Alone => {}
+        }
+    }
+
+    pub fn directs(&mut self, now: Ms) -> Vec<Direct> {
+        let mut out = Vec::new();
+        if !self.loaded {
+            return out;
+        }
+        for ix in 0..self.model.machines.len() as u32 {
+            let ready = self
+                .model
+                .machine(ix)
+                .is_some_and(|m| m.up && !m.ordering && now >= m.order_retry);
+            if !ready || !dispatch::wants_direct(&self.model, ix) {
+                continue;
+            }
+            let token = self.token(ix);
+            let commands = dispatch::commands(&mut self.model, ix, Some(token), 0);
+            if let Some(m) = self.model.machine_mut(ix)
+                && let Some(addr) = m.addr
+            {
+                m.ordering = true;
+                out.push(Direct {
+                    machine: m.name.clone(),
+                    addr,
+                    order: DirectOrder {
+                        token,
+                        session: m.session,
+                        commands,
+                    },
+                });
+            }
+        }
+        out
+    }
+
+    pub fn direct_done(&mut self, machine: &str, token: u64, outcome: DirectOutcome, now: Ms) {
+        let Some(ix) = self.model.machine_ix(machine) else {
+            return;
+        };
+        let retry = millis(self.settings.cluster.workers.report_s) * 2;
+        if let Some(m) = self.model.machine_mut(ix) {
+            m.ordering = false;
+        }
+        match outcome {
+            DirectOutcome::Executed(report) => {
+                dispatch::settle_direct(&mut self.model, ix, token, true);
+                self.take_in(ix, &report, false, now);
+            }
+            DirectOutcome::Refused(report) => {
+                dispatch::settle_direct(&mut self.model, ix, token, false);
+                if let Some(m) = self.model.machine_mut(ix) {
+                    m.order_retry = now + retry;
+                }
+                if let Some(report) = report {
+                    self.take_in(ix, &report, false, now);
+                }
+            }
+            DirectOutcome::NotSent => {
+                dispatch::settle_direct(&mut self.model, ix, token, false);
+                if let Some(m) = self.model.machine_mut(ix) {
+                    m.order_retry = now + retry;
+                }
+            }
+            DirectOutcome::NoAnswer => {
+                // It may be carried out minutes later: raise the fence, so
+                // that the machine refuses it once it has seen the new token.
+                if let Some(m) = self.model.machine_mut(ix) {
+                    m.fence += 1;
+                    m.order_retry = now + retry;
+                }
+            }
+        }
+        self.changed = true;
+    }
+
+    // ---- users ----
+
+    pub fn status(&self, id: &str) -> Option<JobStatus> {
+        if let Some(ix) = self.model.job_ix(id) {
+            return self.model.job(ix).map(|j| j.status());
+        }
+        self.finals.get(id).cloned()
+    }
+
+    pub fn remember_final(&mut self, status: JobStatus) {
+        if self.finals.len() >= MAX_FINALS {
+            self.finals.clear();
+        }
+        self.finals.insert(status.id.clone(), status);
+    }
+
+    pub fn accepted(&mut self, record: JobRecord, version: u64, now: Ms) {
+        if !self.finals.contains_key(&record.spec.id) {
+            self.load_job(record, version, now);
+        }
+    }
+
+    /// Marks a known job for withdrawal. Its tasks stop only once that is
+    /// recorded: until then it may still complete.
+    pub fn cancel(&mut self, id: &str) {
+        if let Some(job) = self.model.job_ix(id).and_then(|ix| self.model.job_mut(ix)) {
+            job.cancel_wanted = true;
+        }
+    }
+
+    fn learn_shape(&mut self, spec: &JobSpec) {
+        if !self.options.shapes.is_empty() {
+            return;
+        }
+        let need = Amounts::need(spec.cpus, spec.gpus, spec.memory_gb);
+        match self.shapes.iter().position(|(s, _)| *s == need) {
+            Some(at) => self.shapes[at].1 += 1,
+            None if self.shapes.len() < 64 => self.shapes.push((need, 1)),
+            None => {}
+        }
+        self.shapes.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
+        self.policy.shapes = self.shapes.iter().take(6).map(|(s, _)| *s).collect();
+    }
+
+    // ---- time ----
+
+    pub fn tick(&mut self, now: Ms, wall_ms: u64) {
+        if !self.loaded {
+            return;
+        }
+        self.lapse(now);
+        if !self.settled {
+            self.settled = !self.model.machines.iter().flatten().any(|m| m.unknown);
+            if self.settled {
+                log::info!(
+                    "term {} settled after {} ms: {} jobs, {} machines",
+                    self.term,
+                    now - self.acquired,
+                    self.model.live_jobs(),
+                    self.model.machine_count()
+                );
+                self.changed = true;
+            }
+        }
+        self.stop_what_must(now);
+        let backoff = self
+            .model
+            .jobs
+            .iter()
+            .flatten()
+            .any(|j| j.backoff_until != 0 && j.backoff_until <= now);
+        if (self.changed || backoff) && self.settled {
+            self.changed = false;
+            self.place(now);
+        }
+        let _ = wall_ms;
+    }
+
+    fn lapse(&mut self, now: Ms) {
+        let after = self.lapse_after();
+        for ix in 0..self.model.machines.len() as u32 {
+            let Some(m) = self.model.machine_mut(ix) else {
+                continue;
+            };
+            if !(m.up || m.unknown) || now <= m.answered + after {
+                continue;
+            }
+            log::info!(
+                "machine {} silent: its lease has lapsed, {} tasks gone",
+                m.name,
+                m.live_tasks()
+            );
+            m.up = false;
+            m.unknown = false;
+            m.min_session = m.session + 1;
+            m.since = now;
+            self.model.clear_machine(ix);
+            self.changed = true;
+        }
+    }
+
+    /// Tasks of withdrawn jobs, and what is left of gangs that lost a task.
+    fn stop_what_must(&mut self, now: Ms) {
+        let settled = self.settled;
+        let mut stop = Vec::new();
+        for (ix, job) in self.model.jobs.iter().enumerate() {
+            if let Some(j) = job
+                && j.live > 0
+                && (j.cancelled || (settled && j.spec.kind == Kind::Gang && j.waiting() > 0))
+            {
+                stop.push(ix as u32);
+            }
+        }
+        if stop.is_empty() {
+            return;
+        }
+        for m in self.model.machines.iter_mut().flatten() {
+            for a in m.tasks.iter_mut() {
+                if a.job != NONE && a.live() && a.stop.is_none() && stop.contains(&a.job) {
+                    a.stop = Some(0.0);
+                    a.stop_since = now;
+                }
+            }
+        }
+        for ix in 0..self.model.machines.len() as u32 {
+            let Some(m) = self.model.machine(ix) else {
+                continue;
+            };
+            // Never sent, not even in doubt: simply not launched.
+            for at in (0..m.tasks.len()).rev() {
+                let drop = self.model.machine(ix).is_some_and(|m| {
+                    let a = &m.tasks[at];
+                    a.phase == Phase::New && a.stop.is_some() && a.doubt == 0
+                });
+                if drop {
+                    self.model.unassign(ix, at);
+                    self.changed = true;
+                }
+            }
+        }
+    }
+
+    /// Waiting jobs in the order in which they are served.
+    fn queue(&mut self) -> Vec<u32> {
+        let mut order = std::mem::take(&mut self.order);
+        order.clear();
+        for (ix, job) in self.model.jobs.iter().enumerate() {
+            if let Some(j) = job
+                && j.waiting() > 0
+                && !j.cancelled
+                && !j.cancel_wanted
+            {
+                order.push(ix as u32);
+            }
+        }
+        let jobs = &self.model.jobs;
+        order.sort_by_key(|ix| {
+            jobs[*ix as usize]
+                .as_ref()
+                .map(|j| (std::cmp::Reverse(j.spec.priority), j.at_ms, *ix))
+        });
+        order
+    }
+
+    fn attempt(&mut self) -> u64 {
+        self.attempts += 1;
+        (self.term << FENCE_BITS) | self.attempts
+    }
+
+    fn place(&mut self, now: Ms) {
+        let mut candidates: Vec<Candidate> = Vec::new();
+        for (ix, m) in self.model.machines.iter().enumerate() {
+            if let Some(m) = m
+                && m.usable()
+            {
+                candidates.push(Candidate {
+                    machine: ix as u32,
+                    zone: m.zone,
+                    capacity: m.capacity,
+                    free: m.free(),
+                    caches_image: false,
+                    preference: m.free().cpus,
+                });
+            }
+        }
+        let order = self.queue();
+        if candidates.is_empty() {
+            self.order = order;
+            return;
+        }
+        // Shapes that found no room in this pass; the rest of the queue
+        // needn't be tried for them.
+        let mut full: Vec<(Amounts, Vec<bool>, Option<usize>, bool)> = Vec::new();
+        for &job_ix in &order {
+            let Some(job) = self.model.job(job_ix) else {
+                continue;
+            };
+            if job.backoff_until > now {
+                continue;
+            }
+            let key = (job.need, job.types.clone(), job.zone, job.spec.spot);
+            if full.contains(&key) {
+                continue;
+            }
+            let bound = job.spec.one_zone || job.spec.spread || job.spec.kind == Kind::Gang;
+            let team = job.team;
+            let one = self.model.within_limit(team, &key.0, 1);
+            let placed = if job.spec.kind == Kind::Gang {
+                self.place_gang(job_ix, &mut candidates, now)
+            } else {
+                self.place_each(job_ix, &mut candidates, now)
+            };
+            if !placed && !bound && one && self.model.within_limit(team, &key.0, 1) {
+                full.push(key);
+            }
+        }
+        self.order = order;
+    }
+
+    fn mark_candidates(&self, job_ix: u32, candidates: &mut [Candidate]) {
+        let Some(job) = self.model.job(job_ix) else {
+            return;
+        };
+        for c in candidates {
+            c.caches_image = self
+                .model
+                .machine(c.machine)
+                .is_some_and(|m| m.images.contains(&job.image));
+        }
+    }
+
+    fn choose(
+        &self,
+        job_ix: u32,
+        task: u32,
+        candidates: &[Candidate],
+        zone_ok: impl Fn(usize) -> bool,
+    ) -> Option<usize> {
+        let job = self.model.job(job_ix)?;
+        placement::choose(&self.policy, candidates, &job.need, |c| {
+            zone_ok(c.zone)
+                && job.zone.is_none_or(|z| z == c.zone)
+                && self.model.machine(c.machine).is_some_and(|m| {
+                    job.types.get(m.type_ix).copied().unwrap_or(false)
+                        && (job.spec.spot || !m.spot)
+                        // An old attempt still listed there would refuse it.
+                        && !m.tasks.iter().any(|a| a.job == job_ix && a.task == task)
+                })
+        })
+    }
+
+    /// Returns whether all that waits was placed.
+    fn place_each(&mut self, job_ix: u32, candidates: &mut [Candidate], now: Ms) -> bool {
+        self.mark_candidates(job_ix, candidates);
+        let Some(job) = self.model.job(job_ix) else {
+            return true;
+        };
+        let (need, team, one_zone, spread) =
+            (job.need, job.team, job.spec.one_zone, job.spec.spread);
+        let half = job.spec.tasks.div_ceil(2);
+        let mut zones = if one_zone || spread {
+            self.model.zones_of(job_ix)
+        } else {
+            Vec::new()
+        };
+        loop {
+            let Some(task) = self.model.job_mut(job_ix).and_then(|j| j.next_waiting()) else {
+                return true;
+            };
+            if !self.model.within_limit(team, &need, 1) {
+                return false;
+            }
+            let chosen = self.choose(job_ix, task, candidates, |z| {
+                (!one_zone || zones.iter().enumerate().all(|(i, n)| *n == 0 || i == z))
+                    && (!spread || zones.get(z).copied().unwrap_or(0) < half)
+            });
+            let Some(at) = chosen else {
+                return false;
+            };
+            let c = &mut candidates[at];
+            c.free -= need;
+            c.preference = c.free.cpus;
+            let (machine, zone) = (c.machine, c.zone);
+            if let Some(n) = zones.get_mut(zone) {
+                *n += 1;
+            }
+            let attempt = self.attempt();
+            self.start(job_ix, task, machine, attempt, now);
+        }
+    }
+
+    /// All tasks of a gang in one pass, or none.
+    fn place_gang(&mut self, job_ix: u32, candidates: &mut [Candidate], now: Ms) -> bool {
+        self.mark_candidates(job_ix, candidates);
+        let Some(job) = self.model.job(job_ix) else {
+            return true;
+        };
+        let (n, need, team) = (job.spec.tasks, job.need, job.team);
+        // Tasks of the attempt before must be gone first.
+        if job.live > 0 || !self.model.within_limit(team, &need, i64::from(n)) {
+            return false;
+        }
+        let spread = job.spec.spread;
+        let half = n.div_ceil(2);
+        let zones: Vec<Option<usize>> = if job.spec.one_zone {
+            (0..self.model.zones.len()).map(Some).collect()
+        } else {
+            vec![None]
+        };
+        for only in zones {
+            let mut trial = candidates.to_vec();
+            let mut chosen = Vec::with_capacity(n as usize);
+            let mut per_zone = vec![0; self.model.zones.len()];
+            for task in 0..n {
+                let pick = self.choose(job_ix, task, &trial, |z| {
+                    only.is_none_or(|o| o == z) && (!spread || per_zone[z] < half)
+                });
+                let Some(at) = pick else { break };
+                trial[at].free -= need;
+                trial[at].preference = trial[at].free.cpus;
+                per_zone[trial[at].zone] += 1;
+                chosen.push(trial[at].machine);
+            }
+            if chosen.len() == n as usize {
+                let attempt = self.attempt();
+                for (task, machine) in chosen.into_iter().enumerate() {
+                    self.start(job_ix, task as u32, machine, attempt, now);
+                }
+                candidates.clone_from_slice(&trial);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn start(&mut self, job_ix: u32, task: u32, machine: u32, attempt: u64, now: Ms) {
+        if log::log_enabled!(log::Level::Debug)
+            && let (Some(j), Some(m)) = (self.model.job(job_ix), self.model.machine(machine))
+        {
+            log::debug!("place {}/{task} try {attempt} on {}", j.id, m.name);
+        }
+        self.model
+            .assign(job_ix, task, machine, attempt, Phase::New, now);
+    }
+
+    // ---- the state service ----
+
+    fn leader_guard(&self) -> Guard {
+        Guard {
+            key: LEADER.into(),
+            version: self.term,
+        }
+    }
+
+    /// The transaction that accepts a job.
+    pub fn acceptance(&self, spec: &JobSpec, wall_ms: u64) -> (Txn, JobRecord) {
+        let record = JobRecord {
+            spec: spec.clone(),
+            at_ms: wall_ms,
+            cancelled: false,
+            done: String::new(),
+        };
+        let mut txn = acceptance(&record);
+        txn.guards.push(self.leader_guard());
+        (txn, record)
+    }
+
+    /// What is to be written next, at most `room` changes.
+    pub fn plan_flush(&mut self, room: usize) -> Option<Plan> {
+        if !self.loaded {
+            return None;
+        }
+        let limits = &self.settings.cluster.state;
+        let room = room.min(limits.txn_ops);
+        let mut bytes = 0usize;
+        let byte_limit = 48 * 1024;
+        let mut plan = Plan {
+            txn: Txn {
+                guards: vec![self.leader_guard()],
+                writes: Vec::new(),
+            },
+            items: Vec::new(),
+        };
+        let put = |plan: &mut Plan, bytes: &mut usize, key: String, value: serde_json::Value| {
+            *bytes += key.len() + value.to_string().len() + 40;
+            plan.txn.writes.push(Write::Put {
+                key,
+                value,
+                lease: None,
+            });
+        };
+        // Withdrawals, then endings, then progress.
+        for pass in 0..3 {
+            for ix in 0..self.model.jobs.len() {
+                if plan.txn.writes.len() + 2 > room || bytes > byte_limit {
+                    break;
+                }
+                let Some(j) = self.model.jobs[ix].as_mut() else {
+                    continue;
+                };
+                if j.writing {
+                    continue;
+                }
+                let guard = Guard {
+                    key: job_key(&j.id),
+                    version: j.version,
+                };
+                let over = if j.complete() && !j.cancelled {
+                    Some(JobState::Done)
+                } else if j.cancelled && j.live == 0 && self.settled {
+                    Some(JobState::Cancelled)
+                } else {
+                    None
+                };
+                match (pass, over) {
+                    (0, None) if j.cancel_wanted && !j.cancelled => {
+                        plan.txn.guards.push(guard);
+                        let record = job_record(j, true);
+                        put(&mut plan, &mut bytes, job_key(&j.id), record);
+                        plan.items.push(Item::Cancel(ix as u32, j.id.clone()));
+                        j.writing = true;
+                    }
+                    (1, Some(state)) => {
+                        plan.txn.guards.push(guard);
+                        plan.txn.guards.push(Guard {
+                            key: final_key(&j.id),
+                            version: 0,
+                        });
+                        let record = FinalRecord {
+                            state,
+                            done: j.done_n,
+                        };
+                        let value = serde_json::to_value(record).unwrap_or_default();
+                        put(&mut plan, &mut bytes, final_key(&j.id), value);
+                        plan.txn.writes.push(Write::Delete {
+                            key: job_key(&j.id),
+                        });
+                        plan.items.push(Item::Final(ix as u32, j.id.clone(), state));
+                        j.writing = true;
+                    }
+                    (2, None) if j.is_dirty() && !j.cancelled => {
+                        let mut chunks = Vec::new();
+                        plan.txn.guards.push(guard);
+                        for c in 0..j.dirty.len() {
+                            if !j.dirty[c] || plan.txn.writes.len() + 1 > room {
+                                continue;
+                            }
+                            if c > 0 {
+                                let value = serde_json::Value::String(j.done.chunk(c));
+                                put(&mut plan, &mut bytes, chunk_key(&j.id, c), value);
+                                chunks.push(c);
+                            } else {
+                                let record = job_record(j, false);
+                                put(&mut plan, &mut bytes, job_key(&j.id), record);
+                                chunks.push(c);
+                            }
+                        }
+                        for c in &chunks {
+                            j.dirty[*c] = false;
+                        }
+                        plan.items
+                            .push(Item::Progress(ix as u32, j.id.clone(), chunks));
+                        j.writing = true;
+                    }
+                    _ => {}
+                }
+            }
+            if pass == 0 {
+                self.plan_roster(&mut plan, room);
+            }
+        }
+        while plan.txn.writes.len() < room
+            && let Some(key) = self.orphans.pop()
+        {
+            plan.txn.writes.push(Write::Delete { key });
+        }
+        (!plan.txn.writes.is_empty()).then_some(plan)
+    }
+
+    fn plan_roster(&mut self, plan: &mut Plan, room: usize) {
+        for ix in 0..self.model.machines.len() {
+            if plan.txn.writes.len() + 1 > room {
+                return;
+            }
+            let type_names = &self.model.types;
+            let Some(m) = self.model.machines[ix].as_mut() else {
+                continue;
+            };
+            if m.writing {
+                continue;
+            }
+            let add = m.up && m.roster == Roster::Absent && !m.releasing;
+            let mark = m.releasing && !m.release_marked && m.roster == Roster::Present;
+            if !add && !mark {
+                continue;
+            }
+            m.writing = true;
+            plan.txn.guards.push(Guard {
+                key: machine_key(&m.name),
+                version: m.version,
+            });
+            let record = MachineRecord {
+                addr: m.addr.map(|a| a.to_string()).unwrap_or_default(),
+                type_name: type_names[m.type_ix].name.clone(),
+                zone: self.model.zones.name(m.zone).to_owned(),
+                spot: m.spot,
+                releasing: mark,
+            };
+            plan.txn.writes.push(Write::Put {
+                key: machine_key(&m.name),
+                value: serde_json::to_value(record).unwrap_or_default(),
+                lease: None,
+            });
+            let name = m.name.clone();
+            plan.items.push(if mark {
+                Item::Mark(ix as u32, name)
+            } else {
+                Item::Roster(ix as u32, name)
+            });
+        }
+        while plan.txn.writes.len() < room
+            && let Some((name, version)) = self.drops.pop()
+        {
+            let key = machine_key(&name);
+            plan.txn.guards.push(Guard {
+                key: key.clone(),
+                version,
+            });
+            plan.txn.writes.push(Write::Delete { key });
+            plan.items.push(Item::Drop(name));
+        }
+    }
+
+    fn job_of(&mut self, ix: u32, id: &str) -> Option<&mut crate::bookkeeping::model::Job> {
+        self.model.job_mut(ix).filter(|j| j.id == id)
+    }
+
+    pub fn flushed(&mut self, plan: &Plan, revision: u64, now: Ms) {
+        for item in &plan.items {
+            match item {
+                Item::Cancel(ix, id) => {
+                    if let Some(j) = self.job_of(*ix, id) {
+                        j.version = revision;
+                        j.writing = false;
+                        j.cancelled = true;
+                        log::info!("job {id} withdrawn");
+                    }
+                }
+                Item::Final(ix, id, state) => self.ended(*ix, id, *state, now),
+                Item::Progress(ix, id, chunks) => {
+                    if let Some(j) = self.job_of(*ix, id) {
+                        j.writing = false;
+                        if chunks.contains(&0) {
+                            j.version = revision;
+                        }
+                    }
+                }
+                Item::Roster(ix, name) | Item::Mark(ix, name) => {
+                    let marked = matches!(item, Item::Mark(..));
+                    if let Some(m) = self.model.machine_mut(*ix).filter(|m| m.name == *name) {
+                        m.writing = false;
+                        m.roster = Roster::Present;
+                        m.version = revision;
+                        m.release_marked |= marked;
+                    }
+                }
+                Item::Drop(_) => {}
+            }
+        }
+        self.changed = true;
+    }
+
+    fn ended(&mut self, ix: u32, id: &str, state: JobState, now: Ms) {
+        let Some(j) = self.job_of(ix, id) else { return };
+        let status = JobStatus {
+            id: id.to_owned(),
+            state,
+            done: j.done_n,
+            running: 0,
+        };
+        let chunks = j.dirty.len();
+        for c in 1..chunks {
+            self.orphans.push(chunk_key(id, c));
+        }
+        self.model.remove_job(ix, now);
+        self.remember_final(status);
+    }
+
+    /// Keys to read again after a transaction that had no answer or failed.
+    pub fn keys_of(plan: &Plan) -> Vec<String> {
+        let mut keys: Vec<String> = plan.txn.guards.iter().map(|g| g.key.clone()).collect();
+        keys.retain(|k| k != LEADER);
+        keys
+    }
+
+    /// A key of such a transaction as it stands now. All keys must have been
+    /// read before `reread_done`.
+    pub fn reread(&mut self, key: &str, found: Option<(serde_json::Value, u64)>, now: Ms) {
+        if let Some(id) = key.strip_prefix(records::FINALS) {
+            if let Some((value, _)) = found
+                && let Ok(record) = serde_json::from_value::<FinalRecord>(value)
+                && let Some(ix) = self.model.job_ix(id)
+            {
+                self.ended(ix, id, record.state, now);
+            }
+        } else if let Some(id) = key.strip_prefix(records::JOBS) {
+            if let Some((value, version)) = found
+                && let Ok(record) = serde_json::from_value::<JobRecord>(value)
+                && let Some(ix) = self.model.job_ix(id)
+                && let Some(j) = self.model.job_mut(ix)
+            {
+                j.version = version;
+                j.cancelled |= record.cancelled;
+            }
+        } else if let Some(name) = key.strip_prefix(records::ROSTER) {
+            if let Some(m) = self
+                .model
+                .machine_ix(name)
+                .and_then(|ix| self.model.machine_mut(ix))
+            {
+                match found {
+                    Some((value, version)) => {
+                        m.roster = Roster::Present;
+                        m.version = version;
+                        if let Ok(r) = serde_json::from_value::<MachineRecord>(value) {
+                            m.release_marked = r.releasing;
+                        }
+                    }
+                    None => {
+                        m.roster = Roster::Absent;
+                        m.version = 0;
+                    }
+                }
+            } else if let Some((_, version)) = found {
+                self.drops.push((name.to_owned(), version));
+            }
+        }
+    }
+
+    pub fn reread_done(&mut self, plan: &Plan) {
+        for item in &plan.items {
+            match item {
+                Item::Cancel(ix, id) | Item::Final(ix, id, _) => {
+                    if let Some(j) = self.job_of(*ix, id) {
+                        j.writing = false;
+                    }
+                }
+                Item::Progress(ix, id, chunks) => {
+                    let chunks = chunks.clone();
+                    if let Some(j) = self.job_of(*ix, id) {
+                        j.writing = false;
+                        for c in chunks {
+                            j.dirty[c] = true;
+                        }
+                    }
+                }
+                Item::Roster(ix, name) | Item::Mark(ix, name) => {
+                    if let Some(m) = self.model.machine_mut(*ix).filter(|m| m.name == *name) {
+                        m.writing = false;
+                    }
+                }
+                Item::Drop(_) => {}
+            }
+        }
+    }
+
+    // ---- the cloud ----
+
+    /// When the machine list is due, it is taken as asked for.
+    pub fn list_due(&mut self, now: Ms) -> bool {
+        let due = self.loaded && now >= self.list_at;
+        if due {
+            self.list_at = now + 4000;
+        }
+        due
+    }
+
+    pub fn listed(&mut self, list: &[ListedMachine], now: Ms) {
+        for l in list {
+            if self.released.contains_key(&l.id) {
+                continue;
+            }
+            if l.state == ListedState::Failed {
+                if let Some(ix) = self.model.machine_ix(&l.id) {
+                    // It stopped by itself: nothing runs there any more.
+                    self.model.clear_machine(ix);
+                    self.release(ix, "failed", now);
+                    if let Some(m) = self.model.machine_mut(ix) {
+                        m.up = false;
+                        m.unknown = false;
+                        m.min_session = m.session + 1;
+                    }
+                    self.changed = true;
+                } else if let Some(ix) =
+                    self.model
+                        .insert_machine(&l.id, &l.addr, &l.type_name, &l.zone, l.spot, now)
+                {
+                    self.release(ix, "failed", now);
+                }
+                continue;
+            }
+            let ix = self
+                .model
+                .insert_machine(&l.id, &l.addr, &l.type_name, &l.zone, l.spot, now);
+            if let Some(m) = ix.and_then(|ix| self.model.machine_mut(ix)) {
+                m.listed = now;
+                if m.since == now && l.state == ListedState::Booting {
+                    m.since = now.saturating_sub(millis(l.age_s));
+                }
+            }
+        }
+    }
+
+    fn release(&mut self, ix: u32, why: &str, now: Ms) {
+        if let Some(m) = self.model.machine_mut(ix)
+            && !m.releasing
+        {
+            log::info!("machine {} to be released: {why}", m.name);
+            m.releasing = true;
+            m.since = now;
+        }
+    }
+
+    pub fn cloud_ops(&mut self, now: Ms, wall_ms: u64) -> Vec<CloudOp> {
+        let mut ops = Vec::new();
+        if !self.loaded || now < self.provision_at {
+            return ops;
+        }
+        self.provision_at = now + 1000;
+        self.return_machines(now);
+        let mut names = Vec::new();
+        for m in self.model.machines.iter_mut().flatten() {
+            if m.releasing
+                && !m.release_sent
+                && (m.roster == Roster::Absent || m.release_marked)
+                && !m.writing
+                && m.live_tasks() == 0
+                && names.len() < 100
+            {
+                m.release_sent = true;
+                names.push(m.name.clone());
+            }
+        }
+        if !names.is_empty() {
+            ops.push(CloudOp::Release(names));
+        }
+        if self.settled && self.renting == 0 {
+            for rent in self.purchases(now, wall_ms) {
+                self.renting += 1;
+                ops.push(CloudOp::Rent(rent));
+            }
+        }
+        ops
+    }
+
+    fn return_machines(&mut self, now: Ms) {
+        let idle = millis(self.options.idle_s);
+        let lapse = self.lapse_after();
+        let lag = millis(self.settings.cluster.cloud.list_lag_s);
+        let mut gone = Vec::new();
+        for ix in 0..self.model.machines.len() as u32 {
+            let Some(m) = self.model.machine(ix) else {
+                continue;
+            };
+            if m.releasing || m.unknown {
+                continue;
+            }
+            let boot = millis(self.model.types[m.type_ix].boot_s);
+            let empty = m.tasks.is_empty();
+            let why = if m.up && m.quarantined && empty {
+                Some("quarantined")
+            } else if m.up && empty && self.settled && now >= m.idle_since + idle && !m.ordering {
+                Some("idle")
+            } else if !m.up && m.session == 0 && now > m.since + 4 * boot + 60_000 {
+                Some("never came up")
+            } else if !m.up && m.session > 0 && now > m.since + lapse {
+                Some("silent")
+            } else {
+                None
+            };
+            if let Some(why) = why {
+                self.release(ix, why, now);
+            } else if !m.up
+                && m.roster == Roster::Absent
+                && now > m.listed + 30_000 + 4 * lag
+                && now > m.since + 30_000 + 4 * lag
+            {
+                gone.push(ix);
+            }
+        }
+        for ix in gone {
+            self.model.remove_machine(ix);
+        }
+    }
+
+    fn purchases(&mut self, now: Ms, wall_ms: u64) -> Vec<Rent> {
+        let mut bins = Vec::new();
+        for m in self.model.machines.iter().flatten() {
+            let coming = !m.up && m.session == 0 && !m.releasing && !m.unknown;
+            if coming || (m.up && m.roster == Roster::Absent && !m.releasing) || m.usable() {
+                bins.push(Bin {
+                    type_ix: m.type_ix,
+                    zone: m.zone,
+                    spot: m.spot,
+                    free: m.free(),
+                });
+            }
+        }
+        let mut offers = Vec::new();
+        for (type_ix, t) in self.model.types.iter().enumerate() {
+            for zone in &t.zones {
+                let Some(zone) = self.model.zones.find(zone) else {
+                    continue;
+                };
+                for spot in [false, true] {
+                    offers.push(Offer {
+                        type_ix,
+                        zone,
+                        spot,
+                        capacity: Amounts::offer(t.cpus, t.gpus, t.memory_gb),
+                        price: if spot { t.spot_price } else { t.price },
+                        refused: self
+                            .refused
+                            .get(&(type_ix, zone, spot))
+                            .is_some_and(|until| now < *until),
+                    });
+                }
+            }
+        }
+        let order = self.queue();
+        let mut room: HashMap<usize, Amounts> = HashMap::new();
+        let mut demands = Vec::new();
+        for &ix in &order {
+            let Some(j) = self.model.job(ix) else {
+                continue;
+            };
+            if j.failures > 5 {
+                continue;
+            }
+            let waiting = i64::from(j.waiting());
+            let mut count = match j.spec.kind {
+                Kind::Array => {
+                    let age = wall_ms.saturating_sub(j.at_ms) as f64 / 1000.0;
+                    let left = j.spec.deadline_s.unwrap_or(600.0) - age - 15.0;
+                    provision::parallel(
+                        waiting,
+                        i64::from(j.live),
+                        j.spec.estimate_s,
+                        left.max(0.0),
+                    )
+                }
+                Kind::Gang | Kind::Service => waiting,
+            };
+            // What the team may not run yet needs no machine yet.
+            let planned = room.entry(j.team).or_default();
+            while count > 0 {
+                let mut all = j.need.scaled(count);
+                all += *planned;
+                if self.model.within_limit(j.team, &all, 1) {
+                    break;
+                }
+                count -= 1;
+            }
+            *planned += j.need.scaled(count);
+            if count > 0 {
+                demands.push(Demand {
+                    need: j.need,
+                    count,
+                    types: j.types.clone(),
+                    zone: j.zone,
+                    spot: j.spec.spot,
+                    per_zone: j.spec.spread.then(|| i64::from(j.spec.tasks.div_ceil(2))),
+                    patient: j.spec.priority < Priority::High,
+                });
+            }
+            if demands.len() >= 200 {
+                break;
+            }
+        }
+        self.order = order;
+        let bought = provision::plan(&demands, &mut bins, &offers);
+        bought
+            .into_iter()
+            .map(|p| {
+                self.requests += 1;
+                Rent {
+                    request: format!("r-{}-{}", self.term, self.requests),
+                    type_name: self.model.types[p.type_ix].name.clone(),
+                    zone: self.model.zones.name(p.zone).to_owned(),
+                    spot: p.spot,
+                    count: p.count.min(50),
+                }
+            })
+            .collect()
+    }
+
+    /// `None`: no answer; the machines, if any, show in the list.
+    pub fn rented(&mut self, rent: &Rent, names: Option<&[String]>, now: Ms) {
+        self.renting = self.renting.saturating_sub(1);
+        let names = names.unwrap_or(&[]);
+        log::info!(
+            "rented {} of {} {} in {}{}",
+            names.len(),
+            rent.count,
+            rent.type_name,
+            rent.zone,
+            if rent.spot { ", spot" } else { "" }
+        );
+        for name in names {
+            self.model
+                .insert_machine(name, "", &rent.type_name, &rent.zone, rent.spot, now);
+        }
+        if (names.len() as u32) < rent.count
+            && let (Some(t), Some(z)) = (
+                self.model.type_index(&rent.type_name),
+                self.model.zones.find(&rent.zone),
+            )
+        {
+            self.refused.insert((t, z, rent.spot), now + REFUSED);
+        }
+    }
+
+    /// The cloud answered a release: the machines are gone.
+    pub fn released(&mut self, names: &[String], ok: bool, now: Ms) {
+        for name in names {
+            let Some(ix) = self.model.machine_ix(name) else {
+                continue;
+            };
+            if !ok {
+                if let Some(m) = self.model.machine_mut(ix) {
+                    m.release_sent = false;
+                }
+                continue;
+            }
+            if let Some(m) = self.model.machine(ix)
+                && m.roster == Roster::Present
+            {
+                self.drops.push((name.clone(), m.version));
+            }
+            self.model.remove_machine(ix);
+            self.released.insert(name.clone(), now);
+            self.changed = true;
+        }
+        if self.released.len() > 5000 {
+            self.released.retain(|_, at| now < *at + 600_000);
+        }
+    }
+}
+
+/// The transaction that accepts a job, by any node.
+pub fn acceptance(record: &JobRecord) -> Txn {
+    let id = &record.spec.id;
+    Txn {
+        guards: vec![
+            Guard {
+                key: job_key(id),
+                version: 0,
+            },
+            Guard {
+                key: final_key(id),
+                version: 0,
+            },
+        ],
+        writes: vec![Write::Put {
+            key: job_key(id),
+            value: serde_json::to_value(record).unwrap_or_default(),
+            lease: None,
+        }],
+    }
+}
+
+fn job_record(j: &crate::bookkeeping::model::Job, cancelled: bool) -> serde_json::Value {
+    serde_json::to_value(JobRecord {
+        spec: j.spec.clone(),
+        at_ms: j.at_ms,
+        cancelled: cancelled || j.cancelled,
+        done: j.done.chunk(0),
+    })
+    .unwrap_or_default()
+}
+
+impl Leader {
+    /// All records have been read. Workers were answered meanwhile, so their
+    /// leases count from now.
+    pub fn finish_loading(&mut self, now: Ms) {
+        self.loaded = true;
+        for m in self.model.machines.iter_mut().flatten() {
+            m.answered = now;
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,9 @@
+//! Decisions. Nothing here does input or output: state, an event and the
+//! time go in, what is to be done comes out.
+
+pub mod admission;
+pub mod dispatch;
+pub mod election;
+pub mod leader;
+pub mod placement;
+pub mod provision;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! pathwinch: a cluster scheduler for small sites. Modules depend downwards:
+//! `node` binds `coordination` to `transport`; both use `bookkeeping` and
+//! `protocol`.
+
+pub mod bookkeeping;
+pub mod coordination;
+pub mod node;
+pub mod protocol;
+pub mod transport;
--- /dev/null
+++ b/src/node/engine.rs
@@ -0,0 +1,135 @@
+//! The leader's loop: time passes, and what it wants done is begun.
+
+use super::{Node, store::TxnResult, store::USUAL};
+use crate::{
+    bookkeeping::records::LEADER,
+    coordination::leader::{Direct, DirectOutcome, Leader, Plan},
+    protocol::workers::Report,
+    transport::client::CallError,
+};
+use async_io::Timer;
+use http_types::Method;
+use std::{rc::Rc, time::Duration};
+
+const STEP: Duration = Duration::from_millis(30);
+
+pub async fn run(node: Rc<Node>) {
+    loop {
+        Timer::after(STEP).await;
+        let wall = node.wall_ms();
+        let begun = node.acting(|l, now| {
+            l.tick(now, wall);
+            (
+                l.term,
+                l.directs(now),
+                l.cloud_ops(now, wall),
+                l.list_due(now),
+            )
+        });
+        let Some((term, directs, ops, list)) = begun else {
+            continue;
+        };
+        for d in directs {
+            node.executor.spawn(node.clone().direct(term, d)).detach();
+        }
+        for op in ops {
+            node.executor
+                .spawn(node.clone().cloud_op(term, op))
+                .detach();
+        }
+        if list && !node.listing.replace(true) {
+            node.executor
+                .spawn(node.clone().list_machines(term))
+                .detach();
+        }
+        if !node.flushing.get() {
+            let now = node.now();
+            let room = node.writes.borrow_mut().level(now).max(0.0) as usize;
+            if room >= 2 && node.requests.borrow_mut().level(now) >= 2.0 {
+                let plan = node.acting(|l, _| l.plan_flush(room)).flatten();
+                if let Some(plan) = plan {
+                    node.flushing.set(true);
+                    node.executor.spawn(node.clone().flush(term, plan)).detach();
+                }
+            }
+        }
+    }
+}
+
+impl Node {
+    async fn direct(self: Rc<Self>, term: u64, d: Direct) {
+        let body = serde_json::to_vec(&d.order).unwrap_or_default();
+        let limit = Duration::from_secs(2);
+        let result = self
+            .http
+            .call(d.addr, Method::Post, "/do", Some(body), limit)
+            .await;
+        let outcome = match result {
+            Ok(a) => match (a.status, serde_json::from_slice::<Report>(&a.body).ok()) {
+                (200, Some(report)) => DirectOutcome::Executed(report),
+                (409, report) => DirectOutcome::Refused(report),
+                (400, _) => DirectOutcome::Refused(None),
+                _ => DirectOutcome::NoAnswer,
+            },
+            Err(CallError::NotSent(e)) => {
+                log::debug!("order to {}: {e}", d.machine);
+                DirectOutcome::NotSent
+            }
+            Err(CallError::NoAnswer(e)) => {
+                log::debug!("order to {}: {e}", d.machine);
+                DirectOutcome::NoAnswer
+            }
+        };
+        self.of_term(term, |l, now| {
+            l.direct_done(&d.machine, d.order.token, outcome, now);
+        });
+    }
+
+    async fn flush(self: Rc<Self>, term: u64, plan: Plan) {
+        let now = self.now();
+        self.requests.borrow_mut().force(now, 1.0);
+        self.writes
+            .borrow_mut()
+            .force(now, plan.txn.writes.len() as f64);
+        match self.txn(&plan.txn, USUAL).await {
+            TxnResult::Done(revision) => {
+                self.of_term(term, |l, now| l.flushed(&plan, revision, now));
+            }
+            TxnResult::Conflict(failed) if failed.iter().any(|k| k == LEADER) => {
+                self.resign("another node leads", false).await;
+            }
+            TxnResult::Refused => {
+                self.of_term(term, |l, _| l.reread_done(&plan));
+                Timer::after(Duration::from_millis(300)).await;
+            }
+            TxnResult::Conflict(_) | TxnResult::Unknown => self.reread(term, &plan).await,
+        }
+        self.flushing.set(false);
+    }
+
+    /// What had no answer may have been applied: look before trying again.
+    async fn reread(&self, term: u64, plan: &Plan) {
+        let keys = Leader::keys_of(plan);
+        let mut found = Vec::new();
+        for key in keys {
+            loop {
+                if self.of_term(term, |_, _| ()).is_none() {
+                    return;
+                }
+                if self.may_request(2.0)
+                    && let Ok(item) = self.get(&key, USUAL).await
+                {
+                    found.push((key, item.map(|i| (i.value, i.version))));
+                    break;
+                }
+                Timer::after(Duration::from_millis(200)).await;
+            }
+        }
+        self.of_term(term, |l, now| {
+            for (key, item) in found {
+                l.reread(&key, item, now);
+            }
+            l.reread_done(plan);
+        });
+    }
+}
--- /dev/null
+++ b/src/node/lead.rs
@@ -0,0 +1,317 @@
+//! Seeking, keeping and giving up leadership.
+
+use super::Node;
+use crate::{
+    bookkeeping::records::{self, JobRecord, LEADER, LeaderRecord, MachineRecord},
+    coordination::{election::LIFE, election::PROMISE, leader::Leader},
+    protocol::{
+        peers::{Reply, Request},
+        state::{Guard, LeaseGranted, Txn, Write},
+    },
+};
+use async_io::Timer;
+use http_types::Method;
+use std::{rc::Rc, time::Duration};
+
+const PROBE: Duration = Duration::from_millis(700);
+
+enum Touch {
+    Renewed,
+    Lost,
+    Failed,
+}
+
+pub async fn run(node: Rc<Node>) {
+    loop {
+        let lead = node.election.borrow().lead();
+        let pause = match lead {
+            Some(_) => node.keep().await,
+            None => node.seek().await,
+        };
+        Timer::after(pause).await;
+    }
+}
+
+impl Node {
+    async fn read_leader(&self) -> Result<(), String> {
+        let now = self.now();
+        self.requests.borrow_mut().force(now, 1.0);
+        let item = self.get(LEADER, PROBE).await?;
+        let seen = item.and_then(|i| {
+            let record: LeaderRecord = serde_json::from_value(i.value).ok()?;
+            Some((record.node, i.version))
+        });
+        self.election.borrow_mut().saw(seen);
+        Ok(())
+    }
+
+    /// One step of a node that doesn't lead; returns when to do the next.
+    async fn seek(self: &Rc<Self>) -> Duration {
+        let soon = Duration::from_millis(150);
+        let doubt = self.election.borrow().doubt;
+        if let Some(lease) = doubt {
+            // End the lease of the attempt, so that it can't succeed late.
+            let path = format!("/leases/{lease}");
+            if let Ok(a) = self.state(Method::Delete, &path, None, PROBE).await
+                && (a.status == 404 || (200..300).contains(&a.status))
+            {
+                self.election.borrow_mut().doubt = None;
+            }
+            return soon;
+        }
+        if let Err(e) = self.read_leader().await {
+            log::debug!("reading the leader's key: {e}");
+            return Duration::from_millis(250);
+        }
+        let Some(version) = self.election.borrow().may_seek(self.now()) else {
+            let nobody = self.election.borrow().seen.is_none();
+            return if nobody {
+                soon
+            } else {
+                Duration::from_millis(500)
+            };
+        };
+        if self.types.borrow().is_empty() {
+            return soon;
+        }
+        self.acquire(version).await;
+        soon
+    }
+
+    async fn acquire(self: &Rc<Self>, version: u64) {
+        let asked = self.now();
+        self.requests.borrow_mut().force(asked, 2.0);
+        let body = serde_json::json!({ "life_ms": LIFE })
+            .to_string()
+            .into_bytes();
+        let granted = match self.state(Method::Post, "/leases", Some(body), PROBE).await {
+            Ok(a) if a.status == 200 => serde_json::from_slice::<LeaseGranted>(&a.body).ok(),
+            _ => None,
+        };
+        let Some(LeaseGranted { lease }) = granted else {
+            return;
+        };
+        let (node, incarnation) = {
+            let e = self.election.borrow();
+            // A promise may have been given meanwhile.
+            if e.may_seek(self.now()) != Some(version) {
+                return;
+            }
+            (e.me.clone(), e.incarnation)
+        };
+        self.election.borrow_mut().doubt = Some(lease);
+        let record = LeaderRecord { node, incarnation };
+        let txn = Txn {
+            guards: vec![Guard {
+                key: LEADER.into(),
+                version,
+            }],
+            writes: vec![Write::Put {
+                key: LEADER.into(),
+                value: serde_json::to_value(&record).unwrap_or_default(),
+                lease: Some(lease),
+            }],
+        };
+        let term = match self.txn(&txn, PROBE).await {
+            super::store::TxnResult::Done(revision) => Some(revision),
+            super::store::TxnResult::Unknown => match self.get(LEADER, PROBE).await {
+                Ok(Some(i))
+                    if serde_json::from_value::<LeaderRecord>(i.value.clone())
+                        .is_ok_and(|r| r == record) =>
+                {
+                    Some(i.version)
+                }
+                _ => return,
+            },
+            _ => {
+                self.election.borrow_mut().doubt = None;
+                return;
+            }
+        };
+        if let Some(term) = term {
+            self.election.borrow_mut().won(term, lease, asked);
+            log::info!("leading, term {term}");
+            let leader = Leader::new(
+                self.settings.clone(),
+                self.options.clone(),
+                self.types.borrow().clone(),
+                term,
+                self.now(),
+            );
+            *self.leader.borrow_mut() = Some(leader);
+            self.executor.spawn(load(self.clone(), term)).detach();
+        }
+    }
+
+    /// One step of the leader; returns when to do the next.
+    async fn keep(self: &Rc<Self>) -> Duration {
+        let Some(lead) = self.election.borrow().lead() else {
+            return Duration::ZERO;
+        };
+        let sent = self.now();
+        match self.touch(lead.lease).await {
+            Touch::Renewed => {
+                self.election.borrow_mut().renewed(sent);
+                return Duration::from_millis(LIFE / 4);
+            }
+            Touch::Lost => {
+                self.resign("its lease has ended", false).await;
+                return Duration::ZERO;
+            }
+            Touch::Failed => {}
+        }
+        self.ask_promises(lead.term).await
+    }
+
+    async fn touch(&self, lease: u64) -> Touch {
+        let now = self.now();
+        self.requests.borrow_mut().force(now, 1.0);
+        let path = format!("/leases/{lease}/touch");
+        match self.state(Method::Post, &path, None, PROBE).await {
+            Ok(a) if a.status == 200 => Touch::Renewed,
+            Ok(a) if a.status == 404 => Touch::Lost,
+            Ok(a) => {
+                log::debug!("renewing leadership: status {}", a.status);
+                Touch::Failed
+            }
+            Err(e) => {
+                log::debug!("renewing leadership: {e}");
+                Touch::Failed
+            }
+        }
+    }
+
+    /// The state service fails this node: does it fail the others too?
+    async fn ask_promises(self: &Rc<Self>, term: u64) -> Duration {
+        let sent = self.now();
+        let request = Request::Promise {
+            term,
+            leader: self.settings.name.clone(),
+            for_ms: PROMISE,
+        };
+        let asks: Vec<_> = self
+            .settings
+            .peers
+            .iter()
+            .map(|p| {
+                let (node, request, addr) = (self.clone(), request.clone(), p.addr);
+                self.executor
+                    .spawn(async move { node.peers.call(addr, &request, PROBE).await })
+            })
+            .collect();
+        let mut all = true;
+        let mut refused = false;
+        for ask in asks {
+            match ask.await {
+                Ok(Reply::Promise { granted: true, .. }) => {}
+                Ok(Reply::Promise { state_ok: true, .. }) => refused = true,
+                _ => all = false,
+            }
+        }
+        if refused {
+            self.resign("the state service fails this node alone", true)
+                .await;
+            return Duration::from_millis(500);
+        }
+        if all {
+            self.election.borrow_mut().promised_by_all(sent);
+        }
+        Duration::from_millis(100)
+    }
+
+    pub(super) async fn promise(&self, term: u64, for_ms: u64) -> Reply {
+        // A fresh look: what was true a second ago says nothing.
+        let state_ok = {
+            let now = self.now();
+            self.requests.borrow_mut().force(now, 1.0);
+            let limit = Duration::from_millis(400);
+            match self.get(LEADER, limit).await {
+                Ok(_) => true,
+                Err(e) => {
+                    log::debug!("asked for a promise: {e}");
+                    false
+                }
+            }
+        };
+        let now = self.now();
+        let granted = self
+            .election
+            .borrow_mut()
+            .grant(now, term, for_ms, !state_ok);
+        Reply::Promise { granted, state_ok }
+    }
+
+    /// Stops acting, then tells the others so.
+    pub(super) async fn resign(self: &Rc<Self>, why: &str, tell: bool) {
+        let Some(lead) = self.election.borrow_mut().resign() else {
+            return;
+        };
+        *self.leader.borrow_mut() = None;
+        log::info!("term {} given up: {why}", lead.term);
+        if tell {
+            for p in &self.settings.peers {
+                let (node, addr) = (self.clone(), p.addr);
+                self.executor
+                    .spawn(async move {
+                        let request = Request::Resigned { term: lead.term };
+                        let _ = node.peers.call(addr, &request, PROBE).await;
+                    })
+                    .detach();
+            }
+        }
+    }
+}
+
+/// Reads the records of a new term.
+async fn load(node: Rc<Node>, term: u64) {
+    loop {
+        if node.election.borrow().lead().map(|l| l.term) != Some(term) {
+            return;
+        }
+        match node.read_records(term).await {
+            Ok(()) => return,
+            Err(e) => log::info!("reading the records: {e}"),
+        }
+        Timer::after(Duration::from_millis(200)).await;
+    }
+}
+
+impl Node {
+    async fn read_records(&self, term: u64) -> Result<(), String> {
+        // The roster first: it is what the leases of workers hang on.
+        let machines = self.list(records::ROSTER).await?;
+        let jobs = self.list(records::JOBS).await?;
+        let chunks = self.list(records::CHUNKS).await?;
+        self.of_term(term, |l, now| {
+            for i in machines {
+                let name = i.key.trim_start_matches(records::ROSTER).to_owned();
+                match serde_json::from_value::<MachineRecord>(i.value) {
+                    Ok(r) => l.load_machine(&name, r, i.version, now),
+                    Err(e) => log::error!("record {}: {e}", i.key),
+                }
+            }
+            for i in jobs {
+                match serde_json::from_value::<JobRecord>(i.value) {
+                    Ok(r) => {
+                        l.load_job(r, i.version, now);
+                    }
+                    Err(e) => log::error!("record {}: {e}", i.key),
+                }
+            }
+            for i in chunks {
+                let Some((id, chunk)) = i
+                    .key
+                    .strip_prefix(records::CHUNKS)
+                    .and_then(|k| k.rsplit_once('/'))
+                else {
+                    continue;
+                };
+                if let (Ok(chunk), Some(text)) = (chunk.parse(), i.value.as_str()) {
+                    l.load_chunk(id, chunk, text);
+                }
+            }
+            l.finish_loading(now);
+        });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/node/store.rs
@@ -0,0 +1,135 @@
+//! Calls to the state service, within its budgets.
+
+use super::Node;
+use crate::{
+    bookkeeping::records::{FinalRecord, JobRecord, final_key, job_key},
+    protocol::state::{Item, Page, Revision, Txn},
+    transport::client::{Answer, CallError},
+};
+use http_types::Method;
+use std::time::Duration;
+
+pub const USUAL: Duration = Duration::from_millis(1500);
+
+/// What stands in the store about a job.
+pub enum Found {
+    Live(JobRecord, u64),
+    Final(FinalRecord),
+    Nothing,
+}
+
+pub enum TxnResult {
+    Done(u64),
+    /// Keys whose versions differ.
+    Conflict(Vec<String>),
+    /// Not executed: refused, or not sent.
+    Refused,
+    /// May have been executed, or may be yet.
+    Unknown,
+}
+
+impl Node {
+    /// Whether an ordinary request may be made now; some are kept back for
+    /// leadership and acceptances.
+    pub(super) fn may_request(&self, reserve: f64) -> bool {
+        let now = self.now();
+        self.requests.borrow_mut().take(now, 1.0, reserve)
+    }
+
+    pub(super) async fn state(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<Answer, CallError> {
+        let addr = self.settings.services.state;
+        let answer = self.http.call(addr, method, path, body, limit).await?;
+        if answer.status != 503 && answer.status != 429 {
+            self.state_ok.set(Some(self.now()));
+        }
+        Ok(answer)
+    }
+
+    /// `Err` when the read did not succeed.
+    pub(super) async fn get(&self, key: &str, limit: Duration) -> Result<Option<Item>, String> {
+        let answer = self
+            .state(Method::Get, &format!("/kv/{key}"), None, limit)
+            .await
+            .map_err(|e| e.to_string())?;
+        match answer.status {
+            200 => serde_json::from_slice(&answer.body)
+                .map(Some)
+                .map_err(|e| e.to_string()),
+            404 => Ok(None),
+            s => Err(format!("status {s}")),
+        }
+    }
+
+    pub(super) async fn list(&self, prefix: &str) -> Result<Vec<Item>, String> {
+        let mut items: Vec<Item> = Vec::new();
+        loop {
+            while !self.may_request(2.0) {
+                async_io::Timer::after(Duration::from_millis(50)).await;
+            }
+            let from = items
+                .last()
+                .map_or(String::new(), |i| format!("&from={}", i.key));
+            let path = format!("/kv?under={prefix}{from}&most=500");
+            let answer = self
+                .state(Method::Get, &path, None, Duration::from_secs(3))
+                .await
+                .map_err(|e| e.to_string())?;
+            if answer.status != 200 {
+                return Err(format!("status {}", answer.status));
+            }
+            let page: Page = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+            let empty = page.items.is_empty();
+            items.extend(page.items);
+            if !page.more || empty {
+                return Ok(items);
+            }
+        }
+    }
+
+    pub(super) async fn txn(&self, txn: &Txn, limit: Duration) -> TxnResult {
+        let body = serde_json::to_vec(txn).unwrap_or_default();
+        match self.state(Method::Post, "/txn", Some(body), limit).await {
+            Ok(a) => match (a.status, serde_json::from_slice::<Revision>(&a.body)) {
+                (200, Ok(r)) => TxnResult::Done(r.revision),
+                (409, Ok(r)) => TxnResult::Conflict(r.failed),
+                (s @ (429 | 503 | 400), _) => {
+                    if s == 400 {
+                        log::error!(
+                            "the state service refused a transaction: {}",
+                            String::from_utf8_lossy(&a.body[..a.body.len().min(200)])
+                        );
+                    }
+                    TxnResult::Refused
+                }
+                _ => TxnResult::Unknown,
+            },
+            Err(CallError::NotSent(_)) => TxnResult::Refused,
+            Err(CallError::NoAnswer(_)) => TxnResult::Unknown,
+        }
+    }
+
+    pub(super) async fn lookup(&self, id: &str) -> Result<Found, String> {
+        if !self.may_request(3.0) {
+            return Err("over the request budget".into());
+        }
+        let limit = Duration::from_millis(900);
+        if let Some(item) = self.get(&job_key(id), limit).await? {
+            let record = serde_json::from_value(item.value).map_err(|e| e.to_string())?;
+            return Ok(Found::Live(record, item.version));
+        }
+        let now = self.now();
+        self.requests.borrow_mut().force(now, 1.0);
+        match self.get(&final_key(id), limit).await? {
+            Some(item) => serde_json::from_value(item.value)
+                .map(Found::Final)
+                .map_err(|e| e.to_string()),
+            None => Ok(Found::Nothing),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/users.rs
@@ -0,0 +1,259 @@
+//! Submissions, polls and withdrawals: here when leading, else by the leader.
+
+use super::{
+    Node,
+    store::{Found, TxnResult},
+};
+use crate::{
+    bookkeeping::records::{FinalRecord, JobRecord, LEADER},
+    coordination::admission,
+    protocol::{
+        peers::{Reply, Request},
+        users::{JobSpec, JobState, JobStatus, valid_ref},
+    },
+    transport::server::HttpResponse,
+};
+use async_io::Timer;
+use std::{rc::Rc, time::Duration};
+
+const FORWARD: Duration = Duration::from_millis(1200);
+
+fn final_status(id: &str, record: &FinalRecord) -> JobStatus {
+    JobStatus {
+        id: id.to_owned(),
+        state: record.state,
+        done: record.done,
+        running: 0,
+    }
+}
+
+fn stored_status(record: &JobRecord) -> JobStatus {
+    let mut bits = crate::bookkeeping::records::Bits::with_len(record.spec.tasks);
+    bits.load(0, &record.done);
+    let done = bits.count();
+    JobStatus {
+        id: record.spec.id.clone(),
+        state: if record.cancelled {
+            JobState::Cancelled
+        } else if done > 0 {
+            JobState::Running
+        } else {
+            JobState::Queued
+        },
+        done,
+        running: 0,
+    }
+}
+
+fn ok(status: &JobStatus) -> HttpResponse {
+    HttpResponse::json(200, status)
+}
+
+/// The job's id in a path, and whether it is to be withdrawn.
+fn target(path: &str) -> Option<(&str, bool)> {
+    let rest = path.strip_prefix("/v1/jobs/")?;
+    match rest.strip_suffix("/abort") {
+        Some(id) => Some((id, true)),
+        None => Some((rest, false)),
+    }
+}
+
+impl Node {
+    pub(super) async fn user(
+        self: &Rc<Self>,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> HttpResponse {
+        if let Some(answer) = self.user_here(method, path, &body).await {
+            return answer;
+        }
+        let seen = self.election.borrow().seen.clone();
+        let leader = seen.and_then(|(name, _)| {
+            let peer = self.settings.peers.iter().find(|p| p.name == name)?;
+            Some(peer.addr)
+        });
+        if let Some(addr) = leader {
+            let request = Request::Forward {
+                method: method.to_owned(),
+                path: path.to_owned(),
+                body,
+            };
+            match self.peers.call(addr, &request, FORWARD).await {
+                Ok(Reply::Forwarded {
+                    status,
+                    retry_after_s,
+                    body,
+                }) => {
+                    return HttpResponse {
+                        status,
+                        retry_after_s,
+                        body,
+                    };
+                }
+                Ok(_) => {}
+                Err(e) => log::debug!("forwarding: {e}"),
+            }
+        }
+        // No leader in reach: a poll can be answered from the records, which
+        // are never older than any answer given.
+        if let Some((id, false)) = target(path) {
+            return self.poll_records(id).await;
+        }
+        HttpResponse::later("no leader can be reached")
+    }
+
+    async fn poll_records(&self, id: &str) -> HttpResponse {
+        if !valid_ref(id) {
+            return HttpResponse::error(404, "no such job");
+        }
+        match self.lookup(id).await {
+            Ok(Found::Live(record, _)) => ok(&stored_status(&record)),
+            Ok(Found::Final(record)) => ok(&final_status(id, &record)),
+            Ok(Found::Nothing) => HttpResponse::error(404, "no such job"),
+            Err(e) => HttpResponse::later(&format!("records can't be read: {e}")),
+        }
+    }
+
+    /// `None`: this node doesn't lead.
+    pub(super) async fn user_here(
+        self: &Rc<Self>,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Option<HttpResponse> {
+        if !self.acting(|l, _| l.loaded)? {
+            return Some(match target(path) {
+                Some((id, false)) => self.poll_records(id).await,
+                _ => HttpResponse::later("a new leader is reading the records"),
+            });
+        }
+        match (method, target(path)) {
+            ("POST", None) => Some(self.submit(body).await),
+            ("GET", Some((id, false))) => Some(self.poll(id).await),
+            ("POST", Some((id, true))) => Some(self.abort(id).await),
+            _ => Some(HttpResponse::error(404, "no such path")),
+        }
+    }
+
+    /// The job's state as the leader knows it, reading the records for one
+    /// that it doesn't know. `Err` is the answer to give instead.
+    async fn known(&self, id: &str) -> Result<Option<JobStatus>, HttpResponse> {
+        let lost = || HttpResponse::later("leadership is changing");
+        if let Some(status) = self.acting(|l, _| l.status(id)).ok_or_else(lost)? {
+            return Ok(Some(status));
+        }
+        if !valid_ref(id) {
+            return Ok(None);
+        }
+        match self.lookup(id).await {
+            Ok(Found::Live(record, version)) => self
+                .acting(|l, now| {
+                    l.accepted(record, version, now);
+                    l.status(id)
+                })
+                .ok_or_else(lost),
+            Ok(Found::Final(record)) => {
+                let status = final_status(id, &record);
+                self.acting(|l, _| l.remember_final(status.clone()));
+                Ok(Some(status))
+            }
+            // It may have been accepted while the records were read.
+            Ok(Found::Nothing) => self.acting(|l, _| l.status(id)).ok_or_else(lost),
+            Err(e) => Err(HttpResponse::later(&format!("records can't be read: {e}"))),
+        }
+    }
+
+    async fn poll(&self, id: &str) -> HttpResponse {
+        match self.known(id).await {
+            Ok(Some(status)) => ok(&status),
+            Ok(None) => HttpResponse::error(404, "no such job"),
+            Err(answer) => answer,
+        }
+    }
+
+    async fn submit(&self, body: &[u8]) -> HttpResponse {
+        let parsed = JobSpec::parse(body);
+        // A known job is answered with its state, whatever the repeated body
+        // or the settings now say.
+        let id = match &parsed {
+            Ok(spec) => Some(spec.id.clone()),
+            Err(_) => serde_json::from_slice::<serde_json::Value>(body)
+                .ok()
+                .and_then(|v| v.get("ref")?.as_str().map(str::to_owned))
+                .filter(|id| valid_ref(id)),
+        };
+        let refusal = match &parsed {
+            Err(e) => Some((400, e.clone())),
+            Ok(spec) => admission::never_runs(&self.settings, &self.types.borrow(), spec)
+                .map(|why| (422, why)),
+        };
+        if let Some((status, why)) = refusal {
+            let known = match &id {
+                Some(id) => self.known(id).await,
+                None => Ok(None),
+            };
+            return match known {
+                Ok(Some(status)) => ok(&status),
+                Ok(None) => HttpResponse::error(status, &why),
+                Err(answer) => answer,
+            };
+        }
+        let Ok(spec) = parsed else {
+            return HttpResponse::error(400, "malformed");
+        };
+        if let Some(Some(status)) = self.acting(|l, _| l.status(&spec.id)) {
+            return ok(&status);
+        }
+        self.accept(spec).await
+    }
+
+    async fn accept(&self, spec: JobSpec) -> HttpResponse {
+        let now = self.now();
+        if !self.writes.borrow_mut().take(now, 1.0, 0.0) || !self.may_request(1.0) {
+            return HttpResponse::later("too many submissions at once");
+        }
+        let wall = self.wall_ms();
+        let Some((txn, record)) = self.acting(|l, _| l.acceptance(&spec, wall)) else {
+            return HttpResponse::later("leadership is changing");
+        };
+        match self.txn(&txn, Duration::from_millis(2000)).await {
+            TxnResult::Done(version) => {
+                let status = stored_status(&record);
+                // Whether or not this node still leads, it is recorded.
+                let kept = self.acting(|l, now| l.accepted(record, version, now));
+                if kept.is_none() {
+                    return HttpResponse::later("leadership is changing");
+                }
+                HttpResponse::json(201, &status)
+            }
+            TxnResult::Conflict(failed) if !failed.iter().any(|k| k == LEADER) => {
+                match self.known(&spec.id).await {
+                    Ok(Some(status)) => ok(&status),
+                    Ok(None) => HttpResponse::later("try again"),
+                    Err(answer) => answer,
+                }
+            }
+            _ => HttpResponse::later("the job could not be recorded"),
+        }
+    }
+
+    async fn abort(&self, id: &str) -> HttpResponse {
+        let began = self.now();
+        loop {
+            let status = match self.known(id).await {
+                Ok(Some(status)) => status,
+                Ok(None) => return HttpResponse::error(404, "no such job"),
+                Err(answer) => return answer,
+            };
+            if matches!(status.state, JobState::Cancelled | JobState::Done) {
+                return ok(&status);
+            }
+            if self.acting(|l, _| l.cancel(id)).is_none() || self.now() > began + 1500 {
+                return HttpResponse::later("the withdrawal could not be recorded yet");
+            }
+            // It is on its way to the record; this is as long as that takes.
+            Timer::after(Duration::from_millis(15)).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,10 @@
+//! What travels between processes, as serde types. Names that only the
+//! installation's wire format uses appear here as renames and nowhere else.
+
+pub mod cloud;
+pub mod options;
+pub mod peers;
+pub mod settings;
+pub mod state;
+pub mod users;
+pub mod workers;
--- /dev/null
+++ b/src/protocol/peers.rs
@@ -0,0 +1,50 @@
+//! Messages between controllers: CBOR in length-prefixed frames.
+
+use serde::{Deserialize, Serialize};
+
+/// Raised when a frame's meaning changes; others are refused.
+pub const VERSION: u16 = 1;
+/// A forwarded body is at most 64 KiB; the rest is framing.
+pub const MAX_FRAME: usize = 96 * 1024;
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Frame<T> {
+    pub v: u16,
+    pub body: T,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Request {
+    /// A user's request, passed on to the leader.
+    Forward {
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    },
+    /// The leader of `term` can't reach the state service: will the peer
+    /// refrain from seeking leadership for `for_ms`?
+    Promise {
+        term: u64,
+        leader: String,
+        for_ms: u64,
+    },
+    /// The leader of `term` has stopped acting, its key may be replaced.
+    Resigned { term: u64 },
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Reply {
+    Forwarded {
+        status: u16,
+        retry_after_s: Option<u32>,
+        body: Vec<u8>,
+    },
+    /// Not the leader.
+    NotLeader,
+    Promise {
+        granted: bool,
+        /// The peer's own requests to the state service succeed.
+        state_ok: bool,
+    },
+    Ok,
+}
--- /dev/null
+++ b/src/protocol/state.rs
@@ -0,0 +1,67 @@
+//! The state service's interface.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Item {
+    pub key: String,
+    #[serde(rename = "data")]
+    pub value: Value,
+    #[serde(rename = "key_rev")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Page {
+    #[serde(rename = "rows")]
+    pub items: Vec<Item>,
+    #[serde(default)]
+    pub more: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Guard {
+    pub key: String,
+    #[serde(rename = "key_rev")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum Write {
+    Put {
+        #[serde(rename = "set")]
+        key: String,
+        #[serde(rename = "data")]
+        value: Value,
+        #[serde(rename = "hold", skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    Delete {
+        #[serde(rename = "drop")]
+        key: String,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Default)]
+pub struct Txn {
+    #[serde(rename = "guards")]
+    pub guards: Vec<Guard>,
+    #[serde(rename = "writes")]
+    pub writes: Vec<Write>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Revision {
+    #[serde(rename = "ledger_rev")]
+    pub revision: u64,
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct LeaseGranted {
+    #[serde(rename = "hold")]
+    pub lease: u64,
+}
--- /dev/null
+++ b/src/protocol/users.rs
@@ -0,0 +1,149 @@
+//! Submissions, polls and cancellations.
+
+use serde::{Deserialize, Serialize};
+
+pub const MAX_TASKS: u32 = 100_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    #[serde(rename = "array")]
+    Array,
+    #[serde(rename = "gang")]
+    Gang,
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Ordered by rank: a greater one may preempt a lesser one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Priority {
+    #[serde(rename = "idle")]
+    Low,
+    #[serde(rename = "normal")]
+    Normal,
+    #[serde(rename = "urgent")]
+    High,
+    #[serde(rename = "prod")]
+    Production,
+}
+
+/// A job as submitted; also the form in which its record keeps it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    #[serde(rename = "ref")]
+    pub id: String,
+    #[serde(rename = "job_family")]
+    pub class: String,
+    #[serde(rename = "owner_crew")]
+    pub team: String,
+    #[serde(rename = "run_shape")]
+    pub kind: Kind,
+    #[serde(rename = "urgency")]
+    pub priority: Priority,
+    #[serde(rename = "pieces")]
+    pub tasks: u32,
+    #[serde(rename = "cores")]
+    pub cpus: f64,
+    #[serde(rename = "accelerators")]
+    pub gpus: f64,
+    pub memory_gb: f64,
+    #[serde(rename = "bundle")]
+    pub image: String,
+    pub image_gb: f64,
+    #[serde(rename = "rigs", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "hall", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    #[serde(rename = "same_place")]
+    pub one_zone: bool,
+    #[serde(rename = "apart")]
+    pub spread: bool,
+    #[serde(rename = "lendback")]
+    pub spot: bool,
+    #[serde(rename = "expected_s")]
+    pub estimate_s: f64,
+    #[serde(rename = "snapshot_every_s")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "snapshot_cost_s")]
+    pub save_s: f64,
+    #[serde(rename = "due_s", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+/// `j-` and 6 to 18 digits.
+pub fn valid_ref(id: &str) -> bool {
+    id.strip_prefix("j-")
+        .is_some_and(|d| (6..=18).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+}
+
+impl JobSpec {
+    /// Parses a submission. The error is one line fit for the user.
+    pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
+        let spec: JobSpec = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if !valid_ref(&self.id) {
+            return Err("ref: not of the form j-000412".into());
+        }
+        if self.tasks == 0 || self.tasks > MAX_TASKS {
+            return Err(format!("pieces: must be 1 to {MAX_TASKS}"));
+        }
+        for (field, v) in [
+            ("cores", self.cpus),
+            ("accelerators", self.gpus),
+            ("memory_gb", self.memory_gb),
+            ("image_gb", self.image_gb),
+            ("expected_s", self.estimate_s),
+            ("snapshot_every_s", self.checkpoint_s),
+            ("snapshot_cost_s", self.save_s),
+            ("due_s", self.deadline_s.unwrap_or(0.0)),
+        ] {
+            if !v.is_finite() || !(0.0..=1e9).contains(&v) {
+                return Err(format!("{field}: must be a number from 0 to 1e9"));
+            }
+        }
+        for (field, v) in [
+            ("job_family", &self.class),
+            ("owner_crew", &self.team),
+            ("bundle", &self.image),
+        ] {
+            if v.is_empty() || v.len() > 200 {
+                return Err(format!("{field}: must have 1 to 200 bytes"));
+            }
+        }
+        if let Some(types) = &self.types
+            && (types.len() > 64 || types.iter().any(|t| t.len() > 200))
+        {
+            return Err("rigs: at most 64 names of at most 200 bytes".into());
+        }
+        if self.zone.as_ref().is_some_and(|z| z.len() > 200) {
+            return Err("hall: at most 200 bytes".into());
+        }
+        Ok(())
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    #[serde(rename = "pending")]
+    Queued,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "withdrawn")]
+    Cancelled,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobStatus {
+    #[serde(rename = "ref")]
+    pub id: String,
+    #[serde(rename = "stage")]
+    pub state: JobState,
+    pub done: u32,
+    pub running: u32,
+}
