--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -155,6 +155,8 @@
     /// Grace in seconds of the halt that is wanted.
     pub stop: Option<f64>,
     pub stop_since: Ms,
+    /// The halt was given at least once.
+    pub told: bool,
     /// Token of a direct launch that had no answer: it may be carried out
     /// until the machine has seen a higher one. 0: none.
     pub doubt: u64,
@@ -217,6 +219,12 @@
     pub ordering: bool,
     pub order_retry: Ms,
     pub images: Vec<u32>,
+    /// When a task other than a service's was last on it.
+    pub batch_until: Ms,
+    /// Its services are being moved off, then it is returned.
+    pub draining: bool,
+    /// Room is being made on it for this job, until then.
+    pub held_for: Option<(u32, Ms)>,
 }
 
 impl Machine {
@@ -231,6 +239,7 @@
         self.up
             && !self.releasing
             && !self.quarantined
+            && !self.draining
             && self.notice.is_none()
             && self.roster == Roster::Present
     }
@@ -475,6 +484,9 @@
             ordering: false,
             order_retry: 0,
             images: Vec::new(),
+            batch_until: now,
+            draining: false,
+            held_for: None,
         };
         let ix = match self.free_machines.pop() {
             Some(ix) => ix,
@@ -565,6 +577,7 @@
                 phase,
                 stop: None,
                 stop_since: 0,
+                told: false,
                 doubt: 0,
                 sent_seq: 0,
                 since: now,
@@ -586,6 +599,7 @@
                 phase,
                 stop: Some(0.0),
                 stop_since: now,
+                told: false,
                 doubt: 0,
                 sent_seq: 0,
                 since: now,
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -254,6 +254,7 @@
                 if let Some(grace_s) = a.stop
                     && !(a.phase == Phase::Saving && grace_s > 0.0)
                 {
+                    a.told = true;
                     out.push(Command::Stop {
                         task,
                         attempt,
@@ -283,8 +284,11 @@
 pub fn wants_direct(model: &Model, ix: u32) -> bool {
     model.machine(ix).is_some_and(|m| {
         m.up && m.addr.is_some()
-            && m.tasks
-                .iter()
-                .any(|a| a.phase == Phase::New && a.stop.is_none())
+            && m.tasks.iter().any(|a| match (a.phase, a.stop) {
+                (Phase::New, None) => true,
+                // A halt is told at once, and again with the reports.
+                (Phase::Fetching | Phase::Waiting | Phase::Running, Some(_)) => !a.told,
+                _ => false,
+            })
     })
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -25,7 +25,11 @@
         workers::{DirectOrder, Report, ReportReply, Why},
     },
 };
-use std::{collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 /// Bits of a token below the term: fences raised for one machine.
 const FENCE_BITS: u32 = 20;
@@ -34,6 +38,11 @@
 const MAX_FINALS: usize = 20_000;
 /// How long a kind of machine that was refused is not asked for again.
 const REFUSED: Ms = 10_000;
+/// Over how long arrivals are counted, and for how long ahead room is kept.
+const RATE_WINDOW: Ms = 180_000;
+const RESERVE_FOR: Ms = 25_000;
+/// How long room made for a job is kept for it.
+const HELD: Ms = 8_000;
 
 fn millis(s: f64) -> Ms {
     (s.max(0.0) * 1000.0) as Ms
@@ -102,6 +111,31 @@
     orphans: Vec<String>,
     drops: Vec<(String, u64)>,
     order: Vec<u32>,
+    /// Recent arrivals: time, index into `classes`, tasks.
+    arrivals: VecDeque<(Ms, usize, u32)>,
+    classes: Vec<Class>,
+    drain_at: Ms,
+}
+
+/// Jobs that take the same room.
+#[derive(Debug, PartialEq)]
+struct Class {
+    kind: Kind,
+    priority: Priority,
+    need: Amounts,
+    types: Vec<bool>,
+    spot: bool,
+}
+
+/// Room kept free of work of lower priority.
+struct Reserve {
+    priority: Priority,
+    need: Amounts,
+    types: Vec<bool>,
+    spot: bool,
+    /// Tasks that still fit, and how many should.
+    fits: i64,
+    wanted: i64,
 }
 
 impl Leader {
@@ -140,6 +174,9 @@
             orphans: Vec::new(),
             drops: Vec::new(),
             order: Vec::new(),
+            arrivals: VecDeque::new(),
+            classes: Vec::new(),
+            drain_at: 0,
         }
     }
 
@@ -388,10 +425,82 @@
 
     pub fn accepted(&mut self, record: JobRecord, version: u64, now: Ms) {
         if !self.finals.contains_key(&record.spec.id) {
-            self.load_job(record, version, now);
+            let ix = self.load_job(record, version, now);
+            self.note_arrival(ix, now);
+        }
+    }
+
+    fn note_arrival(&mut self, ix: u32, now: Ms) {
+        let Some(j) = self.model.job(ix) else { return };
+        let class = Class {
+            kind: j.spec.kind,
+            priority: j.spec.priority,
+            need: j.need,
+            types: j.types.clone(),
+            spot: j.spec.spot,
+        };
+        let tasks = j.spec.tasks;
+        let at = match self.classes.iter().position(|c| *c == class) {
+            Some(at) => at,
+            None if self.classes.len() < 256 => {
+                self.classes.push(class);
+                self.classes.len() - 1
+            }
+            None => return,
+        };
+        self.arrivals.push_back((now, at, tasks));
+        if self.arrivals.len() > 1000 {
+            self.arrivals.pop_front();
         }
     }
 
+    /// Room to keep for work of high priority that is expected soon, and for
+    /// such work that waits: without it, batches would take the last machine
+    /// that a large task fits.
+    fn reserves(&mut self, candidates: &[Candidate], now: Ms) -> Vec<Reserve> {
+        while self
+            .arrivals
+            .front()
+            .is_some_and(|(at, _, _)| at + RATE_WINDOW < now)
+        {
+            self.arrivals.pop_front();
+        }
+        let window = RATE_WINDOW.min(now - self.acquired).max(30_000);
+        let mut out = Vec::new();
+        for (ix, c) in self.classes.iter().enumerate() {
+            if c.priority < Priority::High {
+                continue;
+            }
+            let recent: u64 = self
+                .arrivals
+                .iter()
+                .filter(|(_, at, _)| *at == ix)
+                .map(|(_, _, n)| u64::from(*n).min(64))
+                .sum();
+            let wanted = (recent * RESERVE_FOR).div_ceil(window) as i64;
+            if wanted == 0 {
+                continue;
+            }
+            let mut r = Reserve {
+                priority: c.priority,
+                need: c.need,
+                types: c.types.clone(),
+                spot: c.spot,
+                fits: 0,
+                wanted,
+            };
+            for candidate in candidates {
+                if let Some(m) = self.model.machine(candidate.machine)
+                    && r.covers(m.type_ix, m.spot)
+                {
+                    r.fits += candidate.free.count(&r.need).min(1000);
+                }
+            }
+            out.push(r);
+        }
+        out
+    }
+
     /// Marks a known job for withdrawal. Its tasks stop only once that is
     /// recorded: until then it may still complete.
     pub fn cancel(&mut self, id: &str) {
@@ -551,6 +660,7 @@
                     capacity: m.capacity,
                     free: m.free(),
                     caches_image: false,
+                    pool: 0,
                     preference: m.free().cpus,
                 });
             }
@@ -560,6 +670,8 @@
             self.order = order;
             return;
         }
+        let mut reserves = self.reserves(&candidates, now);
+        let mut wanting = Vec::new();
         // Shapes that found no room in this pass; the rest of the queue
         // needn't be tried for them.
         let mut full: Vec<(Amounts, Vec<bool>, Option<usize>, bool)> = Vec::new();
@@ -578,15 +690,121 @@
             let team = job.team;
             let one = self.model.within_limit(team, &key.0, 1);
             let placed = if job.spec.kind == Kind::Gang {
-                self.place_gang(job_ix, &mut candidates, now)
+                self.place_gang(job_ix, &mut candidates, &mut reserves, now)
             } else {
-                self.place_each(job_ix, &mut candidates, now)
+                self.place_each(job_ix, &mut candidates, &mut reserves, now)
             };
+            if !placed {
+                wanting.push(job_ix);
+            }
             if !placed && !bound && one && self.model.within_limit(team, &key.0, 1) {
                 full.push(key);
             }
         }
         self.order = order;
+        self.make_room(&wanting, now);
+    }
+
+    /// Stops tasks of lower priority where a job of high priority finds no
+    /// room, and keeps the room for it.
+    fn make_room(&mut self, wanting: &[u32], now: Ms) {
+        let mut begun = 0;
+        for &job_ix in wanting {
+            let Some(j) = self.model.job(job_ix) else {
+                continue;
+            };
+            if j.spec.priority < Priority::High || j.live > 0 && j.spec.kind == Kind::Gang {
+                continue;
+            }
+            let (need, team, priority) = (j.need, j.team, j.spec.priority);
+            let one_zone = j.spec.one_zone && j.spec.tasks > 1;
+            if one_zone || j.spec.spread && j.spec.tasks > 2 {
+                // Not planned for here: such a job waits for room.
+                continue;
+            }
+            let mut tasks = i64::from(j.waiting());
+            let held = self
+                .model
+                .machines
+                .iter()
+                .flatten()
+                .filter(|m| {
+                    m.held_for
+                        .is_some_and(|(of, until)| of == job_ix && now < until)
+                })
+                .map(|m| m.capacity.count(&need))
+                .sum::<i64>();
+            tasks -= held;
+            while tasks > 0 && begun < 3 && self.model.within_limit(team, &need, 1) {
+                let Some((machine, victims)) = self.cheapest_room(job_ix, priority, now) else {
+                    break;
+                };
+                tasks -= 1;
+                begun += 1;
+                let id = self.model.job(job_ix).map(|j| j.id.clone());
+                let Some(m) = self.model.machine_mut(machine) else {
+                    break;
+                };
+                log::info!(
+                    "preempting {} tasks on {} for {}",
+                    victims.len(),
+                    m.name,
+                    id.unwrap_or_default()
+                );
+                m.held_for = Some((job_ix, now + HELD));
+                for at in victims {
+                    m.tasks[at].stop = Some(0.0);
+                    m.tasks[at].stop_since = now;
+                }
+            }
+        }
+    }
+
+    /// The machine on which the least work is lost by making room for a task.
+    fn cheapest_room(&self, job_ix: u32, priority: Priority, now: Ms) -> Option<(u32, Vec<usize>)> {
+        let job = self.model.job(job_ix)?;
+        let mut best: Option<(i64, u32, Vec<usize>)> = None;
+        for (ix, m) in self.model.machines.iter().enumerate() {
+            let Some(m) = m else { continue };
+            let allowed = m.usable()
+                && m.held_for.is_none_or(|(_, until)| now >= until)
+                && job.types.get(m.type_ix).copied().unwrap_or(false)
+                && job.zone.is_none_or(|z| z == m.zone)
+                && (job.spec.spot || !m.spot);
+            if !allowed {
+                continue;
+            }
+            let mut victims: Vec<(i64, usize)> = Vec::new();
+            for (at, a) in m.tasks.iter().enumerate() {
+                let lower = self
+                    .model
+                    .job(a.job)
+                    .is_some_and(|v| v.spec.priority < priority && v.spec.kind == Kind::Array);
+                if a.live() && a.stop.is_none() && lower {
+                    let lost = (now - a.since) as i64 * a.need.cpus.max(1) / 1000;
+                    victims.push((lost, at));
+                }
+            }
+            victims.sort_unstable();
+            let mut free = m.free();
+            let mut lost = 0;
+            let mut chosen = Vec::new();
+            for (cost, at) in victims {
+                if job.need.fits(&free) {
+                    break;
+                }
+                free += m.tasks[at].need;
+                lost += cost;
+                chosen.push(at);
+            }
+            if job.need.fits(&free)
+                && !chosen.is_empty()
+                && best.as_ref().is_none_or(|(b, _, _)| lost < *b)
+            {
+                best = Some((lost, ix as u32, chosen));
+            }
+        }
+        best.map(|(_, ix, victims)| (ix, victims))
     }
 
     fn mark_candidates(&self, job_ix: u32, candidates: &mut [Candidate]) {
@@ -594,23 +812,56 @@
             return;
         };
         for c in candidates {
-            c.caches_image = self
-                .model
-                .machine(c.machine)
-                .is_some_and(|m| m.images.contains(&job.image));
+            if let Some(m) = self.model.machine(c.machine) {
+                c.caches_image = m.images.contains(&job.image);
+                c.pool = self.task_price(&job.need, m.type_ix, m.spot);
+            }
         }
     }
 
+    /// What a task costs on a kind of machine, by the share it takes, in
+    /// thousandths of the price unit. Which node a job should run on is left
+    /// open by the paper; cheaper kinds go first here, and its method chooses
+    /// among machines of a kind.
+    fn task_price(&self, need: &Amounts, type_ix: usize, spot: bool) -> u32 {
+        let Some(t) = self.model.types.get(type_ix) else {
+            return u32::MAX;
+        };
+        let whole = Amounts::offer(t.cpus, t.gpus, t.memory_gb);
+        let share = placement::load(
+            &whole,
+            &whole.minus(*need),
+            crate::protocol::options::LoadResource::Scarcest,
+        );
+        // Current prices move by a third; steps keep the order steady.
+        let price = if spot { t.spot_price } else { t.price };
+        (price * share * 1000.0).max(1.0).log2().mul_add(2.0, 0.5) as u32
+    }
+
     fn choose(
         &self,
         job_ix: u32,
         task: u32,
         candidates: &[Candidate],
+        reserves: &[Reserve],
+        now: Ms,
         zone_ok: impl Fn(usize) -> bool,
     ) -> Option<usize> {
         let job = self.model.job(job_ix)?;
         placement::choose(&self.policy, candidates, &job.need, |c| {
             zone_ok(c.zone)
+                && self.model.machine(c.machine).is_some_and(|m| {
+                    m.held_for
+                        .is_none_or(|(of, until)| of == job_ix || now >= until)
+                        && reserves.iter().all(|r| {
+                            r.priority <= job.spec.priority
+                                || !r.covers(m.type_ix, m.spot)
+                                || match r.loss(&c.free, &job.need) {
+                                    0 => true,
+                                    loss => r.fits - loss >= r.wanted,
+                                }
+                        })
+                })
                 && job.zone.is_none_or(|z| z == c.zone)
                 && self.model.machine(c.machine).is_some_and(|m| {
                     job.types.get(m.type_ix).copied().unwrap_or(false)
@@ -621,8 +872,22 @@
         })
     }
 
+    fn take_reserve(&self, reserves: &mut [Reserve], c: &Candidate, need: &Amounts) {
+        if let Some(m) = self.model.machine(c.machine) {
+            for r in reserves.iter_mut().filter(|r| r.covers(m.type_ix, m.spot)) {
+                r.fits -= r.loss(&c.free, need);
+            }
+        }
+    }
+
     /// Returns whether all that waits was placed.
-    fn place_each(&mut self, job_ix: u32, candidates: &mut [Candidate], now: Ms) -> bool {
+    fn place_each(
+        &mut self,
+        job_ix: u32,
+        candidates: &mut [Candidate],
+        reserves: &mut [Reserve],
+        now: Ms,
+    ) -> bool {
         self.mark_candidates(job_ix, candidates);
         let Some(job) = self.model.job(job_ix) else {
             return true;
@@ -642,13 +907,14 @@
             if !self.model.within_limit(team, &need, 1) {
                 return false;
             }
-            let chosen = self.choose(job_ix, task, candidates, |z| {
+            let chosen = self.choose(job_ix, task, candidates, reserves, now, |z| {
                 (!one_zone || zones.iter().enumerate().all(|(i, n)| *n == 0 || i == z))
                     && (!spread || zones.get(z).copied().unwrap_or(0) < half)
             });
             let Some(at) = chosen else {
                 return false;
             };
+            self.take_reserve(reserves, &candidates[at], &need);
             let c = &mut candidates[at];
             c.free -= need;
             c.preference = c.free.cpus;
@@ -662,7 +928,13 @@
     }
 
     /// All tasks of a gang in one pass, or none.
-    fn place_gang(&mut self, job_ix: u32, candidates: &mut [Candidate], now: Ms) -> bool {
+    fn place_gang(
+        &mut self,
+        job_ix: u32,
+        candidates: &mut [Candidate],
+        reserves: &mut [Reserve],
+        now: Ms,
+    ) -> bool {
         self.mark_candidates(job_ix, candidates);
         let Some(job) = self.model.job(job_ix) else {
             return true;
@@ -684,10 +956,11 @@
             let mut chosen = Vec::with_capacity(n as usize);
             let mut per_zone = vec![0; self.model.zones.len()];
             for task in 0..n {
-                let pick = self.choose(job_ix, task, &trial, |z| {
+                let pick = self.choose(job_ix, task, &trial, reserves, now, |z| {
                     only.is_none_or(|o| o == z) && (!spread || per_zone[z] < half)
                 });
                 let Some(at) = pick else { break };
+                self.take_reserve(reserves, &trial[at], &need);
                 trial[at].free -= need;
                 trial[at].preference = trial[at].free.cpus;
                 per_zone[trial[at].zone] += 1;
@@ -1099,7 +1372,21 @@
             return ops;
         }
         self.provision_at = now + 1000;
+        for m in self.model.machines.iter_mut().flatten() {
+            let jobs = &self.model.jobs;
+            let batch = m.tasks.iter().any(|a| {
+                a.live()
+                    && jobs
+                        .get(a.job as usize)
+                        .and_then(Option::as_ref)
+                        .is_none_or(|j| j.spec.kind != Kind::Service)
+            });
+            if batch {
+                m.batch_until = now;
+            }
+        }
         self.return_machines(now);
+        self.drain(now);
         let mut names = Vec::new();
         for m in self.model.machines.iter_mut().flatten() {
             if m.releasing
@@ -1141,6 +1428,8 @@
             let empty = m.tasks.is_empty();
             let why = if m.up && m.quarantined && empty {
                 Some("quarantined")
+            } else if m.up && m.draining && empty && !m.ordering {
+                Some("drained")
             } else if m.up && empty && self.settled && now >= m.idle_since + idle && !m.ordering {
                 Some("idle")
             } else if !m.up && m.session == 0 && now > m.since + 4 * boot + 60_000 {
@@ -1165,6 +1454,105 @@
         }
     }
 
+    /// A machine that holds nothing but a few services, which find room on
+    /// machines that are kept anyway, is emptied and returned.
+    fn drain(&mut self, now: Ms) {
+        if !self.settled || now < self.drain_at {
+            return;
+        }
+        self.drain_at = now + 2000;
+        let idle = millis(self.options.idle_s);
+        let price = |m: &crate::bookkeeping::model::Machine| {
+            let t = &self.model.types[m.type_ix];
+            if m.spot { t.spot_price } else { t.price }
+        };
+        let mut order: Vec<u32> = Vec::new();
+        for (ix, m) in self.model.machines.iter().enumerate() {
+            let Some(m) = m else { continue };
+            if m.draining && m.up && !m.releasing {
+                // One at a time.
+                if m.live_tasks() > 0 {
+                    return;
+                }
+                continue;
+            }
+            if m.usable() && m.live_tasks() > 0 && now >= m.batch_until + idle && !m.ordering {
+                order.push(ix as u32);
+            }
+        }
+        order.sort_by(|a, b| {
+            let key = |ix: &u32| {
+                self.model
+                    .machine(*ix)
+                    .map_or((0.0, 0), |m| (price(m), m.live_tasks()))
+            };
+            let (a, b) = (key(a), key(b));
+            b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
+        });
+        for ix in order {
+            if self.can_empty(ix) {
+                if let Some(m) = self.model.machine_mut(ix) {
+                    log::info!(
+                        "machine {} drained: {} services move",
+                        m.name,
+                        m.live_tasks()
+                    );
+                    m.draining = true;
+                    for a in m.tasks.iter_mut().filter(|a| a.live() && a.stop.is_none()) {
+                        a.stop = Some(0.0);
+                        a.stop_since = now;
+                    }
+                }
+                return;
+            }
+        }
+    }
+
+    fn can_empty(&self, ix: u32) -> bool {
+        let Some(from) = self.model.machine(ix) else {
+            return false;
+        };
+        let price = |m: &crate::bookkeeping::model::Machine| {
+            let t = &self.model.types[m.type_ix];
+            if m.spot { t.spot_price } else { t.price }
+        };
+        let mut room: Vec<(u32, Amounts)> = Vec::new();
+        for (to, m) in self.model.machines.iter().enumerate() {
+            if let Some(m) = m
+                && to as u32 != ix
+                && m.usable()
+                && m.held_for.is_none()
+                && price(m) <= price(from) * 1.01
+                && m.live_tasks() > 0
+            {
+                room.push((to as u32, m.free()));
+            }
+        }
+        for a in from.tasks.iter().filter(|a| a.live()) {
+            let Some(job) = self.model.job(a.job) else {
+                return false;
+            };
+            if a.phase != Phase::Running || job.cancelled || job.cancel_wanted {
+                return false;
+            }
+            let found = room.iter_mut().find(|(to, free)| {
+                a.need.fits(free)
+                    && self.model.machine(*to).is_some_and(|m| {
+                        job.types.get(m.type_ix).copied().unwrap_or(false)
+                            && job.zone.is_none_or(|z| z == m.zone)
+                            && (job.spec.spot || !m.spot)
+                            && (m.zone == from.zone || !(job.spec.one_zone || job.spec.spread))
+                            && m.images.contains(&job.image)
+                    })
+            });
+            match found {
+                Some((_, free)) => *free -= a.need,
+                None => return false,
+            }
+        }
+        true
+    }
+
     fn purchases(&mut self, now: Ms, wall_ms: u64) -> Vec<Rent> {
         let mut bins = Vec::new();
         for m in self.model.machines.iter().flatten() {
@@ -1319,6 +1707,17 @@
     }
 }
 
+impl Reserve {
+    fn covers(&self, type_ix: usize, spot: bool) -> bool {
+        self.types.get(type_ix).copied().unwrap_or(false) && (self.spot || !spot)
+    }
+
+    /// How many fewer would fit with this task placed.
+    fn loss(&self, free: &Amounts, need: &Amounts) -> i64 {
+        free.count(&self.need).min(1000) - free.minus(*need).count(&self.need).min(1000)
+    }
+}
+
 /// The transaction that accepts a job, by any node.
 pub fn acceptance(record: &JobRecord) -> Txn {
     let id = &record.spec.id;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -13,6 +13,9 @@
     pub capacity: Amounts,
     pub free: Amounts,
     pub caches_image: bool,
+    /// Rank of its kind of machine for this task: dearer kinds only when the
+    /// cheaper have no room.
+    pub pool: u32,
     /// Among equals, the lower goes first.
     pub preference: i64,
 }
@@ -92,7 +95,7 @@
     need: &Amounts,
     allowed: impl Fn(&Candidate) -> bool,
 ) -> Option<usize> {
-    let mut best: Option<(usize, (bool, f64, bool, i64))> = None;
+    let mut best: Option<(usize, (u32, bool), (f64, bool, i64))> = None;
     for (i, c) in candidates.iter().enumerate() {
         if !need.fits(&c.free) || !allowed(c) {
             continue;
@@ -100,17 +103,20 @@
         let busy = load(&c.capacity, &c.free, policy.load) >= policy.threshold;
         let after = c.free.minus(*need);
         let cost = fragmentation(&c.capacity, &after, &policy.shapes);
-        let key = (busy, cost, !c.caches_image, c.preference);
-        let better = best.as_ref().is_none_or(|(_, b)| {
-            (key.0, key.1)
-                .partial_cmp(&(b.0, b.1))
-                .is_some_and(|o| o.then((key.2, key.3).cmp(&(b.2, b.3))).is_lt())
+        let class = (c.pool, busy);
+        let key = (cost, !c.caches_image, c.preference);
+        let better = best.as_ref().is_none_or(|(_, best_class, b)| {
+            class
+                .cmp(best_class)
+                .then(key.0.total_cmp(&b.0))
+                .then((key.1, key.2).cmp(&(b.1, b.2)))
+                .is_lt()
         });
         if better {
-            best = Some((i, key));
+            best = Some((i, class, key));
         }
     }
-    best.map(|(i, _)| i)
+    best.map(|(i, _, _)| i)
 }
 
 #[cfg(test)]
@@ -124,6 +130,7 @@
             capacity: Amounts::offer(8.0, 4.0, 32.0),
             free: Amounts::offer(free.0, free.1, free.2),
             caches_image: false,
+            pool: 0,
             preference: 0,
         }
     }
