--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -43,6 +43,8 @@
 const RESERVE_FOR: Ms = 25_000;
 /// How long room made for a job is kept for it.
 const HELD: Ms = 8_000;
+/// How long a machine must have been empty to count as surplus.
+const SURPLUS: Ms = 3_000;
 
 fn millis(s: f64) -> Ms {
     (s.max(0.0) * 1000.0) as Ms
@@ -523,6 +525,11 @@
         self.policy.shapes = self.shapes.iter().take(6).map(|(s, _)| *s).collect();
     }
 
+    /// Something happened that shouldn't wait for the next look.
+    pub fn has_work(&self) -> bool {
+        self.changed
+    }
+
     // ---- time ----
 
     pub fn tick(&mut self, now: Ms, wall_ms: u64) {
@@ -717,11 +724,12 @@
                 continue;
             }
             let (need, team, priority) = (j.need, j.team, j.spec.priority);
-            let one_zone = j.spec.one_zone && j.spec.tasks > 1;
-            if one_zone || j.spec.spread && j.spec.tasks > 2 {
+            if j.spec.one_zone && j.spec.tasks > 1 {
                 // Not planned for here: such a job waits for room.
                 continue;
             }
+            let half = j.spec.spread.then(|| j.spec.tasks.div_ceil(2));
+            let mut zones = self.model.zones_of(job_ix);
             let mut tasks = i64::from(j.waiting());
             let held = self
                 .model
@@ -736,7 +744,9 @@
                 .sum::<i64>();
             tasks -= held;
             while tasks > 0 && begun < 3 && self.model.within_limit(team, &need, 1) {
-                let Some((machine, victims)) = self.cheapest_room(job_ix, priority, now) else {
+                let Some((machine, victims)) = self.cheapest_room(job_ix, priority, now, |z| {
+                    half.is_none_or(|h| zones.get(z).copied().unwrap_or(0) < h)
+                }) else {
                     break;
                 };
                 tasks -= 1;
@@ -745,6 +755,7 @@
                 let Some(m) = self.model.machine_mut(machine) else {
                     break;
                 };
+                zones[m.zone] += 1;
                 log::info!(
                     "preempting {} tasks on {} for {}",
                     victims.len(),
@@ -761,12 +772,19 @@
     }
 
     /// The machine on which the least work is lost by making room for a task.
-    fn cheapest_room(&self, job_ix: u32, priority: Priority, now: Ms) -> Option<(u32, Vec<usize>)> {
+    fn cheapest_room(
+        &self,
+        job_ix: u32,
+        priority: Priority,
+        now: Ms,
+        zone_ok: impl Fn(usize) -> bool,
+    ) -> Option<(u32, Vec<usize>)> {
         let job = self.model.job(job_ix)?;
         let mut best: Option<(i64, u32, Vec<usize>)> = None;
         for (ix, m) in self.model.machines.iter().enumerate() {
             let Some(m) = m else { continue };
             let allowed = m.usable()
+                && zone_ok(m.zone)
                 && m.held_for.is_none_or(|(_, until)| now >= until)
                 && job.types.get(m.type_ix).copied().unwrap_or(false)
                 && job.zone.is_none_or(|z| z == m.zone)
@@ -807,7 +825,7 @@
         best.map(|(_, ix, victims)| (ix, victims))
     }
 
-    fn mark_candidates(&self, job_ix: u32, candidates: &mut [Candidate]) {
+    fn mark_candidates(&self, job_ix: u32, candidates: &mut [Candidate], now: Ms) {
         let Some(job) = self.model.job(job_ix) else {
             return;
         };
@@ -815,6 +833,11 @@
             if let Some(m) = self.model.machine(c.machine) {
                 c.caches_image = m.images.contains(&job.image);
                 c.pool = self.task_price(&job.need, m.type_ix, m.spot);
+                // A machine that has been empty for a while is about to be
+                // returned: used only when the others have no room.
+                if c.free == c.capacity && now >= m.idle_since + SURPLUS {
+                    c.pool += 1000;
+                }
             }
         }
     }
@@ -888,7 +911,7 @@
         reserves: &mut [Reserve],
         now: Ms,
     ) -> bool {
-        self.mark_candidates(job_ix, candidates);
+        self.mark_candidates(job_ix, candidates, now);
         let Some(job) = self.model.job(job_ix) else {
             return true;
         };
@@ -935,7 +958,7 @@
         reserves: &mut [Reserve],
         now: Ms,
     ) -> bool {
-        self.mark_candidates(job_ix, candidates);
+        self.mark_candidates(job_ix, candidates, now);
         let Some(job) = self.model.job(job_ix) else {
             return true;
         };
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -88,6 +88,9 @@
     if n > 0 { sum / f64::from(n) } else { 0.0 }
 }
 
+/// Candidate, its class (kind, Busy), and the order within the class.
+type Best = (usize, (u32, bool), (f64, bool, i64));
+
 /// Chooses a machine, as an index into the candidates.
 pub fn choose(
     policy: &Policy,
@@ -95,7 +98,7 @@
     need: &Amounts,
     allowed: impl Fn(&Candidate) -> bool,
 ) -> Option<usize> {
-    let mut best: Option<(usize, (u32, bool), (f64, bool, i64))> = None;
+    let mut best = None::<Best>;
     for (i, c) in candidates.iter().enumerate() {
         if !need.fits(&c.free) || !allowed(c) {
             continue;
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -5,17 +5,21 @@
     bookkeeping::records::LEADER,
     coordination::leader::{Direct, DirectOutcome, Leader, Plan},
     protocol::workers::Report,
-    transport::client::CallError,
+    transport::{client::CallError, within},
 };
 use async_io::Timer;
 use http_types::Method;
 use std::{rc::Rc, time::Duration};
 
-const STEP: Duration = Duration::from_millis(30);
+/// Between two looks at the clock; events wake the loop sooner, but not in a
+/// row, so that a batch of reports is one pass.
+const STEP: Duration = Duration::from_millis(200);
+const LEAST: Duration = Duration::from_millis(15);
 
 pub async fn run(node: Rc<Node>) {
     loop {
-        Timer::after(STEP).await;
+        let _ = within(STEP, node.wake.1.recv()).await;
+        Timer::after(LEAST).await;
         let wall = node.wall_ms();
         let begun = node.acting(|l, now| {
             l.tick(now, wall);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -45,6 +45,7 @@
     state_ok: Cell<Option<Ms>>,
     flushing: Cell<bool>,
     listing: Cell<bool>,
+    wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
 pub fn run(settings: Settings, options: Options) -> Result<()> {
@@ -71,6 +72,7 @@
         state_ok: Cell::new(None),
         flushing: Cell::new(false),
         listing: Cell::new(false),
+        wake: async_channel::bounded(1),
     });
     async_io::block_on(executor.run(async {
         executor.spawn(lead::run(node.clone())).detach();
@@ -120,7 +122,11 @@
         let term = self.election.borrow().authority(now)?;
         let mut leader = self.leader.borrow_mut();
         let leader = leader.as_mut().filter(|l| l.term == term)?;
-        Some(f(leader, now))
+        let result = f(leader, now);
+        if leader.has_work() {
+            let _ = self.wake.0.try_send(());
+        }
+        Some(result)
     }
 
     /// The leader's state, for results of what was begun with authority.
@@ -128,7 +134,11 @@
         let now = self.now();
         let mut leader = self.leader.borrow_mut();
         let leader = leader.as_mut().filter(|l| l.term == term)?;
-        Some(f(leader, now))
+        let result = f(leader, now);
+        if leader.has_work() {
+            let _ = self.wake.0.try_send(());
+        }
+        Some(result)
     }
 
     async fn http(self: Rc<Self>, request: HttpRequest) -> HttpResponse {
@@ -162,7 +172,7 @@
         let Some(body) = request.body else {
             return HttpResponse::error(400, "body is incomplete or over 64 KiB");
         };
-        self.user(&request.method.to_string(), &request.path, body)
+        self.user(request.method.as_ref(), &request.path, body)
             .await
     }
 
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -13,7 +13,7 @@
 
 /// What stands in the store about a job.
 pub enum Found {
-    Live(JobRecord, u64),
+    Live(Box<JobRecord>, u64),
     Final(FinalRecord),
     Nothing,
 }
@@ -121,7 +121,7 @@
         let limit = Duration::from_millis(900);
         if let Some(item) = self.get(&job_key(id), limit).await? {
             let record = serde_json::from_value(item.value).map_err(|e| e.to_string())?;
-            return Ok(Found::Live(record, item.version));
+            return Ok(Found::Live(Box::new(record), item.version));
         }
         let now = self.now();
         self.requests.borrow_mut().force(now, 1.0);
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -149,7 +149,7 @@
         match self.lookup(id).await {
             Ok(Found::Live(record, version)) => self
                 .acting(|l, now| {
-                    l.accepted(record, version, now);
+                    l.accepted(*record, version, now);
                     l.status(id)
                 })
                 .ok_or_else(lost),
