Machines whose fetch would miss the aim for starting go last

Cause: tasks of services went to machines without their image, 1.5 to 5 s of fetch against an aim of 1 s. Ruled out: dispatch (a direct order takes some ms).

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -829,10 +829,17 @@
         let Some(job) = self.model.job(job_ix) else {
             return;
         };
+        let time_left = self.time_to_aim(job, now);
         for c in candidates {
             if let Some(m) = self.model.machine(c.machine) {
                 c.caches_image = m.images.contains(&job.image);
                 c.pool = self.task_price(&job.need, m.type_ix, m.spot);
+                // Where the fetch alone would miss the aim goes last.
+                let rate = self.model.types[m.type_ix].fetch_gb_per_s.max(0.001);
+                if !c.caches_image && time_left.is_some_and(|left| job.spec.image_gb / rate > left)
+                {
+                    c.pool += 500;
+                }
                 // A machine that has been empty for a while is about to be
                 // returned: used only when the others have no room.
                 if c.free == c.capacity && now >= m.idle_since + SURPLUS {
@@ -842,6 +849,28 @@
         }
     }
 
+    /// Seconds left to the nearest aim for starting that can still be met.
+    fn time_to_aim(&self, job: &crate::bookkeeping::model::Job, now: Ms) -> Option<f64> {
+        let age = (now - job.known_ms) as f64 / 1000.0;
+        let team = self.model.teams.get(job.team);
+        let guaranteed = team.is_some_and(|t| {
+            (job.need.gpus > 0 && t.gpus > 0.0) || (job.need.gpus == 0 && t.cpus > 0.0)
+        });
+        self.settings
+            .cluster
+            .objectives
+            .iter()
+            .filter(|o| match o.kind.as_str() {
+                "wait" => o.class.as_deref() == Some(job.spec.class.as_str()),
+                "guarantee" => guaranteed,
+                _ => false,
+            })
+            .filter_map(|o| o.within_s)
+            .map(|within| within - age)
+            .filter(|left| *left > 0.0)
+            .min_by(f64::total_cmp)
+    }
+
     /// What a task costs on a kind of machine, by the share it takes, in
     /// thousandths of the price unit. Which node a job should run on is left
     /// open by the paper; cheaper kinds go first here, and its method chooses
