Followers accept without a leader; overdue machines get no new tasks

Cause: submissions failed for the seconds without a leader, and new tasks were sent to machines already silent. Cloud rentals no longer hurry for deadlines that a booting machine can't meet.

--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -221,6 +221,8 @@
     pub images: Vec<u32>,
     /// When a task other than a service's was last on it.
     pub batch_until: Ms,
+    /// Up, but its reports are overdue.
+    pub suspect: bool,
     /// Its services are being moved off, then it is returned.
     pub draining: bool,
     /// Room is being made on it for this job, until then.
@@ -240,6 +242,7 @@
             && !self.releasing
             && !self.quarantined
             && !self.draining
+            && !self.suspect
             && self.notice.is_none()
             && self.roster == Roster::Present
     }
@@ -485,6 +488,7 @@
             order_retry: 0,
             images: Vec::new(),
             batch_until: now,
+            suspect: false,
             draining: false,
             held_for: None,
         };
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -432,6 +432,11 @@
         }
     }
 
+    /// A notice has been dealt with.
+    pub fn drop_notice(&mut self, key: String) {
+        self.orphans.push(key);
+    }
+
     fn note_arrival(&mut self, ix: u32, now: Ms) {
         let Some(j) = self.model.job(ix) else { return };
         let class = Class {
@@ -566,10 +571,17 @@
 
     fn lapse(&mut self, now: Ms) {
         let after = self.lapse_after();
+        let overdue = millis(self.settings.cluster.workers.report_s * 2.5) + 500;
         for ix in 0..self.model.machines.len() as u32 {
             let Some(m) = self.model.machine_mut(ix) else {
                 continue;
             };
+            let suspect = m.up && now > m.heard + overdue;
+            if m.suspect != suspect {
+                m.suspect = suspect;
+                self.changed = true;
+                log::debug!("machine {} overdue: {suspect}", m.name);
+            }
             if !(m.up || m.unknown) || now <= m.answered + after {
                 continue;
             }
@@ -869,6 +881,8 @@
             .map(|within| within - age)
             .filter(|left| *left > 0.0)
             .min_by(f64::total_cmp)
+            // A service that lost a replica is short of it while it fetches.
+            .or((job.spec.kind == Kind::Service).then_some(0.0))
     }
 
     /// What a task costs on a kind of machine, by the share it takes, in
@@ -1605,6 +1619,17 @@
         true
     }
 
+    fn boot_s(&self, types: &[bool]) -> f64 {
+        self.model
+            .types
+            .iter()
+            .zip(types)
+            .filter(|(_, allowed)| **allowed)
+            .map(|(t, _)| t.boot_s)
+            .min_by(f64::total_cmp)
+            .unwrap_or(0.0)
+    }
+
     fn purchases(&mut self, now: Ms, wall_ms: u64) -> Vec<Rent> {
         let mut bins = Vec::new();
         for m in self.model.machines.iter().flatten() {
@@ -1653,13 +1678,11 @@
             let mut count = match j.spec.kind {
                 Kind::Array => {
                     let age = wall_ms.saturating_sub(j.at_ms) as f64 / 1000.0;
-                    let left = j.spec.deadline_s.unwrap_or(600.0) - age - 15.0;
-                    provision::parallel(
-                        waiting,
-                        i64::from(j.live),
-                        j.spec.estimate_s,
-                        left.max(0.0),
-                    )
+                    let left = j
+                        .spec
+                        .deadline_s
+                        .map(|d| d - age - self.boot_s(&j.types) - 5.0);
+                    provision::parallel(waiting, i64::from(j.live), j.spec.estimate_s, left)
                 }
                 Kind::Gang | Kind::Service => waiting,
             };
@@ -1770,8 +1793,20 @@
     }
 }
 
+/// The transaction that accepts a job on a node that can't reach a leader,
+/// with a notice for the leader to come.
+pub fn acceptance_with_notice(record: &JobRecord) -> Txn {
+    let mut txn = acceptance(record);
+    txn.writes.push(Write::Put {
+        key: records::notice_key(&record.spec.id),
+        value: serde_json::Value::Bool(true),
+        lease: None,
+    });
+    txn
+}
+
 /// The transaction that accepts a job, by any node.
-pub fn acceptance(record: &JobRecord) -> Txn {
+fn acceptance(record: &JobRecord) -> Txn {
     let id = &record.spec.id;
     Txn {
         guards: vec![
--- a/src/coordination/provision.rs
+++ b/src/coordination/provision.rs
@@ -112,11 +112,20 @@
     bought
 }
 
-/// How many tasks of a batch must run at once to be done in time.
-pub fn parallel(waiting: i64, live: i64, estimate_s: f64, time_left_s: f64) -> i64 {
+/// Time over which a batch without a deadline, or past hope of its own, is
+/// to be worked off.
+const UNHURRIED_S: f64 = 240.0;
+
+/// How many tasks of a batch must run at once to be done in time, given the
+/// time that is left once a new machine is up.
+pub fn parallel(waiting: i64, live: i64, estimate_s: f64, time_left_s: Option<f64>) -> i64 {
     // Estimates are often wrong by half; a fetch comes on top.
     let each = estimate_s.max(1.0) * 1.3 + 5.0;
-    let rounds = (time_left_s / each).floor().max(1.0);
+    // A machine that would come too late is not worth hurrying for.
+    let time = time_left_s
+        .filter(|left| *left > estimate_s * 0.7)
+        .unwrap_or(UNHURRIED_S);
+    let rounds = (time / each).floor().max(1.0);
     let at_once = ((waiting + live) as f64 / rounds).ceil() as i64;
     (at_once - live).clamp(0, waiting)
 }
@@ -173,9 +182,11 @@
 
     #[test]
     fn a_batch_with_time_rents_for_fewer_at_once() {
-        assert_eq!(parallel(20, 0, 30.0, 30.0), 20);
-        assert_eq!(parallel(20, 0, 30.0, 200.0), 5);
-        assert_eq!(parallel(20, 6, 30.0, 200.0), 1);
-        assert_eq!(parallel(3, 10, 30.0, 400.0), 0);
+        assert_eq!(parallel(20, 0, 30.0, Some(30.0)), 20);
+        assert_eq!(parallel(20, 0, 30.0, Some(200.0)), 5);
+        assert_eq!(parallel(20, 6, 30.0, Some(200.0)), 1);
+        assert_eq!(parallel(3, 10, 30.0, Some(400.0)), 0);
+        // Too late for a machine that would have to boot first.
+        assert_eq!(parallel(20, 0, 30.0, Some(5.0)), 4);
     }
 }
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -1,12 +1,12 @@
 //! Seeking, keeping and giving up leadership.
 
-use super::Node;
+use super::{Node, store::Found};
 use crate::{
     bookkeeping::records::{self, JobRecord, LEADER, LeaderRecord, MachineRecord},
     coordination::{election::LIFE, election::PROMISE, leader::Leader},
     protocol::{
         peers::{Reply, Request},
-        state::{Guard, LeaseGranted, Txn, Write},
+        state::{Guard, LeaseGranted, Txn, Watched, Write},
     },
 };
 use async_io::Timer;
@@ -41,6 +41,9 @@
             let record: LeaderRecord = serde_json::from_value(i.value).ok()?;
             Some((record.node, i.version))
         });
+        if seen != self.election.borrow().seen {
+            self.unreachable.set(None);
+        }
         self.election.borrow_mut().saw(seen);
         Ok(())
     }
@@ -269,19 +272,82 @@
             return;
         }
         match node.read_records(term).await {
-            Ok(()) => return,
+            Ok(()) => break,
             Err(e) => log::info!("reading the records: {e}"),
         }
         Timer::after(Duration::from_millis(200)).await;
     }
+    node.watch_notices(term).await;
 }
 
 impl Node {
+    /// Learns of jobs that other nodes accepted. All since the term began are
+    /// told, and those before it were read with the other records.
+    async fn watch_notices(&self, term: u64) {
+        let mut from = term;
+        while self.of_term(term, |_, _| ()).is_some() {
+            let now = self.now();
+            self.requests.borrow_mut().force(now, 1.0);
+            let path = format!(
+                "/watch?under={}&from={from}&wait_ms=20000",
+                records::NOTICES
+            );
+            let answer = self
+                .state(Method::Get, &path, None, Duration::from_secs(25))
+                .await;
+            let keys: Vec<String> = match answer {
+                Ok(a) if a.status == 200 => {
+                    let Ok(w) = serde_json::from_slice::<Watched>(&a.body) else {
+                        Timer::after(Duration::from_secs(1)).await;
+                        continue;
+                    };
+                    from = w.revision;
+                    w.events.into_iter().filter_map(|e| e.put).collect()
+                }
+                Ok(a) if a.status == 410 => match self.list(records::NOTICES).await {
+                    // Changes before the list are in it; it is newer than `from`.
+                    Ok(items) => {
+                        from = items
+                            .iter()
+                            .map(|i| i.version)
+                            .max()
+                            .unwrap_or(from)
+                            .max(from);
+                        items.into_iter().map(|i| i.key).collect()
+                    }
+                    Err(_) => Vec::new(),
+                },
+                _ => {
+                    Timer::after(Duration::from_millis(300)).await;
+                    continue;
+                }
+            };
+            for key in keys {
+                let id = key.trim_start_matches(records::NOTICES).to_owned();
+                loop {
+                    match self.lookup(&id).await {
+                        Ok(Found::Live(record, version)) => {
+                            self.of_term(term, |l, now| l.accepted(*record, version, now));
+                            break;
+                        }
+                        Ok(_) => break,
+                        Err(_) => Timer::after(Duration::from_millis(200)).await,
+                    };
+                    if self.of_term(term, |_, _| ()).is_none() {
+                        return;
+                    }
+                }
+                self.of_term(term, |l, _| l.drop_notice(key));
+            }
+        }
+    }
+
     async fn read_records(&self, term: u64) -> Result<(), String> {
         // The roster first: it is what the leases of workers hang on.
         let machines = self.list(records::ROSTER).await?;
         let jobs = self.list(records::JOBS).await?;
         let chunks = self.list(records::CHUNKS).await?;
+        let notices = self.list(records::NOTICES).await?;
         self.of_term(term, |l, now| {
             for i in machines {
                 let name = i.key.trim_start_matches(records::ROSTER).to_owned();
@@ -310,6 +376,11 @@
                     l.load_chunk(id, chunk, text);
                 }
             }
+            // What they tell of is among the jobs, unless it came after those
+            // were read; then the watch tells of it again.
+            for i in notices.into_iter().filter(|i| i.version <= term) {
+                l.drop_notice(i.key);
+            }
             l.finish_loading(now);
         });
         Ok(())
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -45,6 +45,8 @@
     state_ok: Cell<Option<Ms>>,
     flushing: Cell<bool>,
     listing: Cell<bool>,
+    /// When the leader last gave a forwarded request no answer.
+    unreachable: Cell<Option<Ms>>,
     wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
@@ -72,6 +74,7 @@
         state_ok: Cell::new(None),
         flushing: Cell::new(false),
         listing: Cell::new(false),
+        unreachable: Cell::new(None),
         wake: async_channel::bounded(1),
     });
     async_io::block_on(executor.run(async {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     bookkeeping::records::{FinalRecord, JobRecord, LEADER},
-    coordination::admission,
+    coordination::{admission, leader::acceptance_with_notice},
     protocol::{
         peers::{Reply, Request},
         users::{JobSpec, JobState, JobStatus, valid_ref},
@@ -16,7 +16,7 @@
 use async_io::Timer;
 use std::{rc::Rc, time::Duration};
 
-const FORWARD: Duration = Duration::from_millis(1200);
+const FORWARD: Duration = Duration::from_millis(800);
 
 fn final_status(id: &str, record: &FinalRecord) -> JobStatus {
     JobStatus {
@@ -69,7 +69,10 @@
             return answer;
         }
         let seen = self.election.borrow().seen.clone();
-        let leader = seen.and_then(|(name, _)| {
+        // A leader that did not answer a moment ago is not waited for again.
+        let now = self.now();
+        let unreachable = self.unreachable.get().is_some_and(|at| now < at + 2000);
+        let leader = seen.filter(|_| !unreachable).and_then(|(name, _)| {
             let peer = self.settings.peers.iter().find(|p| p.name == name)?;
             Some(peer.addr)
         });
@@ -77,7 +80,7 @@
             let request = Request::Forward {
                 method: method.to_owned(),
                 path: path.to_owned(),
-                body,
+                body: body.clone(),
             };
             match self.peers.call(addr, &request, FORWARD).await {
                 Ok(Reply::Forwarded {
@@ -92,7 +95,10 @@
                     };
                 }
                 Ok(_) => {}
-                Err(e) => log::debug!("forwarding: {e}"),
+                Err(e) => {
+                    log::debug!("forwarding: {e}");
+                    self.unreachable.set(Some(self.now()));
+                }
             }
         }
         // No leader in reach: a poll can be answered from the records, which
@@ -100,9 +106,44 @@
         if let Some((id, false)) = target(path) {
             return self.poll_records(id).await;
         }
+        if target(path).is_none() {
+            return self.accept_alone(&body).await;
+        }
         HttpResponse::later("no leader can be reached")
     }
 
+    /// Accepts a job without a leader: its record is what counts.
+    async fn accept_alone(&self, body: &[u8]) -> HttpResponse {
+        let Ok(spec) = JobSpec::parse(body) else {
+            return HttpResponse::later("no leader can be reached");
+        };
+        let types = self.types.borrow().clone();
+        if types.is_empty() || admission::never_runs(&self.settings, &types, &spec).is_some() {
+            // Refusing a job for good takes knowing that it is not known.
+            return HttpResponse::later("no leader can be reached");
+        }
+        let now = self.now();
+        if !self.writes.borrow_mut().take(now, 2.0, 0.0) || !self.may_request(1.0) {
+            return HttpResponse::later("too many submissions at once");
+        }
+        let record = JobRecord {
+            spec,
+            at_ms: self.wall_ms(),
+            cancelled: false,
+            done: String::new(),
+        };
+        let txn = acceptance_with_notice(&record);
+        match self.txn(&txn, Duration::from_millis(2000)).await {
+            TxnResult::Done(_) => HttpResponse::json(201, &stored_status(&record)),
+            TxnResult::Conflict(_) => match self.lookup(&record.spec.id).await {
+                Ok(Found::Live(record, _)) => ok(&stored_status(&record)),
+                Ok(Found::Final(f)) => ok(&final_status(&record.spec.id, &f)),
+                _ => HttpResponse::later("no leader can be reached"),
+            },
+            _ => HttpResponse::later("the job could not be recorded"),
+        }
+    }
+
     async fn poll_records(&self, id: &str) -> HttpResponse {
         if !valid_ref(id) {
             return HttpResponse::error(404, "no such job");
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -20,6 +20,21 @@
     pub more: bool,
 }
 
+#[derive(Debug, Deserialize)]
+pub struct Watched {
+    #[serde(rename = "ledger_rev")]
+    pub revision: u64,
+    #[serde(rename = "log", default)]
+    pub events: Vec<Event>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Event {
+    /// Absent when the key was deleted.
+    #[serde(rename = "set", default)]
+    pub put: Option<String>,
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Guard {
     pub key: String,
