Stories against an installation in memory; two faults they found mended

A read-back that found a machine in the roster did not lead to placement, so a batch could wait for ever after a transaction applied late. A gang of which an earlier leader's report showed only one task done kept the others waiting, and a later start would have put them on top of finished ones. The checker catches a leader that doesn't wait for silent machines.

--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -85,7 +85,16 @@
         self.dirty.iter().any(|d| *d)
     }
 
+    /// A gang's tasks complete together: if one is done, all are.
     pub fn mark_done(&mut self, task: u32) {
+        if self.spec.kind == Kind::Gang {
+            (0..self.spec.tasks).for_each(|t| self.mark_one(t));
+        } else {
+            self.mark_one(task);
+        }
+    }
+
+    fn mark_one(&mut self, task: u32) {
         if self.done.set(task) {
             self.done_n += 1;
             self.dirty[(task / super::records::CHUNK_TASKS) as usize] = true;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -34,7 +34,7 @@
 /// Bits of a token below the term: fences raised for one machine.
 const FENCE_BITS: u32 = 20;
 /// Taken on top of a worker's lease before its tasks count as gone.
-const LAPSE_MARGIN: Ms = 500;
+const LAPSE_MARGIN: Ms = 150;
 const MAX_FINALS: usize = 20_000;
 /// How long a kind of machine that was refused is not asked for again.
 const REFUSED: Ms = 10_000;
@@ -117,6 +117,7 @@
     arrivals: VecDeque<(Ms, usize, u32)>,
     classes: Vec<Class>,
     drain_at: Ms,
+    place_at: Ms,
 }
 
 /// Jobs that take the same room.
@@ -179,6 +180,7 @@
             arrivals: VecDeque::new(),
             classes: Vec::new(),
             drain_at: 0,
+            place_at: 0,
         }
     }
 
@@ -303,15 +305,7 @@
             return;
         };
         match why {
-            Why::Done => {
-                job.failures = 0;
-                if job.spec.kind == Kind::Gang {
-                    // A gang's tasks complete together.
-                    for t in 0..job.spec.tasks {
-                        job.mark_done(t);
-                    }
-                }
-            }
+            Why::Done => job.failures = 0,
             Why::Error | Why::Unknown | Why::Other | Why::NoRoom | Why::Busy => {
                 job.failures += 1;
                 let failures = job.failures;
@@ -562,8 +556,11 @@
             .iter()
             .flatten()
             .any(|j| j.backoff_until != 0 && j.backoff_until <= now);
-        if (self.changed || backoff) && self.settled {
+        // Rates and holds change with time alone, so look now and then anyway.
+        let due = now >= self.place_at;
+        if (self.changed || backoff || due) && self.settled {
             self.changed = false;
+            self.place_at = now + 2000;
             self.place(now);
         }
         let _ = wall_ms;
@@ -1349,6 +1346,8 @@
     }
 
     pub fn reread_done(&mut self, plan: &Plan) {
+        // What was found may have made machines or jobs ready.
+        self.changed = true;
         for item in &plan.items {
             match item {
                 Item::Cancel(ix, id) | Item::Final(ix, id, _) => {
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,380 @@
+//! Short stories about failures, each against a whole installation in memory.
+
+mod world;
+
+use pathwinch::protocol::users::{JobState, Kind};
+use world::{LEASE, Net, World, job};
+
+fn quiet(seed: u64, machines: usize, limit: f64) -> World {
+    let mut w = World::new(seed, machines, limit);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w
+}
+
+#[test]
+fn a_batch_runs_and_stays_done() {
+    let mut w = quiet(1, 3, 0.0);
+    w.submit(job(1, Kind::Array, 9));
+    w.until(60_000, "done", |w| w.done("j-000001"));
+    for i in 0..3 {
+        assert_eq!(w.poll(i, "j-000001"), Some(JobState::Done));
+    }
+    // Also after every process has started anew.
+    for i in 0..3 {
+        w.crash(i, 3_000);
+    }
+    w.until(30_000, "a leader again", |w| w.leader().is_some());
+    w.run(5_000);
+    assert_eq!(w.poll(0, "j-000001"), Some(JobState::Done));
+    assert_eq!(w.starts, 9);
+    w.sound();
+}
+
+#[test]
+fn a_new_leader_waits_for_a_silent_machine_before_placing_its_tasks_again() {
+    let mut w = quiet(2, 3, 0.0);
+    w.submit(job(1, Kind::Service, 4));
+    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let old = w.leader().unwrap();
+    let silent = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
+    w.workers[silent].net = Net::Lose;
+    w.crash(old, 3_000);
+    w.until(40_000, "running elsewhere", |w| {
+        w.running("j-000001") == 4 && w.workers[silent].tasks.is_empty()
+    });
+    w.sound();
+}
+
+#[test]
+fn the_checker_catches_a_leader_that_does_not_wait() {
+    let mut w = quiet(2, 3, 0.0);
+    w.sabotage = true;
+    w.submit(job(1, Kind::Service, 4));
+    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let old = w.leader().unwrap();
+    let silent = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
+    w.workers[silent].net = Net::Lose;
+    w.crash(old, 3_000);
+    w.run(20_000);
+    assert!(w.broken.iter().any(|b| b.starts_with("ran_twice")));
+}
+
+#[test]
+fn a_report_that_arrives_minutes_late_is_no_news() {
+    let mut w = quiet(3, 3, 0.0);
+    w.submit(job(1, Kind::Service, 2));
+    w.until(20_000, "running", |w| w.running("j-000001") == 2);
+    let cut = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
+    // Its reports are held, its tasks are killed by the lease and run
+    // elsewhere; then the old reports arrive and still list them.
+    w.workers[cut].net = Net::Hold;
+    w.run(LEASE + 5_000);
+    let old = w.leader().unwrap();
+    w.crash(old, 3_000);
+    w.run(10_000);
+    w.heal(cut);
+    w.run(20_000);
+    assert_eq!(w.running("j-000001"), 2);
+    w.sound();
+}
+
+#[test]
+fn a_direct_order_executed_late_starts_nothing_twice() {
+    for delay in [1_000, 2_500, 6_000, 30_000] {
+        let mut w = quiet(4, 2, 0.0);
+        w.slow_do.insert(0, delay);
+        w.slow_do.insert(1, delay);
+        for n in 1..6 {
+            w.submit(job(n, Kind::Array, 4));
+        }
+        w.until(120_000, "all done", |w| {
+            (1..6).all(|n| w.done(&format!("j-{n:06}")))
+        });
+        w.run(40_000);
+        w.sound();
+    }
+}
+
+#[test]
+fn an_outage_longer_than_the_workers_lease_ends_nothing() {
+    let mut w = quiet(5, 3, 0.0);
+    w.submit(job(1, Kind::Service, 4));
+    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let sessions: Vec<u64> = w.workers.iter().map(|m| m.session).collect();
+    w.store.down = true;
+    w.run(25_000);
+    w.store.down = false;
+    w.run(10_000);
+    let after: Vec<u64> = w.workers.iter().map(|m| m.session).collect();
+    assert_eq!(sessions, after, "leases lapsed during the outage");
+    assert_eq!(w.running("j-000001"), 4);
+    w.sound();
+}
+
+#[test]
+fn an_outage_with_a_node_down_gives_no_promise_and_no_rule_breaks() {
+    let mut w = quiet(6, 3, 0.0);
+    w.submit(job(1, Kind::Service, 4));
+    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let leader = w.leader().unwrap();
+    w.crash((leader + 1) % 3, 60_000);
+    w.store.down = true;
+    w.run(20_000);
+    w.store.down = false;
+    w.until(30_000, "running again", |w| w.running("j-000001") == 4);
+    w.sound();
+}
+
+#[test]
+fn a_leader_that_alone_is_refused_hands_over_at_once() {
+    let mut w = quiet(7, 3, 0.0);
+    w.submit(job(1, Kind::Service, 4));
+    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let old = w.leader().unwrap();
+    w.store.refuses.insert(old);
+    w.until(1_500, "another leads", |w| {
+        w.leader().is_some_and(|l| l != old)
+    });
+    w.run(15_000);
+    assert_eq!(w.running("j-000001"), 4);
+    assert_eq!(w.starts, 4);
+    w.sound();
+}
+
+#[test]
+fn all_controllers_crash_and_nothing_stops() {
+    let mut w = quiet(8, 3, 0.0);
+    w.submit(job(1, Kind::Service, 4));
+    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    for i in 0..3 {
+        w.crash(i, 6_000);
+    }
+    w.run(30_000);
+    assert_eq!(w.running("j-000001"), 4);
+    assert_eq!(w.starts, 4, "a worker's lease lapsed");
+    w.sound();
+}
+
+#[test]
+fn a_transaction_applied_late_undoes_nothing() {
+    for delay in [500, 1_400, 3_000, 20_000] {
+        let mut w = quiet(9, 3, 0.0);
+        w.submit(job(1, Kind::Array, 8));
+        for _ in 0..40 {
+            w.store.late.push(delay);
+            w.run(400);
+        }
+        w.store.late.clear();
+        w.until(90_000, &format!("done, {delay} ms"), |w| w.done("j-000001"));
+        w.run(25_000);
+        assert_eq!(w.poll(0, "j-000001"), Some(JobState::Done));
+        w.sound();
+    }
+}
+
+#[test]
+fn a_withdrawal_and_a_completion_agree_on_one_answer() {
+    let mut cancelled = 0;
+    for seed in 0..12 {
+        let mut w = quiet(100 + seed, 3, 0.0);
+        w.submit(job(1, Kind::Array, 2));
+        w.run(5_000 + seed * 250);
+        if seed % 2 == 0 {
+            w.store.late.push(900);
+        }
+        w.cancel("j-000001");
+        let first = w.told["j-000001"].0;
+        cancelled += u32::from(first == JobState::Cancelled);
+        for _ in 0..40 {
+            for i in 0..3 {
+                w.poll(i, "j-000001");
+            }
+            w.run(1_000);
+        }
+        w.sound();
+    }
+    assert!(
+        (1..12).contains(&cancelled),
+        "both outcomes were meant to occur: {cancelled}"
+    );
+}
+
+#[test]
+fn a_cancelled_job_is_gone_in_time_although_its_launch_was_held() {
+    let mut w = quiet(10, 2, 0.0);
+    w.run(2_000);
+    w.slow_do.insert(0, 20_000);
+    w.slow_do.insert(1, 20_000);
+    w.submit(job(1, Kind::Service, 2));
+    w.run(200);
+    w.cancel("j-000001");
+    w.run(60_000);
+    assert_eq!(w.running("j-000001"), 0);
+    w.sound();
+}
+
+#[test]
+fn a_team_stays_within_its_limit_across_a_failover() {
+    let mut w = quiet(11, 6, 16.0);
+    for n in 1..8 {
+        w.submit(job(n, Kind::Array, 3));
+    }
+    w.run(4_000);
+    for round in 0..4 {
+        if let Some(old) = w.leader() {
+            w.crash(old, 3_000);
+        }
+        let cut = round % 6;
+        w.workers[cut].net = Net::Hold;
+        w.run(14_000);
+        w.heal(cut);
+    }
+    w.until(120_000, "all done", |w| {
+        (1..8).all(|n| w.done(&format!("j-{n:06}")))
+    });
+    w.sound();
+}
+
+#[test]
+fn spread_and_one_zone_hold_while_old_tasks_linger() {
+    let mut w = quiet(12, 8, 0.0);
+    let mut spread = job(1, Kind::Service, 4);
+    spread.spread = true;
+    let mut together = job(2, Kind::Service, 3);
+    together.one_zone = true;
+    w.submit(spread);
+    w.submit(together);
+    w.until(30_000, "running", |w| {
+        w.running("j-000001") == 4 && w.running("j-000002") == 3
+    });
+    for cut in 0..8 {
+        w.workers[cut].net = Net::Hold;
+        w.run(7_000);
+        if cut % 3 == 2
+            && let Some(l) = w.leader()
+        {
+            w.crash(l, 3_000);
+        }
+        w.run(9_000);
+        w.heal(cut);
+    }
+    w.until(40_000, "running again", |w| {
+        w.running("j-000001") == 4 && w.running("j-000002") == 3
+    });
+    w.sound();
+}
+
+#[test]
+fn a_gang_starts_whole_and_again_only_when_the_old_tasks_are_gone() {
+    let mut w = quiet(13, 4, 0.0);
+    w.run_ms = 60_000;
+    w.submit(job(1, Kind::Gang, 6));
+    w.until(20_000, "running", |w| w.running("j-000001") == 6);
+    let lost = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
+    w.workers[lost].net = Net::Lose;
+    w.run(30_000);
+    let attempts: std::collections::BTreeSet<u64> = w
+        .workers
+        .iter()
+        .flat_map(|m| &m.tasks)
+        .map(|t| t.attempt)
+        .collect();
+    assert!(attempts.len() <= 1, "two attempts at once: {attempts:?}");
+    w.sound();
+}
+
+#[test]
+fn a_job_of_100_000_tasks_fits_the_limits_and_survives_a_failover() {
+    let mut w = quiet(14, 4, 0.0);
+    let mut big = job(1, Kind::Array, 100_000);
+    big.estimate_s = 1.0;
+    w.run_ms = 50;
+    w.submit(big);
+    w.run(20_000);
+    let old = w.leader().unwrap();
+    // The last chunk is written too, and read back by the next leader.
+    for t in 99_990..100_000 {
+        let l = w.nodes[old].leader.as_mut().unwrap();
+        let ix = l.model.job_ix("j-000001").unwrap();
+        l.model.job_mut(ix).unwrap().mark_done(t);
+    }
+    w.run(2_000);
+    let before = {
+        let l = w.nodes[old].leader.as_ref().unwrap();
+        l.status("j-000001").unwrap().done
+    };
+    assert!(before > 20);
+    w.crash(old, 3_000);
+    w.until(30_000, "a leader again", |w| w.leader().is_some());
+    let new = w.leader().unwrap();
+    let l = w.nodes[new].leader.as_ref().unwrap();
+    let after = l.status("j-000001").unwrap().done;
+    assert!(after + 20 >= before, "{after} after {before}");
+    assert!(w.store.kv.contains_key("c/j-000001/12"));
+    w.sound();
+}
+
+#[test]
+fn days_of_mixed_trouble_break_no_rule() {
+    for seed in 0..25 {
+        let mut w = quiet(1000 + seed, 6, 48.0);
+        w.rents = true;
+        let mut n = 0;
+        for _ in 0..60 {
+            n += 1;
+            let kind = [Kind::Array, Kind::Service, Kind::Gang][w.rng.usize(..3)];
+            let tasks = w.rng.u32(1..6);
+            let mut j = job(n, kind, tasks);
+            j.spread = w.rng.u8(..4) == 0;
+            j.one_zone = !j.spread && w.rng.u8(..4) == 0;
+            j.spot = w.rng.bool();
+            w.submit(j);
+            match w.rng.u8(..10) {
+                0 => {
+                    let i = w.rng.usize(..3);
+                    w.crash(i, 3_000);
+                }
+                1 => (0..3).for_each(|i| w.crash(i, 6_000)),
+                2 | 3 => {
+                    let i = w.rng.usize(..w.workers.len());
+                    w.workers[i].net = if w.rng.bool() { Net::Hold } else { Net::Lose };
+                }
+                4 => (0..w.workers.len()).for_each(|i| w.heal(i)),
+                5 => w.store.late.push(w.rng.u64(100..20_000)),
+                6 => {
+                    let i = w.rng.usize(..w.workers.len());
+                    let delay = w.rng.u64(50..15_000);
+                    w.slow_do.insert(i, delay);
+                }
+                7 => {
+                    let i = w.rng.usize(..3);
+                    w.store.refuses.insert(i);
+                    let ms = w.rng.u64(1_000..9_000);
+                    w.run(ms);
+                    w.store.refuses.clear();
+                }
+                8 => {
+                    w.store.down = true;
+                    let ms = w.rng.u64(1_000..15_000);
+                    w.run(ms);
+                    w.store.down = false;
+                }
+                _ => {
+                    let id = format!("j-{:06}", w.rng.u32(1..=n));
+                    w.cancel(&id);
+                }
+            }
+            if n > 6 {
+                w.cancel(&format!("j-{:06}", n - 6));
+            }
+            let ms = w.rng.u64(200..6_000);
+            w.run(ms);
+            for i in 0..3 {
+                let id = format!("j-{:06}", w.rng.u32(1..=n));
+                w.poll(i, &id);
+            }
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+        assert!(w.starts > 50);
+    }
+}
