--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -432,7 +432,7 @@
     }
 
     pub fn done(&self, id: &str) -> bool {
-        self.store.kv.get(&records::final_key(id)).is_some()
+        self.store.kv.contains_key(&records::final_key(id))
     }
 
     // ---- troubles ----
