--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -228,6 +228,8 @@
     pub ordering: bool,
     pub order_retry: Ms,
     pub images: Vec<u32>,
+    /// The record lacks some of them.
+    pub images_new: bool,
     /// When a task other than a service's was last on it.
     pub batch_until: Ms,
     /// Up, but its reports are overdue.
@@ -496,6 +498,7 @@
             ordering: false,
             order_retry: 0,
             images: Vec::new(),
+            images_new: false,
             batch_until: now,
             suspect: false,
             draining: false,
@@ -576,6 +579,7 @@
             m.used += need;
             if !m.images.contains(&image) {
                 m.images.push(image);
+                m.images_new = true;
                 if m.images.len() > 8 {
                     m.images.remove(0);
                 }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -76,6 +76,10 @@
     /// Its release has been decided.
     #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
     pub releasing: bool,
+    /// Images it is thought to cache, so that a new leader knows where a
+    /// task starts without a fetch.
+    #[serde(rename = "i", default, skip_serializing_if = "Vec::is_empty")]
+    pub images: Vec<String>,
 }
 
 /// A set of task numbers.
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -117,6 +117,7 @@
                     }
                 }
                 news.changed = true;
+                log::debug!("task {}: {phase:?}", t.task);
                 model.set_phase(ix, at, phase);
             }
             None => {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -252,6 +252,16 @@
             m.unknown = true;
             m.answered = self.acquired;
         }
+        if let Some(ix) = ix {
+            let images: Vec<u32> = record
+                .images
+                .iter()
+                .map(|i| self.model.images.intern(i))
+                .collect();
+            if let Some(m) = self.model.machine_mut(ix) {
+                m.images = images;
+            }
+        }
     }
 
     // ---- workers ----
@@ -421,6 +431,15 @@
 
     pub fn accepted(&mut self, record: JobRecord, version: u64, now: Ms) {
         if !self.finals.contains_key(&record.spec.id) {
+            log::debug!(
+                "job {} of {} accepted: {}, {} tasks, image {} of {} GB",
+                record.spec.id,
+                record.spec.team,
+                record.spec.class,
+                record.spec.tasks,
+                record.spec.image,
+                record.spec.image_gb,
+            );
             let ix = self.load_job(record, version, now);
             self.note_arrival(ix, now);
         }
@@ -789,7 +808,7 @@
         zone_ok: impl Fn(usize) -> bool,
     ) -> Option<(u32, Vec<usize>)> {
         let job = self.model.job(job_ix)?;
-        let mut best: Option<(i64, u32, Vec<usize>)> = None;
+        let mut best: Option<((bool, i64), u32, Vec<usize>)> = None;
         for (ix, m) in self.model.machines.iter().enumerate() {
             let Some(m) = m else { continue };
             let allowed = m.usable()
@@ -801,6 +820,7 @@
             if !allowed {
                 continue;
             }
+            let fetch = !m.images.contains(&job.image);
             let mut victims: Vec<(i64, usize)> = Vec::new();
             for (at, a) in m.tasks.iter().enumerate() {
                 let lower = self
@@ -826,9 +846,9 @@
             }
             if job.need.fits(&free)
                 && !chosen.is_empty()
-                && best.as_ref().is_none_or(|(b, _, _)| lost < *b)
+                && best.as_ref().is_none_or(|(b, _, _)| (fetch, lost) < *b)
             {
-                best = Some((lost, ix as u32, chosen));
+                best = Some(((fetch, lost), ix as u32, chosen));
             }
         }
         best.map(|(_, ix, victims)| (ix, victims))
@@ -1079,6 +1099,7 @@
             return None;
         }
         let limits = &self.settings.cluster.state;
+        let spare = room as f64 > limits.write_rps / 2.0;
         let room = room.min(limits.txn_ops);
         let mut bytes = 0usize;
         let byte_limit = 48 * 1024;
@@ -1174,7 +1195,7 @@
                 }
             }
             if pass == 0 {
-                self.plan_roster(&mut plan, room);
+                self.plan_roster(&mut plan, room, spare);
             }
         }
         while plan.txn.writes.len() < room
@@ -1185,7 +1206,7 @@
         (!plan.txn.writes.is_empty()).then_some(plan)
     }
 
-    fn plan_roster(&mut self, plan: &mut Plan, room: usize) {
+    fn plan_roster(&mut self, plan: &mut Plan, room: usize, spare: bool) {
         for ix in 0..self.model.machines.len() {
             if plan.txn.writes.len() + 1 > room {
                 return;
@@ -1199,10 +1220,13 @@
             }
             let add = m.up && m.roster == Roster::Absent && !m.releasing;
             let mark = m.releasing && !m.release_marked && m.roster == Roster::Present;
-            if !add && !mark {
+            // Not urgent, so only while much of the budget is left.
+            let images = m.images_new && m.roster == Roster::Present && m.up && spare;
+            if !add && !mark && !images {
                 continue;
             }
             m.writing = true;
+            m.images_new = false;
             plan.txn.guards.push(Guard {
                 key: machine_key(&m.name),
                 version: m.version,
@@ -1212,7 +1236,13 @@
                 type_name: type_names[m.type_ix].name.clone(),
                 zone: self.model.zones.name(m.zone).to_owned(),
                 spot: m.spot,
-                releasing: mark,
+                releasing: m.releasing && m.roster == Roster::Present,
+                images: m
+                    .images
+                    .iter()
+                    .map(|i| self.model.images.name(*i as usize).to_owned())
+                    .filter(|i| i.len() <= 200)
+                    .collect(),
             };
             plan.txn.writes.push(Write::Put {
                 key: machine_key(&m.name),
@@ -1220,7 +1250,7 @@
                 lease: None,
             });
             let name = m.name.clone();
-            plan.items.push(if mark {
+            plan.items.push(if m.releasing {
                 Item::Mark(ix as u32, name)
             } else {
                 Item::Roster(ix as u32, name)
