--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -19,7 +19,7 @@
     protocol::{
         cloud::{ListedMachine, ListedState, MachineType, Rent},
         options::Options,
-        settings::Settings,
+        settings::{Objective, Settings},
         state::{Guard, Txn, Write},
         users::{JobSpec, JobState, JobStatus, Kind, Priority},
         workers::{DirectOrder, Report, ReportReply, Why},
@@ -45,6 +45,9 @@
 const HELD: Ms = 8_000;
 /// How long a machine must have been empty to count as surplus.
 const SURPLUS: Ms = 3_000;
+/// A fetch that a service may be moved for. Longer ones cost more of its
+/// replica time than the machine is worth (tried without this bound).
+const SHORT_FETCH_S: f64 = 4.0;
 
 fn millis(s: f64) -> Ms {
     (s.max(0.0) * 1000.0) as Ms
@@ -118,6 +121,7 @@
     classes: Vec<Class>,
     drain_at: Ms,
     place_at: Ms,
+    wall_ms: u64,
 }
 
 /// Jobs that take the same room.
@@ -181,6 +185,7 @@
             classes: Vec::new(),
             drain_at: 0,
             place_at: 0,
+            wall_ms: 0,
         }
     }
 
@@ -554,6 +559,7 @@
         if !self.loaded {
             return;
         }
+        self.wall_ms = wall_ms;
         self.lapse(now);
         if !self.settled {
             self.settled = !self.model.machines.iter().flatten().any(|m| m.unknown);
@@ -582,7 +588,6 @@
             self.place_at = now + 2000;
             self.place(now);
         }
-        let _ = wall_ms;
     }
 
     fn lapse(&mut self, now: Ms) {
@@ -670,10 +675,12 @@
             }
         }
         let jobs = &self.model.jobs;
-        order.sort_by_key(|ix| {
-            jobs[*ix as usize]
-                .as_ref()
-                .map(|j| (std::cmp::Reverse(j.spec.priority), j.at_ms, *ix))
+        let (objectives, wall) = (&self.settings.cluster.objectives, self.wall_ms);
+        order.sort_by_cached_key(|ix| {
+            jobs[*ix as usize].as_ref().map(|j| {
+                let band = deadline_band(&j.spec, objectives, wall.saturating_sub(j.at_ms));
+                (std::cmp::Reverse(j.spec.priority), band, j.at_ms, *ix)
+            })
         });
         order
     }
@@ -1585,7 +1592,7 @@
             b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
         });
         for ix in order {
-            if self.can_empty(ix) {
+            if self.can_empty(ix, now) {
                 if let Some(m) = self.model.machine_mut(ix) {
                     log::info!(
                         "machine {} drained: {} services move",
@@ -1603,7 +1610,7 @@
         }
     }
 
-    fn can_empty(&self, ix: u32) -> bool {
+    fn can_empty(&self, ix: u32, now: Ms) -> bool {
         let Some(from) = self.model.machine(ix) else {
             return false;
         };
@@ -1611,6 +1618,9 @@
             let t = &self.model.types[m.type_ix];
             if m.spot { t.spot_price } else { t.price }
         };
+        // One that has long been of no other use may cost its services a
+        // fetch.
+        let long = now >= from.batch_until + 3 * millis(self.options.idle_s);
         let mut room: Vec<(u32, Amounts)> = Vec::new();
         for (to, m) in self.model.machines.iter().enumerate() {
             if let Some(m) = m
@@ -1637,7 +1647,11 @@
                             && job.zone.is_none_or(|z| z == m.zone)
                             && (job.spec.spot || !m.spot)
                             && (m.zone == from.zone || !(job.spec.one_zone || job.spec.spread))
-                            && m.images.contains(&job.image)
+                            && (m.images.contains(&job.image)
+                                || long
+                                    && job.spec.image_gb
+                                        <= self.model.types[m.type_ix].fetch_gb_per_s
+                                            * SHORT_FETCH_S)
                     })
             });
             match found {
@@ -1811,6 +1825,27 @@
     }
 }
 
+/// Within a priority, jobs are served in arrival order, but those that have
+/// missed their deadline let the others pass, until a later aim for them (or
+/// three times the deadline) draws near.
+fn deadline_band(spec: &JobSpec, objectives: &[Objective], age_ms: u64) -> u8 {
+    let Some(due) = spec.deadline_s else {
+        return 1;
+    };
+    let age = age_ms as f64 / 1000.0;
+    if due - age >= spec.estimate_s * 0.8 {
+        return 1;
+    }
+    let last = objectives
+        .iter()
+        .filter(|o| o.kind == "deadline" && o.class.as_deref() == Some(spec.class.as_str()))
+        .filter_map(|o| o.times)
+        .fold(1.0, f64::max);
+    let last = if last > 1.0 { last } else { 3.0 };
+    let near = last * due - age < spec.estimate_s * 1.5 + 0.2 * due;
+    if near { 0 } else { 2 }
+}
+
 impl Reserve {
     fn covers(&self, type_ix: usize, spot: bool) -> bool {
         self.types.get(type_ix).copied().unwrap_or(false) && (self.spot || !spot)
@@ -1876,3 +1911,33 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_batch_past_its_deadline_lets_others_pass_until_its_last_aim_is_near() {
+        let spec = JobSpec::parse(
+            br#"{"ref":"j-000001","job_family":"c","owner_crew":"t","run_shape":"array",
+                "urgency":"normal","pieces":3,"cores":1.0,"accelerators":0.0,"memory_gb":1.0,
+                "bundle":"i","image_gb":1.0,"same_place":false,"apart":false,"lendback":true,
+                "expected_s":20.0,"snapshot_every_s":0.0,"snapshot_cost_s":0.0,"due_s":100.0}"#,
+        )
+        .unwrap();
+        let aim = |times| Objective {
+            kind: "deadline".into(),
+            class: Some("c".into()),
+            within_s: None,
+            times: Some(times),
+        };
+        let band = |age_s: u64, aims: &[Objective]| deadline_band(&spec, aims, age_s * 1000);
+        let aims = [aim(1.0), aim(1.5)];
+        assert_eq!(band(0, &aims), 1);
+        assert_eq!(band(90, &aims), 2);
+        assert_eq!(band(110, &aims), 0);
+        // Without a later aim it still does not wait for ever.
+        assert_eq!(band(110, &[]), 2);
+        assert_eq!(band(280, &[]), 0);
+    }
+}
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -70,6 +70,9 @@
     pub class: Option<String>,
     #[serde(default)]
     pub within_s: Option<f64>,
+    /// For deadlines: by how many times the deadline.
+    #[serde(default)]
+    pub times: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
