--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -43,6 +43,8 @@
 const RESERVE_FOR: Ms = 25_000;
 /// How long room made for a job is kept for it.
 const HELD: Ms = 8_000;
+/// A machine costs at least a minute.
+const LEAST_CHARGE: Ms = 57_000;
 /// How long a machine must have been empty to count as surplus.
 const SURPLUS: Ms = 3_000;
 /// A fetch that a service may be moved for. Longer ones cost more of its
@@ -482,7 +484,7 @@
     /// Room to keep for work of high priority that is expected soon, and for
     /// such work that waits: without it, batches would take the last machine
     /// that a large task fits.
-    fn reserves(&mut self, candidates: &[Candidate], now: Ms) -> Vec<Reserve> {
+    fn reserves(&mut self, candidates: &[Candidate], over: Ms, now: Ms) -> Vec<Reserve> {
         while self
             .arrivals
             .front()
@@ -490,7 +492,7 @@
         {
             self.arrivals.pop_front();
         }
-        let window = RATE_WINDOW.min(now - self.acquired).max(30_000);
+        let window = over.min(now - self.acquired).max(30_000);
         let mut out = Vec::new();
         for (ix, c) in self.classes.iter().enumerate() {
             if c.priority < Priority::High {
@@ -499,7 +501,7 @@
             let recent: u64 = self
                 .arrivals
                 .iter()
-                .filter(|(_, at, _)| *at == ix)
+                .filter(|(t, at, _)| *at == ix && *t + over >= now)
                 .map(|(_, _, n)| u64::from(*n).min(64))
                 .sum();
             let wanted = (recent * RESERVE_FOR).div_ceil(window) as i64;
@@ -690,7 +692,7 @@
         (self.term << FENCE_BITS) | self.attempts
     }
 
-    fn place(&mut self, now: Ms) {
+    fn candidates(&self) -> Vec<Candidate> {
         let mut candidates: Vec<Candidate> = Vec::new();
         for (ix, m) in self.model.machines.iter().enumerate() {
             if let Some(m) = m
@@ -707,12 +709,17 @@
                 });
             }
         }
+        candidates
+    }
+
+    fn place(&mut self, now: Ms) {
+        let mut candidates = self.candidates();
         let order = self.queue();
         if candidates.is_empty() {
             self.order = order;
             return;
         }
-        let mut reserves = self.reserves(&candidates, now);
+        let mut reserves = self.reserves(&candidates, RATE_WINDOW, now);
         let mut wanting = Vec::new();
         // Shapes that found no room in this pass; the rest of the queue
         // needn't be tried for them.
@@ -1514,10 +1521,22 @@
         ops
     }
 
+    /// A dear machine is kept idle for less long than a cheap one of its type.
+    fn idle_allowance(&self, m: &crate::bookkeeping::model::Machine, idle: Ms) -> Ms {
+        let t = &self.model.types[m.type_ix];
+        if m.spot || t.price <= t.spot_price {
+            return idle;
+        }
+        (idle as f64 * t.spot_price / t.price) as Ms
+    }
+
     fn return_machines(&mut self, now: Ms) {
         let idle = millis(self.options.idle_s);
         let lapse = self.lapse_after();
         let lag = millis(self.settings.cluster.cloud.list_lag_s);
+        // What arrives often and must start soon finds an idle machine.
+        let candidates = self.candidates();
+        let mut held = self.reserves(&candidates, 60_000, now);
         let mut gone = Vec::new();
         for ix in 0..self.model.machines.len() as u32 {
             let Some(m) = self.model.machine(ix) else {
@@ -1532,7 +1551,19 @@
                 Some("quarantined")
             } else if m.up && m.draining && empty && !m.ordering {
                 Some("drained")
-            } else if m.up && empty && self.settled && now >= m.idle_since + idle && !m.ordering {
+            } else if m.up
+                && empty
+                && self.settled
+                && now >= m.idle_since + self.idle_allowance(m, idle)
+                && !m.ordering
+                && held.iter().all(|r| {
+                    !r.covers(m.type_ix, m.spot)
+                        || r.fits - m.capacity.count(&r.need).min(1000) >= r.wanted
+                })
+            {
+                for r in held.iter_mut().filter(|r| r.covers(m.type_ix, m.spot)) {
+                    r.fits -= m.capacity.count(&r.need).min(1000);
+                }
                 Some("idle")
             } else if !m.up && m.session == 0 && now > m.since + 4 * boot + 60_000 {
                 Some("never came up")
@@ -1675,9 +1706,14 @@
 
     fn purchases(&mut self, now: Ms, wall_ms: u64) -> Vec<Rent> {
         let mut bins = Vec::new();
-        for m in self.model.machines.iter().flatten() {
+        let mut coming_bins = Vec::new();
+        for (ix, m) in self.model.machines.iter().enumerate() {
+            let Some(m) = m else { continue };
             let coming = !m.up && m.session == 0 && !m.releasing && !m.unknown;
             if coming || (m.up && m.roster == Roster::Absent && !m.releasing) || m.usable() {
+                if coming {
+                    coming_bins.push((bins.len(), ix as u32));
+                }
                 bins.push(Bin {
                     type_ix: m.type_ix,
                     zone: m.zone,
@@ -1757,6 +1793,16 @@
         }
         self.order = order;
         let bought = provision::plan(&demands, &mut bins, &offers);
+        // A machine that still boots when its work is gone is given back, once
+        // the least that it costs is spent.
+        for (bin, ix) in coming_bins {
+            if let Some(m) = self.model.machine(ix)
+                && bins[bin].free == m.capacity
+                && now > m.since + LEAST_CHARGE
+            {
+                self.release(ix, "no longer needed", now);
+            }
+        }
         bought
             .into_iter()
             .map(|p| {
