Batches rent only what machines can't do in turns by the deadline

Cause: every round rented for all waiting tasks of a batch at once, although machines that were up would have done them in turns. Overdue boots are no longer counted on.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -18,7 +18,7 @@
     },
     protocol::{
         cloud::{ListedMachine, ListedState, MachineType, Rent},
-        options::Options,
+        options::{LoadResource, Options},
         settings::{Objective, Settings},
         state::{Guard, Txn, Write},
         users::{JobSpec, JobState, JobStatus, Kind, Priority},
@@ -925,11 +925,7 @@
             return u32::MAX;
         };
         let whole = Amounts::offer(t.cpus, t.gpus, t.memory_gb);
-        let share = placement::load(
-            &whole,
-            &whole.minus(*need),
-            crate::protocol::options::LoadResource::Scarcest,
-        );
+        let share = placement::load(&whole, &whole.minus(*need), LoadResource::Scarcest);
         // Current prices move by a third; steps keep the order steady.
         let price = if spot { t.spot_price } else { t.price };
         (price * share * 1000.0).max(1.0).log2().mul_add(2.0, 0.5) as u32
@@ -1693,6 +1689,21 @@
         true
     }
 
+    /// The least share of a machine that a task takes.
+    fn share(&self, need: &Amounts, types: &[bool]) -> f64 {
+        self.model
+            .types
+            .iter()
+            .zip(types)
+            .filter(|(_, allowed)| **allowed)
+            .map(|(t, _)| {
+                let whole = Amounts::offer(t.cpus, t.gpus, t.memory_gb);
+                placement::load(&whole, &whole.minus(*need), LoadResource::Scarcest)
+            })
+            .min_by(f64::total_cmp)
+            .unwrap_or(1.0)
+    }
+
     fn boot_s(&self, types: &[bool]) -> f64 {
         self.model
             .types
@@ -1707,18 +1718,42 @@
     fn purchases(&mut self, now: Ms, wall_ms: u64) -> Vec<Rent> {
         let mut bins = Vec::new();
         let mut coming_bins = Vec::new();
+        let mut batch_held = Vec::new();
         for (ix, m) in self.model.machines.iter().enumerate() {
             let Some(m) = m else { continue };
-            let coming = !m.up && m.session == 0 && !m.releasing && !m.unknown;
+            let boot = millis(self.model.types[m.type_ix].boot_s);
+            // One that is long overdue is not counted on any more.
+            let coming = !m.up
+                && m.session == 0
+                && !m.releasing
+                && !m.unknown
+                && now < m.since + boot + boot * 7 / 10;
             if coming || (m.up && m.roster == Roster::Absent && !m.releasing) || m.usable() {
                 if coming {
                     coming_bins.push((bins.len(), ix as u32));
                 }
+                // What batches hold turns over soon.
+                let mut held = Amounts::default();
+                for a in m.tasks.iter().filter(|a| a.live()) {
+                    if self
+                        .model
+                        .job(a.job)
+                        .is_some_and(|j| j.spec.kind == Kind::Array)
+                    {
+                        held += a.need;
+                    }
+                }
+                batch_held.push(held);
                 bins.push(Bin {
                     type_ix: m.type_ix,
                     zone: m.zone,
                     spot: m.spot,
                     free: m.free(),
+                    ready_in_s: if coming {
+                        (m.since + boot).saturating_sub(now) as f64 / 1000.0
+                    } else {
+                        0.0
+                    },
                 });
             }
         }
@@ -1744,8 +1779,11 @@
             }
         }
         let order = self.queue();
+        let free_before: Vec<Amounts> = bins.iter().map(|b| b.free).collect();
         let mut room: HashMap<usize, Amounts> = HashMap::new();
         let mut demands = Vec::new();
+        let mut batches = Vec::new();
+        let mut batch_demands = Vec::new();
         for &ix in &order {
             let Some(j) = self.model.job(ix) else {
                 continue;
@@ -1754,17 +1792,7 @@
                 continue;
             }
             let waiting = i64::from(j.waiting());
-            let mut count = match j.spec.kind {
-                Kind::Array => {
-                    let age = wall_ms.saturating_sub(j.at_ms) as f64 / 1000.0;
-                    let left = j
-                        .spec
-                        .deadline_s
-                        .map(|d| d - age - self.boot_s(&j.types) - 5.0);
-                    provision::parallel(waiting, i64::from(j.live), j.spec.estimate_s, left)
-                }
-                Kind::Gang | Kind::Service => waiting,
-            };
+            let mut count = waiting;
             // What the team may not run yet needs no machine yet.
             let planned = room.entry(j.team).or_default();
             while count > 0 {
@@ -1776,28 +1804,69 @@
                 count -= 1;
             }
             *planned += j.need.scaled(count);
-            if count > 0 {
-                demands.push(Demand {
+            if count <= 0 {
+                continue;
+            }
+            let demand = Demand {
+                need: j.need,
+                count,
+                types: j.types.clone(),
+                zone: j.zone,
+                spot: j.spec.spot,
+                per_zone: j.spec.spread.then(|| i64::from(j.spec.tasks.div_ceil(2))),
+            };
+            if j.spec.kind == Kind::Array {
+                let age = wall_ms.saturating_sub(j.at_ms) as f64 / 1000.0;
+                batches.push(provision::Batch {
                     need: j.need,
-                    count,
+                    share: self.share(&j.need, &j.types),
+                    waiting: count,
+                    live: i64::from(j.live),
+                    estimate_s: j.spec.estimate_s,
+                    left_s: j.spec.deadline_s.map(|d| d - age - 5.0),
                     types: j.types.clone(),
                     zone: j.zone,
                     spot: j.spec.spot,
-                    per_zone: j.spec.spread.then(|| i64::from(j.spec.tasks.div_ceil(2))),
-                    patient: j.spec.priority < Priority::High,
                 });
+                batch_demands.push(demand);
+            } else {
+                demands.push(demand);
             }
-            if demands.len() >= 200 {
+            if demands.len() + batches.len() >= 200 {
                 break;
             }
         }
         self.order = order;
-        let bought = provision::plan(&demands, &mut bins, &offers);
+        let mut bought = provision::plan(&demands, &mut bins, &offers);
+        let untouched: Vec<bool> = bins
+            .iter()
+            .zip(&free_before)
+            .map(|(b, before)| b.free == *before)
+            .collect();
+        let mut coming = Vec::new();
+        let mut ready = Vec::new();
+        for (i, mut bin) in bins.into_iter().enumerate() {
+            match coming_bins.iter().find(|(at, _)| *at == i) {
+                None if i < batch_held.len() => {
+                    bin.free += batch_held[i];
+                    ready.push(bin);
+                }
+                _ => coming.push(bin),
+            }
+        }
+        let boot_s = self.boot_s(&vec![true; self.model.types.len()]);
+        let (new, needs_coming) = provision::shortfalls(&batches, &ready, &coming, boot_s);
+        for (d, n) in batch_demands.iter_mut().zip(new) {
+            d.count = n;
+        }
+        // Places that are there are counted already.
+        bought.extend(provision::plan(&batch_demands, &mut Vec::new(), &offers));
         // A machine that still boots when its work is gone is given back, once
         // the least that it costs is spent.
         for (bin, ix) in coming_bins {
             if let Some(m) = self.model.machine(ix)
-                && bins[bin].free == m.capacity
+                && untouched[bin]
+                && !needs_coming
                 && now > m.since + LEAST_CHARGE
             {
                 self.release(ix, "no longer needed", now);
