--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -215,14 +215,13 @@
         done.load(0, &record.done);
         self.learn_shape(&record.spec);
         self.changed = true;
-        self.model.insert_job(
-            record.spec,
-            record.at_ms,
-            version,
-            done,
-            record.cancelled,
-            now,
-        )
+        let at_ms = record.at_ms;
+        let ix = self
+            .model
+            .insert_job(record.spec, at_ms, version, done, record.cancelled, now);
+        let age = self.wall_ms.saturating_sub(at_ms);
+        self.note_arrival(ix, now.saturating_sub(age));
+        ix
     }
 
     pub fn load_chunk(&mut self, id: &str, chunk: usize, text: &str) {
@@ -447,8 +446,7 @@
                 record.spec.image,
                 record.spec.image_gb,
             );
-            let ix = self.load_job(record, version, now);
-            self.note_arrival(ix, now);
+            self.load_job(record, version, now);
         }
     }
 
@@ -481,6 +479,57 @@
         }
     }
 
+    /// Room that services need in reserve: what the machine with most of them
+    /// holds, so that it may be lost. Batches may use that room meanwhile.
+    fn spares(&self) -> Vec<Reserve> {
+        let mut out = Vec::new();
+        for c in self.classes.iter().filter(|c| c.kind == Kind::Service) {
+            let mut r = Reserve {
+                priority: c.priority,
+                need: c.need,
+                types: c.types.clone(),
+                spot: c.spot,
+                fits: 0,
+                wanted: 0,
+            };
+            let mut most = 0;
+            for m in self.model.machines.iter().flatten() {
+                let of_class = |a: &&crate::bookkeeping::model::Assignment| {
+                    a.live()
+                        && self.model.job(a.job).is_some_and(|j| {
+                            j.spec.kind == Kind::Service && j.need == c.need && j.types == c.types
+                        })
+                };
+                most = most.max(m.tasks.iter().filter(of_class).count() as i64);
+                if m.usable() && r.covers(m.type_ix, m.spot) {
+                    let mut free = m.free();
+                    free += self.held_by_batches(m);
+                    r.fits += free.count(&r.need).min(1000);
+                }
+            }
+            // The machine that is lost has its own room, which does not count.
+            r.wanted = most;
+            if most > 0 {
+                out.push(r);
+            }
+        }
+        out
+    }
+
+    fn held_by_batches(&self, m: &crate::bookkeeping::model::Machine) -> Amounts {
+        let mut held = Amounts::default();
+        for a in m.tasks.iter().filter(|a| a.live()) {
+            if self
+                .model
+                .job(a.job)
+                .is_some_and(|j| j.spec.kind == Kind::Array)
+            {
+                held += a.need;
+            }
+        }
+        held
+    }
+
     /// Room to keep for work of high priority that is expected soon, and for
     /// such work that waits: without it, batches would take the last machine
     /// that a large task fits.
@@ -558,10 +607,10 @@
     // ---- time ----
 
     pub fn tick(&mut self, now: Ms, wall_ms: u64) {
+        self.wall_ms = wall_ms;
         if !self.loaded {
             return;
         }
-        self.wall_ms = wall_ms;
         self.lapse(now);
         if !self.settled {
             self.settled = !self.model.machines.iter().flatten().any(|m| m.unknown);
@@ -1533,6 +1582,7 @@
         // What arrives often and must start soon finds an idle machine.
         let candidates = self.candidates();
         let mut held = self.reserves(&candidates, 60_000, now);
+        held.extend(self.spares());
         let mut gone = Vec::new();
         for ix in 0..self.model.machines.len() as u32 {
             let Some(m) = self.model.machine(ix) else {
@@ -1733,17 +1783,7 @@
                     coming_bins.push((bins.len(), ix as u32));
                 }
                 // What batches hold turns over soon.
-                let mut held = Amounts::default();
-                for a in m.tasks.iter().filter(|a| a.live()) {
-                    if self
-                        .model
-                        .job(a.job)
-                        .is_some_and(|j| j.spec.kind == Kind::Array)
-                    {
-                        held += a.need;
-                    }
-                }
-                batch_held.push(held);
+                batch_held.push(self.held_by_batches(m));
                 bins.push(Bin {
                     type_ix: m.type_ix,
                     zone: m.zone,
@@ -1854,6 +1894,20 @@
                 _ => coming.push(bin),
             }
         }
+        let spares: Vec<Demand> = self
+            .spares()
+            .into_iter()
+            .map(|r| Demand {
+                need: r.need,
+                count: r.wanted,
+                types: r.types,
+                zone: None,
+                spot: r.spot,
+                per_zone: None,
+            })
+            .collect();
+        let mut room: Vec<Bin> = ready.iter().chain(&coming).cloned().collect();
+        bought.extend(provision::plan(&spares, &mut room, &offers));
         let boot_s = self.boot_s(&vec![true; self.model.types.len()]);
         let (new, needs_coming) = provision::shortfalls(&batches, &ready, &coming, boot_s);
         for (d, n) in batch_demands.iter_mut().zip(new) {
@@ -2021,6 +2075,7 @@
     /// leases count from now.
     pub fn finish_loading(&mut self, now: Ms) {
         self.loaded = true;
+        self.arrivals.make_contiguous().sort_unstable();
         for m in self.model.machines.iter_mut().flatten() {
             m.answered = now;
         }
