--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -492,6 +492,21 @@
                 fits: 0,
                 wanted: 0,
             };
+            // Not at any price: on kinds that cost up to twice the cheapest.
+            let price = |ix: usize| {
+                let t = &self.model.types[ix];
+                let per = if c.spot { t.spot_price } else { t.price };
+                let whole = Amounts::offer(t.cpus, t.gpus, t.memory_gb);
+                per / (whole.count(&c.need).max(1) as f64)
+            };
+            let least = (0..self.model.types.len())
+                .filter(|ix| c.types.get(*ix) == Some(&true))
+                .map(price)
+                .min_by(f64::total_cmp)
+                .unwrap_or(0.0);
+            for (ix, allowed) in r.types.iter_mut().enumerate() {
+                *allowed &= price(ix) <= 2.0 * least;
+            }
             let mut most = 0;
             for m in self.model.machines.iter().flatten() {
                 let of_class = |a: &&crate::bookkeeping::model::Assignment| {
@@ -1739,21 +1754,6 @@
         true
     }
 
-    /// The least share of a machine that a task takes.
-    fn share(&self, need: &Amounts, types: &[bool]) -> f64 {
-        self.model
-            .types
-            .iter()
-            .zip(types)
-            .filter(|(_, allowed)| **allowed)
-            .map(|(t, _)| {
-                let whole = Amounts::offer(t.cpus, t.gpus, t.memory_gb);
-                placement::load(&whole, &whole.minus(*need), LoadResource::Scarcest)
-            })
-            .min_by(f64::total_cmp)
-            .unwrap_or(1.0)
-    }
-
     fn boot_s(&self, types: &[bool]) -> f64 {
         self.model
             .types
@@ -1789,11 +1789,6 @@
                     zone: m.zone,
                     spot: m.spot,
                     free: m.free(),
-                    ready_in_s: if coming {
-                        (m.since + boot).saturating_sub(now) as f64 / 1000.0
-                    } else {
-                        0.0
-                    },
                 });
             }
         }
@@ -1822,7 +1817,6 @@
         let free_before: Vec<Amounts> = bins.iter().map(|b| b.free).collect();
         let mut room: HashMap<usize, Amounts> = HashMap::new();
         let mut demands = Vec::new();
-        let mut batches = Vec::new();
         let mut batch_demands = Vec::new();
         for &ix in &order {
             let Some(j) = self.model.job(ix) else {
@@ -1847,7 +1841,7 @@
             if count <= 0 {
                 continue;
             }
-            let demand = Demand {
+            let mut demand = Demand {
                 need: j.need,
                 count,
                 types: j.types.clone(),
@@ -1857,43 +1851,30 @@
             };
             if j.spec.kind == Kind::Array {
                 let age = wall_ms.saturating_sub(j.at_ms) as f64 / 1000.0;
-                batches.push(provision::Batch {
-                    need: j.need,
-                    share: self.share(&j.need, &j.types),
-                    waiting: count,
-                    live: i64::from(j.live),
-                    estimate_s: j.spec.estimate_s,
-                    left_s: j.spec.deadline_s.map(|d| d - age - 5.0),
-                    types: j.types.clone(),
-                    zone: j.zone,
-                    spot: j.spec.spot,
-                });
+                let left = j
+                    .spec
+                    .deadline_s
+                    .map(|d| d - age - self.boot_s(&j.types) - 5.0);
+                let live = i64::from(j.live);
+                demand.count = provision::parallel(count, live, j.spec.estimate_s, left);
                 batch_demands.push(demand);
             } else {
                 demands.push(demand);
             }
-            if demands.len() + batches.len() >= 200 {
+            if demands.len() + batch_demands.len() >= 200 {
                 break;
             }
         }
         self.order = order;
         let mut bought = provision::plan(&demands, &mut bins, &offers);
+        // Batches may use what high priority leaves.
+        let mut room: Vec<Bin> = bins.clone();
+        bought.extend(provision::plan(&batch_demands, &mut bins, &offers));
         let untouched: Vec<bool> = bins
             .iter()
             .zip(&free_before)
             .map(|(b, before)| b.free == *before)
             .collect();
-        let mut coming = Vec::new();
-        let mut ready = Vec::new();
-        for (i, mut bin) in bins.into_iter().enumerate() {
-            match coming_bins.iter().find(|(at, _)| *at == i) {
-                None if i < batch_held.len() => {
-                    bin.free += batch_held[i];
-                    ready.push(bin);
-                }
-                _ => coming.push(bin),
-            }
-        }
         let spares: Vec<Demand> = self
             .spares()
             .into_iter()
@@ -1906,21 +1887,15 @@
                 per_zone: None,
             })
             .collect();
-        let mut room: Vec<Bin> = ready.iter().chain(&coming).cloned().collect();
-        bought.extend(provision::plan(&spares, &mut room, &offers));
-        let boot_s = self.boot_s(&vec![true; self.model.types.len()]);
-        let (new, needs_coming) = provision::shortfalls(&batches, &ready, &coming, boot_s);
-        for (d, n) in batch_demands.iter_mut().zip(new) {
-            d.count = n;
+        for (bin, held) in room.iter_mut().zip(batch_held) {
+            bin.free += held;
         }
-        // Places that are there are counted already.
-        bought.extend(provision::plan(&batch_demands, &mut Vec::new(), &offers));
+        bought.extend(provision::plan(&spares, &mut room, &offers));
         // A machine that still boots when its work is gone is given back, once
         // the least that it costs is spent.
         for (bin, ix) in coming_bins {
             if let Some(m) = self.model.machine(ix)
                 && untouched[bin]
-                && !needs_coming
                 && now > m.since + LEAST_CHARGE
             {
                 self.release(ix, "no longer needed", now);
--- a/src/coordination/provision.rs
+++ b/src/coordination/provision.rs
@@ -23,8 +23,6 @@
     pub zone: usize,
     pub spot: bool,
     pub free: Amounts,
-    /// Seconds until it is likely to be up.
-    pub ready_in_s: f64,
 }
 
 /// What the cloud offers.
@@ -95,7 +93,6 @@
                 zone: offer.zone,
                 spot: offer.spot,
                 free: offer.capacity.minus(d.need.scaled(fit)),
-                ready_in_s: 0.0,
             });
             match bought.iter_mut().find(|p| {
                 p.type_ix == offer.type_ix && p.zone == offer.zone && p.spot == offer.spot
@@ -117,68 +114,19 @@
 /// to be worked off.
 const UNHURRIED_S: f64 = 240.0;
 
-/// A batch in the order of service.
-#[derive(Debug, Clone)]
-pub struct Batch {
-    pub need: Amounts,
-    /// What a task takes of a machine, as a share.
-    pub share: f64,
-    pub waiting: i64,
-    pub live: i64,
-    pub estimate_s: f64,
-    /// Until its deadline.
-    pub left_s: Option<f64>,
-    pub types: Vec<bool>,
-    pub zone: Option<usize>,
-    pub spot: bool,
-}
-
-/// New places that each batch needs to be in time, given the room of machines
-/// that are up (less what services and gangs hold) and of those on their way.
-/// The second value tells whether the machines on their way are needed.
-pub fn shortfalls(
-    batches: &[Batch],
-    ready: &[Bin],
-    coming: &[Bin],
-    boot_s: f64,
-) -> (Vec<i64>, bool) {
-    // Work of the batches before, and places rented for them, in machine
-    // shares: batches take turns on the same machines.
-    let mut ahead = 0.0;
-    let mut rented = 0.0;
-    let mut needs_coming = false;
-    let mut out = Vec::with_capacity(batches.len());
-    for b in batches {
-        // Estimates are often wrong; a fetch comes on top.
-        let each = b.estimate_s.max(1.0) * 1.2 + 3.0;
-        ahead += (b.waiting as f64 + b.live as f64 * 0.5) * each * b.share;
-        let mut left = b.left_s.unwrap_or(UNHURRIED_S);
-        // What a new machine can't help any more is not hurried for.
-        if left - boot_s < b.estimate_s * 0.7 {
-            left = left.max(UNHURRIED_S);
-        }
-        let rounds = |after: f64| ((left - after) / each).floor().max(1.0);
-        let places = |bins: &[Bin]| -> f64 {
-            bins.iter()
-                .filter(|m| {
-                    b.types.get(m.type_ix).copied().unwrap_or(false)
-                        && b.zone.is_none_or(|z| z == m.zone)
-                        && (b.spot || !m.spot)
-                })
-                .map(|m| m.free.count(&b.need).clamp(0, 100_000) as f64 * rounds(m.ready_in_s))
-                .sum()
-        };
-        let rounds_new = rounds(boot_s);
-        let tasks = ahead / b.share.max(1e-9) / each;
-        let without = places(ready);
-        let with = without + places(coming) + rented / b.share.max(1e-9) * rounds_new;
-        needs_coming |= tasks > without;
-        let new = ((tasks - with) / rounds_new).ceil().max(0.0) as i64;
-        let new = new.min(b.waiting);
-        rented += new as f64 * b.share;
-        out.push(new);
-    }
-    (out, needs_coming)
+/// How many tasks of a batch must run at once to be done in time, given the
+/// time that is left once a new machine is up. (Counting turns on the machines
+/// that are up was tried: it rents less, and too late when estimates are low.)
+pub fn parallel(waiting: i64, live: i64, estimate_s: f64, time_left_s: Option<f64>) -> i64 {
+    // Estimates are often wrong by half; a fetch comes on top.
+    let each = estimate_s.max(1.0) * 1.3 + 5.0;
+    // A machine that would come too late is not worth hurrying for.
+    let time = time_left_s
+        .filter(|left| *left > estimate_s * 0.7)
+        .unwrap_or(UNHURRIED_S);
+    let rounds = (time / each).floor().max(1.0);
+    let at_once = ((waiting + live) as f64 / rounds).ceil() as i64;
+    (at_once - live).clamp(0, waiting)
 }
 
 #[cfg(test)]
@@ -214,7 +162,6 @@
             zone: 0,
             spot: false,
             free: Amounts::offer(8.0, 0.0, 32.0),
-            ready_in_s: 0.0,
         }];
         let offers = [offer(0, false, 8.0, 0.33), offer(0, true, 8.0, 0.11)];
         assert_eq!(plan(&[demand(2)], &mut bins.clone(), &offers), vec![]);
@@ -231,51 +178,13 @@
         assert!(!got[0].spot);
     }
 
-    fn batch(waiting: i64, left_s: f64) -> Batch {
-        Batch {
-            need: Amounts::need(4.0, 0.0, 8.0),
-            share: 0.5,
-            waiting,
-            live: 0,
-            estimate_s: 30.0,
-            left_s: Some(left_s),
-            types: vec![true, true],
-            zone: None,
-            spot: true,
-        }
-    }
-
-    fn room(cpus: f64) -> Bin {
-        Bin {
-            type_ix: 0,
-            zone: 0,
-            spot: false,
-            free: Amounts::offer(cpus, 0.0, cpus * 4.0),
-            ready_in_s: 0.0,
-        }
-    }
-
     #[test]
     fn a_batch_with_time_rents_for_fewer_at_once() {
-        let new = |n, left| shortfalls(&[batch(n, left)], &[], &[], 30.0).0[0];
-        assert_eq!(new(20, 75.0), 20);
-        assert_eq!(new(20, 230.0), 4);
+        assert_eq!(parallel(20, 0, 30.0, Some(30.0)), 20);
+        assert_eq!(parallel(20, 0, 30.0, Some(200.0)), 5);
+        assert_eq!(parallel(20, 6, 30.0, Some(200.0)), 1);
+        assert_eq!(parallel(3, 10, 30.0, Some(400.0)), 0);
         // Too late for a machine that would have to boot first.
-        assert_eq!(new(20, 40.0), 4);
-    }
-
-    #[test]
-    fn machines_that_are_up_take_several_turns_before_any_is_rented() {
-        let up = vec![room(8.0); 5];
-        assert_eq!(shortfalls(&[batch(20, 80.0)], &up, &[], 30.0).0, [0]);
-        // The second batch finds them taken.
-        let both = [batch(20, 80.0), batch(10, 80.0)];
-        assert_eq!(shortfalls(&both, &up, &[], 30.0).0, [0, 10]);
-        // What is on its way counts too, and is needed.
-        let mut later = room(8.0);
-        later.ready_in_s = 30.0;
-        let coming = vec![later; 5];
-        assert_eq!(shortfalls(&both, &up, &coming, 30.0), (vec![0, 0], true));
-        assert!(!shortfalls(&both[..1], &up, &coming, 30.0).1);
+        assert_eq!(parallel(20, 0, 30.0, Some(5.0)), 4);
     }
 }
