--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -52,6 +52,10 @@
 const LEAST_CHARGE: Ms = 57_000;
 /// How long a machine must have been empty to count as surplus.
 const SURPLUS: Ms = 3_000;
+/// Added to a machine's rank: it is about to be returned, or its fetch would
+/// miss the aim for starting. The latter weighs more.
+const SURPLUS_RANK: u32 = 1000;
+const LATE_RANK: u32 = 10_000;
 /// A fetch that a service may be moved for. Longer ones cost more of its
 /// replica time than the machine is worth (tried without this bound).
 const SHORT_FETCH_S: f64 = 4.0;
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -222,12 +222,12 @@
                 let rate = self.model.types[m.type_ix].fetch_gb_per_s.max(0.001);
                 if !c.caches_image && time_left.is_some_and(|left| job.spec.image_gb / rate > left)
                 {
-                    c.pool += 500;
+                    c.pool += LATE_RANK;
                 }
                 // A machine that has been empty for a while is about to be
                 // returned: used only when the others have no room.
                 if c.free == c.capacity && now >= m.idle_since + SURPLUS {
-                    c.pool += 1000;
+                    c.pool += SURPLUS_RANK;
                 }
             }
         }
