Followers relay the reports of workers that the leader does not hear

Now the leader names machines it has not heard for one and a half reports, and the others relay those at once. A leader that hears neither workers nor controllers lets another lead.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -31,6 +31,7 @@
     /// A term whose leader said that it has stopped.
     replaceable: Option<u64>,
     highest: u64,
+    abstain_until: Ms,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +53,7 @@
             doubt: None,
             replaceable: None,
             highest: 0,
+            abstain_until: 0,
         }
     }
 
@@ -79,6 +81,7 @@
         if self.lead.is_some()
             || self.doubt.is_some()
             || now < self.promised_until
+            || now < self.abstain_until
             || now < self.started + PROMISE + MARGIN
         {
             return None;
@@ -115,6 +118,11 @@
         }
     }
 
+    /// Seeks nothing until then, so that others may.
+    pub fn abstain(&mut self, until: Ms) {
+        self.abstain_until = until;
+    }
+
     /// Stops acting. Returns the lease to give back.
     pub fn resign(&mut self) -> Option<Lead> {
         self.seen = None;
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -13,6 +13,8 @@
 use http_types::Method;
 use std::{rc::Rc, time::Duration};
 
+/// How long a node that was cut off lets the others lead, in milliseconds.
+const ABSTAIN: u64 = 15_000;
 const PROBE: Duration = Duration::from_millis(700);
 
 enum Touch {
@@ -43,6 +45,7 @@
         });
         if seen != self.election.borrow().seen {
             self.unreachable.set(None);
+            self.bounces.borrow_mut().clear();
         }
         self.election.borrow_mut().saw(seen);
         Ok(())
@@ -155,6 +158,13 @@
         match self.touch(lead.lease).await {
             Touch::Renewed => {
                 self.election.borrow_mut().renewed(sent);
+                if self.hears_nobody(lead.term).await {
+                    let now = self.now();
+                    self.election.borrow_mut().abstain(now + ABSTAIN);
+                    self.resign("neither workers nor controllers are heard", false)
+                        .await;
+                    return Duration::from_millis(500);
+                }
                 return Duration::from_millis(LIFE / 4);
             }
             Touch::Lost => {
@@ -166,6 +176,53 @@
         self.ask_promises(lead.term).await
     }
 
+    /// Asks the others to relay reports of machines that fell silent: the cut
+    /// may be between them and this node alone. A worker tries another node
+    /// after 5 s of its lease, so there is no time to find out first. Returns
+    /// whether neither workers nor controllers are heard.
+    async fn hears_nobody(self: &Rc<Self>, term: u64) -> bool {
+        let report = (self.settings.cluster.workers.report_s * 1000.0) as u64;
+        let unheard = |l: &mut Leader, now: u64| {
+            let mut heard = 0;
+            let mut names = Vec::new();
+            for m in l.model.machines.iter().flatten().filter(|m| m.up) {
+                if now > m.heard + report + report / 2 + 500 {
+                    names.push(m.name.clone());
+                } else {
+                    heard += 1;
+                }
+            }
+            names.truncate(500);
+            (names, heard)
+        };
+        let Some((machines, heard)) = self.of_term(term, unheard) else {
+            return false;
+        };
+        if machines.is_empty() {
+            return false;
+        }
+        let request = Request::Unheard {
+            machines,
+            for_ms: 15_000,
+        };
+        let asks: Vec<_> = self
+            .settings
+            .peers
+            .iter()
+            .map(|p| {
+                let (node, request, addr) = (self.clone(), request.clone(), p.addr);
+                self.executor
+                    .spawn(async move { node.peers.call(addr, &request, PROBE).await })
+            })
+            .collect();
+        let mut anybody = heard > 0 || self.settings.peers.is_empty();
+        for ask in asks {
+            anybody |= ask.await.is_ok();
+        }
+        let silence = self.now().saturating_sub(self.last_beat.get());
+        !anybody && silence > 3 * report + 2000
+    }
+
     async fn touch(&self, lease: u64) -> Touch {
         let now = self.now();
         self.requests.borrow_mut().force(now, 1.0);
@@ -251,6 +308,14 @@
         };
         *self.leader.borrow_mut() = None;
         log::info!("term {} given up: {why}", lead.term);
+        // Nothing is done under it any more, so the key may go at once.
+        let node = self.clone();
+        self.executor
+            .spawn(async move {
+                let path = format!("/leases/{}", lead.lease);
+                let _ = node.state(Method::Delete, &path, None, PROBE).await;
+            })
+            .detach();
         if tell {
             for p in &self.settings.peers {
                 let (node, addr) = (self.clone(), p.addr);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -24,10 +24,13 @@
 use http_types::Method;
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
+const BEAT: &str = "/agent/beat";
+
 pub struct Node {
     settings: Rc<Settings>,
     options: Options,
@@ -47,6 +50,9 @@
     listing: Cell<bool>,
     /// When the leader last gave a forwarded request no answer.
     unreachable: Cell<Option<Ms>>,
+    /// When a report was last answered.
+    last_beat: Cell<Ms>,
+    bounces: RefCell<HashMap<String, workers::Bounce>>,
     wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
@@ -75,6 +81,8 @@
         flushing: Cell::new(false),
         listing: Cell::new(false),
         unreachable: Cell::new(None),
+        last_beat: Cell::new(0),
+        bounces: RefCell::new(HashMap::new()),
         wake: async_channel::bounded(1),
     });
     async_io::block_on(executor.run(async {
@@ -150,9 +158,9 @@
         let post = request.method == Method::Post;
         match path {
             "/ready" if get => return self.ready(),
-            "/agent/beat" if post => return self.beat(request.body),
+            BEAT if post => return self.beat(request.body).await,
             "/v1/jobs" if post => {}
-            "/ready" | "/agent/beat" | "/v1/jobs" => {
+            "/ready" | BEAT | "/v1/jobs" => {
                 return HttpResponse::error(405, "method not allowed");
             }
             _ => match path.strip_prefix("/v1/jobs/") {
@@ -191,6 +199,23 @@
 
     async fn peer(self: Rc<Self>, request: peers::Request) -> peers::Reply {
         match request {
+            peers::Request::Unheard { machines, for_ms } => {
+                self.relay_for(&machines, for_ms);
+                peers::Reply::Ok
+            }
+            peers::Request::Forward { path, body, .. } if path == BEAT => {
+                let answer = serde_json::from_slice(&body)
+                    .ok()
+                    .and_then(|report| self.beat_here(&report));
+                match answer {
+                    Some(r) => peers::Reply::Forwarded {
+                        status: r.status,
+                        retry_after_s: None,
+                        body: r.body,
+                    },
+                    None => peers::Reply::NotLeader,
+                }
+            }
             peers::Request::Forward { method, path, body } => {
                 match self.user_here(&method, &path, &body).await {
                     Some(r) => peers::Reply::Forwarded {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -16,7 +16,7 @@
 use async_io::Timer;
 use std::{rc::Rc, time::Duration};
 
-const FORWARD: Duration = Duration::from_millis(800);
+pub(super) const FORWARD: Duration = Duration::from_millis(800);
 
 fn final_status(id: &str, record: &FinalRecord) -> JobStatus {
     JobStatus {
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -28,6 +28,9 @@
         leader: String,
         for_ms: u64,
     },
+    /// Is anybody there? The leader has not heard these machines for a
+    /// while: their reports are to be relayed for `for_ms` if they come.
+    Unheard { machines: Vec<String>, for_ms: u64 },
     /// The leader of `term` has stopped acting, its key may be replaced.
     Resigned { term: u64 },
 }
