--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -232,6 +232,8 @@
     pub images_new: bool,
     /// When a task other than a service's was last on it.
     pub batch_until: Ms,
+    /// Services move here: batches keep off until then.
+    pub no_batch_until: Ms,
     /// Up, but its reports are overdue.
     pub suspect: bool,
     /// Its services are being moved off, then it is returned.
@@ -500,6 +502,7 @@
             images: Vec::new(),
             images_new: false,
             batch_until: now,
+            no_batch_until: 0,
             suspect: false,
             draining: false,
             held_for: None,
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -207,7 +207,14 @@
             b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
         });
         for ix in order {
-            if self.can_empty(ix, now) {
+            if let Some(targets) = self.can_empty(ix, now) {
+                // Without this, batch tasks took the places with the image
+                // while the services stopped, and those had to fetch.
+                for to in targets {
+                    if let Some(m) = self.model.machine_mut(to) {
+                        m.no_batch_until = now + MOVE;
+                    }
+                }
                 if let Some(m) = self.model.machine_mut(ix) {
                     log::info!(
                         "machine {} drained: {} services move",
@@ -225,16 +232,17 @@
         }
     }
 
-    pub(super) fn can_empty(&self, ix: u32, now: Ms) -> bool {
-        let Some(from) = self.model.machine(ix) else {
-            return false;
-        };
+    /// Where the services of a machine would go, if all of them can.
+    pub(super) fn can_empty(&self, ix: u32, now: Ms) -> Option<Vec<u32>> {
+        let from = self.model.machine(ix)?;
+        let mut targets = Vec::new();
         let price = |m: &crate::bookkeeping::model::Machine| {
             let t = &self.model.types[m.type_ix];
             if m.spot { t.spot_price } else { t.price }
         };
-        // One that has long been of no other use may cost its services a
-        // fetch.
+        // One that has long been of no other use, and is dear, may cost its
+        // services a short fetch. Between machines of one price that was
+        // tried: 4 s of two replicas are 2% of what the worst 30 s counts.
         let long = now >= from.batch_until + 3 * millis(self.options.idle_s);
         let mut room: Vec<(u32, Amounts)> = Vec::new();
         for (to, m) in self.model.machines.iter().enumerate() {
@@ -249,11 +257,9 @@
             }
         }
         for a in from.tasks.iter().filter(|a| a.live()) {
-            let Some(job) = self.model.job(a.job) else {
-                return false;
-            };
+            let job = self.model.job(a.job)?;
             if a.phase != Phase::Running || job.cancelled || job.cancel_wanted {
-                return false;
+                return None;
             }
             let found = room.iter_mut().find(|(to, free)| {
                 a.need.fits(free)
@@ -264,17 +270,17 @@
                             && (m.zone == from.zone || !(job.spec.one_zone || job.spec.spread))
                             && (m.images.contains(&job.image)
                                 || long
+                                    && price(from) >= 2.0 * price(m)
                                     && job.spec.image_gb
                                         <= self.model.types[m.type_ix].fetch_gb_per_s
                                             * SHORT_FETCH_S)
                     })
             });
-            match found {
-                Some((_, free)) => *free -= a.need,
-                None => return false,
-            }
+            let (to, free) = found?;
+            *free -= a.need;
+            targets.push(*to);
         }
-        true
+        Some(targets)
     }
 
     pub(super) fn boot_s(&self, types: &[bool]) -> f64 {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -48,6 +48,8 @@
 const RESERVE_FOR: Ms = 25_000;
 /// How long room made for a job is kept for it.
 const HELD: Ms = 8_000;
+/// How long places are kept for services that move.
+const MOVE: Ms = 5_000;
 /// A machine costs at least a minute.
 const LEAST_CHARGE: Ms = 57_000;
 /// How long a machine must have been empty to count as surplus.
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -352,8 +352,9 @@
         placement::choose(&self.policy, candidates, &job.need, |c| {
             zone_ok(c.zone)
                 && self.model.machine(c.machine).is_some_and(|m| {
-                    m.held_for
-                        .is_none_or(|(of, until)| of == job_ix || now >= until)
+                    (now >= m.no_batch_until || job.spec.kind != Kind::Array)
+                        && m.held_for
+                            .is_none_or(|(of, until)| of == job_ix || now >= until)
                         && reserves.iter().all(|r| {
                             r.priority <= job.spec.priority
                                 || !r.covers(m.type_ix, m.spot)
