--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,3 +7,4 @@
 pub mod leader;
 pub mod placement;
 pub mod provision;
+pub mod relay;
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -45,7 +45,7 @@
         });
         if seen != self.election.borrow().seen {
             self.unreachable.set(None);
-            self.bounces.borrow_mut().clear();
+            self.relays.borrow_mut().clear();
         }
         self.election.borrow_mut().saw(seen);
         Ok(())
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     bookkeeping::{Ms, budget::Budget},
-    coordination::{election::Election, leader::Leader},
+    coordination::{election::Election, leader::Leader, relay::Relays},
     protocol::{cloud::MachineType, options::Options, peers, settings::Settings},
     transport::{
         client::Client,
@@ -24,7 +24,6 @@
 use http_types::Method;
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     rc::Rc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
@@ -52,7 +51,7 @@
     unreachable: Cell<Option<Ms>>,
     /// When a report was last answered.
     last_beat: Cell<Ms>,
-    bounces: RefCell<HashMap<String, workers::Bounce>>,
+    relays: RefCell<Relays>,
     wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
@@ -82,7 +81,7 @@
         listing: Cell::new(false),
         unreachable: Cell::new(None),
         last_beat: Cell::new(0),
-        bounces: RefCell::new(HashMap::new()),
+        relays: RefCell::new(Relays::default()),
         wake: async_channel::bounded(1),
     });
     async_io::block_on(executor.run(async {
@@ -200,7 +199,8 @@
     async fn peer(self: Rc<Self>, request: peers::Request) -> peers::Reply {
         match request {
             peers::Request::Unheard { machines, for_ms } => {
-                self.relay_for(&machines, for_ms);
+                let now = self.now();
+                self.relays.borrow_mut().unheard(&machines, for_ms, now);
                 peers::Reply::Ok
             }
             peers::Request::Forward { path, body, .. } if path == BEAT => {
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -3,7 +3,6 @@
 
 use super::{Node, users::FORWARD};
 use crate::{
-    bookkeeping::Ms,
     protocol::{
         peers::{Reply, Request},
         workers::Report,
@@ -12,20 +11,6 @@
 };
 use std::rc::Rc;
 
-/// A worker that was sent to the leader and is back within this time could
-/// not reach it.
-const BOUNCED: Ms = 12_000;
-/// For how long its reports are then relayed before it is sent there again.
-const RELAY: Ms = 30_000;
-const MAX_BOUNCES: usize = 2000;
-
-/// What a node that doesn't lead remembers of a worker.
-#[derive(Clone, Copy, Default)]
-pub(super) struct Bounce {
-    sent_away: Ms,
-    relay_until: Ms,
-}
-
 impl Node {
     pub(super) async fn beat(self: &Rc<Self>, body: Option<Vec<u8>>) -> HttpResponse {
         let Some(body) = body else {
@@ -46,7 +31,8 @@
         let Some((name, addr)) = leader else {
             return HttpResponse::json(421, &serde_json::json!({}));
         };
-        if !self.relays(&report.machine) {
+        let now = self.now();
+        if !self.relays.borrow_mut().relays(&report.machine, now) {
             return HttpResponse::json(421, &serde_json::json!({ "foreman": name }));
         }
         // The leader's network to the workers may be cut while ours is not.
@@ -73,35 +59,4 @@
         self.last_beat.set(self.now());
         Some(HttpResponse::json(200, &reply))
     }
-
-    /// The leader asks for the reports of these machines.
-    pub(super) fn relay_for(&self, machines: &[String], for_ms: Ms) {
-        let until = self.now() + for_ms.min(RELAY);
-        let mut bounces = self.bounces.borrow_mut();
-        for m in machines.iter().take(MAX_BOUNCES / 2) {
-            let b = bounces.entry(m.clone()).or_default();
-            b.relay_until = b.relay_until.max(until);
-        }
-    }
-
-    /// Whether this worker's reports are to be relayed; notes that it is sent
-    /// to the leader if not.
-    fn relays(&self, machine: &str) -> bool {
-        let now = self.now();
-        let mut bounces = self.bounces.borrow_mut();
-        if bounces.len() >= MAX_BOUNCES {
-            bounces.clear();
-        }
-        let b = bounces.entry(machine.to_owned()).or_default();
-        if now < b.relay_until {
-            return true;
-        }
-        let back = b.sent_away > 0 && now < b.sent_away + BOUNCED && now > b.sent_away + 1500;
-        if back && b.relay_until < b.sent_away {
-            b.relay_until = now + RELAY;
-            return true;
-        }
-        b.sent_away = now;
-        false
-    }
 }
