Jobs accepted in this term start before every machine has been heard

Cause: after a failover with one silent machine nothing was placed for up to 10 s. A job whose record is younger than the term can't run anywhere yet; it may start as far as the team's limit holds with all that may run unseen.

--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -32,6 +32,8 @@
     pub zone: Option<usize>,
     pub need: Amounts,
     pub at_ms: u64,
+    /// Accepted in this term: no earlier leader can have started it.
+    pub fresh: bool,
     /// Steady-clock time at which this leader first knew of it.
     pub known_ms: Ms,
     pub done: Bits,
@@ -331,13 +333,15 @@
         self.types.iter().position(|t| t.name == name)
     }
 
-    /// Whether the team stays within its limit with `n` more such tasks.
-    pub fn within_limit(&self, team: usize, need: &Amounts, n: i64) -> bool {
+    /// Whether the team stays within its limit with `n` more such tasks, if
+    /// it uses `unseen` beside what is known.
+    pub fn within_limit(&self, team: usize, need: &Amounts, n: i64, unseen: Amounts) -> bool {
         let Some(t) = self.teams.get(team) else {
             return false;
         };
         let limit = Amounts::offer(t.cpus_max, t.gpus_max, 0.0);
-        let used = self.usage[team];
+        let mut used = self.usage[team];
+        used += unseen;
         (limit.cpus == 0 || used.cpus + n * need.cpus <= limit.cpus)
             && (limit.gpus == 0 || used.gpus + n * need.gpus <= limit.gpus)
     }
@@ -403,6 +407,7 @@
                 .map(|z| self.zones.find(z).unwrap_or(usize::MAX)),
             need: Amounts::need(spec.cpus, spec.gpus, spec.memory_gb),
             at_ms,
+            fresh: false,
             known_ms: now,
             done_n: done.count(),
             dirty: vec![false; done.chunks()],
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -361,7 +361,7 @@
             while count > 0 {
                 let mut all = j.need.scaled(count);
                 all += *planned;
-                if self.model.within_limit(j.team, &all, 1) {
+                if self.within_limit(j.team, &all, 1) {
                     break;
                 }
                 count -= 1;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -138,6 +138,8 @@
     drain_at: Ms,
     place_at: Ms,
     wall_ms: u64,
+    /// By team, see `count_unseen`; empty once settled.
+    unseen: Vec<Amounts>,
 }
 
 impl Leader {
@@ -181,6 +183,7 @@
             drain_at: 0,
             place_at: 0,
             wall_ms: 0,
+            unseen: Vec::new(),
         }
     }
 
@@ -210,6 +213,9 @@
         let ix = self
             .model
             .insert_job(record.spec, at_ms, version, done, record.cancelled, now);
+        if let Some(j) = self.model.job_mut(ix) {
+            j.fresh |= version > self.term;
+        }
         let age = self.wall_ms.saturating_sub(at_ms);
         self.note_arrival(ix, now.saturating_sub(age));
         ix
@@ -483,7 +489,7 @@
             .any(|j| j.backoff_until != 0 && j.backoff_until <= now);
         // Rates and holds change with time alone, so look now and then anyway.
         let due = now >= self.place_at;
-        if (self.changed || backoff || due) && self.settled {
+        if self.changed || backoff || due {
             self.changed = false;
             self.place_at = now + 2000;
             self.place(now);
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -67,7 +67,29 @@
         candidates
     }
 
+    /// What may run unseen counts against the team's limit until every machine
+    /// has been heard: all that waits of jobs older than this term.
+    fn count_unseen(&mut self) {
+        self.unseen.clear();
+        if self.settled {
+            return;
+        }
+        self.unseen
+            .resize(self.model.teams.len(), Amounts::default());
+        for j in self.model.jobs.iter().flatten().filter(|j| !j.fresh) {
+            if let Some(u) = self.unseen.get_mut(j.team) {
+                *u += j.need.scaled(i64::from(j.waiting()));
+            }
+        }
+    }
+
+    pub(super) fn within_limit(&self, team: usize, need: &Amounts, n: i64) -> bool {
+        let unseen = self.unseen.get(team).copied().unwrap_or_default();
+        self.model.within_limit(team, need, n, unseen)
+    }
+
     pub(super) fn place(&mut self, now: Ms) {
+        self.count_unseen();
         let mut candidates = self.candidates();
         let order = self.queue();
         if candidates.is_empty() {
@@ -83,7 +105,7 @@
             let Some(job) = self.model.job(job_ix) else {
                 continue;
             };
-            if job.backoff_until > now {
+            if job.backoff_until > now || !(self.settled || job.fresh) {
                 continue;
             }
             let key = (job.need, job.types.clone(), job.zone, job.spec.spot);
@@ -92,7 +114,7 @@
             }
             let bound = job.spec.one_zone || job.spec.spread || job.spec.kind == Kind::Gang;
             let team = job.team;
-            let one = self.model.within_limit(team, &key.0, 1);
+            let one = self.within_limit(team, &key.0, 1);
             let placed = if job.spec.kind == Kind::Gang {
                 self.place_gang(job_ix, &mut candidates, &mut reserves, now)
             } else {
@@ -101,7 +123,7 @@
             if !placed {
                 wanting.push(job_ix);
             }
-            if !placed && !bound && one && self.model.within_limit(team, &key.0, 1) {
+            if !placed && !bound && one && self.within_limit(team, &key.0, 1) {
                 full.push(key);
             }
         }
@@ -140,7 +162,7 @@
                 .map(|m| m.capacity.count(&need))
                 .sum::<i64>();
             tasks -= held;
-            while tasks > 0 && begun < 3 && self.model.within_limit(team, &need, 1) {
+            while tasks > 0 && begun < 3 && self.within_limit(team, &need, 1) {
                 let Some(room) = self.cheapest_room(job_ix, priority, now, |z| {
                     half.is_none_or(|h| zones.get(z).copied().unwrap_or(0) < h)
                 }) else {
@@ -406,7 +428,7 @@
             let Some(task) = self.model.job_mut(job_ix).and_then(|j| j.next_waiting()) else {
                 return true;
             };
-            if !self.model.within_limit(team, &need, 1) {
+            if !self.within_limit(team, &need, 1) {
                 return false;
             }
             let chosen = self.choose(job_ix, task, candidates, reserves, now, |z| {
@@ -451,7 +473,7 @@
         };
         let (n, need, team) = (job.spec.tasks, job.need, job.team);
         // Tasks of the attempt before must be gone first.
-        if job.live > 0 || !self.model.within_limit(team, &need, i64::from(n)) {
+        if job.live > 0 || !self.within_limit(team, &need, i64::from(n)) {
             return false;
         }
         let spread = job.spec.spread;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -235,6 +235,27 @@
     w.sound();
 }
 
+#[test]
+fn a_new_job_need_not_wait_for_a_silent_machine_as_far_as_the_limit_holds() {
+    for (limit, starts_early) in [(16.0, true), (12.0, false)] {
+        let mut w = quiet(15, 3, limit);
+        w.submit(job(1, Kind::Service, 2));
+        w.until(20_000, "running", |w| w.running("j-000001") == 2);
+        let old = w.leader().unwrap();
+        let silent = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
+        w.workers[silent].net = Net::Hold;
+        w.crash(old, 30_000);
+        w.until(10_000, "another leads", |w| {
+            w.leader().is_some_and(|l| l != old)
+        });
+        w.submit(job(2, Kind::Service, 2));
+        w.run(3_000);
+        assert_eq!(w.running("j-000002") == 2, starts_early, "limit {limit}");
+        w.run(30_000);
+        w.sound();
+    }
+}
+
 #[test]
 fn spread_and_one_zone_hold_while_old_tasks_linger() {
     let mut w = quiet(12, 8, 0.0);
