--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -149,9 +149,18 @@
                     r.fits -= m.capacity.count(&r.need).min(1000);
                 }
                 Some("idle")
-            } else if !m.up && m.session == 0 && now > m.since + 4 * boot + 60_000 {
+            } else if !m.up
+                && m.session == 0
+                && m.roster == Roster::Absent
+                && now > m.since + 4 * boot + 60_000
+            {
                 Some("never came up")
-            } else if !m.up && m.session > 0 && now > m.since + lapse {
+            } else if !m.up
+                // One of the roster that was never heard in this term is as
+                // silent: left there, each new leader would wait for it.
+                && (m.session > 0 || m.roster == Roster::Present)
+                && now > m.since + lapse
+            {
                 Some("silent")
             } else {
                 None
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -256,6 +256,26 @@
     }
 }
 
+#[test]
+fn a_machine_that_vanished_is_waited_for_once() {
+    let mut w = quiet(16, 3, 0.0);
+    w.run(2_000);
+    w.workers[1].alive = false;
+    for round in 0..2 {
+        let old = w.leader().unwrap();
+        w.crash(old, 3_000);
+        w.until(10_000, "another leads", |w| {
+            w.leader().is_some_and(|l| l != old)
+        });
+        w.run(4_000);
+        let i = w.leader().unwrap();
+        let settled = w.nodes[i].leader.as_ref().unwrap().settled();
+        assert_eq!(settled, round == 1, "round {round}");
+        w.run(30_000);
+    }
+    w.sound();
+}
+
 #[test]
 fn spread_and_one_zone_hold_while_old_tasks_linger() {
     let mut w = quiet(12, 8, 0.0);
