--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -540,6 +540,12 @@
                 m.images.contains(&j.image),
             );
         }
+        // The room made for it is used; the rest of the machine is open again.
+        if let Some(m) = self.model.machine_mut(machine)
+            && m.held_for.is_some_and(|(of, _)| of == job_ix)
+        {
+            m.held_for = None;
+        }
         self.model
             .assign(job_ix, task, machine, attempt, Phase::New, now);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use pathwinch::protocol::users::{JobState, Kind};
+use pathwinch::protocol::users::{JobState, Kind, Priority};
 use world::{LEASE, Net, World, job};
 
 fn quiet(seed: u64, machines: usize, limit: f64) -> World {
@@ -276,6 +276,29 @@
     w.sound();
 }
 
+#[test]
+fn room_made_for_a_service_is_held_no_longer_than_it_takes_to_start() {
+    let mut w = quiet(17, 1, 0.0);
+    w.run_ms = 20_000;
+    w.submit(job(1, Kind::Array, 6));
+    w.until(10_000, "the batch runs", |w| w.running("j-000001") == 2);
+    let mut service = job(2, Kind::Service, 1);
+    service.priority = Priority::Production;
+    w.submit(service);
+    w.until(3_000, "the service runs", |w| w.running("j-000002") == 1);
+    assert_eq!(w.running("j-000001"), 1, "one task made room, not both");
+    let i = w.leader().unwrap();
+    let model = &w.nodes[i].leader.as_ref().unwrap().model;
+    assert!(
+        model
+            .machines
+            .iter()
+            .flatten()
+            .all(|m| m.held_for.is_none())
+    );
+    w.sound();
+}
+
 #[test]
 fn spread_and_one_zone_hold_while_old_tasks_linger() {
     let mut w = quiet(12, 8, 0.0);
