Guarantees take room back; saving before a notice; gangs stopped as a whole

A team whose unfinished work fits its guarantee, and which waits, stops work that others run beyond theirs, not before that has run for 30 s. Tasks that save are told to when a notice comes. A story found that a job behind another of the same shape was never considered for such room.

--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -52,6 +52,8 @@
 const MOVE: Ms = 5_000;
 /// A machine costs at least a minute.
 const LEAST_CHARGE: Ms = 57_000;
+/// A start stopped sooner than this would not have been worth making.
+const SETTLED_IN: Ms = 30_000;
 /// How long a machine must have been empty to count as surplus.
 const SURPLUS: Ms = 3_000;
 /// Added to a machine's rank: it is about to be returned, or its fetch would
@@ -481,6 +483,7 @@
             }
         }
         self.stop_what_must(now);
+        self.save_before_notice(now);
         let backoff = self
             .model
             .jobs
@@ -526,6 +529,31 @@
         }
     }
 
+    /// A machine is to be taken away: tasks that can save do so now, as the
+    /// notice may be half as long as it says. The others may yet complete.
+    fn save_before_notice(&mut self, now: Ms) {
+        for ix in 0..self.model.machines.len() as u32 {
+            let Some(m) = self.model.machine(ix).filter(|m| m.notice.is_some()) else {
+                continue;
+            };
+            let saving: Vec<usize> = m
+                .tasks
+                .iter()
+                .enumerate()
+                .filter(|(_, a)| a.phase == Phase::Running && a.stop.is_none())
+                .filter(|(_, a)| {
+                    self.model
+                        .job(a.job)
+                        .is_some_and(|j| j.spec.checkpoint_s > 0.0)
+                })
+                .map(|(at, _)| at)
+                .collect();
+            for at in saving {
+                self.stop_orderly(ix, at, now);
+            }
+        }
+    }
+
     /// Tasks of withdrawn jobs, and what is left of gangs that lost a task.
     fn stop_what_must(&mut self, now: Ms) {
         let settled = self.settled;
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -109,7 +109,15 @@
                 continue;
             }
             let key = (job.need, job.types.clone(), job.zone, job.spec.spot);
-            if full.contains(&key) {
+            // No room in the open; room may be held or made for it still.
+            let held = self
+                .model
+                .machines
+                .iter()
+                .flatten()
+                .any(|m| m.held_for.is_some_and(|(of, _)| of == job_ix));
+            if full.contains(&key) && !held {
+                wanting.push(job_ix);
                 continue;
             }
             let bound = job.spec.one_zone || job.spec.spread || job.spec.kind == Kind::Gang;
@@ -139,7 +147,9 @@
             let Some(j) = self.model.job(job_ix) else {
                 continue;
             };
-            if j.spec.priority < Priority::High || j.live > 0 && j.spec.kind == Kind::Gang {
+            if j.live > 0 && j.spec.kind == Kind::Gang
+                || j.spec.priority < Priority::High && !self.within_guarantee(j, now)
+            {
                 continue;
             }
             let (need, team, priority) = (j.need, j.team, j.spec.priority);
@@ -187,6 +197,7 @@
         zone_ok: impl Fn(usize) -> bool,
     ) -> Option<Room> {
         let job = self.model.job(job_ix)?;
+        let guaranteed = self.within_guarantee(job, now);
         let mut best: Option<((bool, i64), u32, Vec<usize>)> = None;
         for (ix, m) in self.model.machines.iter().enumerate() {
             let Some(m) = m else { continue };
@@ -202,13 +213,28 @@
             let fetch = !m.images.contains(&job.image);
             let mut victims: Vec<(i64, usize)> = Vec::new();
             for (at, a) in m.tasks.iter().enumerate() {
-                let lower = self
-                    .model
-                    .job(a.job)
-                    .is_some_and(|v| v.spec.priority < priority && v.spec.kind == Kind::Array);
-                if a.live() && a.stop.is_none() && lower {
-                    let lost = (now - a.since) as i64 * a.need.cpus.max(1) / 1_000_000;
-                    victims.push((lost, at));
+                let Some(v) = self.model.job(a.job) else {
+                    continue;
+                };
+                if !a.live() || a.stop.is_some() || v.spec.kind == Kind::Service {
+                    continue;
+                }
+                let lower = v.spec.priority < priority && v.spec.kind == Kind::Array;
+                let beyond = guaranteed
+                    && v.team != job.team
+                    && now > a.since + SETTLED_IN
+                    && self.beyond_guarantee(v.team, &a.need, &job.need);
+                if lower || beyond {
+                    // A task that saves loses little.
+                    let mut ms = now - a.since;
+                    if v.spec.checkpoint_s > 0.0 {
+                        ms = ms.min(millis(v.spec.save_s + 1.0));
+                    }
+                    let tasks = match v.spec.kind {
+                        Kind::Gang => i64::from(v.spec.tasks),
+                        _ => 1,
+                    };
+                    victims.push((ms as i64 * a.need.cpus.max(1) / 1_000_000 * tasks, at));
                 }
             }
             victims.sort_unstable();
@@ -293,8 +319,71 @@
         );
         m.held_for = Some((job_ix, now + HELD));
         for at in room.victims {
-            m.tasks[at].stop = Some(0.0);
-            m.tasks[at].stop_since = now;
+            self.stop_orderly(room.machine, at, now);
+        }
+    }
+
+    /// Tells a task to stop, with the time it needs to save; a gang is told
+    /// as a whole, or the save would fail.
+    pub(super) fn stop_orderly(&mut self, machine: u32, at: usize, now: Ms) {
+        let Some(a) = self.model.machine(machine).and_then(|m| m.tasks.get(at)) else {
+            return;
+        };
+        let (job_ix, task) = (a.job, a.task);
+        let (whole, grace) = match self.model.job(job_ix) {
+            Some(j) if j.spec.checkpoint_s > 0.0 => (j.spec.kind == Kind::Gang, j.spec.save_s),
+            Some(j) => (j.spec.kind == Kind::Gang, 0.0),
+            None => (false, 0.0),
+        };
+        for m in self.model.machines.iter_mut().flatten() {
+            for a in m.tasks.iter_mut().filter(|a| a.job == job_ix && a.live()) {
+                if a.stop.is_none() && (whole || a.task == task) {
+                    a.stop = Some(grace);
+                    a.stop_since = now;
+                }
+            }
+        }
+    }
+
+    /// Whether the team's unfinished work all fits its guarantee, and this job
+    /// has waited a while although it must not wait for other teams.
+    fn within_guarantee(&self, job: &crate::bookkeeping::model::Job, now: Ms) -> bool {
+        let within = self
+            .settings
+            .cluster
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "guarantee")
+            .filter_map(|o| o.within_s)
+            .fold(20.0, f64::min);
+        if now < job.known_ms + millis(within / 5.0) {
+            return false;
+        }
+        let Some(t) = self.model.teams.get(job.team) else {
+            return false;
+        };
+        let guarantee = Amounts::offer(t.cpus, t.gpus, 0.0);
+        let mut all = Amounts::default();
+        for j in self.model.jobs.iter().flatten() {
+            if j.team == job.team && !j.cancelled {
+                all += j.need.scaled(i64::from(j.waiting() + j.live));
+            }
+        }
+        match job.need.gpus > 0 {
+            true => guarantee.gpus > 0 && all.gpus <= guarantee.gpus,
+            false => guarantee.cpus > 0 && all.cpus <= guarantee.cpus,
+        }
+    }
+
+    /// Whether the team still has its guarantee without this task.
+    fn beyond_guarantee(&self, team: usize, task: &Amounts, wanted: &Amounts) -> bool {
+        let (Some(t), Some(used)) = (self.model.teams.get(team), self.model.usage.get(team)) else {
+            return false;
+        };
+        let guarantee = Amounts::offer(t.cpus, t.gpus, 0.0);
+        match wanted.gpus > 0 {
+            true => task.gpus > 0 && used.gpus - task.gpus >= guarantee.gpus,
+            false => used.cpus - task.cpus >= guarantee.cpus,
         }
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -299,6 +299,31 @@
     w.sound();
 }
 
+#[test]
+fn a_team_within_its_guarantee_takes_room_from_one_beyond_its_own() {
+    let mut w = quiet(18, 2, 0.0);
+    w.run_ms = 600_000;
+    w.submit(job(1, Kind::Array, 6));
+    w.until(10_000, "the first team holds all", |w| {
+        w.running("j-000001") == 4
+    });
+    w.run(30_000);
+    let mut own = job(2, Kind::Array, 2);
+    own.team = "u".into();
+    w.submit(own);
+    w.until(20_000, "the second team runs", |w| {
+        w.running("j-000002") == 2
+    });
+    assert_eq!(w.running("j-000001"), 2, "the first keeps its guarantee");
+    // Beyond its guarantee it gets no more that way.
+    let mut more = job(3, Kind::Array, 1);
+    more.team = "u".into();
+    w.submit(more);
+    w.run(60_000);
+    assert_eq!(w.running("j-000003"), 0);
+    w.sound();
+}
+
 #[test]
 fn spread_and_one_zone_hold_while_old_tasks_linger() {
     let mut w = quiet(12, 8, 0.0);
