A service's start with its image is worth more lost batch work

Cause: a replica that a silent machine took with it fetched for 7 s, as the batch tasks on machines with its image had run for more than 31 s (bound of 100 core-seconds and the fetch).

--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -6,6 +6,8 @@
 /// Constant part, in core-seconds, of the work that may be lost for a start
 /// without a fetch.
 const WORTH: f64 = 100.0;
+/// The same for a service, which users miss while it fetches.
+const WORTH_SERVICE: f64 = 600.0;
 
 /// Room that stopping some tasks would make.
 pub(super) struct Room {
@@ -295,7 +297,11 @@
         let rate = self.model.machine(at.machine).map_or(1.0, |m| {
             self.model.types[m.type_ix].fetch_gb_per_s.max(0.001)
         });
-        let worth = job.spec.image_gb / rate * job.spec.cpus.max(4.0 * job.spec.gpus) + WORTH;
+        let least = match job.spec.kind {
+            Kind::Service => WORTH_SERVICE,
+            _ => WORTH,
+        };
+        let worth = job.spec.image_gb / rate * job.spec.cpus.max(4.0 * job.spec.gpus) + least;
         let Some(room) = self.cheapest_room(job_ix, priority, now, zone_ok) else {
             return false;
         };
