--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -9,6 +9,9 @@
 /// The same for a service, which users miss while it fetches.
 const WORTH_SERVICE: f64 = 600.0;
 
+/// After this long a team does not wait for what others hold beyond theirs.
+const GUARANTEE_S: f64 = 20.0;
+
 /// Room that stopping some tasks would make.
 pub(super) struct Room {
     machine: u32,
@@ -222,7 +225,9 @@
                     continue;
                 }
                 let lower = v.spec.priority < priority && v.spec.kind == Kind::Array;
+                // Room without the image can't meet the aim any more.
                 let beyond = guaranteed
+                    && (!fetch || now >= job.known_ms + millis(GUARANTEE_S))
                     && v.team != job.team
                     && now > a.since + SETTLED_IN
                     && self.beyond_guarantee(v.team, &a.need, &job.need);
@@ -361,7 +366,7 @@
             .iter()
             .filter(|o| o.kind == "guarantee")
             .filter_map(|o| o.within_s)
-            .fold(20.0, f64::min);
+            .fold(GUARANTEE_S, f64::min);
         if now < job.known_ms + millis(within / 5.0) {
             return false;
         }
