--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -49,6 +49,17 @@
     HttpResponse::json(200, status)
 }
 
+/// The id that a submission names, if it is of the right form.
+fn ref_of(parsed: &Result<JobSpec, String>, body: &[u8]) -> Option<String> {
+    match parsed {
+        Ok(spec) => Some(spec.id.clone()),
+        Err(_) => serde_json::from_slice::<serde_json::Value>(body)
+            .ok()
+            .and_then(|v| v.get("ref")?.as_str().map(str::to_owned))
+            .filter(|id| valid_ref(id)),
+    }
+}
+
 /// The job's id in a path, and whether it is to be withdrawn.
 fn target(path: &str) -> Option<(&str, bool)> {
     let rest = path.strip_prefix("/v1/jobs/")?;
@@ -114,14 +125,24 @@
 
     /// Accepts a job without a leader: its record is what counts.
     async fn accept_alone(&self, body: &[u8]) -> HttpResponse {
-        let Ok(spec) = JobSpec::parse(body) else {
-            return HttpResponse::later("no leader can be reached");
-        };
-        let types = self.types.borrow().clone();
-        if types.is_empty() || admission::never_runs(&self.settings, &types, &spec).is_some() {
-            // Refusing a job for good takes knowing that it is not known.
-            return HttpResponse::later("no leader can be reached");
+        let parsed = JobSpec::parse(body);
+        if parsed.is_ok() && self.types.borrow().is_empty() {
+            return HttpResponse::later("machine types are not known yet");
+        }
+        if let Some((status, why)) = self.refusal(&parsed) {
+            let Some(id) = ref_of(&parsed, body) else {
+                return HttpResponse::error(status, &why);
+            };
+            return match self.lookup(&id).await {
+                Ok(Found::Live(record, _)) => ok(&stored_status(&record)),
+                Ok(Found::Final(record)) => ok(&final_status(&id, &record)),
+                Ok(Found::Nothing) => HttpResponse::error(status, &why),
+                Err(e) => HttpResponse::later(&format!("records can't be read: {e}")),
+            };
         }
+        let Ok(spec) = parsed else {
+            return HttpResponse::error(400, "malformed");
+        };
         let now = self.now();
         if !self.writes.borrow_mut().take(now, 2.0, 0.0) || !self.may_request(1.0) {
             return HttpResponse::later("too many submissions at once");
@@ -213,23 +234,21 @@
         }
     }
 
+    /// Status and reason with which a submission that isn't known is refused.
+    fn refusal(&self, parsed: &Result<JobSpec, String>) -> Option<(u16, String)> {
+        match parsed {
+            Err(e) => Some((400, e.clone())),
+            Ok(spec) => admission::never_runs(&self.settings, &self.types.borrow(), spec)
+                .map(|why| (422, why)),
+        }
+    }
+
     async fn submit(&self, body: &[u8]) -> HttpResponse {
         let parsed = JobSpec::parse(body);
         // A known job is answered with its state, whatever the repeated body
         // or the settings now say.
-        let id = match &parsed {
-            Ok(spec) => Some(spec.id.clone()),
-            Err(_) => serde_json::from_slice::<serde_json::Value>(body)
-                .ok()
-                .and_then(|v| v.get("ref")?.as_str().map(str::to_owned))
-                .filter(|id| valid_ref(id)),
-        };
-        let refusal = match &parsed {
-            Err(e) => Some((400, e.clone())),
-            Ok(spec) => admission::never_runs(&self.settings, &self.types.borrow(), spec)
-                .map(|why| (422, why)),
-        };
-        if let Some((status, why)) = refusal {
+        if let Some((status, why)) = self.refusal(&parsed) {
+            let id = ref_of(&parsed, body);
             let known = match &id {
                 Some(id) => self.known(id).await,
                 None => Ok(None),
--- /dev/null
+++ b/tests/input.rs
@@ -0,0 +1,169 @@
+//! What is refused at the door, and with what words.
+
+mod world;
+
+use pathwinch::{
+    coordination::admission::never_runs,
+    protocol::{
+        options::Options,
+        peers::{Frame, Reply, Request},
+        settings::Settings,
+        users::{JobSpec, Kind, valid_ref},
+    },
+    transport::frames,
+};
+use world::{job, settings, types};
+
+fn with(field: &str, value: serde_json::Value) -> Result<JobSpec, String> {
+    let mut v = serde_json::to_value(job(1, Kind::Array, 3)).unwrap();
+    v[field] = value;
+    JobSpec::parse(v.to_string().as_bytes())
+}
+
+#[test]
+fn malformed_submissions_are_refused_in_one_line() {
+    for bad in ["", "[]", "7", "{\"ref\":", "{}", "\"j-000001\""] {
+        let why = JobSpec::parse(bad.as_bytes()).unwrap_err();
+        assert!(!why.contains('\n'), "{why}");
+    }
+    for (field, value) in [
+        ("ref", serde_json::json!("job-1")),
+        ("ref", serde_json::json!("j-12a456")),
+        ("pieces", serde_json::json!(0)),
+        ("pieces", serde_json::json!(100_001)),
+        ("pieces", serde_json::json!(-1)),
+        ("pieces", serde_json::json!(1.5)),
+        ("cores", serde_json::json!(-0.5)),
+        ("cores", serde_json::json!("NaN")),
+        ("memory_gb", serde_json::json!(1e300)),
+        ("expected_s", serde_json::Value::Null),
+        ("run_shape", serde_json::json!("swarm")),
+        ("urgency", serde_json::json!(3)),
+        ("bundle", serde_json::json!("")),
+        ("same_place", serde_json::json!("yes")),
+    ] {
+        assert!(with(field, value.clone()).is_err(), "{field}: {value}");
+    }
+}
+
+#[test]
+fn unknown_fields_are_ignored_and_nullable_ones_may_be_missing() {
+    assert!(with("colour", serde_json::json!("red")).is_ok());
+    for field in ["hall", "rigs", "due_s"] {
+        assert!(with(field, serde_json::Value::Null).is_ok(), "{field}");
+    }
+    assert!(with("due_s", serde_json::json!(30.5)).is_ok());
+    assert!(valid_ref("j-000412") && valid_ref("j-1234567"));
+    assert!(!valid_ref("j-") && !valid_ref("j-12") && !valid_ref("j-0004/2"));
+}
+
+#[test]
+fn what_can_never_run_is_told_apart_from_what_must_wait() {
+    let limited = settings(8.0);
+    let never = |spec: &JobSpec| never_runs(&limited, &types(), spec);
+    // An array needs room for one task within the limit, a gang for all.
+    assert_eq!(never(&job(1, Kind::Array, 50)), None);
+    assert_eq!(never(&job(1, Kind::Gang, 2)), None);
+    assert!(never(&job(1, Kind::Gang, 3)).is_some());
+    assert!(never(&job(1, Kind::Service, 3)).is_some());
+    // A limit of 0 is no limit.
+    assert_eq!(
+        never_runs(&settings(0.0), &types(), &job(1, Kind::Gang, 30)),
+        None
+    );
+
+    let mut spec = job(1, Kind::Array, 1);
+    spec.cpus = 8.5;
+    assert!(never(&spec).is_some_and(|why| why.contains("machine type")));
+    let mut spec = job(1, Kind::Array, 1);
+    spec.types = Some(vec!["other".into()]);
+    assert!(never(&spec).is_some());
+    let mut spec = job(1, Kind::Array, 1);
+    spec.zone = Some("nowhere".into());
+    assert!(never(&spec).is_some());
+    let mut spec = job(1, Kind::Array, 1);
+    spec.team = "nobody".into();
+    assert!(never(&spec).is_some_and(|why| why.contains("nobody")));
+    // What could not be kept in a record is not accepted.
+    let mut spec = job(1, Kind::Array, 100_000);
+    spec.types = Some(
+        (0..64)
+            .map(|i| format!("{i:0>190}"))
+            .chain(["m8".into()])
+            .collect(),
+    );
+    assert!(never(&spec).is_some());
+}
+
+#[test]
+fn settings_errors_name_the_field() {
+    let good = serde_json::json!({
+        "host_name": "n0", "area": "a", "listen": "127.0.0.1:1", "back": "127.0.0.1:2",
+        "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"}, "later": 1,
+        "cluster": {
+            "zones": ["a"], "teams": [],
+            "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 45.0,
+                        "gang_peer_s": 5.0, "cancel_s": 35.0},
+            "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 5.0, "list_lag_s": 3.0},
+            "quota": {"max_sockets": 600}
+        }
+    });
+    Settings::parse(&good.to_string()).unwrap();
+    for (path, value) in [
+        ("/listen", serde_json::json!("here")),
+        ("/cluster/workers/lease_s", serde_json::json!(0)),
+        ("/cluster/state/txn_ops", serde_json::json!(1)),
+        ("/cluster/quota/max_sockets", serde_json::json!(3)),
+    ] {
+        let mut bad = good.clone();
+        *bad.pointer_mut(path).unwrap() = value;
+        let why = format!("{:#}", Settings::parse(&bad.to_string()).unwrap_err());
+        let field = path.rsplit('/').next().unwrap();
+        // Addresses are refused by their own parser, which names the place.
+        assert!(
+            why.contains(field) || why.contains("line 1"),
+            "{path}: {why}"
+        );
+    }
+}
+
+#[test]
+fn the_example_options_parse_and_unknown_keys_do_not() {
+    let example = include_str!("../examples/pathwinch.ini");
+    assert_eq!(Options::parse(example).unwrap().threshold, 0.4);
+    for bad in [
+        "[placement]\nthreshhold = 0.4",
+        "[placement]\nthreshold = 1.4",
+        "[placement]\nload = most",
+        "[placement]\nshapes = 4/0",
+        "[provision]\nidle_s = soon",
+        "[cloud]\nidle_s = 3",
+    ] {
+        assert!(Options::parse(bad).is_err(), "{bad}");
+    }
+}
+
+#[test]
+fn frames_between_controllers_are_limited_and_versioned() {
+    let ask = Request::Resigned { term: 7 };
+    let bytes = frames::encode(ask).unwrap();
+    assert!(matches!(
+        frames::decode::<Request>(&bytes[4..]),
+        Ok(Request::Resigned { term: 7 })
+    ));
+    let huge = Reply::Forwarded {
+        status: 200,
+        retry_after_s: None,
+        body: vec![255; 200_000],
+    };
+    assert!(frames::encode(huge).is_err());
+    let mut other = Vec::new();
+    let frame = Frame {
+        v: 99,
+        body: Request::Resigned { term: 7 },
+    };
+    ciborium::into_writer(&frame, &mut other).unwrap();
+    assert!(frames::decode::<Request>(&other).is_err());
+    assert!(frames::decode::<Request>(&[0xff, 0x00, 0x13]).is_err());
+}
