--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -15,7 +15,7 @@
     bookkeeping::{
         Ms,
         amounts::Amounts,
-        model::{Model, NONE, Phase, Roster},
+        model::{Model, NONE, Phase, Place, Roster},
         records::{
             self as keys, Bits, FinalRecord, JobRecord, LEADER, MachineRecord, chunk_key,
             final_key, job_key, machine_key,
@@ -561,7 +561,11 @@
         for (ix, job) in self.model.jobs.iter().enumerate() {
             if let Some(j) = job
                 && j.live > 0
-                && (j.cancelled || (settled && j.spec.kind == Kind::Gang && j.waiting() > 0))
+                && (j.cancelled
+                    || settled
+                        && j.spec.kind == Kind::Gang
+                        && j.waiting() > 0
+                        && self.gang_to_complete(ix as u32).is_none())
             {
                 stop.push(ix as u32);
             }
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -152,7 +152,7 @@
             let Some(j) = self.model.job(job_ix) else {
                 continue;
             };
-            if j.live > 0 && j.spec.kind == Kind::Gang
+            if j.live > 0 && j.spec.kind == Kind::Gang && self.gang_to_complete(job_ix).is_none()
                 || j.spec.priority < Priority::High && !self.within_guarantee(j, now)
             {
                 continue;
@@ -559,6 +559,22 @@
         }
     }
 
+    /// The attempt of a gang that lost a task before it started: the others
+    /// wait on, and a replacement under the same number completes it.
+    pub(super) fn gang_to_complete(&self, job_ix: u32) -> Option<u64> {
+        let mut attempt = None;
+        for m in self.model.machines.iter().flatten() {
+            for a in m.tasks.iter().filter(|a| a.job == job_ix && a.live()) {
+                let begun = matches!(a.phase, Phase::Running | Phase::Saving);
+                if begun || a.stop.is_some() || attempt.is_some_and(|n| n != a.attempt) {
+                    return None;
+                }
+                attempt = Some(a.attempt);
+            }
+        }
+        attempt
+    }
+
     /// All tasks of a gang in one pass, or none.
     pub(super) fn place_gang(
         &mut self,
@@ -572,22 +588,38 @@
             return true;
         };
         let (n, need, team) = (job.spec.tasks, job.need, job.team);
-        // Tasks of the attempt before must be gone first.
-        if job.live > 0 || !self.within_limit(team, &need, i64::from(n)) {
+        let missing: Vec<u32> = (0..n).filter(|t| job.place(*t) == Place::Nowhere).collect();
+        let one_zone = job.spec.one_zone;
+        let again = match job.live {
+            0 => None,
+            // Tasks of an attempt that had started must be gone first.
+            _ => match self.gang_to_complete(job_ix) {
+                Some(attempt) if self.settled => Some(attempt),
+                _ => return false,
+            },
+        };
+        if !self.within_limit(team, &need, missing.len() as i64) {
             return false;
         }
+        let there = self.model.zones_of(job_ix);
+        let Some(job) = self.model.job(job_ix) else {
+            return true;
+        };
         let spread = job.spec.spread;
         let half = n.div_ceil(2);
-        let zones: Vec<Option<usize>> = if job.spec.one_zone {
-            (0..self.model.zones.len()).map(Some).collect()
+        let zones: Vec<Option<usize>> = if one_zone {
+            (0..there.len())
+                .filter(|z| again.is_none() || there[*z] > 0)
+                .map(Some)
+                .collect()
         } else {
             vec![None]
         };
         for only in zones {
             let mut trial = candidates.to_vec();
             let mut chosen = Vec::with_capacity(n as usize);
-            let mut per_zone = vec![0; self.model.zones.len()];
-            for task in 0..n {
+            let mut per_zone = there.clone();
+            for &task in &missing {
                 let pick = self.choose(job_ix, task, &trial, reserves, now, |z| {
                     only.is_none_or(|o| o == z) && (!spread || per_zone[z] < half)
                 });
@@ -598,7 +630,7 @@
                 per_zone[trial[at].zone] += 1;
                 chosen.push(trial[at].machine);
             }
-            if chosen.len() == n as usize {
+            if chosen.len() == missing.len() {
                 if n == 1
                     && let Some(c) = candidates.iter().find(|c| c.machine == chosen[0])
                 {
@@ -607,9 +639,12 @@
                         return false;
                     }
                 }
-                let attempt = self.attempt();
-                for (task, machine) in chosen.into_iter().enumerate() {
-                    self.start(job_ix, task as u32, machine, attempt, now);
+                let attempt = match again {
+                    Some(attempt) => attempt,
+                    None => self.attempt(),
+                };
+                for (task, machine) in missing.iter().zip(chosen) {
+                    self.start(job_ix, *task, machine, attempt, now);
                 }
                 candidates.clone_from_slice(&trial);
                 return true;
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -79,6 +79,9 @@
 impl JobSpec {
     /// Parses a submission. The error is one line fit for the user.
     pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
+        if body.trim_ascii_start().first() != Some(&b'{') {
+            return Err("not a JSON object".into());
+        }
         let spec: JobSpec = serde_json::from_slice(body).map_err(|e| e.to_string())?;
         spec.check()?;
         Ok(spec)
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -372,6 +372,27 @@
     w.sound();
 }
 
+#[test]
+fn a_gang_that_lost_a_task_before_it_started_is_completed() {
+    let mut w = quiet(19, 4, 0.0);
+    w.run_ms = 60_000;
+    w.fetch_ms = 25_000;
+    w.submit(job(1, Kind::Gang, 6));
+    w.run(3_000);
+    let lost = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
+    w.workers[lost].net = Net::Lose;
+    w.until(60_000, "running whole", |w| w.running("j-000001") == 6);
+    let attempts: std::collections::BTreeSet<u64> = w
+        .workers
+        .iter()
+        .flat_map(|m| &m.tasks)
+        .map(|t| t.attempt)
+        .collect();
+    assert_eq!(attempts.len(), 1, "the others waited on");
+    assert_eq!(w.starts, 6);
+    w.sound();
+}
+
 #[test]
 fn a_job_of_100_000_tasks_fits_the_limits_and_survives_a_failover() {
     let mut w = quiet(14, 4, 0.0);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -224,6 +224,7 @@
     pub starts: u32,
     pub finished: BTreeSet<String>,
     pub run_ms: Ms,
+    pub fetch_ms: Ms,
     /// For the checker's own test: lets a new leader skip what it must wait
     /// for.
     pub sabotage: bool,
@@ -249,6 +250,7 @@
             starts: 0,
             finished: BTreeSet::new(),
             run_ms: 6_000,
+            fetch_ms: 300,
             sabotage: false,
             rents: false,
         };
@@ -899,6 +901,7 @@
 
     fn execute(&mut self, w: usize, commands: Vec<Command>) {
         let now = self.now;
+        let fetch_ms = self.fetch_ms;
         for c in commands {
             let worker = &mut self.workers[w];
             worker.dirty = true;
@@ -939,7 +942,7 @@
                             TaskState::Fetching
                         },
                         why,
-                        until: now + 300,
+                        until: now + fetch_ms,
                     });
                 }
                 Command::Stop { task, attempt, .. } => {
