--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -81,13 +81,29 @@
         }
         self.unseen
             .resize(self.model.teams.len(), Amounts::default());
-        for j in self.model.jobs.iter().flatten().filter(|j| !j.fresh) {
-            if let Some(u) = self.unseen.get_mut(j.team) {
+        for j in self.model.jobs.iter().flatten() {
+            if !self.job_settled(j)
+                && let Some(u) = self.unseen.get_mut(j.team)
+            {
                 *u += j.need.scaled(i64::from(j.waiting()));
             }
         }
     }
 
+    /// Whether all tasks of the job that are, or may be, on a machine are
+    /// known: it is younger than the term, or no machine that has neither been
+    /// heard nor lapsed is of a kind that the job allows.
+    fn job_settled(&self, job: &crate::bookkeeping::model::Job) -> bool {
+        self.settled
+            || job.fresh
+            || !self.model.machines.iter().flatten().any(|m| {
+                m.unknown
+                    && job.types.get(m.type_ix).copied().unwrap_or(true)
+                    && job.zone.is_none_or(|z| z == m.zone)
+                    && (job.spec.spot || !m.spot)
+            })
+    }
+
     pub(super) fn within_limit(&self, team: usize, need: &Amounts, n: i64) -> bool {
         let unseen = self.unseen.get(team).copied().unwrap_or_default();
         self.model.within_limit(team, need, n, unseen)
@@ -110,7 +126,7 @@
             let Some(job) = self.model.job(job_ix) else {
                 continue;
             };
-            if job.backoff_until > now || !(self.settled || job.fresh) {
+            if job.backoff_until > now || !self.job_settled(job) {
                 continue;
             }
             let key = (job.need, job.types.clone(), job.zone, job.spec.spot);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -256,6 +256,45 @@
     }
 }
 
+#[test]
+fn a_silent_spot_machine_does_not_hold_up_jobs_that_it_may_not_run() {
+    let mut w = quiet(20, 3, 0.0);
+    let spot = w.workers.len();
+    w.add_worker("a", true, 0);
+    w.run(3_000);
+    let mut service = job(1, Kind::Service, 4);
+    service.spot = false;
+    let mut batch = job(2, Kind::Service, 4);
+    batch.spot = true;
+    w.submit(service);
+    w.submit(batch);
+    w.until(20_000, "running", |w| {
+        w.running("j-000001") == 4 && w.running("j-000002") == 4
+    });
+    // The spot machine falls silent and another dies with the leader.
+    let dies = w
+        .workers
+        .iter()
+        .position(|m| m.tasks.iter().any(|t| t.name.starts_with("j-000001")))
+        .unwrap();
+    w.workers[spot].net = Net::Hold;
+    w.workers[dies].session += 1;
+    w.workers[dies].tasks.clear();
+    let old = w.leader().unwrap();
+    w.crash(old, 30_000);
+    w.until(10_000, "another leads", |w| {
+        w.leader().is_some_and(|l| l != old)
+    });
+    w.run(3_000);
+    let i = w.leader().unwrap();
+    assert!(!w.nodes[i].leader.as_ref().unwrap().settled());
+    assert_eq!(w.running("j-000001"), 4, "placed again at once");
+    w.run(20_000);
+    w.heal(spot);
+    w.run(10_000);
+    w.sound();
+}
+
 #[test]
 fn a_machine_that_vanished_is_waited_for_once() {
     let mut w = quiet(16, 3, 0.0);
