--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -119,7 +119,7 @@
         let lag = millis(self.settings.cluster.cloud.list_lag_s);
         // What arrives often and must start soon finds an idle machine.
         let candidates = self.candidates();
-        let mut held = self.reserves(&candidates, 60_000, now);
+        let mut held = self.reserves(&candidates, 60_000, KEEP_IDLE, now);
         held.extend(self.spares());
         let mut gone = Vec::new();
         for ix in 0..self.model.machines.len() as u32 {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -43,9 +43,10 @@
 const MAX_FINALS: usize = 20_000;
 /// How long a kind of machine that was refused is not asked for again.
 const REFUSED: Ms = 10_000;
-/// Over how long arrivals are counted, and for how long ahead room is kept.
+/// Over how long arrivals are counted, and for how long ahead an idle machine
+/// is kept for them.
 const RATE_WINDOW: Ms = 180_000;
-const RESERVE_FOR: Ms = 25_000;
+const KEEP_IDLE: Ms = 25_000;
 /// How long room made for a job is kept for it.
 const HELD: Ms = 8_000;
 /// How long places are kept for services that move.
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -117,7 +117,8 @@
             self.order = order;
             return;
         }
-        let mut reserves = self.reserves(&candidates, RATE_WINDOW, now);
+        let keep = millis(self.options.keep_s);
+        let mut reserves = self.reserves(&candidates, RATE_WINDOW, keep, now);
         let mut wanting = Vec::new();
         // Shapes that found no room in this pass; the rest of the queue
         // needn't be tried for them.
--- a/src/coordination/leader/reserves.rs
+++ b/src/coordination/leader/reserves.rs
@@ -129,7 +129,13 @@
     /// Room to keep for work of high priority that is expected soon, and for
     /// such work that waits: without it, batches would take the last machine
     /// that a large task fits.
-    pub(super) fn reserves(&mut self, candidates: &[Candidate], over: Ms, now: Ms) -> Vec<Reserve> {
+    pub(super) fn reserves(
+        &mut self,
+        candidates: &[Candidate],
+        over: Ms,
+        ahead: Ms,
+        now: Ms,
+    ) -> Vec<Reserve> {
         while self
             .arrivals
             .front()
@@ -149,7 +155,7 @@
                 .filter(|(t, at, _)| *at == ix && *t + over >= now)
                 .map(|(_, _, n)| u64::from(*n).min(64))
                 .sum();
-            let wanted = (recent * RESERVE_FOR).div_ceil(window) as i64;
+            let wanted = (recent * ahead).div_ceil(window) as i64;
             if wanted == 0 {
                 continue;
             }
--- a/src/protocol/options.rs
+++ b/src/protocol/options.rs
@@ -29,6 +29,9 @@
     pub load: LoadResource,
     /// Empty: learned from the jobs seen.
     pub shapes: Vec<Shape>,
+    /// For how many seconds of expected arrivals of high priority batches
+    /// leave places free. Room is made by preemption too, so by default none.
+    pub keep_s: f64,
     /// Seconds that an idle machine is kept.
     pub idle_s: f64,
 }
@@ -39,6 +42,7 @@
             threshold: 0.4,
             load: LoadResource::Scarcest,
             shapes: Vec::new(),
+            keep_s: 0.0,
             idle_s: 20.0,
         }
     }
@@ -98,6 +102,7 @@
                         }
                         ensure!(o.shapes.len() <= 16, "{name}: at most 16 shapes");
                     }
+                    "placement.keep_s" => o.keep_s = number(&name, value, 0.0, 3600.0)?,
                     "provision.idle_s" => o.idle_s = number(&name, value, 0.0, 86_400.0)?,
                     _ => bail!("{name}: unknown section or key"),
                 }
