--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -8,7 +8,9 @@
         peers::{Reply, Request},
         state::{Guard, LeaseGranted, Txn, Watched, Write},
     },
+    transport::client::CallError,
 };
+use async_executor::Task;
 use async_io::Timer;
 use http_types::Method;
 use std::{rc::Rc, time::Duration};
@@ -176,6 +178,16 @@
         self.ask_promises(lead.term).await
     }
 
+    /// Asks all other nodes at once.
+    fn ask_all(self: &Rc<Self>, request: &Request) -> Vec<Task<Result<Reply, CallError>>> {
+        let ask = |addr| {
+            let (node, request) = (self.clone(), request.clone());
+            self.executor
+                .spawn(async move { node.peers.call(addr, &request, PROBE).await })
+        };
+        self.settings.peers.iter().map(|p| ask(p.addr)).collect()
+    }
+
     /// Asks the others to relay reports of machines that fell silent: the cut
     /// may be between them and this node alone. A worker tries another node
     /// after 5 s of its lease, so there is no time to find out first. Returns
@@ -205,16 +217,7 @@
             machines,
             for_ms: 15_000,
         };
-        let asks: Vec<_> = self
-            .settings
-            .peers
-            .iter()
-            .map(|p| {
-                let (node, request, addr) = (self.clone(), request.clone(), p.addr);
-                self.executor
-                    .spawn(async move { node.peers.call(addr, &request, PROBE).await })
-            })
-            .collect();
+        let asks = self.ask_all(&request);
         let mut anybody = heard > 0 || self.settings.peers.is_empty();
         for ask in asks {
             anybody |= ask.await.is_ok();
@@ -249,16 +252,7 @@
             leader: self.settings.name.clone(),
             for_ms: PROMISE,
         };
-        let asks: Vec<_> = self
-            .settings
-            .peers
-            .iter()
-            .map(|p| {
-                let (node, request, addr) = (self.clone(), request.clone(), p.addr);
-                self.executor
-                    .spawn(async move { node.peers.call(addr, &request, PROBE).await })
-            })
-            .collect();
+        let asks = self.ask_all(&request);
         let mut all = true;
         let mut refused = false;
         for ask in asks {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -128,15 +128,8 @@
 
     /// Runs `f` on the leader's state if this process may act right now.
     fn acting<T>(&self, f: impl FnOnce(&mut Leader, Ms) -> T) -> Option<T> {
-        let now = self.now();
-        let term = self.election.borrow().authority(now)?;
-        let mut leader = self.leader.borrow_mut();
-        let leader = leader.as_mut().filter(|l| l.term == term)?;
-        let result = f(leader, now);
-        if leader.has_work() {
-            let _ = self.wake.0.try_send(());
-        }
-        Some(result)
+        let term = self.election.borrow().authority(self.now())?;
+        self.of_term(term, f)
     }
 
     /// The leader's state, for results of what was begun with authority.
