One question each for price, allowed machine and held room; dead state removed

The price of a kind, whether a job may use a machine, and whether room is held for it were each written out in three to five places; reserves were built twice and six stories opened alike. The time of a halt was written and never read, and carried a clock through seven signatures. Placement looked for held room for every job instead of only where it matters.

--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -69,6 +69,13 @@
         self.spec.tasks - self.done_n - self.live
     }
 
+    /// Whether its tasks may be on such a machine at all.
+    pub fn allows(&self, m: &Machine) -> bool {
+        self.types.get(m.type_ix).copied().unwrap_or(false)
+            && self.zone.is_none_or(|z| z == m.zone)
+            && (self.spec.spot || !m.spot)
+    }
+
     pub fn complete(&self) -> bool {
         self.done_n == self.spec.tasks
     }
@@ -165,7 +172,6 @@
     pub phase: Phase,
     /// Grace in seconds of the halt that is wanted.
     pub stop: Option<f64>,
-    pub stop_since: Ms,
     /// The halt was given at least once.
     pub told: bool,
     /// Token of a direct launch that had no answer: it may be carried out
@@ -218,7 +224,6 @@
     pub releasing: bool,
     pub release_marked: bool,
     pub release_sent: bool,
-    pub gone: bool,
     /// Steady-clock time at which it is to be taken away.
     pub notice: Option<Ms>,
     pub since: Ms,
@@ -251,6 +256,11 @@
     pub fn live_tasks(&self) -> usize {
         self.tasks.iter().filter(|t| t.live()).count()
     }
+    /// Room on it is held for this job.
+    pub fn is_held_for(&self, job: u32, now: Ms) -> bool {
+        self.held_for
+            .is_some_and(|(of, until)| of == job && now < until)
+    }
     /// May new tasks be placed here?
     pub fn usable(&self) -> bool {
         self.up
@@ -293,9 +303,6 @@
     }
 }
 
-/// Why a submission can never run.
-pub type Never = String;
-
 #[derive(Debug, Default)]
 pub struct Model {
     pub zones: Names,
@@ -438,7 +445,7 @@
 
     /// Forgets a job that is over. Tasks of it that are still on machines
     /// keep counting there, and are told to stop.
-    pub fn remove_job(&mut self, ix: u32, now: Ms) {
+    pub fn remove_job(&mut self, ix: u32) {
         let Some(job) = self.jobs.get_mut(ix as usize).and_then(Option::take) else {
             return;
         };
@@ -448,7 +455,6 @@
                 a.job = NONE;
                 if a.live() && a.stop.is_none() {
                     a.stop = Some(0.0);
-                    a.stop_since = now;
                 }
             }
         }
@@ -495,7 +501,6 @@
             releasing: false,
             release_marked: false,
             release_sent: false,
-            gone: false,
             notice: None,
             since: now,
             idle_since: now,
@@ -601,7 +606,6 @@
                 need,
                 phase,
                 stop: None,
-                stop_since: 0,
                 told: false,
                 doubt: 0,
                 sent_seq: 0,
@@ -623,7 +627,6 @@
                 need: Amounts::default(),
                 phase,
                 stop: Some(0.0),
-                stop_since: now,
                 told: false,
                 doubt: 0,
                 sent_seq: 0,
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -195,7 +195,6 @@
         model.assign(job_ix, task, ix, attempt, phase, now);
         if cancelled && let Some(a) = model.machine_mut(ix).and_then(|m| m.tasks.last_mut()) {
             a.stop = Some(0.0);
-            a.stop_since = now;
         }
         return;
     }
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -104,8 +104,12 @@
         ops
     }
 
+    fn price(&self, m: &Machine) -> f64 {
+        self.model.types[m.type_ix].price_of(m.spot)
+    }
+
     /// A dear machine is kept idle for less long than a cheap one of its type.
-    pub(super) fn idle_allowance(&self, m: &crate::bookkeeping::model::Machine, idle: Ms) -> Ms {
+    pub(super) fn idle_allowance(&self, m: &Machine, idle: Ms) -> Ms {
         let t = &self.model.types[m.type_ix];
         if m.spot || t.price <= t.spot_price {
             return idle;
@@ -188,10 +192,6 @@
         }
         self.drain_at = now + 2000;
         let idle = millis(self.options.idle_s);
-        let price = |m: &crate::bookkeeping::model::Machine| {
-            let t = &self.model.types[m.type_ix];
-            if m.spot { t.spot_price } else { t.price }
-        };
         let mut order: Vec<u32> = Vec::new();
         for (ix, m) in self.model.machines.iter().enumerate() {
             let Some(m) = m else { continue };
@@ -210,7 +210,7 @@
             let key = |ix: &u32| {
                 self.model
                     .machine(*ix)
-                    .map_or((0.0, 0), |m| (price(m), m.live_tasks()))
+                    .map_or((0.0, 0), |m| (self.price(m), m.live_tasks()))
             };
             let (a, b) = (key(a), key(b));
             b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
@@ -233,7 +233,6 @@
                     m.draining = true;
                     for a in m.tasks.iter_mut().filter(|a| a.live() && a.stop.is_none()) {
                         a.stop = Some(0.0);
-                        a.stop_since = now;
                     }
                 }
                 return;
@@ -245,10 +244,6 @@
     pub(super) fn can_empty(&self, ix: u32, now: Ms) -> Option<Vec<u32>> {
         let from = self.model.machine(ix)?;
         let mut targets = Vec::new();
-        let price = |m: &crate::bookkeeping::model::Machine| {
-            let t = &self.model.types[m.type_ix];
-            if m.spot { t.spot_price } else { t.price }
-        };
         // One that has long been of no other use, and is dear, may cost its
         // services a short fetch. Between machines of one price that was
         // tried: 4 s of two replicas are 2% of what the worst 30 s counts.
@@ -259,7 +254,7 @@
                 && to as u32 != ix
                 && m.usable()
                 && m.held_for.is_none()
-                && price(m) <= price(from) * 1.01
+                && self.price(m) <= self.price(from) * 1.01
                 && m.live_tasks() > 0
             {
                 room.push((to as u32, m.free()));
@@ -273,13 +268,11 @@
             let found = room.iter_mut().find(|(to, free)| {
                 a.need.fits(free)
                     && self.model.machine(*to).is_some_and(|m| {
-                        job.types.get(m.type_ix).copied().unwrap_or(false)
-                            && job.zone.is_none_or(|z| z == m.zone)
-                            && (job.spec.spot || !m.spot)
+                        job.allows(m)
                             && (m.zone == from.zone || !(job.spec.one_zone || job.spec.spread))
                             && (m.images.contains(&job.image)
                                 || long
-                                    && price(from) >= 2.0 * price(m)
+                                    && self.price(from) >= 2.0 * self.price(m)
                                     && job.spec.image_gb
                                         <= self.model.types[m.type_ix].fetch_gb_per_s
                                             * SHORT_FETCH_S)
@@ -342,7 +335,7 @@
                         zone,
                         spot,
                         capacity: Amounts::offer(t.cpus, t.gpus, t.memory_gb),
-                        price: if spot { t.spot_price } else { t.price },
+                        price: t.price_of(spot),
                         refused: self
                             .refused
                             .get(&(type_ix, zone, spot))
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -15,7 +15,7 @@
     bookkeeping::{
         Ms,
         amounts::Amounts,
-        model::{Model, NONE, Phase, Place, Roster},
+        model::{Assignment, Job, Machine, Model, NONE, Phase, Place, Roster},
         records::{
             self as keys, Bits, FinalRecord, JobRecord, LEADER, MachineRecord, chunk_key,
             final_key, job_key, machine_key,
@@ -483,8 +483,8 @@
                 self.changed = true;
             }
         }
-        self.stop_what_must(now);
-        self.save_before_notice(now);
+        self.stop_what_must();
+        self.save_before_notice();
         let backoff = self
             .model
             .jobs
@@ -532,7 +532,7 @@
 
     /// A machine is to be taken away: tasks that can save do so now, as the
     /// notice may be half as long as it says. The others may yet complete.
-    fn save_before_notice(&mut self, now: Ms) {
+    fn save_before_notice(&mut self) {
         for ix in 0..self.model.machines.len() as u32 {
             let Some(m) = self.model.machine(ix).filter(|m| m.notice.is_some()) else {
                 continue;
@@ -550,13 +550,13 @@
                 .map(|(at, _)| at)
                 .collect();
             for at in saving {
-                self.stop_orderly(ix, at, now);
+                self.stop_orderly(ix, at);
             }
         }
     }
 
     /// Tasks of withdrawn jobs, and what is left of gangs that lost a task.
-    fn stop_what_must(&mut self, now: Ms) {
+    fn stop_what_must(&mut self) {
         let settled = self.settled;
         let mut stop = Vec::new();
         for (ix, job) in self.model.jobs.iter().enumerate() {
@@ -578,7 +578,6 @@
             for a in m.tasks.iter_mut() {
                 if a.job != NONE && a.live() && a.stop.is_none() && stop.contains(&a.job) {
                     a.stop = Some(0.0);
-                    a.stop_since = now;
                 }
             }
         }
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -93,7 +93,7 @@
     /// Whether all tasks of the job that are, or may be, on a machine are
     /// known: it is younger than the term, or no machine that has neither been
     /// heard nor lapsed is of a kind that the job allows.
-    fn job_settled(&self, job: &crate::bookkeeping::model::Job) -> bool {
+    fn job_settled(&self, job: &Job) -> bool {
         self.settled
             || job.fresh
             || !self.model.machines.iter().flatten().any(|m| {
@@ -132,13 +132,8 @@
             }
             let key = (job.need, job.types.clone(), job.zone, job.spec.spot);
             // No room in the open; room may be held or made for it still.
-            let held = self
-                .model
-                .machines
-                .iter()
-                .flatten()
-                .any(|m| m.held_for.is_some_and(|(of, _)| of == job_ix));
-            if full.contains(&key) && !held {
+            let held = |m: &Machine| m.held_for.is_some_and(|(of, _)| of == job_ix);
+            if full.contains(&key) && !self.model.machines.iter().flatten().any(held) {
                 wanting.push(job_ix);
                 continue;
             }
@@ -187,10 +182,7 @@
                 .machines
                 .iter()
                 .flatten()
-                .filter(|m| {
-                    m.held_for
-                        .is_some_and(|(of, until)| of == job_ix && now < until)
-                })
+                .filter(|m| m.is_held_for(job_ix, now))
                 .map(|m| m.capacity.count(&need))
                 .sum::<i64>();
             tasks -= held;
@@ -226,9 +218,7 @@
             let allowed = m.usable()
                 && zone_ok(m.zone)
                 && m.held_for.is_none_or(|(_, until)| now >= until)
-                && job.types.get(m.type_ix).copied().unwrap_or(false)
-                && job.zone.is_none_or(|z| z == m.zone)
-                && (job.spec.spot || !m.spot);
+                && job.allows(m);
             if !allowed {
                 continue;
             }
@@ -309,11 +299,8 @@
         if priority < Priority::High {
             return false;
         }
-        let held = |m: &crate::bookkeeping::model::Machine| {
-            m.held_for
-                .is_some_and(|(of, until)| of == job_ix && now < until)
-        };
-        if self.model.machines.iter().flatten().any(held) {
+        let mut machines = self.model.machines.iter().flatten();
+        if machines.any(|m| m.is_held_for(job_ix, now)) {
             return true;
         }
         let rate = self.model.machine(at.machine).map_or(1.0, |m| {
@@ -347,13 +334,13 @@
         );
         m.held_for = Some((job_ix, now + HELD));
         for at in room.victims {
-            self.stop_orderly(room.machine, at, now);
+            self.stop_orderly(room.machine, at);
         }
     }
 
     /// Tells a task to stop, with the time it needs to save; a gang is told
     /// as a whole, or the save would fail.
-    pub(super) fn stop_orderly(&mut self, machine: u32, at: usize, now: Ms) {
+    pub(super) fn stop_orderly(&mut self, machine: u32, at: usize) {
         let Some(a) = self.model.machine(machine).and_then(|m| m.tasks.get(at)) else {
             return;
         };
@@ -367,7 +354,6 @@
             for a in m.tasks.iter_mut().filter(|a| a.job == job_ix && a.live()) {
                 if a.stop.is_none() && (whole || a.task == task) {
                     a.stop = Some(grace);
-                    a.stop_since = now;
                 }
             }
         }
@@ -375,7 +361,7 @@
 
     /// Whether the team's unfinished work all fits its guarantee, and this job
     /// has waited a while although it must not wait for other teams.
-    fn within_guarantee(&self, job: &crate::bookkeeping::model::Job, now: Ms) -> bool {
+    fn within_guarantee(&self, job: &Job, now: Ms) -> bool {
         let within = self
             .settings
             .cluster
@@ -440,7 +426,7 @@
     }
 
     /// Seconds left to the nearest aim for starting that can still be met.
-    pub(super) fn time_to_aim(&self, job: &crate::bookkeeping::model::Job, now: Ms) -> Option<f64> {
+    pub(super) fn time_to_aim(&self, job: &Job, now: Ms) -> Option<f64> {
         let age = (now - job.known_ms) as f64 / 1000.0;
         let team = self.model.teams.get(job.team);
         let guaranteed = team.is_some_and(|t| {
@@ -474,8 +460,10 @@
         let whole = Amounts::offer(t.cpus, t.gpus, t.memory_gb);
         let share = placement::load(&whole, &whole.minus(*need), LoadResource::Scarcest);
         // Current prices move by a third; steps keep the order steady.
-        let price = if spot { t.spot_price } else { t.price };
-        (price * share * 1000.0).max(1.0).log2().mul_add(2.0, 0.5) as u32
+        (t.price_of(spot) * share * 1000.0)
+            .max(1.0)
+            .log2()
+            .mul_add(2.0, 0.5) as u32
     }
 
     pub(super) fn choose(
@@ -502,11 +490,7 @@
                                     loss => r.fits - loss >= r.wanted,
                                 }
                         })
-                })
-                && job.zone.is_none_or(|z| z == c.zone)
-                && self.model.machine(c.machine).is_some_and(|m| {
-                    job.types.get(m.type_ix).copied().unwrap_or(false)
-                        && (job.spec.spot || !m.spot)
+                        && job.allows(m)
                         // An old attempt still listed there would refuse it.
                         && !m.tasks.iter().any(|a| a.job == job_ix && a.task == task)
                 })
@@ -606,7 +590,7 @@
         };
         let (n, need, team) = (job.spec.tasks, job.need, job.team);
         let missing: Vec<u32> = (0..n).filter(|t| job.place(*t) == Place::Nowhere).collect();
-        let one_zone = job.spec.one_zone;
+        let (one_zone, spread) = (job.spec.one_zone, job.spec.spread);
         let again = match job.live {
             0 => None,
             // Tasks of an attempt that had started must be gone first.
@@ -619,10 +603,6 @@
             return false;
         }
         let there = self.model.zones_of(job_ix);
-        let Some(job) = self.model.job(job_ix) else {
-            return true;
-        };
-        let spread = job.spec.spread;
         let half = n.div_ceil(2);
         let zones: Vec<Option<usize>> = if one_zone {
             (0..there.len())
@@ -656,10 +636,7 @@
                         return false;
                     }
                 }
-                let attempt = match again {
-                    Some(attempt) => attempt,
-                    None => self.attempt(),
-                };
+                let attempt = again.unwrap_or_else(|| self.attempt());
                 for (task, machine) in missing.iter().zip(chosen) {
                     self.start(job_ix, *task, machine, attempt, now);
                 }
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -200,15 +200,11 @@
         }
     }
 
-    pub(super) fn job_of(
-        &mut self,
-        ix: u32,
-        id: &str,
-    ) -> Option<&mut crate::bookkeeping::model::Job> {
+    pub(super) fn job_of(&mut self, ix: u32, id: &str) -> Option<&mut Job> {
         self.model.job_mut(ix).filter(|j| j.id == id)
     }
 
-    pub fn flushed(&mut self, plan: &Plan, revision: u64, now: Ms) {
+    pub fn flushed(&mut self, plan: &Plan, revision: u64) {
         for item in &plan.items {
             match item {
                 Item::Cancel(ix, id) => {
@@ -219,7 +215,7 @@
                         log::info!("job {id} withdrawn");
                     }
                 }
-                Item::Final(ix, id, state) => self.ended(*ix, id, *state, now),
+                Item::Final(ix, id, state) => self.ended(*ix, id, *state),
                 Item::Progress(ix, id, chunks) => {
                     if let Some(j) = self.job_of(*ix, id) {
                         j.writing = false;
@@ -243,7 +239,7 @@
         self.changed = true;
     }
 
-    pub(super) fn ended(&mut self, ix: u32, id: &str, state: JobState, now: Ms) {
+    pub(super) fn ended(&mut self, ix: u32, id: &str, state: JobState) {
         let Some(j) = self.job_of(ix, id) else { return };
         let status = JobStatus {
             id: id.to_owned(),
@@ -255,7 +251,7 @@
         for c in 1..chunks {
             self.orphans.push(chunk_key(id, c));
         }
-        self.model.remove_job(ix, now);
+        self.model.remove_job(ix);
         self.remember_final(status);
     }
 
@@ -268,13 +264,13 @@
 
     /// A key of such a transaction as it stands now. All keys must have been
     /// read before `reread_done`.
-    pub fn reread(&mut self, key: &str, found: Option<(serde_json::Value, u64)>, now: Ms) {
+    pub fn reread(&mut self, key: &str, found: Option<(serde_json::Value, u64)>) {
         if let Some(id) = key.strip_prefix(keys::FINALS) {
             if let Some((value, _)) = found
                 && let Ok(record) = serde_json::from_value::<FinalRecord>(value)
                 && let Some(ix) = self.model.job_ix(id)
             {
-                self.ended(ix, id, record.state, now);
+                self.ended(ix, id, record.state);
             }
         } else if let Some(id) = key.strip_prefix(keys::JOBS) {
             if let Some((value, version)) = found
@@ -374,7 +370,7 @@
     }
 }
 
-fn job_record(j: &crate::bookkeeping::model::Job, cancelled: bool) -> serde_json::Value {
+fn job_record(j: &Job, cancelled: bool) -> serde_json::Value {
     serde_json::to_value(JobRecord {
         spec: j.spec.clone(),
         at_ms: j.at_ms,
--- a/src/coordination/leader/reserves.rs
+++ b/src/coordination/leader/reserves.rs
@@ -24,6 +24,20 @@
     pub(super) wanted: i64,
 }
 
+impl Class {
+    /// Room for so many of its tasks, none of it found yet.
+    fn reserve(&self, wanted: i64) -> Reserve {
+        Reserve {
+            priority: self.priority,
+            need: self.need,
+            types: self.types.clone(),
+            spot: self.spot,
+            fits: 0,
+            wanted,
+        }
+    }
+}
+
 impl Reserve {
     pub(super) fn covers(&self, type_ix: usize, spot: bool) -> bool {
         self.types.get(type_ix).copied().unwrap_or(false) && (self.spot || !spot)
@@ -65,18 +79,11 @@
     pub(super) fn spares(&self) -> Vec<Reserve> {
         let mut out = Vec::new();
         for c in self.classes.iter().filter(|c| c.kind == Kind::Service) {
-            let mut r = Reserve {
-                priority: c.priority,
-                need: c.need,
-                types: c.types.clone(),
-                spot: c.spot,
-                fits: 0,
-                wanted: 0,
-            };
+            let mut r = c.reserve(0);
             // Not at any price: on kinds that cost up to twice the cheapest.
             let price = |ix: usize| {
                 let t = &self.model.types[ix];
-                let per = if c.spot { t.spot_price } else { t.price };
+                let per = t.price_of(c.spot);
                 let whole = Amounts::offer(t.cpus, t.gpus, t.memory_gb);
                 per / (whole.count(&c.need).max(1) as f64)
             };
@@ -90,7 +97,7 @@
             }
             let mut most = 0;
             for m in self.model.machines.iter().flatten() {
-                let of_class = |a: &&crate::bookkeeping::model::Assignment| {
+                let of_class = |a: &&Assignment| {
                     a.live()
                         && self.model.job(a.job).is_some_and(|j| {
                             j.spec.kind == Kind::Service && j.need == c.need && j.types == c.types
@@ -112,7 +119,7 @@
         out
     }
 
-    pub(super) fn held_by_batches(&self, m: &crate::bookkeeping::model::Machine) -> Amounts {
+    pub(super) fn held_by_batches(&self, m: &Machine) -> Amounts {
         let mut held = Amounts::default();
         for a in m.tasks.iter().filter(|a| a.live()) {
             if self
@@ -126,9 +133,8 @@
         held
     }
 
-    /// Room to keep for work of high priority that is expected soon, and for
-    /// such work that waits: without it, batches would take the last machine
-    /// that a large task fits.
+    /// Room to keep for work of high priority that is expected within `ahead`,
+    /// going by what arrived lately, `over` how long.
     pub(super) fn reserves(
         &mut self,
         candidates: &[Candidate],
@@ -159,14 +165,7 @@
             if wanted == 0 {
                 continue;
             }
-            let mut r = Reserve {
-                priority: c.priority,
-                need: c.need,
-                types: c.types.clone(),
-                spot: c.spot,
-                fits: 0,
-                wanted,
-            };
+            let mut r = c.reserve(wanted);
             for candidate in candidates {
                 if let Some(m) = self.model.machine(candidate.machine)
                     && r.covers(m.type_ix, m.spot)
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -97,7 +97,7 @@
             .force(now, plan.txn.writes.len() as f64);
         match self.txn(&plan.txn, USUAL).await {
             TxnResult::Done(revision) => {
-                self.of_term(term, |l, now| l.flushed(&plan, revision, now));
+                self.of_term(term, |l, _| l.flushed(&plan, revision));
             }
             TxnResult::Conflict(failed) if failed.iter().any(|k| k == LEADER) => {
                 self.resign("another node leads", false).await;
@@ -129,9 +129,9 @@
                 Timer::after(Duration::from_millis(200)).await;
             }
         }
-        self.of_term(term, |l, now| {
+        self.of_term(term, |l, _| {
             for (key, item) in found {
-                l.reread(&key, item, now);
+                l.reread(&key, item);
             }
             l.reread_done(plan);
         });
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -24,6 +24,12 @@
     pub zones: Vec<String>,
 }
 
+impl MachineType {
+    pub fn price_of(&self, spot: bool) -> f64 {
+        if spot { self.spot_price } else { self.price }
+    }
+}
+
 #[derive(Debug, Deserialize)]
 pub struct MachineTypes {
     #[serde(rename = "rigs")]
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -11,6 +11,16 @@
     w
 }
 
+/// An installation on which a service, j-000001, runs so many tasks.
+fn serving(seed: u64, machines: usize, tasks: u32) -> World {
+    let mut w = quiet(seed, machines, 0.0);
+    w.submit(job(1, Kind::Service, tasks));
+    w.until(20_000, "running", |w| {
+        w.running("j-000001") == tasks as usize
+    });
+    w
+}
+
 #[test]
 fn a_batch_runs_and_stays_done() {
     let mut w = quiet(1, 3, 0.0);
@@ -32,9 +42,7 @@
 
 #[test]
 fn a_new_leader_waits_for_a_silent_machine_before_placing_its_tasks_again() {
-    let mut w = quiet(2, 3, 0.0);
-    w.submit(job(1, Kind::Service, 4));
-    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let mut w = serving(2, 3, 4);
     let old = w.leader().unwrap();
     let silent = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
     w.workers[silent].net = Net::Lose;
@@ -61,9 +69,7 @@
 
 #[test]
 fn a_report_that_arrives_minutes_late_is_no_news() {
-    let mut w = quiet(3, 3, 0.0);
-    w.submit(job(1, Kind::Service, 2));
-    w.until(20_000, "running", |w| w.running("j-000001") == 2);
+    let mut w = serving(3, 3, 2);
     let cut = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
     // Its reports are held, its tasks are killed by the lease and run
     // elsewhere; then the old reports arrive and still list them.
@@ -97,9 +103,7 @@
 
 #[test]
 fn an_outage_longer_than_the_workers_lease_ends_nothing() {
-    let mut w = quiet(5, 3, 0.0);
-    w.submit(job(1, Kind::Service, 4));
-    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let mut w = serving(5, 3, 4);
     let sessions: Vec<u64> = w.workers.iter().map(|m| m.session).collect();
     w.store.down = true;
     w.run(25_000);
@@ -113,9 +117,7 @@
 
 #[test]
 fn an_outage_with_a_node_down_gives_no_promise_and_no_rule_breaks() {
-    let mut w = quiet(6, 3, 0.0);
-    w.submit(job(1, Kind::Service, 4));
-    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let mut w = serving(6, 3, 4);
     let leader = w.leader().unwrap();
     w.crash((leader + 1) % 3, 60_000);
     w.store.down = true;
@@ -127,9 +129,7 @@
 
 #[test]
 fn a_leader_that_alone_is_refused_hands_over_at_once() {
-    let mut w = quiet(7, 3, 0.0);
-    w.submit(job(1, Kind::Service, 4));
-    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let mut w = serving(7, 3, 4);
     let old = w.leader().unwrap();
     w.store.refuses.insert(old);
     w.until(1_500, "another leads", |w| {
@@ -143,9 +143,7 @@
 
 #[test]
 fn all_controllers_crash_and_nothing_stops() {
-    let mut w = quiet(8, 3, 0.0);
-    w.submit(job(1, Kind::Service, 4));
-    w.until(20_000, "running", |w| w.running("j-000001") == 4);
+    let mut w = serving(8, 3, 4);
     for i in 0..3 {
         w.crash(i, 6_000);
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -648,7 +648,7 @@
                 return;
             }
             for key in Leader::keys_of(&plan) {
-                l.reread(&key, self.store.kv.get(&key).cloned(), now);
+                l.reread(&key, self.store.kv.get(&key).cloned());
             }
             l.reread_done(&plan);
         }
@@ -667,7 +667,7 @@
             return;
         }
         match self.store.apply(&plan.txn) {
-            Ok(revision) => l.flushed(&plan, revision, now),
+            Ok(revision) => l.flushed(&plan, revision),
             Err(failed) if failed.iter().any(|k| k == LEADER) => {
                 node.election.resign();
                 node.leader = None;
