Gangs and services are rented for in one round, not 12 machines at a time

Cause: at a start from no machines 100 GPU machines for the waiting gangs came 12 a second behind batches. Rentals over one call's worth are split in calls. Batches keep their cap: raising it rents ahead of what turns over.

--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -397,10 +397,15 @@
             }
         }
         self.order = order;
-        let mut bought = provision::plan(&demands, &mut bins, &offers);
+        let mut bought = provision::plan(&demands, &mut bins, &offers, provision::MAX_NEW);
         // Batches may use what high priority leaves.
         let mut room: Vec<Bin> = bins.clone();
-        bought.extend(provision::plan(&batch_demands, &mut bins, &offers));
+        bought.extend(provision::plan(
+            &batch_demands,
+            &mut bins,
+            &offers,
+            provision::BATCH_NEW,
+        ));
         let untouched: Vec<bool> = bins
             .iter()
             .zip(&free_before)
@@ -421,7 +426,12 @@
         for (bin, held) in room.iter_mut().zip(batch_held) {
             bin.free += held;
         }
-        bought.extend(provision::plan(&spares, &mut room, &offers));
+        bought.extend(provision::plan(
+            &spares,
+            &mut room,
+            &offers,
+            provision::MAX_NEW,
+        ));
         // A machine that still boots when its work is gone is given back, once
         // the least that it costs is spent.
         for (bin, ix) in coming_bins {
@@ -432,19 +442,23 @@
                 self.release(ix, "no longer needed", now);
             }
         }
-        bought
-            .into_iter()
-            .map(|p| {
+        let mut rents = Vec::new();
+        for p in bought {
+            let mut left = p.count;
+            while left > 0 {
+                let count = left.min(MAX_RENT);
+                left -= count;
                 self.requests += 1;
-                Rent {
+                rents.push(Rent {
                     request: format!("r-{}-{}", self.term, self.requests),
                     type_name: self.model.types[p.type_ix].name.clone(),
                     zone: self.model.zones.name(p.zone).to_owned(),
                     spot: p.spot,
-                    count: p.count.min(50),
-                }
-            })
-            .collect()
+                    count,
+                });
+            }
+        }
+        rents
     }
 
     /// `None`: no answer; the machines, if any, show in the list.
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -22,7 +22,7 @@
         },
     },
     protocol::{
-        cloud::{ListedMachine, ListedState, MachineType, Rent},
+        cloud::{ListedMachine, ListedState, MAX_RENT, MachineType, Rent},
         options::{LoadResource, Options},
         settings::{Objective, Settings},
         state::{Guard, Txn, Write},
--- a/src/coordination/provision.rs
+++ b/src/coordination/provision.rs
@@ -45,10 +45,19 @@
     pub count: u32,
 }
 
-/// Work past this many new machines waits for the next round.
-const MAX_NEW: usize = 12;
+/// New machines that batches are given in a round: work past that waits for
+/// the next, as some of it will have found room by then.
+pub const BATCH_NEW: usize = 12;
+/// A round is at most so many calls' worth of machines, as bounds are needed;
+/// the next follows within a second or two.
+pub const MAX_NEW: usize = 4 * crate::protocol::cloud::MAX_RENT as usize;
 
-pub fn plan(demands: &[Demand], bins: &mut Vec<Bin>, offers: &[Offer]) -> Vec<Purchase> {
+pub fn plan(
+    demands: &[Demand],
+    bins: &mut Vec<Bin>,
+    offers: &[Offer],
+    most: usize,
+) -> Vec<Purchase> {
     let mut bought: Vec<Purchase> = Vec::new();
     let mut new = 0;
     for d in demands {
@@ -70,7 +79,7 @@
             *used += n;
             left -= n;
         }
-        while left > 0 && new < MAX_NEW {
+        while left > 0 && new < most {
             // The least price for each task it would take.
             let best = offers
                 .iter()
@@ -164,8 +173,8 @@
             free: Amounts::offer(8.0, 0.0, 32.0),
         }];
         let offers = [offer(0, false, 8.0, 0.33), offer(0, true, 8.0, 0.11)];
-        assert_eq!(plan(&[demand(2)], &mut bins.clone(), &offers), vec![]);
-        let got = plan(&[demand(5)], &mut bins, &offers);
+        assert_eq!(plan(&[demand(2)], &mut bins.clone(), &offers, 12), vec![]);
+        let got = plan(&[demand(5)], &mut bins, &offers, 12);
         assert_eq!(got.len(), 1);
         assert!(got[0].spot && got[0].count == 2);
     }
@@ -174,7 +183,7 @@
     fn a_refused_kind_is_passed_over() {
         let mut offers = [offer(0, false, 8.0, 0.33), offer(0, true, 8.0, 0.11)];
         offers[1].refused = true;
-        let got = plan(&[demand(1)], &mut vec![], &offers);
+        let got = plan(&[demand(1)], &mut vec![], &offers, 12);
         assert!(!got[0].spot);
     }
 
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -36,6 +36,9 @@
     pub types: Vec<MachineType>,
 }
 
+/// Machines that one rental may ask for.
+pub const MAX_RENT: u32 = 50;
+
 #[derive(Debug, Clone, Serialize)]
 pub struct Rent {
     #[serde(rename = "hire_ask")]
