Waiting gangs gather whole machines, and preempt batches as a whole

Now the rooms that a waiting gang finds are kept from work of lower priority (of its own priority too, once its aims for starting are missed), and room is made for all its tasks at once in the zone where least is lost.

--- /dev/null
+++ b/src/coordination/leader/gather.rs
@@ -0,0 +1,141 @@
+//! Gangs of several tasks: rooms that come free one by one are kept together
+//! until all tasks find one, and made by preemption where that is enough.
+
+use super::{place::Room, *};
+
+/// After this long, where no aim for starting says otherwise, other work of
+/// the same priority no longer passes a gang by taking the rooms it gathers.
+const PATIENCE: Ms = 60_000;
+
+impl Leader {
+    /// Zones that could take the missing tasks of a gang: the one its tasks
+    /// are in already, if it must stay together. `None`: any mixture.
+    fn gang_zones(&self, job_ix: u32) -> Vec<Option<usize>> {
+        let Some(j) = self.model.job(job_ix) else {
+            return Vec::new();
+        };
+        if !j.spec.one_zone {
+            return vec![None];
+        }
+        let there = self.model.zones_of(job_ix);
+        let begun = there.iter().any(|n| *n > 0);
+        (0..there.len())
+            .filter(|z| !begun || there[*z] > 0)
+            .map(Some)
+            .collect()
+    }
+
+    /// Whether the gang waits for nothing but room.
+    fn wants_room(&self, job_ix: u32) -> bool {
+        self.model.job(job_ix).is_some_and(|j| {
+            (j.live == 0 || self.gang_to_complete(job_ix).is_some())
+                && self.within_limit(j.team, &j.need, i64::from(j.waiting()))
+        })
+    }
+
+    /// A gang that has missed its aims for starting is not passed any more.
+    pub(super) fn out_of_patience(&self, job_ix: u32, now: Ms) -> bool {
+        self.model.job(job_ix).is_some_and(|j| {
+            let aims =
+                self.settings.cluster.objectives.iter().filter(|o| {
+                    o.kind == "wait" && o.class.as_deref() == Some(j.spec.class.as_str())
+                });
+            let last = aims.filter_map(|o| o.within_s).fold(0.0, f64::max);
+            let patience = if last > 0.0 { millis(last) } else { PATIENCE };
+            now > j.known_ms + patience
+        })
+    }
+
+    /// Takes the rooms that a waiting gang finds out of the candidates, so
+    /// that what comes after it can't break them up. Guards against gangs
+    /// that never start, because each machine that comes up or falls free is
+    /// filled with small tasks before there are enough of them.
+    pub(super) fn gather(&self, job_ix: u32, candidates: &mut [Candidate], now: Ms) {
+        let Some(j) = self.model.job(job_ix).filter(|_| self.wants_room(job_ix)) else {
+            return;
+        };
+        let missing = i64::from(j.waiting());
+        let fits = |c: &Candidate| {
+            self.model
+                .machine(c.machine)
+                .filter(|m| {
+                    j.allows(m)
+                        && m.held_for
+                            .is_none_or(|(of, until)| of == job_ix || now >= until)
+                })
+                .map_or(0, |_| c.free.count(&j.need).min(missing))
+        };
+        let found = |zone: &Option<usize>| -> i64 {
+            candidates
+                .iter()
+                .filter(|c| zone.is_none_or(|z| z == c.zone))
+                .map(fits)
+                .sum::<i64>()
+                .min(missing)
+        };
+        let zones = self.gang_zones(job_ix);
+        let Some(zone) = zones.into_iter().max_by_key(found) else {
+            return;
+        };
+        let mut left = missing;
+        for c in candidates.iter_mut() {
+            if left == 0 {
+                return;
+            }
+            if zone.is_none_or(|z| z == c.zone) {
+                let n = fits(c).min(left);
+                c.free -= j.need.scaled(n);
+                left -= n;
+            }
+        }
+    }
+
+    /// Stops tasks of lower priority for all missing tasks of a gang at once,
+    /// in the zone where the least work is lost, and holds the rooms. Returns
+    /// on how many machines tasks were stopped.
+    pub(super) fn make_room_for_gang(&mut self, job_ix: u32, now: Ms) -> usize {
+        let held = |m: &Machine| m.is_held_for(job_ix, now);
+        if !self.wants_room(job_ix) || self.model.machines.iter().flatten().any(held) {
+            return 0;
+        }
+        let Some(j) = self.model.job(job_ix).filter(|j| !j.spec.spread) else {
+            return 0;
+        };
+        let (missing, priority, need) = (i64::from(j.waiting()), j.spec.priority, j.need);
+        let guaranteed = self.within_guarantee(j, now);
+        let mut best: Option<(i64, Vec<Room>)> = None;
+        for zone in self.gang_zones(job_ix) {
+            let mut rooms: Vec<Room> = (0..self.model.machines.len() as u32)
+                .filter(|ix| {
+                    let m = self.model.machine(*ix);
+                    m.is_some_and(|m| zone.is_none_or(|z| z == m.zone))
+                })
+                .filter_map(|ix| self.room_on(ix, job_ix, priority, guaranteed, now))
+                .collect();
+            rooms.sort_by_key(|r| (r.lost, r.fetch));
+            let (mut left, mut lost, mut n) = (missing, 0, 0);
+            for r in &rooms {
+                if left <= 0 {
+                    break;
+                }
+                let free = self.model.machine(r.machine).map(|m| m.free().count(&need));
+                left -= free.unwrap_or(0).max(1);
+                lost += r.lost;
+                n += 1;
+            }
+            rooms.truncate(n);
+            if left <= 0 && best.as_ref().is_none_or(|(l, _)| lost < *l) {
+                best = Some((lost, rooms));
+            }
+        }
+        let Some((_, rooms)) = best else {
+            return 0;
+        };
+        let mut stopped = 0;
+        for room in rooms {
+            stopped += usize::from(!room.victims.is_empty());
+            self.preempt(job_ix, room, now);
+        }
+        stopped
+    }
+}
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader of one term: binds the model, placement, dispatch and
 //! provisioning. It is told of events and asked for what to do next.
 
+mod gather;
 mod machines;
 mod place;
 mod records;
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -14,12 +14,12 @@
 
 /// Room that stopping some tasks would make.
 pub(super) struct Room {
-    machine: u32,
-    victims: Vec<usize>,
+    pub(super) machine: u32,
+    pub(super) victims: Vec<usize>,
     /// The image would have to be fetched there.
-    fetch: bool,
+    pub(super) fetch: bool,
     /// Work lost, in core-seconds.
-    lost: i64,
+    pub(super) lost: i64,
 }
 
 impl Leader {
@@ -123,6 +123,8 @@
         // Shapes that found no room in this pass; the rest of the queue
         // needn't be tried for them.
         let mut full: Vec<(Amounts, Vec<bool>, Option<usize>, bool)> = Vec::new();
+        // Gangs that wait for room, and the priority they have.
+        let mut gathering: (Vec<u32>, Priority) = (Vec::new(), Priority::Low);
         for &job_ix in &order {
             let Some(job) = self.model.job(job_ix) else {
                 continue;
@@ -130,6 +132,11 @@
             if job.backoff_until > now || !self.job_settled(job) {
                 continue;
             }
+            if job.spec.priority < gathering.1 {
+                for gang in gathering.0.drain(..) {
+                    self.gather(gang, &mut candidates, now);
+                }
+            }
             let key = (job.need, job.types.clone(), job.zone, job.spec.spot);
             // No room in the open; room may be held or made for it still.
             let held = |m: &Machine| m.held_for.is_some_and(|(of, _)| of == job_ix);
@@ -138,9 +145,10 @@
                 continue;
             }
             let bound = job.spec.one_zone || job.spec.spread || job.spec.kind == Kind::Gang;
-            let team = job.team;
+            let (team, priority) = (job.team, job.spec.priority);
+            let gang = job.spec.kind == Kind::Gang;
             let one = self.within_limit(team, &key.0, 1);
-            let placed = if job.spec.kind == Kind::Gang {
+            let placed = if gang {
                 self.place_gang(job_ix, &mut candidates, &mut reserves, now)
             } else {
                 self.place_each(job_ix, &mut candidates, &mut reserves, now)
@@ -148,6 +156,14 @@
             if !placed {
                 wanting.push(job_ix);
             }
+            if !placed && gang {
+                if self.out_of_patience(job_ix, now) {
+                    self.gather(job_ix, &mut candidates, now);
+                } else {
+                    gathering.0.push(job_ix);
+                    gathering.1 = priority;
+                }
+            }
             if !placed && !bound && one && self.within_limit(team, &key.0, 1) {
                 full.push(key);
             }
@@ -170,6 +186,12 @@
                 continue;
             }
             let (need, team, priority) = (j.need, j.team, j.spec.priority);
+            if j.spec.kind == Kind::Gang && j.spec.tasks > 1 {
+                if begun < 3 {
+                    begun += self.make_room_for_gang(job_ix, now);
+                }
+                continue;
+            }
             if j.spec.one_zone && j.spec.tasks > 1 {
                 // Not planned for here: such a job waits for room.
                 continue;
@@ -209,70 +231,77 @@
         priority: Priority,
         now: Ms,
         zone_ok: impl Fn(usize) -> bool,
+    ) -> Option<Room> {
+        let guaranteed = self.within_guarantee(self.model.job(job_ix)?, now);
+        (0..self.model.machines.len() as u32)
+            .filter(|ix| self.model.machine(*ix).is_some_and(|m| zone_ok(m.zone)))
+            .filter_map(|ix| self.room_on(ix, job_ix, priority, guaranteed, now))
+            .filter(|r| !r.victims.is_empty())
+            .min_by_key(|r| (r.fetch, r.lost))
+    }
+
+    /// Room for a task on one machine, at the least loss there.
+    pub(super) fn room_on(
+        &self,
+        ix: u32,
+        job_ix: u32,
+        priority: Priority,
+        guaranteed: bool,
+        now: Ms,
     ) -> Option<Room> {
         let job = self.model.job(job_ix)?;
-        let guaranteed = self.within_guarantee(job, now);
-        let mut best: Option<((bool, i64), u32, Vec<usize>)> = None;
-        for (ix, m) in self.model.machines.iter().enumerate() {
-            let Some(m) = m else { continue };
-            let allowed = m.usable()
-                && zone_ok(m.zone)
-                && m.held_for.is_none_or(|(_, until)| now >= until)
-                && job.allows(m);
-            if !allowed {
+        let m = self.model.machine(ix)?;
+        let allowed = m.usable()
+            && m.held_for.is_none_or(|(_, until)| now >= until)
+            && job.allows(m)
+            && job.need.fits(&m.capacity);
+        if !allowed {
+            return None;
+        }
+        let fetch = !m.images.contains(&job.image);
+        let mut victims: Vec<(i64, usize)> = Vec::new();
+        for (at, a) in m.tasks.iter().enumerate() {
+            let Some(v) = self.model.job(a.job) else {
+                continue;
+            };
+            if !a.live() || a.stop.is_some() || v.spec.kind == Kind::Service {
                 continue;
             }
-            let fetch = !m.images.contains(&job.image);
-            let mut victims: Vec<(i64, usize)> = Vec::new();
-            for (at, a) in m.tasks.iter().enumerate() {
-                let Some(v) = self.model.job(a.job) else {
-                    continue;
-                };
-                if !a.live() || a.stop.is_some() || v.spec.kind == Kind::Service {
-                    continue;
+            let lower = v.spec.priority < priority && v.spec.kind == Kind::Array;
+            // Room without the image can't meet the aim any more.
+            let beyond = guaranteed
+                && (!fetch || now >= job.known_ms + millis(GUARANTEE_S))
+                && v.team != job.team
+                && now > a.since + SETTLED_IN
+                && self.beyond_guarantee(v.team, &a.need, &job.need);
+            if lower || beyond {
+                // A task that saves loses little.
+                let mut ms = now - a.since;
+                if v.spec.checkpoint_s > 0.0 {
+                    ms = ms.min(millis(v.spec.save_s + 1.0));
                 }
-                let lower = v.spec.priority < priority && v.spec.kind == Kind::Array;
-                // Room without the image can't meet the aim any more.
-                let beyond = guaranteed
-                    && (!fetch || now >= job.known_ms + millis(GUARANTEE_S))
-                    && v.team != job.team
-                    && now > a.since + SETTLED_IN
-                    && self.beyond_guarantee(v.team, &a.need, &job.need);
-                if lower || beyond {
-                    // A task that saves loses little.
-                    let mut ms = now - a.since;
-                    if v.spec.checkpoint_s > 0.0 {
-                        ms = ms.min(millis(v.spec.save_s + 1.0));
-                    }
-                    let tasks = match v.spec.kind {
-                        Kind::Gang => i64::from(v.spec.tasks),
-                        _ => 1,
-                    };
-                    victims.push((ms as i64 * a.need.cpus.max(1) / 1_000_000 * tasks, at));
-                }
-            }
-            victims.sort_unstable();
-            let mut free = m.free();
-            let mut lost = 0;
-            let mut chosen = Vec::new();
-            for (cost, at) in victims {
-                if job.need.fits(&free) {
-                    break;
-                }
-                free += m.tasks[at].need;
-                lost += cost;
-                chosen.push(at);
+                let tasks = match v.spec.kind {
+                    Kind::Gang => i64::from(v.spec.tasks),
+                    _ => 1,
+                };
+                victims.push((ms as i64 * a.need.cpus.max(1) / 1_000_000 * tasks, at));
             }
-            if job.need.fits(&free)
-                && !chosen.is_empty()
-                && best.as_ref().is_none_or(|(b, _, _)| (fetch, lost) < *b)
-            {
-                best = Some(((fetch, lost), ix as u32, chosen));
+        }
+        victims.sort_unstable();
+        let mut free = m.free();
+        let mut lost = 0;
+        let mut chosen = Vec::new();
+        for (cost, at) in victims {
+            if job.need.fits(&free) {
+                break;
             }
+            free += m.tasks[at].need;
+            lost += cost;
+            chosen.push(at);
         }
-        best.map(|((fetch, lost), machine, victims)| Room {
-            machine,
-            victims,
+        job.need.fits(&free).then_some(Room {
+            machine: ix,
+            victims: chosen,
             fetch,
             lost,
         })
@@ -321,17 +350,19 @@
         true
     }
 
-    fn preempt(&mut self, job_ix: u32, room: Room, now: Ms) {
+    pub(super) fn preempt(&mut self, job_ix: u32, room: Room, now: Ms) {
         let id = self.model.job(job_ix).map(|j| j.id.clone());
         let Some(m) = self.model.machine_mut(room.machine) else {
             return;
         };
-        log::info!(
-            "preempting {} tasks on {} for {}",
-            room.victims.len(),
-            m.name,
-            id.unwrap_or_default()
-        );
+        if !room.victims.is_empty() {
+            log::info!(
+                "preempting {} tasks on {} for {}",
+                room.victims.len(),
+                m.name,
+                id.unwrap_or_default()
+            );
+        }
         m.held_for = Some((job_ix, now + HELD));
         for at in room.victims {
             self.stop_orderly(room.machine, at);
@@ -361,7 +392,7 @@
 
     /// Whether the team's unfinished work all fits its guarantee, and this job
     /// has waited a while although it must not wait for other teams.
-    fn within_guarantee(&self, job: &Job, now: Ms) -> bool {
+    pub(super) fn within_guarantee(&self, job: &Job, now: Ms) -> bool {
         let within = self
             .settings
             .cluster
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use pathwinch::protocol::users::{JobState, Kind, Priority};
+use pathwinch::protocol::users::{JobSpec, JobState, Kind, Priority};
 use world::{LEASE, Net, World, job};
 
 fn quiet(seed: u64, machines: usize, limit: f64) -> World {
@@ -409,6 +409,45 @@
     w.sound();
 }
 
+/// A gang of whole machines in one zone.
+fn whole_machines(n: u32, tasks: u32) -> JobSpec {
+    let mut gang = job(n, Kind::Gang, tasks);
+    gang.priority = Priority::High;
+    gang.cpus = 8.0;
+    gang.one_zone = true;
+    gang
+}
+
+#[test]
+fn machines_that_come_up_one_by_one_are_kept_together_for_a_waiting_gang() {
+    let mut w = quiet(17, 0, 0.0);
+    for _ in 0..3 {
+        w.add_worker("a", false, 0);
+    }
+    w.run(5_000);
+    w.submit(whole_machines(1, 4));
+    // Not an array, so that preemption can't make up for what it takes.
+    let mut small = job(2, Kind::Service, 6);
+    small.priority = Priority::Low;
+    w.submit(small);
+    w.run(10_000);
+    assert_eq!(w.running("j-000002"), 0, "the machines are the gang's");
+    w.add_worker("a", false, 0);
+    w.until(10_000, "the gang runs", |w| w.running("j-000001") == 4);
+    w.sound();
+}
+
+#[test]
+fn a_gang_gets_its_machines_at_once_from_batches_of_lower_priority() {
+    let mut w = quiet(18, 8, 0.0);
+    w.run_ms = 20_000;
+    w.submit(job(1, Kind::Array, 200));
+    w.until(10_000, "full", |w| w.running("j-000001") == 16);
+    w.submit(whole_machines(2, 4));
+    w.until(8_000, "the gang runs", |w| w.running("j-000002") == 4);
+    w.sound();
+}
+
 #[test]
 fn a_gang_that_lost_a_task_before_it_started_is_completed() {
     let mut w = quiet(19, 4, 0.0);
