--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -328,8 +328,14 @@
         if priority < Priority::High {
             return false;
         }
-        let mut machines = self.model.machines.iter().flatten();
-        if machines.any(|m| m.is_held_for(job_ix, now)) {
+        let held = |m: &Machine| m.is_held_for(job_ix, now);
+        // The room that was made for it is here. Guards against a service
+        // that waited until the hold was over, as rooms without its image
+        // looked like rooms still to come.
+        if self.model.machine(at.machine).is_some_and(held) {
+            return false;
+        }
+        if self.model.machines.iter().flatten().any(held) {
             return true;
         }
         let rate = self.model.machine(at.machine).map_or(1.0, |m| {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -2,7 +2,10 @@
 
 mod world;
 
-use pathwinch::protocol::users::{JobSpec, JobState, Kind, Priority};
+use pathwinch::protocol::{
+    users::{JobSpec, JobState, Kind, Priority},
+    workers::TaskState,
+};
 use world::{LEASE, Net, World, job};
 
 fn quiet(seed: u64, machines: usize, limit: f64) -> World {
@@ -409,6 +412,36 @@
     w.sound();
 }
 
+#[test]
+fn a_lost_service_starts_in_the_room_made_for_it_although_the_image_is_not_there() {
+    let mut w = quiet(19, 3, 0.0);
+    w.run_ms = 120_000;
+    let mut service = job(1, Kind::Service, 2);
+    service.priority = Priority::Production;
+    service.image = "own".into();
+    w.submit(service);
+    w.until(20_000, "up", |w| w.running("j-000001") == 2);
+    w.submit(job(2, Kind::Array, 20));
+    w.until(20_000, "full", |w| w.running("j-000002") == 4);
+    let lost: Vec<usize> = (0..3)
+        .filter(|i| {
+            let mut tasks = w.workers[*i].tasks.iter();
+            tasks.any(|t| t.name.starts_with("j-000001"))
+        })
+        .collect();
+    for i in lost {
+        w.workers[i].net = Net::Lose;
+    }
+    // Its lease has to lapse; a fetch and two reports come on top.
+    w.until(LEASE + 4_000, "up again elsewhere", |w| {
+        let there = w.workers.iter().filter(|m| m.net == Net::Up);
+        let tasks = there.flat_map(|m| &m.tasks);
+        let up = tasks.filter(|t| t.name.starts_with("j-000001"));
+        up.filter(|t| t.state == TaskState::Running).count() == 2
+    });
+    w.sound();
+}
+
 /// A gang of whole machines in one zone.
 fn whole_machines(n: u32, tasks: u32) -> JobSpec {
     let mut gang = job(n, Kind::Gang, tasks);
