Nothing is rented in a zone that fell silent

A zone in which several machines are silent, and neither a worker nor a controller is heard, is passed over until one is. Ruled out as the cause of late batches: the other zones were rented full.

--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -308,6 +308,7 @@
                 && m.session == 0
                 && !m.releasing
                 && !m.unknown
+                && !self.is_dark(m.zone, now)
                 && now < m.since + boot + boot * 7 / 10;
             if coming || (m.up && m.roster == Roster::Absent && !m.releasing) || m.usable() {
                 if coming {
@@ -336,10 +337,11 @@
                         spot,
                         capacity: Amounts::offer(t.cpus, t.gpus, t.memory_gb),
                         price: t.price_of(spot),
-                        refused: self
-                            .refused
-                            .get(&(type_ix, zone, spot))
-                            .is_some_and(|until| now < *until),
+                        refused: self.is_dark(zone, now)
+                            || self
+                                .refused
+                                .get(&(type_ix, zone, spot))
+                                .is_some_and(|until| now < *until),
                     });
                 }
             }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -6,6 +6,7 @@
 mod place;
 mod records;
 mod reserves;
+mod zones;
 
 use super::{
     dispatch,
@@ -144,6 +145,7 @@
     wall_ms: u64,
     /// By team, see `count_unseen`; empty once settled.
     unseen: Vec<Amounts>,
+    zone_life: Vec<zones::ZoneLife>,
 }
 
 impl Leader {
@@ -155,6 +157,7 @@
         now: Ms,
     ) -> Self {
         let model = Model::new(&settings, types);
+        let zones = model.zones.len();
         let policy = Policy {
             threshold: options.threshold,
             load: options.load,
@@ -188,6 +191,7 @@
             place_at: 0,
             wall_ms: 0,
             unseen: Vec::new(),
+            zone_life: vec![zones::ZoneLife::since(now); zones],
         }
     }
 
@@ -310,6 +314,11 @@
         let floor = self.floor();
         let news = dispatch::take_in(&mut self.model, ix, report, floor, beat, now);
         self.changed |= news.changed;
+        if let Some(m) = self.model.machine(ix)
+            && m.heard == now
+        {
+            self.zone_heard(m.zone, now);
+        }
         for (job_ix, why) in news.ended {
             self.on_ended(ix, job_ix, why, now);
         }
@@ -504,11 +513,15 @@
     fn lapse(&mut self, now: Ms) {
         let after = self.lapse_after();
         let overdue = millis(self.settings.cluster.workers.report_s * 2.5) + 500;
+        let mut silent = vec![0; self.model.zones.len()];
         for ix in 0..self.model.machines.len() as u32 {
             let Some(m) = self.model.machine_mut(ix) else {
                 continue;
             };
             let suspect = m.up && now > m.heard + overdue;
+            if suspect || (!m.up && (m.session > 0 || m.roster == Roster::Present)) {
+                silent[m.zone] += 1;
+            }
             if m.suspect != suspect {
                 m.suspect = suspect;
                 self.changed = true;
@@ -529,6 +542,7 @@
             self.model.clear_machine(ix);
             self.changed = true;
         }
+        self.judge_zones(&silent, overdue, now);
     }
 
     /// A machine is to be taken away: tasks that can save do so now, as the
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -160,6 +160,7 @@
         match self.touch(lead.lease).await {
             Touch::Renewed => {
                 self.election.borrow_mut().renewed(sent);
+                self.greet_other_zones(lead.term);
                 if self.hears_nobody(lead.term).await {
                     let now = self.now();
                     self.election.borrow_mut().abstain(now + ABSTAIN);
@@ -188,6 +189,25 @@
         self.settings.peers.iter().map(|p| ask(p.addr)).collect()
     }
 
+    /// Whether a zone is cut off shows in its controllers as well.
+    fn greet_other_zones(self: &Rc<Self>, term: u64) {
+        let own = &self.settings.zone;
+        for p in self.settings.peers.iter().filter(|p| p.zone != *own) {
+            let (node, addr, zone) = (self.clone(), p.addr, p.zone.clone());
+            self.executor
+                .spawn(async move {
+                    let greeting = Request::Unheard {
+                        machines: Vec::new(),
+                        for_ms: 0,
+                    };
+                    if node.peers.call(addr, &greeting, PROBE).await.is_ok() {
+                        node.of_term(term, |l, now| l.controller_heard(&zone, now));
+                    }
+                })
+                .detach();
+        }
+    }
+
     /// Asks the others to relay reports of machines that fell silent: the cut
     /// may be between them and this node alone. A worker tries another node
     /// after 5 s of its lease, so there is no time to find out first. Returns
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -24,6 +24,9 @@
 pub struct Peer {
     #[serde(rename = "host_name")]
     pub name: String,
+    /// Where it stands, if that is told.
+    #[serde(rename = "area", default)]
+    pub zone: String,
     #[serde(rename = "endpoint")]
     pub addr: SocketAddr,
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -442,6 +442,30 @@
     w.sound();
 }
 
+#[test]
+fn nothing_is_rented_in_a_zone_that_fell_silent_until_it_is_heard_again() {
+    let mut w = quiet(20, 8, 0.0);
+    w.rents = true;
+    w.run_ms = 60_000;
+    let mut batch = job(1, Kind::Array, 60);
+    batch.zone = Some("b".into());
+    let in_b: Vec<usize> = (0..8).filter(|i| w.workers[*i].zone == "b").collect();
+    w.run(3_000);
+    for i in &in_b {
+        w.workers[*i].net = Net::Hold;
+    }
+    w.run(5_000);
+    w.submit(batch);
+    w.run(30_000);
+    assert_eq!(w.workers.len(), 8, "rented where nothing is heard");
+    // A controller there answers again.
+    let (i, now) = (w.leader().unwrap(), w.now);
+    let leader = w.nodes[i].leader.as_mut().unwrap();
+    leader.controller_heard("b", now);
+    w.until(10_000, "rented again", |w| w.workers.len() > 8);
+    w.sound();
+}
+
 /// A gang of whole machines in one zone.
 fn whole_machines(n: u32, tasks: u32) -> JobSpec {
     let mut gang = job(n, Kind::Gang, tasks);
