--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -69,7 +69,9 @@
         options,
         executor: executor.clone(),
         start: Instant::now(),
-        http: Client::default(),
+        // Of the sockets, 5/8 are for those who call and 1/8 for other
+        // controllers; what is left must also do for calls under way.
+        http: Client::new(sockets / 5),
         peers: PeerClient::default(),
         leader: RefCell::new(None),
         requests: RefCell::new(Budget::new(limits.state.rps * 0.9, 0.9)),
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -17,7 +17,6 @@
 
 const MAX_ANSWER: u64 = 2 * 1024 * 1024;
 const IDLE_PER_HOST: usize = 4;
-const IDLE_TOTAL: usize = 96;
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum CallError {
@@ -41,16 +40,66 @@
     pub body: Vec<u8>,
 }
 
-#[derive(Default)]
 pub struct Client {
-    idle: RefCell<HashMap<SocketAddr, Vec<Stream>>>,
+    idle: RefCell<Idle>,
+}
+
+/// Connections that wait for their next request. Of a fleet larger than
+/// `most` those unused for longest are closed: to close all of them at once,
+/// as was done, costs a new connection for each order.
+struct Idle {
+    most: usize,
+    kept: usize,
+    clock: u64,
+    hosts: HashMap<SocketAddr, (u64, Vec<Stream>)>,
+}
+
+impl Idle {
+    fn keep(&mut self, addr: SocketAddr, stream: Stream) {
+        if self.kept >= self.most {
+            let oldest = self.hosts.iter().min_by_key(|(_, (used, _))| *used);
+            if let Some(addr) = oldest.map(|(addr, _)| *addr)
+                && let Some((_, list)) = self.hosts.remove(&addr)
+            {
+                self.kept -= list.len();
+            }
+        }
+        self.clock += 1;
+        let (used, list) = self.hosts.entry(addr).or_default();
+        *used = self.clock;
+        if list.len() < IDLE_PER_HOST {
+            list.push(stream);
+            self.kept += 1;
+        }
+    }
+
+    fn pop(&mut self, addr: SocketAddr) -> Option<Stream> {
+        let (_, list) = self.hosts.get_mut(&addr)?;
+        let stream = list.pop();
+        match stream {
+            Some(_) => self.kept -= 1,
+            None => drop(self.hosts.remove(&addr)),
+        }
+        stream
+    }
 }
 
 impl Client {
+    /// Keeps at most so many connections open between requests.
+    pub fn new(most: usize) -> Self {
+        Client {
+            idle: RefCell::new(Idle {
+                most,
+                kept: 0,
+                clock: 0,
+                hosts: HashMap::new(),
+            }),
+        }
+    }
+
     fn pooled(&self, addr: SocketAddr) -> Option<Stream> {
         let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(&addr)?;
-        while let Some(stream) = list.pop() {
+        while let Some(stream) = idle.pop(addr) {
             // A live idle connection has nothing to read.
             let mut byte = [0];
             if let Err(e) = stream.0.get_ref().peek(&mut byte)
@@ -59,21 +108,9 @@
                 return Some(stream);
             }
         }
-        idle.remove(&addr);
         None
     }
 
-    fn keep(&self, addr: SocketAddr, stream: Stream) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.values().map(Vec::len).sum::<usize>() >= IDLE_TOTAL {
-            idle.clear();
-        }
-        let list = idle.entry(addr).or_default();
-        if list.len() < IDLE_PER_HOST {
-            list.push(stream);
-        }
-    }
-
     pub async fn call(
         &self,
         addr: SocketAddr,
@@ -118,7 +155,7 @@
         match within(left, exchange).await {
             Some(Ok((answer, close))) => {
                 if !close {
-                    self.keep(addr, stream);
+                    self.idle.borrow_mut().keep(addr, stream);
                 }
                 Ok(answer)
             }
@@ -127,3 +164,24 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_full_pool_closes_what_was_unused_for_longest_and_nothing_else() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let there = listener.local_addr().unwrap();
+        let client = Client::new(3);
+        let host = |n: u16| SocketAddr::from(([127, 0, 0, 1], n));
+        for n in 1..=4 {
+            let stream = Async::<TcpStream>::new(TcpStream::connect(there).unwrap()).unwrap();
+            let mut idle = client.idle.borrow_mut();
+            idle.keep(host(n), Stream(Arc::new(stream)));
+        }
+        let pooled: Vec<bool> = (1..=4).map(|n| client.pooled(host(n)).is_some()).collect();
+        assert_eq!(pooled, [false, true, true, true]);
+        assert_eq!(client.idle.borrow().kept, 0);
+    }
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -621,3 +621,43 @@
         assert!(w.starts > 50);
     }
 }
+
+/// Seven nodes and 400 machines: gangs of eight, an array of 500, services; a
+/// node is down when the state service goes, and all crash as it comes back.
+#[test]
+fn a_grown_installation_gets_through_an_outage_that_ends_with_all_nodes_crashing() {
+    let mut w = World::sized(21, 400, 0.0, 7);
+    w.fetch_ms = 1_000;
+    w.run_ms = 15_000;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.submit(job(1, Kind::Array, 500));
+    for n in 2..6 {
+        w.submit(whole_machines(n, 8));
+    }
+    for n in 6..16 {
+        let mut service = job(n, Kind::Service, 12);
+        service.priority = Priority::Production;
+        service.spread = true;
+        w.submit(service);
+    }
+    w.until(20_000, "all run", |w| {
+        (2..6).all(|n| w.running(&format!("j-{n:06}")) == 8)
+            && (6..16).all(|n| w.running(&format!("j-{n:06}")) == 12)
+    });
+    let leader = w.leader().unwrap();
+    w.crash((leader + 1) % 7, 3_000);
+    w.store.down = true;
+    w.run(9_000);
+    for i in 0..7 {
+        w.crash(i, 3_000);
+    }
+    w.run(500);
+    w.store.down = false;
+    w.until(60_000, "all batches and gangs done", |w| {
+        (1..6).all(|n| w.done(&format!("j-{n:06}")))
+    });
+    w.until(30_000, "services up", |w| {
+        (6..16).all(|n| w.running(&format!("j-{n:06}")) == 12)
+    });
+    w.sound();
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -233,6 +233,10 @@
 
 impl World {
     pub fn new(seed: u64, machines: usize, cpus_max: f64) -> World {
+        Self::sized(seed, machines, cpus_max, 3)
+    }
+
+    pub fn sized(seed: u64, machines: usize, cpus_max: f64, nodes: usize) -> World {
         let settings = Rc::new(settings(cpus_max));
         let mut w = World {
             now: 10_000,
@@ -254,7 +258,7 @@
             sabotage: false,
             rents: false,
         };
-        for i in 0..3 {
+        for i in 0..nodes {
             let node = w.fresh(i);
             w.nodes.push(node);
         }
@@ -804,6 +808,7 @@
             }
             Msg::Reply(w, i, reply, session, seq, sent) => {
                 let leader = self.nodes[i].election.seen.clone();
+                let nodes = self.nodes.len();
                 let worker = &mut self.workers[w];
                 if worker.flight != Some((seq, sent)) || now > sent + 4000 || !worker.alive {
                     return;
@@ -813,7 +818,7 @@
                     worker.target = leader
                         .and_then(|(n, _)| n[1..].parse().ok())
                         .filter(|t| *t != i)
-                        .unwrap_or((i + 1) % 3);
+                        .unwrap_or((i + 1) % nodes);
                     worker.next = now + 500;
                     return;
                 };
@@ -994,6 +999,7 @@
     fn worker_time(&mut self, w: usize) {
         let now = self.now;
         let run_ms = self.run_ms;
+        let nodes = self.nodes.len();
         let mut started = Vec::new();
         let worker = &mut self.workers[w];
         if !worker.alive || now < worker.boots {
@@ -1031,7 +1037,7 @@
             && now > sent + 4000
         {
             worker.flight = None;
-            worker.target = (worker.target + 1) % 3;
+            worker.target = (worker.target + 1) % nodes;
             worker.next = now + 1000;
         }
         if worker.flight.is_none()
@@ -1046,7 +1052,7 @@
                 self.workers[w].flight = Some((report.seq, now));
                 self.send(w, 5, Msg::Beat(target, w, report, now));
             } else {
-                worker.target = (target + 1) % 3;
+                worker.target = (target + 1) % nodes;
             }
         }
         for name in started {
