An idle machine that has the image goes before one that has not

Cause (log): gangs fetched their image on machines that had just fallen empty while idle ones with it stood by, as these rank as surplus. Kept: a fetch spared costs nothing.

--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -454,8 +454,10 @@
                     c.pool += LATE_RANK;
                 }
                 // A machine that has been empty for a while is about to be
-                // returned: used only when the others have no room.
-                if c.free == c.capacity && now >= m.idle_since + SURPLUS {
+                // returned: used only when the others have no room, or would
+                // have to fetch what it has. Guards against gangs that leave
+                // idle machines with their image to fetch it on others.
+                if c.free == c.capacity && !c.caches_image && now >= m.idle_since + SURPLUS {
                     c.pool += SURPLUS_RANK;
                 }
             }
