--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -11,6 +11,8 @@
 use std::{collections::HashMap, net::SocketAddr};
 
 pub const NONE: u32 = u32::MAX;
+/// Images that are noted of a machine, so that its record stays small.
+const MOST_IMAGES: usize = 32;
 const DONE: u32 = u32::MAX - 1;
 
 /// Where one task of a job is.
@@ -311,6 +313,8 @@
     pub usage: Vec<Amounts>,
     pub types: Vec<MachineType>,
     pub images: Names,
+    /// Their sizes, as far as known.
+    image_gb: Vec<f64>,
     pub jobs: Vec<Option<Job>>,
     free_jobs: Vec<u32>,
     by_ref: HashMap<String, u32>,
@@ -583,20 +587,14 @@
         if phase == Phase::Running {
             job.running += 1;
         }
-        let (team, need, image) = (job.team, job.need, job.image);
+        let (team, need, image, gb) = (job.team, job.need, job.image, job.spec.image_gb);
         let name = format!("{}/{task}", job.id);
         if let Some(u) = self.usage.get_mut(team) {
             *u += need;
         }
+        self.note_image(machine, image, gb);
         if let Some(m) = self.machine_mut(machine) {
             m.used += need;
-            if !m.images.contains(&image) {
-                m.images.push(image);
-                m.images_new = true;
-                if m.images.len() > 8 {
-                    m.images.remove(0);
-                }
-            }
             m.tasks.push(Assignment {
                 name,
                 job: job_ix,
@@ -614,6 +612,43 @@
         }
     }
 
+    /// The machine has the image, or fetches it: it becomes the most recently
+    /// used of its cache, and the oldest that no longer fit are gone. Guards
+    /// against taking large images for gone because many small ones came.
+    fn note_image(&mut self, machine: u32, image: u32, gb: f64) {
+        if self.image_gb.len() <= image as usize {
+            self.image_gb.resize(image as usize + 1, 0.0);
+        }
+        self.image_gb[image as usize] = gb;
+        let Some(m) = self
+            .machines
+            .get_mut(machine as usize)
+            .and_then(Option::as_mut)
+        else {
+            return;
+        };
+        if m.images.last() == Some(&image) {
+            return;
+        }
+        match m.images.iter().position(|i| *i == image) {
+            Some(at) => {
+                m.images.remove(at);
+            }
+            None => m.images_new = true,
+        }
+        m.images.push(image);
+        let size = |i: &u32| self.image_gb.get(*i as usize).copied().unwrap_or(0.0);
+        let cache = match self.types[m.type_ix].cache_gb {
+            known if known > 0.0 => known,
+            _ => f64::INFINITY,
+        };
+        let mut held: f64 = m.images.iter().map(size).sum();
+        while m.images.len() > 1 && (m.images.len() > MOST_IMAGES || held > cache) {
+            held -= size(&m.images[0]);
+            m.images.remove(0);
+        }
+    }
+
     /// A task reported by a machine whose job is not known, or that should
     /// not be there: it is stopped, or reaped if it has ended.
     pub fn assign_stray(&mut self, machine: u32, name: &str, attempt: u64, phase: Phase, now: Ms) {
--- a/src/coordination/leader/gather.rs
+++ b/src/coordination/leader/gather.rs
@@ -90,17 +90,15 @@
         }
     }
 
-    /// Stops tasks of lower priority for all missing tasks of a gang at once,
-    /// in the zone where the least work is lost, and holds the rooms. Returns
-    /// on how many machines tasks were stopped.
-    pub(super) fn make_room_for_gang(&mut self, job_ix: u32, now: Ms) -> usize {
-        let held = |m: &Machine| m.is_held_for(job_ix, now);
-        if !self.wants_room(job_ix) || self.model.machines.iter().flatten().any(held) {
-            return 0;
-        }
-        let Some(j) = self.model.job(job_ix).filter(|j| !j.spec.spread) else {
-            return 0;
-        };
+    /// Rooms for all missing tasks of a gang in one zone, on machines that
+    /// `there` admits, where the least work is lost.
+    fn gang_rooms(
+        &self,
+        job_ix: u32,
+        now: Ms,
+        there: impl Fn(&Machine) -> bool,
+    ) -> Option<(i64, Vec<Room>)> {
+        let j = self.model.job(job_ix).filter(|j| !j.spec.spread)?;
         let (missing, priority, need) = (i64::from(j.waiting()), j.spec.priority, j.need);
         let guaranteed = self.within_guarantee(j, now);
         let mut best: Option<(i64, Vec<Room>)> = None;
@@ -108,7 +106,7 @@
             let mut rooms: Vec<Room> = (0..self.model.machines.len() as u32)
                 .filter(|ix| {
                     let m = self.model.machine(*ix);
-                    m.is_some_and(|m| zone.is_none_or(|z| z == m.zone))
+                    m.is_some_and(|m| zone.is_none_or(|z| z == m.zone) && there(m))
                 })
                 .filter_map(|ix| self.room_on(ix, job_ix, priority, guaranteed, now))
                 .collect();
@@ -128,9 +126,59 @@
                 best = Some((lost, rooms));
             }
         }
-        let Some((_, rooms)) = best else {
+        best
+    }
+
+    /// Stops tasks of lower priority for all missing tasks of a gang at once,
+    /// and holds the rooms. Returns on how many machines tasks were stopped.
+    pub(super) fn make_room_for_gang(&mut self, job_ix: u32, now: Ms) -> usize {
+        let held = |m: &Machine| m.is_held_for(job_ix, now);
+        if !self.wants_room(job_ix) || self.model.machines.iter().flatten().any(held) {
             return 0;
+        }
+        match self.gang_rooms(job_ix, now, |_| true) {
+            Some((_, rooms)) => self.preempt_all(job_ix, rooms, now),
+            None => 0,
+        }
+    }
+
+    /// Where some of a gang's tasks would have to fetch for longer than the
+    /// aim for starting allows, rooms with the image for all of them may be
+    /// the lesser loss. Returns whether the gang is to wait for such rooms.
+    pub(super) fn gang_room_with_image(&mut self, job_ix: u32, chosen: &[u32], now: Ms) -> bool {
+        let held = |m: &Machine| m.is_held_for(job_ix, now);
+        let Some(j) = self.model.job(job_ix) else {
+            return false;
         };
+        let (image, high) = (j.image, j.spec.priority >= Priority::High);
+        if !high
+            || chosen
+                .iter()
+                .filter_map(|ix| self.model.machine(*ix))
+                .any(held)
+        {
+            return false;
+        }
+        if self.model.machines.iter().flatten().any(held) {
+            return true;
+        }
+        let rate = chosen
+            .iter()
+            .filter_map(|ix| self.model.machine(*ix))
+            .map(|m| self.model.types[m.type_ix].fetch_gb_per_s)
+            .fold(f64::INFINITY, f64::min)
+            .max(0.001);
+        let worth = (place::fetch_worth(j, rate) + place::WORTH) * chosen.len() as f64;
+        match self.gang_rooms(job_ix, now, |m| m.images.contains(&image)) {
+            Some((lost, rooms)) if lost as f64 <= worth => {
+                self.preempt_all(job_ix, rooms, now);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn preempt_all(&mut self, job_ix: u32, rooms: Vec<Room>, now: Ms) -> usize {
         let mut stopped = 0;
         for room in rooms {
             stopped += usize::from(!room.victims.is_empty());
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -5,13 +5,19 @@
 
 /// Constant part, in core-seconds, of the work that may be lost for a start
 /// without a fetch.
-const WORTH: f64 = 100.0;
+pub(super) const WORTH: f64 = 100.0;
 /// The same for a service, which users miss while it fetches.
 const WORTH_SERVICE: f64 = 600.0;
 
 /// After this long a team does not wait for what others hold beyond theirs.
 const GUARANTEE_S: f64 = 20.0;
 
+/// Core-seconds for which a task's share of a machine is idle while its image
+/// is fetched there.
+pub(super) fn fetch_worth(job: &Job, gb_per_s: f64) -> f64 {
+    job.spec.image_gb / gb_per_s * job.spec.cpus.max(4.0 * job.spec.gpus)
+}
+
 /// Room that stopping some tasks would make.
 pub(super) struct Room {
     pub(super) machine: u32,
@@ -345,7 +351,7 @@
             Kind::Service => WORTH_SERVICE,
             _ => WORTH,
         };
-        let worth = job.spec.image_gb / rate * job.spec.cpus.max(4.0 * job.spec.gpus) + least;
+        let worth = fetch_worth(job, rate) + least;
         let Some(room) = self.cheapest_room(job_ix, priority, now, zone_ok) else {
             return false;
         };
@@ -654,6 +660,7 @@
         for only in zones {
             let mut trial = candidates.to_vec();
             let mut chosen = Vec::with_capacity(n as usize);
+            let mut late = false;
             let mut per_zone = there.clone();
             for &task in &missing {
                 let pick = self.choose(job_ix, task, &trial, reserves, now, |z| {
@@ -664,9 +671,13 @@
                 trial[at].free -= need;
                 trial[at].preference = trial[at].free.cpus;
                 per_zone[trial[at].zone] += 1;
+                late |= trial[at].pool >= LATE_RANK;
                 chosen.push(trial[at].machine);
             }
             if chosen.len() == missing.len() {
+                if n > 1 && late && self.gang_room_with_image(job_ix, &chosen, now) {
+                    return false;
+                }
                 if n == 1
                     && let Some(c) = candidates.iter().find(|c| c.machine == chosen[0])
                 {
