--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -5,6 +5,7 @@
 use crate::protocol::{
     cloud::MachineType,
     settings::{Settings, Team},
+    status::Reason,
     users::{JobSpec, JobState, JobStatus, Kind},
     workers::Why,
 };
@@ -56,6 +57,12 @@
     pub writing: bool,
     pub failures: u32,
     pub backoff_until: Ms,
+    /// A task of it has run since this leader knows of it.
+    pub has_run: bool,
+    /// Why what waits does not run, as placement last decided.
+    pub reason: Reason,
+    /// What renting makes of it: room on its way, or none to be had.
+    pub supply: Option<Reason>,
 }
 
 impl Job {
@@ -433,6 +440,9 @@
             writing: false,
             failures: 0,
             backoff_until: 0,
+            has_run: false,
+            reason: Reason::New,
+            supply: None,
             spec,
         };
         let ix = match self.free_jobs.pop() {
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -20,8 +20,10 @@
 pub struct News {
     /// Tasks, jobs or the machine's readiness changed.
     pub changed: bool,
-    /// (job, cause) of tasks that ended.
-    pub ended: Vec<(u32, Why)>,
+    /// (job, task, cause) of tasks that ended.
+    pub ended: Vec<(u32, u32, Why)>,
+    /// Jobs of tasks that began to run.
+    pub started: Vec<u32>,
 }
 
 fn phase_of(state: TaskState, why: Option<Why>) -> Phase {
@@ -107,9 +109,12 @@
                 if a.phase == phase || !a.live() {
                     continue;
                 }
-                let job = a.job;
+                let (job, task) = (a.job, a.task);
+                if phase == Phase::Running {
+                    news.started.push(job);
+                }
                 if let Phase::Ended(why) = phase {
-                    news.ended.push((job, why));
+                    news.ended.push((job, task, why));
                     if let Some(m) = model.machine_mut(ix)
                         && why == Why::Done
                     {
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -351,6 +351,7 @@
         let mut room: HashMap<usize, Amounts> = HashMap::new();
         let mut demands = Vec::new();
         let mut batch_demands = Vec::new();
+        let (mut of, mut batch_of) = (Vec::new(), Vec::new());
         for &ix in &order {
             let Some(j) = self.model.job(ix) else {
                 continue;
@@ -381,6 +382,7 @@
                 zone: j.zone,
                 spot: j.spec.spot,
                 per_zone: j.spec.spread.then(|| i64::from(j.spec.tasks.div_ceil(2))),
+                refused: false,
             };
             if j.spec.kind == Kind::Array {
                 let age = wall_ms.saturating_sub(j.at_ms) as f64 / 1000.0;
@@ -391,29 +393,42 @@
                 let live = i64::from(j.live);
                 demand.count = provision::parallel(count, live, j.spec.estimate_s, left);
                 batch_demands.push(demand);
+                batch_of.push(ix);
             } else {
                 demands.push(demand);
+                of.push(ix);
             }
             if demands.len() + batch_demands.len() >= 200 {
                 break;
             }
         }
         self.order = order;
-        let mut bought = provision::plan(&demands, &mut bins, &offers, provision::MAX_NEW);
+        let mut bought = provision::plan(&mut demands, &mut bins, &offers, provision::MAX_NEW);
         // Batches may use what high priority leaves.
         let mut room: Vec<Bin> = bins.clone();
         bought.extend(provision::plan(
-            &batch_demands,
+            &mut batch_demands,
             &mut bins,
             &offers,
             provision::BATCH_NEW,
         ));
+        let planned = of.iter().chain(&batch_of);
+        for (ix, d) in planned.zip(demands.iter().chain(&batch_demands)) {
+            if let Some(j) = self.model.job_mut(*ix) {
+                j.supply = match d {
+                    Demand { refused: true, .. } => Some(Reason::CloudRefuses),
+                    Demand { count: 1.., .. } => Some(Reason::MachineBooting),
+                    // Not hurried: it will be in time without.
+                    _ => None,
+                };
+            }
+        }
         let untouched: Vec<bool> = bins
             .iter()
             .zip(&free_before)
             .map(|(b, before)| b.free == *before)
             .collect();
-        let spares: Vec<Demand> = self
+        let mut spares: Vec<Demand> = self
             .spares()
             .into_iter()
             .map(|r| Demand {
@@ -423,13 +438,14 @@
                 zone: None,
                 spot: r.spot,
                 per_zone: None,
+                refused: false,
             })
             .collect();
         for (bin, held) in room.iter_mut().zip(batch_held) {
             bin.free += held;
         }
         bought.extend(provision::plan(
-            &spares,
+            &mut spares,
             &mut room,
             &offers,
             provision::MAX_NEW,
@@ -475,6 +491,7 @@
             rent.zone,
             if rent.spot { ", spot" } else { "" }
         );
+        self.tally.rented += names.len() as u64;
         for name in names {
             self.model
                 .insert_machine(name, "", &rent.type_name, &rent.zone, rent.spot, now);
@@ -506,6 +523,7 @@
             {
                 self.drops.push((name.clone(), m.version));
             }
+            self.tally.released += 1;
             self.model.remove_machine(ix);
             self.released.insert(name.clone(), now);
             self.changed = true;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -6,6 +6,7 @@
 mod place;
 mod records;
 mod reserves;
+mod status;
 mod zones;
 
 use super::{
@@ -28,6 +29,7 @@
         options::{LoadResource, Options},
         settings::{Objective, Settings},
         state::{Guard, Txn, Write},
+        status::Reason,
         users::{JobSpec, JobState, JobStatus, Kind, Priority},
         workers::{DirectOrder, Report, ReportReply, Why},
     },
@@ -111,6 +113,7 @@
 
 pub use records::acceptance_with_notice;
 use reserves::{Class, Reserve};
+pub use status::Tally;
 
 pub struct Leader {
     settings: Rc<Settings>,
@@ -146,6 +149,8 @@
     /// By team, see `count_unseen`; empty once settled.
     unseen: Vec<Amounts>,
     zone_life: Vec<zones::ZoneLife>,
+    tally: Tally,
+    failed: VecDeque<status::Failed>,
 }
 
 impl Leader {
@@ -192,6 +197,8 @@
             wall_ms: 0,
             unseen: Vec::new(),
             zone_life: vec![zones::ZoneLife::since(now); zones],
+            tally: Tally::default(),
+            failed: VecDeque::new(),
         }
     }
 
@@ -319,12 +326,19 @@
         {
             self.zone_heard(m.zone, now);
         }
-        for (job_ix, why) in news.ended {
-            self.on_ended(ix, job_ix, why, now);
+        for job_ix in news.started {
+            if let Some(j) = self.model.job_mut(job_ix).filter(|j| !j.has_run) {
+                j.has_run = true;
+                let waited = (now - j.known_ms) as f64 / 1000.0;
+                self.tally.waits.push((j.spec.class.clone(), waited));
+            }
+        }
+        for (job_ix, task, why) in news.ended {
+            self.on_ended(ix, job_ix, task, why, now);
         }
     }
 
-    fn on_ended(&mut self, machine: u32, job_ix: u32, why: Why, now: Ms) {
+    fn on_ended(&mut self, machine: u32, job_ix: u32, task: u32, why: Why, now: Ms) {
         let Some(job) = self.model.job_mut(job_ix) else {
             return;
         };
@@ -339,6 +353,10 @@
                     job.backoff_until = now + (500 << failures.min(7));
                 }
                 let id = job.id.clone();
+                if let Some(m) = self.model.machine(machine) {
+                    let machine = m.name.clone();
+                    self.note_failure(format!("{id}/{task}"), machine, why, now);
+                }
                 if let Some(m) = self.model.machine_mut(machine)
                     && failures <= 3
                 {
@@ -347,7 +365,7 @@
                         m.quarantined = true;
                         log::info!("machine {} quarantined: tasks fail on it", m.name);
                     }
-                    log::debug!("task of {id} failed on {}: {why:?}", m.name);
+                    log::debug!("task {id}/{task} failed on {}: {why:?}", m.name);
                 }
             }
             Why::Stopped | Why::Peers | Why::Alone => {}
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -120,6 +120,9 @@
         let mut candidates = self.candidates();
         let order = self.queue();
         if candidates.is_empty() {
+            for ix in &order {
+                self.set_reason(*ix, Reason::NoRoom);
+            }
             self.order = order;
             return;
         }
@@ -135,7 +138,12 @@
             let Some(job) = self.model.job(job_ix) else {
                 continue;
             };
-            if job.backoff_until > now || !self.job_settled(job) {
+            if job.backoff_until > now {
+                self.set_reason(job_ix, Reason::FailsEverywhere);
+                continue;
+            }
+            if !self.job_settled(job) {
+                self.set_reason(job_ix, Reason::Settling);
                 continue;
             }
             if job.spec.priority < gathering.1 {
@@ -147,6 +155,7 @@
             // No room in the open; room may be held or made for it still.
             let held = |m: &Machine| m.held_for.is_some_and(|(of, _)| of == job_ix);
             if full.contains(&key) && !self.model.machines.iter().flatten().any(held) {
+                self.set_reason(job_ix, Reason::NoRoom);
                 wanting.push(job_ix);
                 continue;
             }
@@ -160,6 +169,8 @@
                 self.place_each(job_ix, &mut candidates, &mut reserves, now)
             };
             if !placed {
+                let reason = self.reason_left(job_ix, now);
+                self.set_reason(job_ix, reason);
                 wanting.push(job_ix);
             }
             if !placed && gang {
@@ -178,6 +189,27 @@
         self.make_room(&wanting, now);
     }
 
+    /// Why the rest of a job found no place in this pass.
+    fn reason_left(&self, job_ix: u32, now: Ms) -> Reason {
+        let Some(j) = self.model.job(job_ix) else {
+            return Reason::New;
+        };
+        let gang = j.spec.kind == Kind::Gang;
+        let at_once = if gang { j.waiting() } else { 1 };
+        let held = |m: &Machine| m.is_held_for(job_ix, now);
+        if gang && j.live > 0 && self.gang_to_complete(job_ix).is_none() {
+            Reason::OldAttempt
+        } else if !self.within_limit(j.team, &j.need, i64::from(at_once)) {
+            Reason::TeamLimit
+        } else if self.model.machines.iter().flatten().any(held) {
+            Reason::RoomBeingMade
+        } else if gang && j.spec.tasks > 1 {
+            Reason::GangIncomplete
+        } else {
+            Reason::NoRoom
+        }
+    }
+
     /// Stops tasks of lower priority where a job of high priority finds no
     /// room, and keeps the room for it.
     pub(super) fn make_room(&mut self, wanting: &[u32], now: Ms) {
@@ -364,6 +396,8 @@
 
     pub(super) fn preempt(&mut self, job_ix: u32, room: Room, now: Ms) {
         let id = self.model.job(job_ix).map(|j| j.id.clone());
+        self.set_reason(job_ix, Reason::RoomBeingMade);
+        self.tally.preempted += room.victims.len() as u64;
         let Some(m) = self.model.machine_mut(room.machine) else {
             return;
         };
--- /dev/null
+++ b/src/coordination/leader/status.rs
@@ -0,0 +1,244 @@
+//! What operators are told, put together only when they ask.
+
+use super::*;
+use crate::protocol::status::{
+    Due, Explained, Failure, Fleet, Group, MOST_ROWS, Picture, Reason, TeamUse, Trouble,
+};
+
+/// Failures that are remembered for operators.
+const FAILURES: usize = 20;
+/// A machine that boots for so many times the usual is named.
+const SLOW_BOOT: u64 = 3;
+
+/// What happened since it was last taken, for metrics.
+#[derive(Debug, Default)]
+pub struct Tally {
+    pub failed: u64,
+    pub preempted: u64,
+    pub rented: u64,
+    pub released: u64,
+    /// Class, and seconds from acceptance to a task's first run.
+    pub waits: Vec<(String, f64)>,
+}
+
+/// A task that failed: when, which, where, why.
+pub(super) type Failed = (Ms, String, String, Why);
+
+/// Names come from the users: answers must stay within a frame.
+fn clipped(name: &str) -> String {
+    name.chars().take(60).collect()
+}
+
+fn units(v: i64) -> f64 {
+    v as f64 / 1000.0
+}
+
+impl Leader {
+    pub(super) fn set_reason(&mut self, job_ix: u32, reason: Reason) {
+        if let Some(j) = self.model.job_mut(job_ix) {
+            j.reason = reason;
+        }
+    }
+
+    pub(super) fn note_failure(&mut self, task: String, machine: String, why: Why, now: Ms) {
+        self.tally.failed += 1;
+        if self.failed.len() >= FAILURES {
+            self.failed.pop_front();
+        }
+        self.failed.push_back((now, task, machine, why));
+    }
+
+    pub fn take_tally(&mut self) -> Tally {
+        std::mem::take(&mut self.tally)
+    }
+
+    fn reason_of(&self, job: &Job) -> Reason {
+        match (job.reason, job.supply) {
+            (Reason::NoRoom, Some(supply)) => supply,
+            (reason, _) => reason,
+        }
+    }
+
+    fn due_of(&self, job: &Job) -> Option<Due> {
+        let left = job.spec.deadline_s? - self.age_s(job);
+        Some(if left < 0.0 {
+            Due::Late
+        } else if job.waiting() > 0 && left < job.spec.estimate_s {
+            Due::AtRisk
+        } else {
+            Due::InTime
+        })
+    }
+
+    fn age_s(&self, job: &Job) -> f64 {
+        self.wall_ms.saturating_sub(job.at_ms) as f64 / 1000.0
+    }
+
+    pub fn picture(&self, now: Ms) -> Picture {
+        let mut picture = Picture {
+            term: self.term,
+            since_s: (now - self.acquired) as f64 / 1000.0,
+            settled: self.settled,
+            jobs: self.model.live_jobs() as u32,
+            groups: self.groups(),
+            failures: self
+                .failed
+                .iter()
+                .rev()
+                .map(|(at, task, machine, why)| Failure {
+                    task: task.clone(),
+                    machine: machine.clone(),
+                    why: format!("{why:?}").to_lowercase(),
+                    ago_s: (now - at) as f64 / 1000.0,
+                })
+                .collect(),
+            ..Picture::default()
+        };
+        for (t, used) in self.model.teams.iter().zip(&self.model.usage) {
+            picture.teams.push(TeamUse {
+                name: clipped(&t.name),
+                cpus: units(used.cpus),
+                gpus: units(used.gpus),
+                cpus_guaranteed: t.cpus,
+                gpus_guaranteed: t.gpus,
+                cpus_max: t.cpus_max,
+                gpus_max: t.gpus_max,
+            });
+        }
+        // Those that use most, where not all can be shown.
+        picture.teams.sort_by(|a, b| {
+            let used = |t: &TeamUse| t.cpus + t.gpus;
+            used(b).total_cmp(&used(a))
+        });
+        picture.teams.truncate(MOST_ROWS);
+        self.fleet(&mut picture, now);
+        picture
+    }
+
+    fn groups(&self) -> Vec<Group> {
+        let mut groups: HashMap<(&str, &str), Group> = HashMap::new();
+        for j in self.model.jobs.iter().flatten() {
+            let key = (j.spec.class.as_str(), j.spec.team.as_str());
+            let g = groups.entry(key).or_insert_with(|| Group {
+                class: clipped(&j.spec.class),
+                team: clipped(&j.spec.team),
+                ..Group::default()
+            });
+            g.running += j.running;
+            match self.due_of(j) {
+                Some(Due::Late) => g.late_jobs += 1,
+                Some(Due::AtRisk) => g.at_risk_jobs += 1,
+                _ => {}
+            }
+            let waiting = j.waiting();
+            if waiting == 0 || j.cancelled {
+                continue;
+            }
+            g.waiting += waiting;
+            g.oldest_wait_s = g.oldest_wait_s.max(self.age_s(j));
+            let reason = self.reason_of(j);
+            match g.reasons.iter_mut().find(|(r, _)| *r == reason) {
+                Some((_, n)) => *n += waiting,
+                None => g.reasons.push((reason, waiting)),
+            }
+        }
+        let mut groups: Vec<Group> = groups.into_values().collect();
+        groups.sort_by(|a, b| {
+            let key = |g: &Group| (g.class.clone(), g.team.clone());
+            b.waiting.cmp(&a.waiting).then(key(a).cmp(&key(b)))
+        });
+        groups.truncate(MOST_ROWS);
+        groups
+    }
+
+    fn fleet(&self, picture: &mut Picture, now: Ms) {
+        let mut kinds: Vec<((usize, usize, bool), Fleet, f64)> = Vec::new();
+        for m in self.model.machines.iter().flatten() {
+            let key = (m.type_ix, m.zone, m.spot);
+            let at = match kinds.iter().position(|(k, ..)| *k == key) {
+                Some(at) => at,
+                None => {
+                    let fleet = Fleet {
+                        type_name: clipped(&self.model.types[m.type_ix].name),
+                        zone: clipped(self.model.zones.name(m.zone)),
+                        spot: m.spot,
+                        ..Fleet::default()
+                    };
+                    kinds.push((key, fleet, 0.0));
+                    kinds.len() - 1
+                }
+            };
+            let (_, fleet, load) = &mut kinds[at];
+            if m.releasing {
+                fleet.leaving += 1;
+            } else if m.up {
+                fleet.up += 1;
+                *load += placement::load(&m.capacity, &m.free(), LoadResource::Scarcest);
+            } else if m.session == 0 && !m.unknown {
+                fleet.booting += 1;
+            }
+            let boot = millis(self.model.types[m.type_ix].boot_s);
+            let why = if m.quarantined {
+                "quarantined: tasks fail on it"
+            } else if m.unknown {
+                "not heard in this term"
+            } else if m.suspect {
+                "its reports are overdue"
+            } else if m.notice.is_some() {
+                "about to be taken away"
+            } else if m.draining {
+                "its services are being moved off"
+            } else if !m.up && m.session > 0 {
+                "silent: its lease has lapsed"
+            } else if !m.up && !m.releasing && now > m.since + SLOW_BOOT * boot {
+                "boots for long"
+            } else {
+                continue;
+            };
+            if picture.troubles.len() < MOST_ROWS {
+                picture.troubles.push(Trouble {
+                    machine: clipped(&m.name),
+                    why: why.to_owned(),
+                });
+            }
+        }
+        for (_, mut fleet, load) in kinds {
+            fleet.load = load / f64::from(fleet.up.max(1));
+            picture.fleet.push(fleet);
+        }
+        picture
+            .fleet
+            .sort_by(|a, b| (&a.type_name, &a.zone, a.spot).cmp(&(&b.type_name, &b.zone, b.spot)));
+        picture.fleet.truncate(MOST_ROWS);
+    }
+
+    /// `None`: not a live job.
+    pub fn explain(&self, id: &str) -> Option<Explained> {
+        let ix = self.model.job_ix(id)?;
+        let j = self.model.job(ix)?;
+        let waiting = j.waiting();
+        let places = self.model.machines.iter().flatten().flat_map(|m| {
+            let own = m.tasks.iter().filter(|a| a.job == ix);
+            own.map(|a| {
+                let stop = if a.stop.is_some() { ", to stop" } else { "" };
+                let phase = format!("{:?}{stop}", a.phase).to_lowercase();
+                (a.task, clipped(&m.name), phase)
+            })
+        });
+        Some(Explained {
+            id: id.to_owned(),
+            class: clipped(&j.spec.class),
+            team: clipped(&j.spec.team),
+            state: format!("{:?}", j.status().state).to_lowercase(),
+            tasks: j.spec.tasks,
+            done: j.done_n,
+            running: j.running,
+            waiting,
+            age_s: self.age_s(j),
+            reason: (waiting > 0 && !j.cancelled).then(|| self.reason_of(j)),
+            due: self.due_of(j),
+            deadline_s: j.spec.deadline_s,
+            places: places.take(MOST_ROWS).collect(),
+        })
+    }
+}
--- a/src/coordination/provision.rs
+++ b/src/coordination/provision.rs
@@ -14,6 +14,8 @@
     pub spot: bool,
     /// Tasks that one zone may take, if the job is to be spread.
     pub per_zone: Option<i64>,
+    /// Set by planning: some of it found no offer.
+    pub refused: bool,
 }
 
 /// Room that is there or on its way.
@@ -53,14 +55,14 @@
 pub const MAX_NEW: usize = 4 * crate::protocol::cloud::MAX_RENT as usize;
 
 pub fn plan(
-    demands: &[Demand],
+    demands: &mut [Demand],
     bins: &mut Vec<Bin>,
     offers: &[Offer],
     most: usize,
 ) -> Vec<Purchase> {
     let mut bought: Vec<Purchase> = Vec::new();
     let mut new = 0;
-    for d in demands {
+    for d in demands.iter_mut() {
         let allowed = |type_ix: usize, zone: usize, spot: bool| {
             d.types.get(type_ix).copied().unwrap_or(false)
                 && d.zone.is_none_or(|z| z == zone)
@@ -92,6 +94,7 @@
                 })
                 .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
             let Some((_, _, fit, offer)) = best else {
+                d.refused = true;
                 break;
             };
             new += 1;
@@ -161,6 +164,7 @@
             zone: None,
             spot: true,
             per_zone: None,
+            refused: false,
         }
     }
 
@@ -173,8 +177,11 @@
             free: Amounts::offer(8.0, 0.0, 32.0),
         }];
         let offers = [offer(0, false, 8.0, 0.33), offer(0, true, 8.0, 0.11)];
-        assert_eq!(plan(&[demand(2)], &mut bins.clone(), &offers, 12), vec![]);
-        let got = plan(&[demand(5)], &mut bins, &offers, 12);
+        assert_eq!(
+            plan(&mut [demand(2)], &mut bins.clone(), &offers, 12),
+            vec![]
+        );
+        let got = plan(&mut [demand(5)], &mut bins, &offers, 12);
         assert_eq!(got.len(), 1);
         assert!(got[0].spot && got[0].count == 2);
     }
@@ -183,7 +190,7 @@
     fn a_refused_kind_is_passed_over() {
         let mut offers = [offer(0, false, 8.0, 0.33), offer(0, true, 8.0, 0.11)];
         offers[1].refused = true;
-        let got = plan(&[demand(1)], &mut vec![], &offers, 12);
+        let got = plan(&mut [demand(1)], &mut vec![], &offers, 12);
         assert!(!got[0].spot);
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod bookkeeping;
 pub mod coordination;
 pub mod node;
+pub mod operator;
 pub mod protocol;
 pub mod transport;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 use anyhow::Result;
 use clap::{Args, Parser, Subcommand};
 use pathwinch::{
-    node,
+    node, operator,
     protocol::{options::Options, settings::Settings},
 };
 use std::{path::PathBuf, process::ExitCode};
@@ -22,6 +22,25 @@
     Serve(Files),
     /// Check the settings and say what is wrong with them.
     CheckConfig(Files),
+    /// Say how things stand: who leads, what waits and why, machines, teams.
+    Status(Ask),
+    /// Say the same of one job.
+    Explain {
+        /// The job's id, such as j-000412.
+        job: String,
+        #[command(flatten)]
+        ask: Ask,
+    },
+}
+
+#[derive(Args)]
+struct Ask {
+    /// Address of any controller's `back`, such as 10.0.0.1:8081.
+    #[arg(long, value_name = "ADDR")]
+    at: String,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
 }
 
 #[derive(Args)]
@@ -45,17 +64,36 @@
     }
 }
 
-fn start() -> Result<()> {
+/// Prints an operator's answer, or the reason why there is none.
+fn print(answer: Result<String, operator::Failure>) -> Result<ExitCode> {
+    match answer {
+        Ok(text) => {
+            use std::io::Write;
+            // A reader that has seen enough closes the pipe: no failure.
+            let _ = std::io::stdout().write_all(text.as_bytes());
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(failure) => {
+            eprintln!("pathwinch: {}", failure.text());
+            Ok(ExitCode::from(failure.code()))
+        }
+    }
+}
+
+fn start() -> Result<ExitCode> {
     match Cli::parse().command {
         Command::Serve(files) => {
             let (settings, options) = files.load()?;
-            node::run(settings, options)
+            node::run(settings, options)?;
+            Ok(ExitCode::SUCCESS)
         }
         Command::CheckConfig(files) => {
             let (settings, _) = files.load()?;
             println!("{}: settings are sound", settings.name);
-            Ok(())
+            Ok(ExitCode::SUCCESS)
         }
+        Command::Status(ask) => print(operator::status(&ask.at, ask.json)),
+        Command::Explain { job, ask } => print(operator::explain(&ask.at, &job, ask.json)),
     }
 }
 
@@ -68,7 +106,7 @@
         })
         .init();
     match start() {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(e) => {
             eprintln!("pathwinch: {e:#}");
             ExitCode::FAILURE
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -55,6 +55,7 @@
             }
             Timer::after(Duration::from_millis(100)).await;
         }
+        self.figures.borrow().cloud_requests.inc();
         let addr = self.settings.services.cloud;
         self.http
             .call(addr, method, path, body, LIMIT)
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -28,11 +28,13 @@
                 l.directs(now),
                 l.cloud_ops(now, wall),
                 l.list_due(now),
+                l.take_tally(),
             )
         });
-        let Some((term, directs, ops, list)) = begun else {
+        let Some((term, directs, ops, list, tally)) = begun else {
             continue;
         };
+        node.figures.borrow_mut().add(tally);
         for d in directs {
             node.executor.spawn(node.clone().direct(term, d)).detach();
         }
--- /dev/null
+++ b/src/node/metrics.rs
@@ -0,0 +1,137 @@
+//! Figures for the operators' monitoring, at one read-only path of `listen`.
+
+use super::Node;
+use crate::{coordination::leader::Tally, transport::server::HttpResponse};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+pub(super) const PATH: &str = "/metrics";
+/// Classes come from the users: past this many, waits are not told apart.
+const MOST_CLASSES: usize = 64;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Class {
+    class: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Kind {
+    request: &'static str,
+}
+
+type Histograms<L> = Family<L, Histogram, fn() -> Histogram>;
+
+pub(super) struct Metrics {
+    registry: Registry,
+    answers: Histograms<Kind>,
+    waits: Histograms<Class>,
+    classes: std::collections::BTreeSet<String>,
+    failures: Counter,
+    preemptions: Counter,
+    rentals: Counter,
+    releases: Counter,
+    leading: Gauge,
+    jobs: Gauge,
+    machines: Gauge,
+    pub(super) state_requests: Counter,
+    pub(super) state_changes: Counter,
+    pub(super) cloud_requests: Counter,
+}
+
+fn answer_times() -> Histogram {
+    Histogram::new([0.005, 0.02, 0.1, 0.3, 1.0, 2.0, 5.0])
+}
+
+fn wait_times() -> Histogram {
+    Histogram::new([1.0, 5.0, 10.0, 20.0, 30.0, 60.0, 120.0, 300.0, 900.0])
+}
+
+impl Metrics {
+    pub(super) fn new() -> Self {
+        let mut m = Metrics {
+            registry: Registry::with_prefix("pathwinch"),
+            answers: Family::new_with_constructor(answer_times as fn() -> Histogram),
+            waits: Family::new_with_constructor(wait_times as fn() -> Histogram),
+            classes: Default::default(),
+            failures: Counter::default(),
+            preemptions: Counter::default(),
+            rentals: Counter::default(),
+            releases: Counter::default(),
+            leading: Gauge::default(),
+            jobs: Gauge::default(),
+            machines: Gauge::default(),
+            state_requests: Counter::default(),
+            state_changes: Counter::default(),
+            cloud_requests: Counter::default(),
+        };
+        let r = &mut m.registry;
+        let help = "Time to answer users, in seconds";
+        r.register("answer_seconds", help, m.answers.clone());
+        let help = "Seconds from a job's acceptance to the first run of a task, by class";
+        r.register("wait_seconds", help, m.waits.clone());
+        r.register("task_failures", "Tasks that failed", m.failures.clone());
+        let help = "Tasks told to stop for others";
+        r.register("preemptions", help, m.preemptions.clone());
+        r.register("machines_rented", "Machines rented", m.rentals.clone());
+        r.register("machines_released", "Machines returned", m.releases.clone());
+        r.register("leading", "1 while this node leads", m.leading.clone());
+        let help = "Unfinished jobs, while this node leads";
+        r.register("jobs", help, m.jobs.clone());
+        let help = "Machines known, while this node leads";
+        r.register("machines", help, m.machines.clone());
+        let help = "Requests to the state service";
+        r.register("state_requests", help, m.state_requests.clone());
+        let help = "Changes written to the state service";
+        r.register("state_changes", help, m.state_changes.clone());
+        let help = "Requests to the cloud";
+        r.register("cloud_requests", help, m.cloud_requests.clone());
+        m
+    }
+
+    pub(super) fn answered(&self, request: &'static str, seconds: f64) {
+        let kind = Kind { request };
+        self.answers.get_or_create(&kind).observe(seconds);
+    }
+
+    pub(super) fn add(&mut self, tally: Tally) {
+        self.failures.inc_by(tally.failed);
+        self.preemptions.inc_by(tally.preempted);
+        self.rentals.inc_by(tally.rented);
+        self.releases.inc_by(tally.released);
+        for (class, waited) in tally.waits {
+            let known = self.classes.contains(&class);
+            let class = match known || self.classes.len() < MOST_CLASSES {
+                true => class,
+                false => "other".into(),
+            };
+            if !known {
+                self.classes.insert(class.clone());
+            }
+            self.waits.get_or_create(&Class { class }).observe(waited);
+        }
+    }
+}
+
+impl Node {
+    pub(super) fn metrics(&self) -> HttpResponse {
+        let led = self.acting(|l, _| (l.model.live_jobs(), l.model.machine_count()));
+        let m = self.figures.borrow();
+        m.leading.set(i64::from(led.is_some()));
+        let (jobs, machines) = led.unwrap_or_default();
+        m.jobs.set(jobs as i64);
+        m.machines.set(machines as i64);
+        let mut text = String::new();
+        match encode(&mut text, &m.registry) {
+            Ok(()) => HttpResponse {
+                status: 200,
+                retry_after_s: None,
+                content: "application/openmetrics-text; version=1.0.0; charset=utf-8",
+                body: text.into_bytes(),
+            },
+            Err(e) => HttpResponse::error(500, &e.to_string()),
+        }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,8 @@
 mod cloud;
 mod engine;
 mod lead;
+mod metrics;
+mod status;
 mod store;
 mod users;
 mod workers;
@@ -24,6 +26,7 @@
 use http_types::Method;
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
@@ -52,6 +55,8 @@
     /// When a report was last answered.
     last_beat: Cell<Ms>,
     relays: RefCell<Relays>,
+    last_picture: RefCell<status::LastPicture>,
+    figures: RefCell<metrics::Metrics>,
     wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
@@ -84,6 +89,8 @@
         unreachable: Cell::new(None),
         last_beat: Cell::new(0),
         relays: RefCell::new(Relays::default()),
+        last_picture: RefCell::new(None),
+        figures: RefCell::new(metrics::Metrics::new()),
         wake: async_channel::bounded(1),
     });
     async_io::block_on(executor.run(async {
@@ -152,9 +159,10 @@
         let post = request.method == Method::Post;
         match path {
             "/ready" if get => return self.ready(),
+            metrics::PATH if get => return self.metrics(),
             BEAT if post => return self.beat(request.body).await,
             "/v1/jobs" if post => {}
-            "/ready" | BEAT | "/v1/jobs" => {
+            "/ready" | metrics::PATH | BEAT | "/v1/jobs" => {
                 return HttpResponse::error(405, "method not allowed");
             }
             _ => match path.strip_prefix("/v1/jobs/") {
@@ -177,8 +185,23 @@
         let Some(body) = request.body else {
             return HttpResponse::error(400, "body is incomplete or over 64 KiB");
         };
-        self.user(request.method.as_ref(), &request.path, body)
-            .await
+        let kind = match (get, path) {
+            (true, _) => "poll",
+            (false, "/v1/jobs") => "submit",
+            _ => "abort",
+        };
+        let began = Instant::now();
+        let answer = self.user(request.method.as_ref(), path, body).await;
+        let seconds = began.elapsed().as_secs_f64();
+        self.figures.borrow().answered(kind, seconds);
+        answer
+    }
+
+    /// Address and name of the node that leads, if that is another.
+    fn leader_addr(&self) -> Option<(SocketAddr, String)> {
+        let (name, _) = self.election.borrow().seen.clone()?;
+        let peer = self.settings.peers.iter().find(|p| p.name == name)?;
+        Some((peer.addr, name))
     }
 
     fn ready(&self) -> HttpResponse {
@@ -222,6 +245,11 @@
                 }
             }
             peers::Request::Promise { term, for_ms, .. } => self.promise(term, for_ms).await,
+            peers::Request::Status => peers::Reply::Status(Box::new(self.status().await)),
+            peers::Request::LeaderStatus => self.leader_status().await,
+            peers::Request::Explain { id, forwarded } => {
+                peers::Reply::Explained(self.explain(&id, !forwarded).await)
+            }
             peers::Request::Resigned { term } => {
                 self.election.borrow_mut().resigned(term);
                 peers::Reply::Ok
--- /dev/null
+++ b/src/node/status.rs
@@ -0,0 +1,104 @@
+//! Operators' questions: answered by the leader, and by the others as it last
+//! answered them, with the age of that.
+
+use super::{Node, store::Found};
+use crate::{
+    bookkeeping::Ms,
+    protocol::{
+        peers::{Reply, Request},
+        status::{Explanation, Picture, Status},
+    },
+};
+use std::{rc::Rc, time::Duration};
+
+const ASK: Duration = Duration::from_millis(800);
+/// A picture is put together at most this often, however many ask.
+const FRESH: Ms = 500;
+
+/// The picture last put together or fetched, and when.
+pub(super) type LastPicture = Option<(Ms, Picture)>;
+
+impl Node {
+    pub(super) async fn status(&self) -> Status {
+        let now = self.now();
+        let last = self.last_picture.borrow().clone();
+        if self.acting(|l, _| l.loaded) == Some(true) {
+            let fresh = last.filter(|(at, p)| {
+                now < at + FRESH && Some(p.term) == self.election.borrow().authority(now)
+            });
+            let (at, picture) = match fresh {
+                Some(fresh) => fresh,
+                None => match self.acting(|l, now| l.picture(now)) {
+                    Some(p) => (now, p),
+                    None => return self.own_status(now),
+                },
+            };
+            *self.last_picture.borrow_mut() = Some((at, picture));
+        } else if let Some((addr, _)) = self.leader_addr()
+            && let Ok(Reply::Status(answer)) =
+                self.peers.call(addr, &Request::LeaderStatus, ASK).await
+            && let Some(picture) = answer.picture
+        {
+            let age = (answer.age_s.max(0.0) * 1000.0) as Ms;
+            *self.last_picture.borrow_mut() = Some((now.saturating_sub(age), picture));
+        }
+        self.own_status(self.now())
+    }
+
+    fn own_status(&self, now: Ms) -> Status {
+        let last = self.last_picture.borrow();
+        Status {
+            node: self.settings.name.clone(),
+            leader: self.election.borrow().seen.clone().map(|(name, _)| name),
+            age_s: last
+                .as_ref()
+                .map_or(0.0, |(at, _)| now.saturating_sub(*at) as f64 / 1000.0),
+            picture: last.as_ref().map(|(_, p)| p.clone()),
+        }
+    }
+
+    /// What this node alone can say: asked by another that does not lead.
+    pub(super) async fn leader_status(&self) -> Reply {
+        match self.acting(|l, _| l.loaded) {
+            Some(true) => Reply::Status(Box::new(self.status().await)),
+            _ => Reply::NotLeader,
+        }
+    }
+
+    pub(super) async fn explain(self: &Rc<Self>, id: &str, forward: bool) -> Explanation {
+        if self.acting(|l, _| l.loaded) == Some(true) {
+            if let Some(job) = self.acting(|l, _| l.explain(id)).flatten() {
+                return Explanation::Job(Box::new(job));
+            }
+        } else if forward
+            && let Some((addr, _)) = self.leader_addr()
+            && let Ok(Reply::Explained(answer)) = self
+                .peers
+                .call(
+                    addr,
+                    &Request::Explain {
+                        id: id.to_owned(),
+                        forwarded: true,
+                    },
+                    ASK,
+                )
+                .await
+        {
+            return answer;
+        }
+        if !crate::protocol::users::valid_ref(id) {
+            return Explanation::NoSuchJob;
+        }
+        match self.lookup(id).await {
+            Ok(Found::Final(f)) => Explanation::Over {
+                state: format!("{:?}", f.state).to_lowercase(),
+                done: f.done,
+            },
+            Ok(Found::Nothing) => Explanation::NoSuchJob,
+            Ok(Found::Live(..)) => Explanation::Unknown(
+                "the job is recorded, but no leader that knows more can be reached".into(),
+            ),
+            Err(e) => Explanation::Unknown(format!("the records can't be read: {e}")),
+        }
+    }
+}
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -43,6 +43,7 @@
         body: Option<Vec<u8>>,
         limit: Duration,
     ) -> Result<Answer, CallError> {
+        self.figures.borrow().state_requests.inc();
         let addr = self.settings.services.state;
         let answer = self.http.call(addr, method, path, body, limit).await?;
         if answer.status != 503 && answer.status != 429 {
@@ -93,6 +94,8 @@
     }
 
     pub(super) async fn txn(&self, txn: &Txn, limit: Duration) -> TxnResult {
+        let changes = txn.writes.len() as u64;
+        self.figures.borrow().state_changes.inc_by(changes);
         let body = serde_json::to_vec(txn).unwrap_or_default();
         match self.state(Method::Post, "/txn", Some(body), limit).await {
             Ok(a) => match (a.status, serde_json::from_slice::<Revision>(&a.body)) {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -11,7 +11,7 @@
         peers::{Reply, Request},
         users::{JobSpec, JobState, JobStatus, valid_ref},
     },
-    transport::server::HttpResponse,
+    transport::server::{HttpResponse, JSON},
 };
 use async_io::Timer;
 use std::{rc::Rc, time::Duration};
@@ -79,15 +79,10 @@
         if let Some(answer) = self.user_here(method, path, &body).await {
             return answer;
         }
-        let seen = self.election.borrow().seen.clone();
         // A leader that did not answer a moment ago is not waited for again.
         let now = self.now();
         let unreachable = self.unreachable.get().is_some_and(|at| now < at + 2000);
-        let leader = seen.filter(|_| !unreachable).and_then(|(name, _)| {
-            let peer = self.settings.peers.iter().find(|p| p.name == name)?;
-            Some(peer.addr)
-        });
-        if let Some(addr) = leader {
+        if let Some((addr, _)) = self.leader_addr().filter(|_| !unreachable) {
             let request = Request::Forward {
                 method: method.to_owned(),
                 path: path.to_owned(),
@@ -102,6 +97,7 @@
                     return HttpResponse {
                         status,
                         retry_after_s,
+                        content: JSON,
                         body,
                     };
                 }
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -7,7 +7,7 @@
         peers::{Reply, Request},
         workers::Report,
     },
-    transport::server::HttpResponse,
+    transport::server::{HttpResponse, JSON},
 };
 use std::rc::Rc;
 
@@ -23,12 +23,7 @@
         if let Some(answer) = self.beat_here(&report) {
             return answer;
         }
-        let seen = self.election.borrow().seen.clone();
-        let leader = seen.and_then(|(name, _)| {
-            let peer = self.settings.peers.iter().find(|p| p.name == name)?;
-            Some((name, peer.addr))
-        });
-        let Some((name, addr)) = leader else {
+        let Some((addr, name)) = self.leader_addr() else {
             return HttpResponse::json(421, &serde_json::json!({}));
         };
         let now = self.now();
@@ -47,6 +42,7 @@
             }) => HttpResponse {
                 status: 200,
                 retry_after_s: None,
+                content: JSON,
                 body,
             },
             _ => HttpResponse::json(421, &serde_json::json!({})),
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -6,5 +6,6 @@
 pub mod peers;
 pub mod settings;
 pub mod state;
+pub mod status;
 pub mod users;
 pub mod workers;
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -1,5 +1,6 @@
 //! Messages between controllers: CBOR in length-prefixed frames.
 
+use super::status::{Explanation, Status};
 use serde::{Deserialize, Serialize};
 
 /// Raised when a frame's meaning changes; others are refused.
@@ -33,6 +34,12 @@
     Unheard { machines: Vec<String>, for_ms: u64 },
     /// The leader of `term` has stopped acting, its key may be replaced.
     Resigned { term: u64 },
+    /// An operator asks any node how things stand.
+    Status,
+    /// The same among controllers: only the leader answers.
+    LeaderStatus,
+    /// An operator asks about one job. `forwarded`: on their behalf.
+    Explain { id: String, forwarded: bool },
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -50,4 +57,6 @@
         state_ok: bool,
     },
     Ok,
+    Status(Box<Status>),
+    Explained(Explanation),
 }
--- /dev/null
+++ b/src/protocol/status.rs
@@ -0,0 +1,293 @@
+//! What operators are told: the state of the whole, and of one job. Lists are
+//! bounded, so that an answer always fits a frame.
+
+use serde::{Deserialize, Serialize};
+
+/// Rows of each list.
+pub const MOST_ROWS: usize = 100;
+
+/// Why a task is not running. Set by the code that decided so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// Not looked at yet.
+    New,
+    /// The team may not use more at once.
+    TeamLimit,
+    /// No machine that is up has room; more were not found worth renting.
+    NoRoom,
+    /// Room is on its way: a machine boots or is being rented.
+    MachineBooting,
+    /// More machines are wanted than the cloud gives.
+    CloudRefuses,
+    /// The gang has not found room for all its tasks yet.
+    GangIncomplete,
+    /// Tasks of lower priority are stopping to make room.
+    RoomBeingMade,
+    /// An earlier attempt may still be on a machine.
+    OldAttempt,
+    /// The leader is new and has not heard every machine.
+    Settling,
+    /// Its tasks fail wherever they start: the next try is put off.
+    FailsEverywhere,
+}
+
+impl Reason {
+    pub fn text(self) -> &'static str {
+        match self {
+            Reason::New => "not looked at yet",
+            Reason::TeamLimit => "team limit",
+            Reason::NoRoom => "no machine has room",
+            Reason::MachineBooting => "machine booting",
+            Reason::CloudRefuses => "cloud refuses machines",
+            Reason::GangIncomplete => "gang incomplete",
+            Reason::RoomBeingMade => "room being made",
+            Reason::OldAttempt => "old attempt not surely gone",
+            Reason::Settling => "controller settling",
+            Reason::FailsEverywhere => "job fails everywhere",
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Due {
+    InTime,
+    /// Waiting tasks would be late even if they started now.
+    AtRisk,
+    Late,
+}
+
+/// Jobs of one class and team.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Group {
+    pub class: String,
+    pub team: String,
+    pub waiting: u32,
+    pub running: u32,
+    pub oldest_wait_s: f64,
+    /// Waiting tasks by reason.
+    pub reasons: Vec<(Reason, u32)>,
+    pub late_jobs: u32,
+    pub at_risk_jobs: u32,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TeamUse {
+    pub name: String,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub cpus_guaranteed: f64,
+    pub gpus_guaranteed: f64,
+    pub cpus_max: f64,
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Fleet {
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub up: u32,
+    pub booting: u32,
+    pub leaving: u32,
+    /// Share of the scarcest resource that is taken, on machines that are up.
+    pub load: f64,
+}
+
+/// A machine that is not in order.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Trouble {
+    pub machine: String,
+    pub why: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Failure {
+    pub task: String,
+    pub machine: String,
+    pub why: String,
+    pub ago_s: f64,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Picture {
+    pub term: u64,
+    pub since_s: f64,
+    pub settled: bool,
+    pub jobs: u32,
+    pub groups: Vec<Group>,
+    pub teams: Vec<TeamUse>,
+    pub fleet: Vec<Fleet>,
+    pub troubles: Vec<Trouble>,
+    pub failures: Vec<Failure>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Who answers.
+    pub node: String,
+    /// Who leads, as far as the answering node knows.
+    pub leader: Option<String>,
+    /// How old the picture is.
+    pub age_s: f64,
+    pub picture: Option<Picture>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Explained {
+    pub id: String,
+    pub class: String,
+    pub team: String,
+    pub state: String,
+    pub tasks: u32,
+    pub done: u32,
+    pub running: u32,
+    pub waiting: u32,
+    pub age_s: f64,
+    pub reason: Option<Reason>,
+    pub due: Option<Due>,
+    pub deadline_s: Option<f64>,
+    /// Its tasks on machines: task, machine, phase.
+    pub places: Vec<(u32, String, String)>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Explanation {
+    Job(Box<Explained>),
+    /// Over: its final state and finished tasks.
+    Over {
+        state: String,
+        done: u32,
+    },
+    NoSuchJob,
+    /// Nobody who would know can be asked now.
+    Unknown(String),
+}
+
+fn rows<T>(out: &mut String, list: &[T], head: &str, line: impl Fn(&T) -> String) {
+    if list.is_empty() {
+        return;
+    }
+    out.push_str(head);
+    out.push('\n');
+    for item in list {
+        out.push_str("  ");
+        out.push_str(&line(item));
+        out.push('\n');
+    }
+    if list.len() >= MOST_ROWS {
+        out.push_str("  (more are not shown)\n");
+    }
+}
+
+fn limit(used: f64, guaranteed: f64, most: f64) -> String {
+    let most = match most {
+        0.0 => "no limit".to_owned(),
+        m => format!("at most {m}"),
+    };
+    format!("{used} (guaranteed {guaranteed}, {most})")
+}
+
+impl Status {
+    pub fn text(&self) -> String {
+        let leader = self.leader.as_deref().unwrap_or("nobody");
+        let mut out = format!("asked {}; {leader} leads", self.node);
+        let Some(p) = &self.picture else {
+            out.push_str("; nothing more is known here\n");
+            return out;
+        };
+        let settled = if p.settled { "settled" } else { "settling" };
+        out.push_str(&format!(
+            ", term {} for {:.0} s, {settled}; picture {:.1} s old; {} jobs\n",
+            p.term, p.since_s, self.age_s, p.jobs
+        ));
+        rows(&mut out, &p.groups, "class, team: tasks", |g| {
+            let why: Vec<String> = g
+                .reasons
+                .iter()
+                .map(|(r, n)| format!("{n} {}", r.text()))
+                .collect();
+            let mut line = format!(
+                "{}, {}: {} running, {} waiting",
+                g.class, g.team, g.running, g.waiting
+            );
+            if g.waiting > 0 {
+                line.push_str(&format!(
+                    " (oldest {:.0} s): {}",
+                    g.oldest_wait_s,
+                    why.join(", ")
+                ));
+            }
+            if g.late_jobs + g.at_risk_jobs > 0 {
+                line.push_str(&format!(
+                    "; jobs late {}, at risk {}",
+                    g.late_jobs, g.at_risk_jobs
+                ));
+            }
+            line
+        });
+        rows(&mut out, &p.teams, "team: use", |t| {
+            format!(
+                "{}: CPUs {}, GPUs {}",
+                t.name,
+                limit(t.cpus, t.cpus_guaranteed, t.cpus_max),
+                limit(t.gpus, t.gpus_guaranteed, t.gpus_max)
+            )
+        });
+        rows(&mut out, &p.fleet, "machines", |f| {
+            format!(
+                "{}, {}, {}: {} up at {:.0}% load, {} booting, {} leaving",
+                f.type_name,
+                f.zone,
+                if f.spot { "spot" } else { "ordinary" },
+                f.up,
+                f.load * 100.0,
+                f.booting,
+                f.leaving
+            )
+        });
+        rows(&mut out, &p.troubles, "not in order", |t| {
+            format!("{}: {}", t.machine, t.why)
+        });
+        rows(&mut out, &p.failures, "failures of tasks", |f| {
+            format!(
+                "{} on {}, {:.0} s ago: {}",
+                f.task, f.machine, f.ago_s, f.why
+            )
+        });
+        out
+    }
+}
+
+impl Explained {
+    pub fn text(&self) -> String {
+        let mut out = format!(
+            "{} ({}, {}): {}, {} of {} tasks done, {} running, {} waiting; {:.0} s old\n",
+            self.id,
+            self.class,
+            self.team,
+            self.state,
+            self.done,
+            self.tasks,
+            self.running,
+            self.waiting,
+            self.age_s
+        );
+        if let Some(r) = self.reason {
+            out.push_str(&format!("waits: {}\n", r.text()));
+        }
+        if let (Some(due), Some(at)) = (self.due, self.deadline_s) {
+            let due = match due {
+                Due::InTime => "in time so far",
+                Due::AtRisk => "at risk",
+                Due::Late => "late",
+            };
+            out.push_str(&format!("deadline {at:.0} s after submission: {due}\n"));
+        }
+        rows(&mut out, &self.places, "on machines", |(task, m, phase)| {
+            format!("{task} on {m}: {phase}")
+        });
+        out
+    }
+}
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -33,14 +33,18 @@
 pub struct HttpResponse {
     pub status: u16,
     pub retry_after_s: Option<u32>,
+    pub content: &'static str,
     pub body: Vec<u8>,
 }
 
+pub const JSON: &str = "application/json";
+
 impl HttpResponse {
     pub fn json<T: serde::Serialize>(status: u16, body: &T) -> Self {
         HttpResponse {
             status,
             retry_after_s: None,
+            content: JSON,
             body: serde_json::to_vec(body).unwrap_or_default(),
         }
     }
@@ -145,7 +149,7 @@
         let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::InternalServerError);
         let mut res = Response::new(status);
         res.set_body(answer.body);
-        res.insert_header(headers::CONTENT_TYPE, "application/json");
+        res.insert_header(headers::CONTENT_TYPE, answer.content);
         if let Some(s) = answer.retry_after_s {
             res.insert_header(headers::RETRY_AFTER, s.to_string());
         }
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -4,10 +4,12 @@
 
 use pathwinch::{
     coordination::admission::never_runs,
+    operator,
     protocol::{
         options::Options,
         peers::{Frame, Reply, Request},
         settings::Settings,
+        status,
         users::{JobSpec, Kind, valid_ref},
     },
     transport::frames,
@@ -167,3 +169,59 @@
     assert!(frames::decode::<Request>(&other).is_err());
     assert!(frames::decode::<Request>(&[0xff, 0x00, 0x13]).is_err());
 }
+
+#[test]
+fn an_operator_without_an_answer_gets_one_line_and_a_code() {
+    let wrong = operator::status("nowhere", false).unwrap_err();
+    assert_eq!(wrong.code(), 2);
+    // A port that was just free: nobody listens there.
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = free.local_addr().unwrap().to_string();
+    drop(free);
+    let nobody = operator::explain(&addr, "j-000001", false).unwrap_err();
+    assert_eq!(nobody.code(), 3);
+    for failure in [wrong, nobody] {
+        assert!(!failure.text().contains('\n'), "{}", failure.text());
+    }
+}
+
+#[test]
+fn the_largest_status_fits_a_frame() {
+    let name = "n".repeat(60);
+    let rows = || std::iter::repeat_n((), status::MOST_ROWS);
+    let picture = status::Picture {
+        groups: rows()
+            .map(|_| status::Group {
+                class: name.clone(),
+                team: name.clone(),
+                reasons: vec![(status::Reason::CloudRefuses, u32::MAX); 10],
+                ..Default::default()
+            })
+            .collect(),
+        teams: rows()
+            .map(|_| status::TeamUse {
+                name: name.clone(),
+                ..Default::default()
+            })
+            .collect(),
+        fleet: rows()
+            .map(|_| status::Fleet {
+                type_name: name.clone(),
+                zone: name.clone(),
+                ..Default::default()
+            })
+            .collect(),
+        troubles: rows()
+            .map(|_| status::Trouble {
+                machine: name.clone(),
+                why: name.clone(),
+            })
+            .collect(),
+        ..Default::default()
+    };
+    let status = status::Status {
+        picture: Some(picture),
+        ..Default::default()
+    };
+    frames::encode(Reply::Status(Box::new(status))).unwrap();
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use pathwinch::protocol::{
+    status::Reason,
     users::{JobSpec, JobState, Kind, Priority},
     workers::TaskState,
 };
@@ -661,3 +662,54 @@
     });
     w.sound();
 }
+
+fn reason(w: &mut World, id: &str) -> Option<Reason> {
+    let i = w.leader()?;
+    w.nodes[i].leader.as_ref()?.explain(id)?.reason
+}
+
+#[test]
+fn operators_are_told_why_a_task_waits() {
+    let mut w = quiet(22, 2, 40.0);
+    w.run_ms = 600_000;
+    w.run(3_000);
+    w.submit(job(1, Kind::Array, 3));
+    w.run(3_000);
+    w.submit(whole_machines(2, 2));
+    w.run(3_000);
+    assert_eq!(reason(&mut w, "j-000001"), None, "all its tasks run");
+    assert_eq!(reason(&mut w, "j-000002"), Some(Reason::GangIncomplete));
+    let mut late = job(3, Kind::Array, 2);
+    late.team = "u".into();
+    late.deadline_s = Some(5.0);
+    w.submit(late);
+    w.run(8_000);
+    assert_eq!(reason(&mut w, "j-000003"), Some(Reason::CloudRefuses));
+    let i = w.leader().unwrap();
+    let now = w.now;
+    let picture = w.nodes[i].leader.as_ref().unwrap().picture(now);
+    let group = picture.groups.iter().find(|g| g.team == "u").unwrap();
+    assert_eq!((group.waiting, group.late_jobs), (2, 1));
+    assert_eq!(group.reasons, [(Reason::CloudRefuses, 2)]);
+    assert_eq!(picture.fleet.iter().map(|f| f.up).sum::<u32>(), 2);
+    w.sound();
+}
+
+#[test]
+fn a_team_at_its_limit_and_a_leader_that_settles_are_named_as_reasons() {
+    let mut w = quiet(23, 4, 8.0);
+    w.run_ms = 600_000;
+    w.submit(job(1, Kind::Array, 5));
+    w.until(10_000, "two run", |w| w.running("j-000001") == 2);
+    assert_eq!(reason(&mut w, "j-000001"), Some(Reason::TeamLimit));
+    let old = w.leader().unwrap();
+    let silent = w.workers.iter().position(|m| m.tasks.is_empty()).unwrap();
+    w.workers[silent].net = Net::Lose;
+    w.crash(old, 3_000);
+    w.until(10_000, "a new leader", |w| {
+        w.leader().is_some_and(|i| i != old)
+    });
+    w.run(2_000);
+    assert_eq!(reason(&mut w, "j-000001"), Some(Reason::Settling));
+    w.sound();
+}
