--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -690,6 +690,7 @@
     w.until(15_000, "refused machines", |w| {
         reason(w, "j-000004") == Some(Reason::CloudRefuses)
     });
+    w.run(5_000);
     // One of the batch runs, and nothing is rented for the other any more.
     assert_eq!(reason(&mut w, "j-000003"), Some(Reason::NoRoom));
     let i = w.leader().unwrap();
