After a 410 the watch goes on from the list's own revision, with a pause on failure

Noted earlier: with no notice listed the place stayed too old and the watch was asked again without a pause.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub mod dispatch;
 pub mod election;
 pub mod leader;
+pub mod notices;
 pub mod placement;
 pub mod provision;
 pub mod relay;
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -3,10 +3,14 @@
 use super::{Node, store::Found};
 use crate::{
     bookkeeping::records::{self, JobRecord, LEADER, LeaderRecord, MachineRecord},
-    coordination::{election::LIFE, election::PROMISE, leader::Leader},
+    coordination::{
+        election::{LIFE, PROMISE},
+        leader::Leader,
+        notices::{Next, Notices},
+    },
     protocol::{
         peers::{Reply, Request},
-        state::{Guard, LeaseGranted, Txn, Watched, Write},
+        state::{Guard, LeaseGranted, Txn, Write},
     },
     transport::client::CallError,
 };
@@ -18,6 +22,8 @@
 /// How long a node that was cut off lets the others lead, in milliseconds.
 const ABSTAIN: u64 = 15_000;
 const PROBE: Duration = Duration::from_millis(700);
+/// A watch waits for 20 s.
+const WATCH: Duration = Duration::from_secs(25);
 
 enum Touch {
     Renewed,
@@ -360,46 +366,36 @@
 }
 
 impl Node {
-    /// Learns of jobs that other nodes accepted. All since the term began are
-    /// told, and those before it were read with the other records.
+    /// Learns of jobs that other nodes accepted.
     async fn watch_notices(&self, term: u64) {
-        let mut from = term;
+        let mut notices = Notices::new(term);
+        let pause = || Timer::after(Duration::from_millis(300));
         while self.of_term(term, |_, _| ()).is_some() {
             let now = self.now();
             self.requests.borrow_mut().force(now, 1.0);
-            let path = format!(
-                "/watch?under={}&from={from}&wait_ms=20000",
-                records::NOTICES
-            );
             let answer = self
-                .state(Method::Get, &path, None, Duration::from_secs(25))
+                .state(Method::Get, &notices.path(20_000), None, WATCH)
                 .await;
-            let keys: Vec<String> = match answer {
-                Ok(a) if a.status == 200 => {
-                    let Ok(w) = serde_json::from_slice::<Watched>(&a.body) else {
-                        Timer::after(Duration::from_secs(1)).await;
-                        continue;
-                    };
-                    from = w.revision;
-                    w.events.into_iter().filter_map(|e| e.put).collect()
+            let next = match &answer {
+                Ok(a) => notices.answered(a.status, &a.body),
+                Err(_) => Next::Pause,
+            };
+            let keys = match next {
+                Next::Look(keys) => keys,
+                Next::Pause => {
+                    pause().await;
+                    continue;
                 }
-                Ok(a) if a.status == 410 => match self.list(records::NOTICES).await {
-                    // Changes before the list are in it; it is newer than `from`.
-                    Ok(items) => {
-                        from = items
-                            .iter()
-                            .map(|i| i.version)
-                            .max()
-                            .unwrap_or(from)
-                            .max(from);
+                Next::List => match self.list_as_of(records::NOTICES).await {
+                    Ok((items, revision)) => {
+                        notices.listed(revision);
                         items.into_iter().map(|i| i.key).collect()
                     }
-                    Err(_) => Vec::new(),
+                    Err(_) => {
+                        pause().await;
+                        continue;
+                    }
                 },
-                _ => {
-                    Timer::after(Duration::from_millis(300)).await;
-                    continue;
-                }
             };
             for key in keys {
                 let id = key.trim_start_matches(records::NOTICES).to_owned();
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -68,7 +68,13 @@
     }
 
     pub(super) async fn list(&self, prefix: &str) -> Result<Vec<Item>, String> {
+        self.list_as_of(prefix).await.map(|(items, _)| items)
+    }
+
+    /// With the revision of the first page: later changes may be in it or not.
+    pub(super) async fn list_as_of(&self, prefix: &str) -> Result<(Vec<Item>, u64), String> {
         let mut items: Vec<Item> = Vec::new();
+        let mut revision = None;
         loop {
             while !self.may_request(2.0) {
                 async_io::Timer::after(Duration::from_millis(50)).await;
@@ -85,10 +91,11 @@
                 return Err(format!("status {}", answer.status));
             }
             let page: Page = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+            let revision = *revision.get_or_insert(page.revision);
             let empty = page.items.is_empty();
             items.extend(page.items);
             if !page.more || empty {
-                return Ok(items);
+                return Ok((items, revision));
             }
         }
     }
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -18,6 +18,8 @@
     pub items: Vec<Item>,
     #[serde(default)]
     pub more: bool,
+    #[serde(rename = "ledger_rev", default)]
+    pub revision: u64,
 }
 
 #[derive(Debug, Deserialize)]
