Work per report and pass does not grow with what waits; counted in a test

Machines are reached through counted accessors. A report touches its machine alone; a pass looks at each machine a few times, where it looked once and more for every job that waited for room (64 looks with 60 jobs, now under 20). Where a job's tasks are is taken from the job, not from a scan.

--- a/src/bookkeeping/amounts.rs
+++ b/src/bookkeeping/amounts.rs
@@ -40,6 +40,13 @@
         self.cpus <= room.cpus && self.gpus <= room.gpus && self.memory <= room.memory
     }
 
+    /// Raises each amount to the other's.
+    pub fn widen(&mut self, other: &Amounts) {
+        self.cpus = self.cpus.max(other.cpus);
+        self.gpus = self.gpus.max(other.gpus);
+        self.memory = self.memory.max(other.memory);
+    }
+
     pub fn minus(mut self, other: Amounts) -> Amounts {
         self -= other;
         self
@@ -83,3 +90,30 @@
         self.memory -= o.memory;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_fits_any_machine_fits_the_most_that_is_free_of_each_resource() {
+        let mut rng = fastrand::Rng::with_seed(1);
+        let mut any = |most: i64| Amounts {
+            cpus: rng.i64(0..=most),
+            gpus: rng.i64(0..=most),
+            memory: rng.i64(0..=most),
+        };
+        let (mut fitting, mut passed_over) = (0, 0);
+        for _ in 0..2000 {
+            let machines: Vec<Amounts> = (0..5).map(|_| any(8)).collect();
+            let need = any(10);
+            let mut most = machines[0];
+            machines.iter().for_each(|m| most.widen(m));
+            let fits = machines.iter().any(|m| need.fits(m));
+            assert!(!fits || need.fits(&most), "{need:?} {machines:?}");
+            fitting += u32::from(fits);
+            passed_over += u32::from(!need.fits(&most));
+        }
+        assert!(fitting > 100 && passed_over > 100);
+    }
+}
--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -9,7 +9,7 @@
     users::{JobSpec, JobState, JobStatus, Kind},
     workers::Why,
 };
-use std::{collections::HashMap, net::SocketAddr};
+use std::{cell::Cell, collections::HashMap, net::SocketAddr};
 
 pub const NONE: u32 = u32::MAX;
 /// Images that are noted of a machine, so that its record stays small.
@@ -80,9 +80,13 @@
 
     /// Whether its tasks may be on such a machine at all.
     pub fn allows(&self, m: &Machine) -> bool {
-        self.types.get(m.type_ix).copied().unwrap_or(false)
-            && self.zone.is_none_or(|z| z == m.zone)
-            && (self.spec.spot || !m.spot)
+        self.allows_kind(m.type_ix, m.zone, m.spot)
+    }
+
+    pub fn allows_kind(&self, type_ix: usize, zone: usize, spot: bool) -> bool {
+        self.types.get(type_ix).copied().unwrap_or(false)
+            && self.zone.is_none_or(|z| z == zone)
+            && (self.spec.spot || !spot)
     }
 
     pub fn complete(&self) -> bool {
@@ -325,7 +329,10 @@
     pub jobs: Vec<Option<Job>>,
     free_jobs: Vec<u32>,
     by_ref: HashMap<String, u32>,
-    pub machines: Vec<Option<Machine>>,
+    machines: Vec<Option<Machine>>,
+    /// Machines looked at, one by one or in a pass over all: what tests of
+    /// the work done go by.
+    looked_at: Cell<u64>,
     free_machines: Vec<u32>,
     by_name: HashMap<String, u32>,
 }
@@ -377,11 +384,46 @@
         self.by_name.get(name).copied()
     }
     pub fn machine(&self, ix: u32) -> Option<&Machine> {
+        self.count(1);
         self.machines.get(ix as usize)?.as_ref()
     }
     pub fn machine_mut(&mut self, ix: u32) -> Option<&mut Machine> {
+        self.count(1);
         self.machines.get_mut(ix as usize)?.as_mut()
     }
+    fn count(&self, n: usize) {
+        self.looked_at.set(self.looked_at.get() + n as u64);
+    }
+    pub fn looked_at(&self) -> u64 {
+        self.looked_at.get()
+    }
+    pub fn each_machine(&self) -> impl Iterator<Item = &Machine> {
+        self.count(self.machines.len());
+        self.machines.iter().flatten()
+    }
+    pub fn each_machine_mut(&mut self) -> impl Iterator<Item = &mut Machine> {
+        self.count(self.machines.len());
+        self.machines.iter_mut().flatten()
+    }
+    pub fn indexed_machines(&self) -> impl Iterator<Item = (u32, &Machine)> {
+        self.count(self.machines.len());
+        let all = self.machines.iter().enumerate();
+        all.filter_map(|(ix, m)| Some((ix as u32, m.as_ref()?)))
+    }
+    /// All machines to change, with the jobs to look up.
+    pub fn machines_and_jobs(&mut self) -> (impl Iterator<Item = &mut Machine>, &[Option<Job>]) {
+        self.count(self.machines.len());
+        (self.machines.iter_mut().flatten(), &self.jobs)
+    }
+    pub fn machine_and_jobs(&mut self, ix: u32) -> Option<(&mut Machine, &[Option<Job>])> {
+        self.count(1);
+        let m = self.machines.get_mut(ix as usize)?.as_mut()?;
+        Some((m, &self.jobs))
+    }
+    /// Indices that a machine may have.
+    pub fn machine_range(&self) -> std::ops::Range<u32> {
+        0..self.machines.len() as u32
+    }
     pub fn live_jobs(&self) -> usize {
         self.by_ref.len()
     }
@@ -726,11 +768,27 @@
         }
     }
 
+    /// Where the job's live tasks are: machine, and place in its list.
+    pub fn live_of(&self, job: u32) -> impl Iterator<Item = (u32, usize)> {
+        let tasks = self.job(job).map_or(&[][..], |j| &j.slots);
+        let placed = tasks.iter().filter(|m| !matches!(**m, NONE | DONE));
+        let mut on: Vec<u32> = placed.copied().collect();
+        on.sort_unstable();
+        on.dedup();
+        on.into_iter().flat_map(move |ix| {
+            let tasks = self.machine(ix).map_or(&[][..], |m| &m.tasks);
+            let own = tasks.iter().enumerate();
+            own.filter_map(move |(at, a)| (a.job == job && a.live()).then_some((ix, at)))
+        })
+    }
+
     /// Live tasks of a job per zone.
     pub fn zones_of(&self, job: u32) -> Vec<u32> {
         let mut n = vec![0; self.zones.len()];
-        for m in self.machines.iter().flatten() {
-            n[m.zone] += m.tasks.iter().filter(|a| a.job == job && a.live()).count() as u32;
+        for (ix, _) in self.live_of(job) {
+            if let Some(m) = self.machine(ix) {
+                n[m.zone] += 1;
+            }
         }
         n
     }
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -215,7 +215,7 @@
 /// token of a direct order; in the response to report `seq` it is `None`.
 pub fn commands(model: &mut Model, ix: u32, direct: Option<u64>, seq: u64) -> Vec<Command> {
     let mut out = Vec::new();
-    let Some(m) = model.machines.get_mut(ix as usize).and_then(Option::as_mut) else {
+    let Some((m, jobs)) = model.machine_and_jobs(ix) else {
         return out;
     };
     let seen = m.seen_token;
@@ -232,8 +232,7 @@
                 let in_doubt = a.doubt != 0 && seen <= a.doubt;
                 let recorded = why != Why::Done
                     || a.job == NONE
-                    || model
-                        .jobs
+                    || jobs
                         .get(a.job as usize)
                         .and_then(Option::as_ref)
                         .is_none_or(|j| !j.is_dirty() && !j.writing);
--- a/src/coordination/leader/gather.rs
+++ b/src/coordination/leader/gather.rs
@@ -103,7 +103,7 @@
         let guaranteed = self.within_guarantee(j, now);
         let mut best: Option<(i64, Vec<Room>)> = None;
         for zone in self.gang_zones(job_ix) {
-            let mut rooms: Vec<Room> = (0..self.model.machines.len() as u32)
+            let mut rooms: Vec<Room> = (self.model.machine_range())
                 .filter(|ix| {
                     let m = self.model.machine(*ix);
                     m.is_some_and(|m| zone.is_none_or(|z| z == m.zone) && there(m))
@@ -133,7 +133,7 @@
     /// and holds the rooms. Returns on how many machines tasks were stopped.
     pub(super) fn make_room_for_gang(&mut self, job_ix: u32, now: Ms) -> usize {
         let held = |m: &Machine| m.is_held_for(job_ix, now);
-        if !self.wants_room(job_ix) || self.model.machines.iter().flatten().any(held) {
+        if !self.wants_room(job_ix) || self.model.each_machine().any(held) {
             return 0;
         }
         match self.gang_rooms(job_ix, now, |_| true) {
@@ -159,7 +159,7 @@
         {
             return false;
         }
-        if self.model.machines.iter().flatten().any(held) {
+        if self.model.each_machine().any(held) {
             return true;
         }
         let rate = chosen
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -64,8 +64,8 @@
             return ops;
         }
         self.provision_at = now + 1000;
-        for m in self.model.machines.iter_mut().flatten() {
-            let jobs = &self.model.jobs;
+        let (machines, jobs) = self.model.machines_and_jobs();
+        for m in machines {
             let batch = m.tasks.iter().any(|a| {
                 a.live()
                     && jobs
@@ -80,7 +80,7 @@
         self.return_machines(now);
         self.drain(now);
         let mut names = Vec::new();
-        for m in self.model.machines.iter_mut().flatten() {
+        for m in self.model.each_machine_mut() {
             if m.releasing
                 && !m.release_sent
                 && (m.roster == Roster::Absent || m.release_marked)
@@ -126,7 +126,7 @@
         let mut held = self.reserves(&candidates, 60_000, KEEP_IDLE, now);
         held.extend(self.spares());
         let mut gone = Vec::new();
-        for ix in 0..self.model.machines.len() as u32 {
+        for ix in self.model.machine_range() {
             let Some(m) = self.model.machine(ix) else {
                 continue;
             };
@@ -193,8 +193,7 @@
         self.drain_at = now + 2000;
         let idle = millis(self.options.idle_s);
         let mut order: Vec<u32> = Vec::new();
-        for (ix, m) in self.model.machines.iter().enumerate() {
-            let Some(m) = m else { continue };
+        for (ix, m) in self.model.indexed_machines() {
             if m.draining && m.up && !m.releasing {
                 // One at a time.
                 if m.live_tasks() > 0 {
@@ -203,7 +202,7 @@
                 continue;
             }
             if m.usable() && m.live_tasks() > 0 && now >= m.batch_until + idle && !m.ordering {
-                order.push(ix as u32);
+                order.push(ix);
             }
         }
         order.sort_by(|a, b| {
@@ -249,15 +248,14 @@
         // tried: 4 s of two replicas are 2% of what the worst 30 s counts.
         let long = now >= from.batch_until + 3 * millis(self.options.idle_s);
         let mut room: Vec<(u32, Amounts)> = Vec::new();
-        for (to, m) in self.model.machines.iter().enumerate() {
-            if let Some(m) = m
-                && to as u32 != ix
+        for (to, m) in self.model.indexed_machines() {
+            if to != ix
                 && m.usable()
                 && m.held_for.is_none()
                 && self.price(m) <= self.price(from) * 1.01
                 && m.live_tasks() > 0
             {
-                room.push((to as u32, m.free()));
+                room.push((to, m.free()));
             }
         }
         for a in from.tasks.iter().filter(|a| a.live()) {
@@ -300,8 +298,7 @@
         let mut bins = Vec::new();
         let mut coming_bins = Vec::new();
         let mut batch_held = Vec::new();
-        for (ix, m) in self.model.machines.iter().enumerate() {
-            let Some(m) = m else { continue };
+        for (ix, m) in self.model.indexed_machines() {
             let boot = millis(self.model.types[m.type_ix].boot_s);
             // One that is long overdue is not counted on any more.
             let coming = !m.up
@@ -312,7 +309,7 @@
                 && now < m.since + boot + boot * 7 / 10;
             if coming || (m.up && m.roster == Roster::Absent && !m.releasing) || m.usable() {
                 if coming {
-                    coming_bins.push((bins.len(), ix as u32));
+                    coming_bins.push((bins.len(), ix));
                 }
                 // What batches hold turns over soon.
                 batch_held.push(self.held_by_batches(m));
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -377,7 +377,7 @@
         if !self.loaded {
             return out;
         }
-        for ix in 0..self.model.machines.len() as u32 {
+        for ix in self.model.machine_range() {
             let ready = self
                 .model
                 .machine(ix)
@@ -487,6 +487,11 @@
         }
     }
 
+    /// Whatever waits is to be looked at anew.
+    pub fn touch(&mut self) {
+        self.changed = true;
+    }
+
     /// Something happened that shouldn't wait for the next look.
     pub fn has_work(&self) -> bool {
         self.changed
@@ -499,7 +504,7 @@
         }
         self.lapse(now);
         if !self.settled {
-            self.settled = !self.model.machines.iter().flatten().any(|m| m.unknown);
+            self.settled = !self.model.each_machine().any(|m| m.unknown);
             if self.settled {
                 log::info!(
                     "term {} settled after {} ms: {} jobs, {} machines",
@@ -532,7 +537,7 @@
         let after = self.lapse_after();
         let overdue = millis(self.settings.cluster.workers.report_s * 2.5) + 500;
         let mut silent = vec![0; self.model.zones.len()];
-        for ix in 0..self.model.machines.len() as u32 {
+        for ix in self.model.machine_range() {
             let Some(m) = self.model.machine_mut(ix) else {
                 continue;
             };
@@ -566,7 +571,7 @@
     /// A machine is to be taken away: tasks that can save do so now, as the
     /// notice may be half as long as it says. The others may yet complete.
     fn save_before_notice(&mut self) {
-        for ix in 0..self.model.machines.len() as u32 {
+        for ix in self.model.machine_range() {
             let Some(m) = self.model.machine(ix).filter(|m| m.notice.is_some()) else {
                 continue;
             };
@@ -607,14 +612,14 @@
         if stop.is_empty() {
             return;
         }
-        for m in self.model.machines.iter_mut().flatten() {
+        for m in self.model.each_machine_mut() {
             for a in m.tasks.iter_mut() {
                 if a.job != NONE && a.live() && a.stop.is_none() && stop.contains(&a.job) {
                     a.stop = Some(0.0);
                 }
             }
         }
-        for ix in 0..self.model.machines.len() as u32 {
+        for ix in self.model.machine_range() {
             let Some(m) = self.model.machine(ix) else {
                 continue;
             };
@@ -637,7 +642,7 @@
     pub fn finish_loading(&mut self, now: Ms) {
         self.loaded = true;
         self.arrivals.make_contiguous().sort_unstable();
-        for m in self.model.machines.iter_mut().flatten() {
+        for m in self.model.each_machine_mut() {
             m.answered = now;
         }
     }
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -18,6 +18,9 @@
     job.spec.image_gb / gb_per_s * job.spec.cpus.max(4.0 * job.spec.gpus)
 }
 
+/// By kind of machine and zone.
+type MostFree = Vec<((usize, usize, bool), Amounts)>;
+
 /// Room that stopping some tasks would make.
 pub(super) struct Room {
     pub(super) machine: u32,
@@ -60,12 +63,10 @@
 
     pub(super) fn candidates(&self) -> Vec<Candidate> {
         let mut candidates: Vec<Candidate> = Vec::new();
-        for (ix, m) in self.model.machines.iter().enumerate() {
-            if let Some(m) = m
-                && m.usable()
-            {
+        for (ix, m) in self.model.indexed_machines() {
+            if m.usable() {
                 candidates.push(Candidate {
-                    machine: ix as u32,
+                    machine: ix,
                     zone: m.zone,
                     capacity: m.capacity,
                     free: m.free(),
@@ -102,7 +103,7 @@
     fn job_settled(&self, job: &Job) -> bool {
         self.settled
             || job.fresh
-            || !self.model.machines.iter().flatten().any(|m| {
+            || !self.model.each_machine().any(|m| {
                 m.unknown
                     && job.types.get(m.type_ix).copied().unwrap_or(true)
                     && job.zone.is_none_or(|z| z == m.zone)
@@ -128,6 +129,15 @@
         }
         let keep = millis(self.options.keep_s);
         let mut reserves = self.reserves(&candidates, RATE_WINDOW, keep, now);
+        let mut most = self.most_free(&candidates);
+        // Jobs for which room is held.
+        let held: Vec<u32> = self
+            .model
+            .each_machine()
+            .filter_map(|m| m.held_for)
+            .filter(|(_, until)| now < *until)
+            .map(|(of, _)| of)
+            .collect();
         let mut wanting = Vec::new();
         // Shapes that found no room in this pass; the rest of the queue
         // needn't be tried for them.
@@ -153,8 +163,7 @@
             }
             let key = (job.need, job.types.clone(), job.zone, job.spec.spot);
             // No room in the open; room may be held or made for it still.
-            let held = |m: &Machine| m.held_for.is_some_and(|(of, _)| of == job_ix);
-            if full.contains(&key) && !self.model.machines.iter().flatten().any(held) {
+            if full.contains(&key) && !held.contains(&job_ix) {
                 self.set_reason(job_ix, Reason::NoRoom);
                 wanting.push(job_ix);
                 continue;
@@ -162,6 +171,14 @@
             let bound = job.spec.one_zone || job.spec.spread || job.spec.kind == Kind::Gang;
             let (team, priority) = (job.team, job.spec.priority);
             let gang = job.spec.kind == Kind::Gang;
+            // Guards against a look at every machine for every job that
+            // waits while the fleet is full.
+            if !self.may_fit(job, &most) {
+                let reason = self.reason_left(job_ix, held.contains(&job_ix));
+                self.set_reason(job_ix, reason);
+                wanting.push(job_ix);
+                continue;
+            }
             let one = self.within_limit(team, &key.0, 1);
             let placed = if gang {
                 self.place_gang(job_ix, &mut candidates, &mut reserves, now)
@@ -169,7 +186,8 @@
                 self.place_each(job_ix, &mut candidates, &mut reserves, now)
             };
             if !placed {
-                let reason = self.reason_left(job_ix, now);
+                most = self.most_free(&candidates);
+                let reason = self.reason_left(job_ix, held.contains(&job_ix));
                 self.set_reason(job_ix, reason);
                 wanting.push(job_ix);
             }
@@ -189,19 +207,41 @@
         self.make_room(&wanting, now);
     }
 
+    /// The most of each resource that is free on one machine, by kind and
+    /// zone: what exceeds it fits nowhere.
+    fn most_free(&self, candidates: &[Candidate]) -> MostFree {
+        let mut most = MostFree::new();
+        for c in candidates {
+            let Some(m) = self.model.machine(c.machine) else {
+                continue;
+            };
+            let key = (m.type_ix, m.zone, m.spot);
+            match most.iter_mut().find(|(k, _)| *k == key) {
+                Some((_, free)) => free.widen(&c.free),
+                None => most.push((key, c.free)),
+            }
+        }
+        most
+    }
+
+    fn may_fit(&self, job: &Job, most: &MostFree) -> bool {
+        most.iter().any(|((type_ix, zone, spot), free)| {
+            job.allows_kind(*type_ix, *zone, *spot) && job.need.fits(free)
+        })
+    }
+
     /// Why the rest of a job found no place in this pass.
-    fn reason_left(&self, job_ix: u32, now: Ms) -> Reason {
+    fn reason_left(&self, job_ix: u32, held: bool) -> Reason {
         let Some(j) = self.model.job(job_ix) else {
             return Reason::New;
         };
         let gang = j.spec.kind == Kind::Gang;
         let at_once = if gang { j.waiting() } else { 1 };
-        let held = |m: &Machine| m.is_held_for(job_ix, now);
         if gang && j.live > 0 && self.gang_to_complete(job_ix).is_none() {
             Reason::OldAttempt
         } else if !self.within_limit(j.team, &j.need, i64::from(at_once)) {
             Reason::TeamLimit
-        } else if self.model.machines.iter().flatten().any(held) {
+        } else if held {
             Reason::RoomBeingMade
         } else if gang && j.spec.tasks > 1 {
             Reason::GangIncomplete
@@ -239,9 +279,7 @@
             let mut tasks = i64::from(j.waiting());
             let held = self
                 .model
-                .machines
-                .iter()
-                .flatten()
+                .each_machine()
                 .filter(|m| m.is_held_for(job_ix, now))
                 .map(|m| m.capacity.count(&need))
                 .sum::<i64>();
@@ -271,7 +309,7 @@
         zone_ok: impl Fn(usize) -> bool,
     ) -> Option<Room> {
         let guaranteed = self.within_guarantee(self.model.job(job_ix)?, now);
-        (0..self.model.machines.len() as u32)
+        (self.model.machine_range())
             .filter(|ix| self.model.machine(*ix).is_some_and(|m| zone_ok(m.zone)))
             .filter_map(|ix| self.room_on(ix, job_ix, priority, guaranteed, now))
             .filter(|r| !r.victims.is_empty())
@@ -373,7 +411,7 @@
         if self.model.machine(at.machine).is_some_and(held) {
             return false;
         }
-        if self.model.machines.iter().flatten().any(held) {
+        if self.model.each_machine().any(held) {
             return true;
         }
         let rate = self.model.machine(at.machine).map_or(1.0, |m| {
@@ -421,17 +459,20 @@
         let Some(a) = self.model.machine(machine).and_then(|m| m.tasks.get(at)) else {
             return;
         };
-        let (job_ix, task) = (a.job, a.task);
+        let job_ix = a.job;
         let (whole, grace) = match self.model.job(job_ix) {
             Some(j) if j.spec.checkpoint_s > 0.0 => (j.spec.kind == Kind::Gang, j.spec.save_s),
             Some(j) => (j.spec.kind == Kind::Gang, 0.0),
             None => (false, 0.0),
         };
-        for m in self.model.machines.iter_mut().flatten() {
-            for a in m.tasks.iter_mut().filter(|a| a.job == job_ix && a.live()) {
-                if a.stop.is_none() && (whole || a.task == task) {
-                    a.stop = Some(grace);
-                }
+        let own: Vec<(u32, usize)> = match whole {
+            true => self.model.live_of(job_ix).collect(),
+            false => vec![(machine, at)],
+        };
+        for (ix, at) in own {
+            let a = self.model.machine_mut(ix).and_then(|m| m.tasks.get_mut(at));
+            if let Some(a) = a.filter(|a| a.stop.is_none() && a.live()) {
+                a.stop = Some(grace);
             }
         }
     }
@@ -454,16 +495,17 @@
             return false;
         };
         let guarantee = Amounts::offer(t.cpus, t.gpus, 0.0);
+        let of = |a: &Amounts| if job.need.gpus > 0 { a.gpus } else { a.cpus };
+        if of(&guarantee) <= 0 {
+            return false;
+        }
         let mut all = Amounts::default();
         for j in self.model.jobs.iter().flatten() {
             if j.team == job.team && !j.cancelled {
                 all += j.need.scaled(i64::from(j.waiting() + j.live));
             }
         }
-        match job.need.gpus > 0 {
-            true => guarantee.gpus > 0 && all.gpus <= guarantee.gpus,
-            false => guarantee.cpus > 0 && all.cpus <= guarantee.cpus,
-        }
+        of(&all) <= of(&guarantee)
     }
 
     /// Whether the team still has its guarantee without this task.
@@ -643,8 +685,8 @@
     /// wait on, and a replacement under the same number completes it.
     pub(super) fn gang_to_complete(&self, job_ix: u32) -> Option<u64> {
         let mut attempt = None;
-        for m in self.model.machines.iter().flatten() {
-            for a in m.tasks.iter().filter(|a| a.job == job_ix && a.live()) {
+        for (ix, at) in self.model.live_of(job_ix) {
+            if let Some(a) = self.model.machine(ix).and_then(|m| m.tasks.get(at)) {
                 let begun = matches!(a.phase, Phase::Running | Phase::Saving);
                 if begun || a.stop.is_some() || attempt.is_some_and(|n| n != a.attempt) {
                     return None;
@@ -735,7 +777,7 @@
         if log::log_enabled!(log::Level::Debug)
             && let (Some(j), Some(m)) = (self.model.job(job_ix), self.model.machine(machine))
         {
-            let with_image = self.model.machines.iter().flatten();
+            let with_image = self.model.each_machine();
             let with_image = with_image.filter(|o| o.images.contains(&j.image));
             let (mut cached, mut batch, mut fit) = (0, 0, 0);
             for o in with_image {
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -138,17 +138,13 @@
     }
 
     pub(super) fn plan_roster(&mut self, plan: &mut Plan, room: usize, spare: bool) {
-        for ix in 0..self.model.machines.len() {
+        for ix in self.model.machine_range() {
             if plan.txn.writes.len() + 1 > room {
                 return;
             }
-            let type_names = &self.model.types;
-            let Some(m) = self.model.machines[ix].as_mut() else {
+            let Some(m) = self.model.machine(ix).filter(|m| !m.writing) else {
                 continue;
             };
-            if m.writing {
-                continue;
-            }
             let add = m.up && m.roster == Roster::Absent && !m.releasing;
             let mark = m.releasing && !m.release_marked && m.roster == Roster::Present;
             // Not urgent, so only while much of the budget is left.
@@ -156,15 +152,13 @@
             if !add && !mark && !images {
                 continue;
             }
-            m.writing = true;
-            m.images_new = false;
             plan.txn.guards.push(Guard {
                 key: machine_key(&m.name),
                 version: m.version,
             });
             let record = MachineRecord {
                 addr: m.addr.map(|a| a.to_string()).unwrap_or_default(),
-                type_name: type_names[m.type_ix].name.clone(),
+                type_name: self.model.types[m.type_ix].name.clone(),
                 zone: self.model.zones.name(m.zone).to_owned(),
                 spot: m.spot,
                 releasing: m.releasing && m.roster == Roster::Present,
@@ -182,10 +176,14 @@
             });
             let name = m.name.clone();
             plan.items.push(if m.releasing {
-                Item::Mark(ix as u32, name)
+                Item::Mark(ix, name)
             } else {
-                Item::Roster(ix as u32, name)
+                Item::Roster(ix, name)
             });
+            if let Some(m) = self.model.machine_mut(ix) {
+                m.writing = true;
+                m.images_new = false;
+            }
         }
         while plan.txn.writes.len() < room
             && let Some((name, version)) = self.drops.pop()
--- a/src/coordination/leader/reserves.rs
+++ b/src/coordination/leader/reserves.rs
@@ -96,7 +96,7 @@
                 *allowed &= price(ix) <= 2.0 * least;
             }
             let mut most = 0;
-            for m in self.model.machines.iter().flatten() {
+            for m in self.model.each_machine() {
                 let of_class = |a: &&Assignment| {
                     a.live()
                         && self.model.job(a.job).is_some_and(|j| {
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -153,7 +153,7 @@
 
     fn fleet(&self, picture: &mut Picture, now: Ms) {
         let mut kinds: Vec<((usize, usize, bool), Fleet, f64)> = Vec::new();
-        for m in self.model.machines.iter().flatten() {
+        for m in self.model.each_machine() {
             let key = (m.type_ix, m.zone, m.spot);
             let at = match kinds.iter().position(|(k, ..)| *k == key) {
                 Some(at) => at,
@@ -217,7 +217,7 @@
         let ix = self.model.job_ix(id)?;
         let j = self.model.job(ix)?;
         let waiting = j.waiting();
-        let places = self.model.machines.iter().flatten().flat_map(|m| {
+        let places = self.model.each_machine().flat_map(|m| {
             let own = m.tasks.iter().filter(|a| a.job == ix);
             own.map(|a| {
                 let stop = if a.stop.is_some() { ", to stop" } else { "" };
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -223,7 +223,7 @@
         let unheard = |l: &mut Leader, now: u64| {
             let mut heard = 0;
             let mut names = Vec::new();
-            for m in l.model.machines.iter().flatten().filter(|m| m.up) {
+            for m in l.model.each_machine().filter(|m| m.up) {
                 if now > m.heard + report + report / 2 + 500 {
                     names.push(m.name.clone());
                 } else {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -330,13 +330,7 @@
     assert_eq!(w.running("j-000001"), 1, "one task made room, not both");
     let i = w.leader().unwrap();
     let model = &w.nodes[i].leader.as_ref().unwrap().model;
-    assert!(
-        model
-            .machines
-            .iter()
-            .flatten()
-            .all(|m| m.held_for.is_none())
-    );
+    assert!(model.each_machine().all(|m| m.held_for.is_none()));
     w.sound();
 }
 
@@ -720,3 +714,47 @@
     assert_eq!(reason(&mut w, "j-000001"), Some(Reason::Settling));
     w.sound();
 }
+
+/// Machines looked at while 50 reports without news come in, and per machine
+/// while a full fleet is passed over with many kinds of jobs waiting.
+fn work_done(machines: usize) -> (u64, f64) {
+    let mut w = quiet(24, machines, 0.0);
+    w.run_ms = 600_000;
+    w.run(3_000);
+    w.submit(job(1, Kind::Array, 2 * machines as u32));
+    let all = 2 * machines;
+    w.until(20_000, "full", |w| w.running("j-000001") == all);
+    for n in 2..62 {
+        // Each of a size of its own, so that none speaks for another.
+        let mut waits = job(n, Kind::Array, 3);
+        waits.memory_gb += f64::from(n) / 100.0;
+        w.submit(waits);
+    }
+    w.run(3_000);
+    let (i, now) = (w.leader().unwrap(), w.now);
+    let report = w.report_of(0);
+    let l = w.nodes[i].leader.as_mut().unwrap();
+    let before = l.model.looked_at();
+    for n in 1..=50 {
+        let mut again = report.clone();
+        again.seq += n;
+        assert!(l.on_beat(&again, now).is_some());
+    }
+    let reports = l.model.looked_at() - before;
+    let job = l.model.job_ix("j-000002").unwrap();
+    let before = l.model.looked_at();
+    // Something changed: the next tick is a whole pass.
+    l.touch();
+    l.tick(now, now);
+    assert!(l.model.job(job).is_some_and(|j| j.waiting() == 3));
+    let pass = l.model.looked_at() - before;
+    (reports, pass as f64 / machines as f64)
+}
+
+#[test]
+fn work_per_report_and_pass_does_not_grow_with_the_fleet() {
+    let (small, large) = (work_done(20), work_done(200));
+    assert_eq!(small.0, large.0, "a report touches its machine alone");
+    // A pass looks at each machine a few times, however many jobs wait.
+    assert!(large.1 < 20.0, "{} looks at each machine", large.1);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -499,7 +499,7 @@
                     l.settled()
                 );
             }
-            for m in l.model.machines.iter().flatten() {
+            for m in l.model.each_machine() {
                 eprintln!(
                     "{} up {} unknown {} roster {:?} v {} writing {} releasing {} tasks {:?}",
                     m.name, m.up, m.unknown, m.roster, m.version, m.writing, m.releasing, m.tasks
@@ -598,7 +598,7 @@
             }
             l.finish_loading(now);
             if self.sabotage {
-                for m in l.model.machines.iter_mut().flatten() {
+                for m in l.model.each_machine_mut() {
                     m.unknown = false;
                 }
             }
@@ -875,6 +875,11 @@
         }
     }
 
+    /// A report as the worker would send it now.
+    pub fn report_of(&mut self, w: usize) -> Report {
+        self.report(w)
+    }
+
     fn report(&mut self, w: usize) -> Report {
         let worker = &mut self.workers[w];
         worker.seq += 1;
