--- /dev/null
+++ b/examples/limits.rs
@@ -0,0 +1,142 @@
+//! What a leader costs, to be counted from outside: see docs/limits.md.
+//!
+//!     limits reports MACHINES N   N reports without news, parsed and answered
+//!     limits polls MACHINES N     N polls of live jobs
+//!     limits memory JOBS N        N finished jobs beside JOBS live ones
+
+use anyhow::{Context, Result, bail};
+use pathwinch::{
+    bookkeeping::records::{JobRecord, MachineRecord},
+    coordination::leader::Leader,
+    protocol::{
+        cloud::MachineType,
+        options::Options,
+        settings::Settings,
+        users::{JobSpec, JobState, JobStatus},
+        workers::Report,
+    },
+};
+use std::rc::Rc;
+
+fn settings() -> Result<Settings> {
+    Settings::parse(
+        r#"{"host_name":"n0","area":"a","listen":"127.0.0.1:1","back":"127.0.0.1:2",
+            "known":[],"outside":{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"},
+            "cluster":{"zones":["a"],"teams":[{"name":"t"}],
+            "workers":{"report_s":1.0,"lease_s":10.0,"gang_wait_s":45.0,
+                       "gang_peer_s":5.0,"cancel_s":35.0},
+            "state":{"rps":200.0,"write_rps":80.0,"value_kb":8.0,"txn_ops":12},
+            "cloud":{"rps":5.0,"list_lag_s":3.0},"quota":{"max_sockets":600}}}"#,
+    )
+}
+
+fn machine_type() -> Result<MachineType> {
+    Ok(serde_json::from_str(
+        r#"{"sku":"m","cores":64.0,"memory_gb":256.0,"local_gb":50.0,"fetch_gb_per_s":1.0,
+            "price":3.5,"market_price":1.4,"startup_s":20.0,"halls":["a"]}"#,
+    )?)
+}
+
+fn job(n: usize) -> Result<JobRecord> {
+    let spec = format!(
+        r#"{{"ref":"j-{n:06}","job_family":"c","owner_crew":"t","run_shape":"array",
+            "urgency":"normal","pieces":80,"cores":4.0,"accelerators":0.0,"memory_gb":15.0,
+            "bundle":"img-{}","image_gb":1.8,"same_place":false,"apart":false,"lendback":true,
+            "expected_s":35.0,"snapshot_every_s":0.0,"snapshot_cost_s":0.0,"due_s":300.0}}"#,
+        n % 16
+    );
+    Ok(JobRecord {
+        spec: JobSpec::parse(spec.as_bytes()).map_err(anyhow::Error::msg)?,
+        at_ms: 0,
+        cancelled: false,
+        done: String::new(),
+    })
+}
+
+/// A leader with so many machines of 16 tasks each, all reported.
+fn leader(machines: usize, jobs: usize) -> Result<(Leader, Vec<String>)> {
+    let term = 1;
+    let types = vec![machine_type()?];
+    let mut l = Leader::new(Rc::new(settings()?), Options::default(), types, term, 0);
+    for n in 0..machines {
+        let record = MachineRecord {
+            addr: "127.0.0.1:9".into(),
+            type_name: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            releasing: false,
+            images: Vec::new(),
+        };
+        l.load_machine(&format!("i-{n:06}"), record, 1, 0);
+    }
+    for n in 0..jobs {
+        l.load_job(job(n)?, 1, 0);
+    }
+    l.finish_loading(0);
+    let token = term << 20;
+    let mut bodies = Vec::new();
+    for n in 0..machines {
+        let tasks: Vec<String> = (0..16)
+            .map(|t| {
+                // Task numbers below 80: five machines share a job.
+                let (id, task) = (n / 5, n % 5 * 16 + t);
+                format!(r#"{{"piece":"j-{id:06}/{task}","try":7,"stage":"running"}}"#)
+            })
+            .collect();
+        bodies.push(format!(
+            r#"{{"post":"i-{n:06}","addr":"127.0.0.1:9","rig":"m","hall":"a","lendback":false,
+                "tenure":1,"tick":TICK,"baton":{token},"reclaim_in_s":null,"pieces":[{}]}}"#,
+            tasks.join(",")
+        ));
+    }
+    for body in &bodies {
+        let report: Report = serde_json::from_str(&body.replace("TICK", "1"))?;
+        l.on_beat(&report, 1000);
+    }
+    l.tick(1000, 1000);
+    Ok((l, bodies))
+}
+
+fn main() -> Result<()> {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, what, size, count] = args.as_slice() else {
+        bail!("usage: limits reports|polls|memory SIZE N");
+    };
+    let size: usize = size.parse().context("SIZE")?;
+    let count: usize = count.parse().context("N")?;
+    match what.as_str() {
+        "reports" => {
+            let (mut l, bodies) = leader(size, size / 5 + 1)?;
+            for n in 0..count {
+                let body = bodies[n % size].replace("TICK", &(n / size + 2).to_string());
+                let report: Report = serde_json::from_str(&body)?;
+                let reply = l.on_beat(&report, 1001).context("not answered")?;
+                std::hint::black_box(serde_json::to_vec(&reply)?);
+            }
+        }
+        "polls" => {
+            let (l, _) = leader(size, size / 5 + 1)?;
+            for n in 0..count {
+                let id = format!("j-{:06}", n % (size / 5 + 1));
+                let status = l.status(&id).context("not known")?;
+                std::hint::black_box(serde_json::to_vec(&status)?);
+            }
+        }
+        "memory" => {
+            let (mut l, _) = leader(400, size)?;
+            for n in 0..count {
+                l.remember_final(JobStatus {
+                    id: format!("j-{:06}", 500_000 + n),
+                    state: JobState::Done,
+                    done: 80,
+                    running: 0,
+                });
+            }
+            let status = std::fs::read_to_string("/proc/self/status")?;
+            let line = status.lines().find(|l| l.starts_with("VmRSS"));
+            println!("{} {}", l.model.live_jobs(), line.unwrap_or("VmRSS unknown"));
+        }
+        other => bail!("{other}: neither reports, polls nor memory"),
+    }
+    Ok(())
+}
