--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -134,7 +134,11 @@
             }
             let status = std::fs::read_to_string("/proc/self/status")?;
             let line = status.lines().find(|l| l.starts_with("VmRSS"));
-            println!("{} {}", l.model.live_jobs(), line.unwrap_or("VmRSS unknown"));
+            println!(
+                "{} {}",
+                l.model.live_jobs(),
+                line.unwrap_or("VmRSS unknown")
+            );
         }
         other => bail!("{other}: neither reports, polls nor memory"),
     }
