The leader's files split by what they own; no change of behaviour

Room made by stopping tasks, rentals, and what time alone brings have files of their own: preempt, rent, upkeep. Functions were moved as they are.

--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -4,9 +4,12 @@
 mod gather;
 mod machines;
 mod place;
+mod preempt;
 mod records;
+mod rent;
 mod reserves;
 mod status;
+mod upkeep;
 mod zones;
 
 use super::{
@@ -533,110 +536,6 @@
         }
     }
 
-    fn lapse(&mut self, now: Ms) {
-        let after = self.lapse_after();
-        let overdue = millis(self.settings.cluster.workers.report_s * 2.5) + 500;
-        let mut silent = vec![0; self.model.zones.len()];
-        for ix in self.model.machine_range() {
-            let Some(m) = self.model.machine_mut(ix) else {
-                continue;
-            };
-            let suspect = m.up && now > m.heard + overdue;
-            if suspect || (!m.up && (m.session > 0 || m.roster == Roster::Present)) {
-                silent[m.zone] += 1;
-            }
-            if m.suspect != suspect {
-                m.suspect = suspect;
-                self.changed = true;
-                log::debug!("machine {} overdue: {suspect}", m.name);
-            }
-            if !(m.up || m.unknown) || now <= m.answered + after {
-                continue;
-            }
-            log::info!(
-                "machine {} silent: its lease has lapsed, {} tasks gone",
-                m.name,
-                m.live_tasks()
-            );
-            m.up = false;
-            m.unknown = false;
-            m.min_session = m.session + 1;
-            m.since = now;
-            self.model.clear_machine(ix);
-            self.changed = true;
-        }
-        self.judge_zones(&silent, overdue, now);
-    }
-
-    /// A machine is to be taken away: tasks that can save do so now, as the
-    /// notice may be half as long as it says. The others may yet complete.
-    fn save_before_notice(&mut self) {
-        for ix in self.model.machine_range() {
-            let Some(m) = self.model.machine(ix).filter(|m| m.notice.is_some()) else {
-                continue;
-            };
-            let saving: Vec<usize> = m
-                .tasks
-                .iter()
-                .enumerate()
-                .filter(|(_, a)| a.phase == Phase::Running && a.stop.is_none())
-                .filter(|(_, a)| {
-                    self.model
-                        .job(a.job)
-                        .is_some_and(|j| j.spec.checkpoint_s > 0.0)
-                })
-                .map(|(at, _)| at)
-                .collect();
-            for at in saving {
-                self.stop_orderly(ix, at);
-            }
-        }
-    }
-
-    /// Tasks of withdrawn jobs, and what is left of gangs that lost a task.
-    fn stop_what_must(&mut self) {
-        let settled = self.settled;
-        let mut stop = Vec::new();
-        for (ix, job) in self.model.jobs.iter().enumerate() {
-            if let Some(j) = job
-                && j.live > 0
-                && (j.cancelled
-                    || settled
-                        && j.spec.kind == Kind::Gang
-                        && j.waiting() > 0
-                        && self.gang_to_complete(ix as u32).is_none())
-            {
-                stop.push(ix as u32);
-            }
-        }
-        if stop.is_empty() {
-            return;
-        }
-        for m in self.model.each_machine_mut() {
-            for a in m.tasks.iter_mut() {
-                if a.job != NONE && a.live() && a.stop.is_none() && stop.contains(&a.job) {
-                    a.stop = Some(0.0);
-                }
-            }
-        }
-        for ix in self.model.machine_range() {
-            let Some(m) = self.model.machine(ix) else {
-                continue;
-            };
-            // Never sent, not even in doubt: simply not launched.
-            for at in (0..m.tasks.len()).rev() {
-                let drop = self.model.machine(ix).is_some_and(|m| {
-                    let a = &m.tasks[at];
-                    a.phase == Phase::New && a.stop.is_some() && a.doubt == 0
-                });
-                if drop {
-                    self.model.unassign(ix, at);
-                    self.changed = true;
-                }
-            }
-        }
-    }
-
     /// All records have been read. Workers were answered meanwhile, so their
     /// leases count from now.
     pub fn finish_loading(&mut self, now: Ms) {
--- /dev/null
+++ b/src/coordination/leader/preempt.rs
@@ -0,0 +1,300 @@
+//! Room made by stopping tasks: which, at what loss, and for whom.
+
+use super::*;
+
+/// Constant part, in core-seconds, of the work that may be lost for a start
+/// without a fetch.
+pub(super) const WORTH: f64 = 100.0;
+/// The same for a service, which users miss while it fetches.
+const WORTH_SERVICE: f64 = 600.0;
+
+/// After this long a team does not wait for what others hold beyond theirs.
+const GUARANTEE_S: f64 = 20.0;
+
+/// Core-seconds for which a task's share of a machine is idle while its image
+/// is fetched there.
+pub(super) fn fetch_worth(job: &Job, gb_per_s: f64) -> f64 {
+    job.spec.image_gb / gb_per_s * job.spec.cpus.max(4.0 * job.spec.gpus)
+}
+
+/// Room that stopping some tasks would make.
+pub(super) struct Room {
+    pub(super) machine: u32,
+    pub(super) victims: Vec<usize>,
+    /// The image would have to be fetched there.
+    pub(super) fetch: bool,
+    /// Work lost, in core-seconds.
+    pub(super) lost: i64,
+}
+
+impl Leader {
+    /// Stops tasks of lower priority where a job of high priority finds no
+    /// room, and keeps the room for it.
+    pub(super) fn make_room(&mut self, wanting: &[u32], now: Ms) {
+        let mut begun = 0;
+        for &job_ix in wanting {
+            let Some(j) = self.model.job(job_ix) else {
+                continue;
+            };
+            if j.live > 0 && j.spec.kind == Kind::Gang && self.gang_to_complete(job_ix).is_none()
+                || j.spec.priority < Priority::High && !self.within_guarantee(j, now)
+            {
+                continue;
+            }
+            let (need, team, priority) = (j.need, j.team, j.spec.priority);
+            if j.spec.kind == Kind::Gang && j.spec.tasks > 1 {
+                if begun < 3 {
+                    begun += self.make_room_for_gang(job_ix, now);
+                }
+                continue;
+            }
+            if j.spec.one_zone && j.spec.tasks > 1 {
+                // Not planned for here: such a job waits for room.
+                continue;
+            }
+            let half = j.spec.spread.then(|| j.spec.tasks.div_ceil(2));
+            let mut zones = self.model.zones_of(job_ix);
+            let mut tasks = i64::from(j.waiting());
+            let held = self
+                .model
+                .each_machine()
+                .filter(|m| m.is_held_for(job_ix, now))
+                .map(|m| m.capacity.count(&need))
+                .sum::<i64>();
+            tasks -= held;
+            while tasks > 0 && begun < 3 && self.within_limit(team, &need, 1) {
+                let Some(room) = self.cheapest_room(job_ix, priority, now, |z| {
+                    half.is_none_or(|h| zones.get(z).copied().unwrap_or(0) < h)
+                }) else {
+                    break;
+                };
+                tasks -= 1;
+                begun += 1;
+                if let Some(m) = self.model.machine(room.machine) {
+                    zones[m.zone] += 1;
+                }
+                self.preempt(job_ix, room, now);
+            }
+        }
+    }
+
+    /// The machine on which the least work is lost by making room for a task.
+    pub(super) fn cheapest_room(
+        &self,
+        job_ix: u32,
+        priority: Priority,
+        now: Ms,
+        zone_ok: impl Fn(usize) -> bool,
+    ) -> Option<Room> {
+        let guaranteed = self.within_guarantee(self.model.job(job_ix)?, now);
+        (self.model.machine_range())
+            .filter(|ix| self.model.machine(*ix).is_some_and(|m| zone_ok(m.zone)))
+            .filter_map(|ix| self.room_on(ix, job_ix, priority, guaranteed, now))
+            .filter(|r| !r.victims.is_empty())
+            .min_by_key(|r| (r.fetch, r.lost))
+    }
+
+    /// Room for a task on one machine, at the least loss there.
+    pub(super) fn room_on(
+        &self,
+        ix: u32,
+        job_ix: u32,
+        priority: Priority,
+        guaranteed: bool,
+        now: Ms,
+    ) -> Option<Room> {
+        let job = self.model.job(job_ix)?;
+        let m = self.model.machine(ix)?;
+        let allowed = m.usable()
+            && m.held_for.is_none_or(|(_, until)| now >= until)
+            && job.allows(m)
+            && job.need.fits(&m.capacity);
+        if !allowed {
+            return None;
+        }
+        let fetch = !m.images.contains(&job.image);
+        let mut victims: Vec<(i64, usize)> = Vec::new();
+        for (at, a) in m.tasks.iter().enumerate() {
+            let Some(v) = self.model.job(a.job) else {
+                continue;
+            };
+            if !a.live() || a.stop.is_some() || v.spec.kind == Kind::Service {
+                continue;
+            }
+            let lower = v.spec.priority < priority && v.spec.kind == Kind::Array;
+            // Room without the image can't meet the aim any more.
+            let beyond = guaranteed
+                && (!fetch || now >= job.known_ms + millis(GUARANTEE_S))
+                && v.team != job.team
+                && now > a.since + SETTLED_IN
+                && self.beyond_guarantee(v.team, &a.need, &job.need);
+            if lower || beyond {
+                // A task that saves loses little.
+                let mut ms = now - a.since;
+                if v.spec.checkpoint_s > 0.0 {
+                    ms = ms.min(millis(v.spec.save_s + 1.0));
+                }
+                let tasks = match v.spec.kind {
+                    Kind::Gang => i64::from(v.spec.tasks),
+                    _ => 1,
+                };
+                victims.push((ms as i64 * a.need.cpus.max(1) / 1_000_000 * tasks, at));
+            }
+        }
+        victims.sort_unstable();
+        let mut free = m.free();
+        let mut lost = 0;
+        let mut chosen = Vec::new();
+        for (cost, at) in victims {
+            if job.need.fits(&free) {
+                break;
+            }
+            free += m.tasks[at].need;
+            lost += cost;
+            chosen.push(at);
+        }
+        job.need.fits(&free).then_some(Room {
+            machine: ix,
+            victims: chosen,
+            fetch,
+            lost,
+        })
+    }
+
+    /// Where the best place means a fetch that misses the aim for starting,
+    /// room on a machine that caches the image may be the lesser loss: the
+    /// fetch leaves the task's share idle for as long. Returns whether the
+    /// task is to wait for such room.
+    pub(super) fn room_with_image(
+        &mut self,
+        job_ix: u32,
+        at: &Candidate,
+        now: Ms,
+        zone_ok: impl Fn(usize) -> bool,
+    ) -> bool {
+        if at.pool < LATE_RANK {
+            return false;
+        }
+        let Some(job) = self.model.job(job_ix) else {
+            return false;
+        };
+        let priority = job.spec.priority;
+        if priority < Priority::High {
+            return false;
+        }
+        let held = |m: &Machine| m.is_held_for(job_ix, now);
+        // The room that was made for it is here. Guards against a service
+        // that waited until the hold was over, as rooms without its image
+        // looked like rooms still to come.
+        if self.model.machine(at.machine).is_some_and(held) {
+            return false;
+        }
+        if self.model.each_machine().any(held) {
+            return true;
+        }
+        let rate = self.model.machine(at.machine).map_or(1.0, |m| {
+            self.model.types[m.type_ix].fetch_gb_per_s.max(0.001)
+        });
+        let least = match job.spec.kind {
+            Kind::Service => WORTH_SERVICE,
+            _ => WORTH,
+        };
+        let worth = fetch_worth(job, rate) + least;
+        let Some(room) = self.cheapest_room(job_ix, priority, now, zone_ok) else {
+            return false;
+        };
+        if room.fetch || room.lost as f64 > worth {
+            return false;
+        }
+        self.preempt(job_ix, room, now);
+        true
+    }
+
+    pub(super) fn preempt(&mut self, job_ix: u32, room: Room, now: Ms) {
+        let id = self.model.job(job_ix).map(|j| j.id.clone());
+        self.set_reason(job_ix, Reason::RoomBeingMade);
+        self.tally.preempted += room.victims.len() as u64;
+        let Some(m) = self.model.machine_mut(room.machine) else {
+            return;
+        };
+        if !room.victims.is_empty() {
+            log::info!(
+                "preempting {} tasks on {} for {}",
+                room.victims.len(),
+                m.name,
+                id.unwrap_or_default()
+            );
+        }
+        m.held_for = Some((job_ix, now + HELD));
+        for at in room.victims {
+            self.stop_orderly(room.machine, at);
+        }
+    }
+
+    /// Tells a task to stop, with the time it needs to save; a gang is told
+    /// as a whole, or the save would fail.
+    pub(super) fn stop_orderly(&mut self, machine: u32, at: usize) {
+        let Some(a) = self.model.machine(machine).and_then(|m| m.tasks.get(at)) else {
+            return;
+        };
+        let job_ix = a.job;
+        let (whole, grace) = match self.model.job(job_ix) {
+            Some(j) if j.spec.checkpoint_s > 0.0 => (j.spec.kind == Kind::Gang, j.spec.save_s),
+            Some(j) => (j.spec.kind == Kind::Gang, 0.0),
+            None => (false, 0.0),
+        };
+        let own: Vec<(u32, usize)> = match whole {
+            true => self.model.live_of(job_ix).collect(),
+            false => vec![(machine, at)],
+        };
+        for (ix, at) in own {
+            let a = self.model.machine_mut(ix).and_then(|m| m.tasks.get_mut(at));
+            if let Some(a) = a.filter(|a| a.stop.is_none() && a.live()) {
+                a.stop = Some(grace);
+            }
+        }
+    }
+
+    /// Whether the team's unfinished work all fits its guarantee, and this job
+    /// has waited a while although it must not wait for other teams.
+    pub(super) fn within_guarantee(&self, job: &Job, now: Ms) -> bool {
+        let within = self
+            .settings
+            .cluster
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "guarantee")
+            .filter_map(|o| o.within_s)
+            .fold(GUARANTEE_S, f64::min);
+        if now < job.known_ms + millis(within / 5.0) {
+            return false;
+        }
+        let Some(t) = self.model.teams.get(job.team) else {
+            return false;
+        };
+        let guarantee = Amounts::offer(t.cpus, t.gpus, 0.0);
+        let of = |a: &Amounts| if job.need.gpus > 0 { a.gpus } else { a.cpus };
+        if of(&guarantee) <= 0 {
+            return false;
+        }
+        let mut all = Amounts::default();
+        for j in self.model.jobs.iter().flatten() {
+            if j.team == job.team && !j.cancelled {
+                all += j.need.scaled(i64::from(j.waiting() + j.live));
+            }
+        }
+        of(&all) <= of(&guarantee)
+    }
+
+    /// Whether the team still has its guarantee without this task.
+    fn beyond_guarantee(&self, team: usize, task: &Amounts, wanted: &Amounts) -> bool {
+        let (Some(t), Some(used)) = (self.model.teams.get(team), self.model.usage.get(team)) else {
+            return false;
+        };
+        let guarantee = Amounts::offer(t.cpus, t.gpus, 0.0);
+        match wanted.gpus > 0 {
+            true => task.gpus > 0 && used.gpus - task.gpus >= guarantee.gpus,
+            false => used.cpus - task.cpus >= guarantee.cpus,
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/leader/rent.rs
@@ -0,0 +1,252 @@
+//! Rentals: what is asked of the cloud, and how it came out.
+
+use super::*;
+
+impl Leader {
+    pub(super) fn boot_s(&self, types: &[bool]) -> f64 {
+        self.model
+            .types
+            .iter()
+            .zip(types)
+            .filter(|(_, allowed)| **allowed)
+            .map(|(t, _)| t.boot_s)
+            .min_by(f64::total_cmp)
+            .unwrap_or(0.0)
+    }
+
+    pub(super) fn purchases(&mut self, now: Ms, wall_ms: u64) -> Vec<Rent> {
+        let mut bins = Vec::new();
+        let mut coming_bins = Vec::new();
+        let mut batch_held = Vec::new();
+        for (ix, m) in self.model.indexed_machines() {
+            let boot = millis(self.model.types[m.type_ix].boot_s);
+            // One that is long overdue is not counted on any more.
+            let coming = !m.up
+                && m.session == 0
+                && !m.releasing
+                && !m.unknown
+                && !self.is_dark(m.zone, now)
+                && now < m.since + boot + boot * 7 / 10;
+            if coming || (m.up && m.roster == Roster::Absent && !m.releasing) || m.usable() {
+                if coming {
+                    coming_bins.push((bins.len(), ix));
+                }
+                // What batches hold turns over soon.
+                batch_held.push(self.held_by_batches(m));
+                bins.push(Bin {
+                    type_ix: m.type_ix,
+                    zone: m.zone,
+                    spot: m.spot,
+                    free: m.free(),
+                });
+            }
+        }
+        let mut offers = Vec::new();
+        for (type_ix, t) in self.model.types.iter().enumerate() {
+            for zone in &t.zones {
+                let Some(zone) = self.model.zones.find(zone) else {
+                    continue;
+                };
+                for spot in [false, true] {
+                    offers.push(Offer {
+                        type_ix,
+                        zone,
+                        spot,
+                        capacity: Amounts::offer(t.cpus, t.gpus, t.memory_gb),
+                        price: t.price_of(spot),
+                        refused: self.is_dark(zone, now)
+                            || self
+                                .refused
+                                .get(&(type_ix, zone, spot))
+                                .is_some_and(|until| now < *until),
+                    });
+                }
+            }
+        }
+        let order = self.queue();
+        let free_before: Vec<Amounts> = bins.iter().map(|b| b.free).collect();
+        let mut room: HashMap<usize, Amounts> = HashMap::new();
+        let mut demands = Vec::new();
+        let mut batch_demands = Vec::new();
+        let (mut of, mut batch_of) = (Vec::new(), Vec::new());
+        for &ix in &order {
+            let Some(j) = self.model.job(ix) else {
+                continue;
+            };
+            if j.failures > 5 {
+                continue;
+            }
+            let waiting = i64::from(j.waiting());
+            let mut count = waiting;
+            // What the team may not run yet needs no machine yet.
+            let planned = room.entry(j.team).or_default();
+            while count > 0 {
+                let mut all = j.need.scaled(count);
+                all += *planned;
+                if self.within_limit(j.team, &all, 1) {
+                    break;
+                }
+                count -= 1;
+            }
+            *planned += j.need.scaled(count);
+            if count <= 0 {
+                continue;
+            }
+            let mut demand = Demand {
+                need: j.need,
+                count,
+                types: j.types.clone(),
+                zone: j.zone,
+                spot: j.spec.spot,
+                per_zone: j.spec.spread.then(|| i64::from(j.spec.tasks.div_ceil(2))),
+                refused: false,
+            };
+            if j.spec.kind == Kind::Array {
+                let age = wall_ms.saturating_sub(j.at_ms) as f64 / 1000.0;
+                let left = j
+                    .spec
+                    .deadline_s
+                    .map(|d| d - age - self.boot_s(&j.types) - 5.0);
+                let live = i64::from(j.live);
+                demand.count = provision::parallel(count, live, j.spec.estimate_s, left);
+                batch_demands.push(demand);
+                batch_of.push(ix);
+            } else {
+                demands.push(demand);
+                of.push(ix);
+            }
+            if demands.len() + batch_demands.len() >= 200 {
+                break;
+            }
+        }
+        self.order = order;
+        let mut bought = provision::plan(&mut demands, &mut bins, &offers, provision::MAX_NEW);
+        // Batches may use what high priority leaves.
+        let mut room: Vec<Bin> = bins.clone();
+        bought.extend(provision::plan(
+            &mut batch_demands,
+            &mut bins,
+            &offers,
+            provision::BATCH_NEW,
+        ));
+        let planned = of.iter().chain(&batch_of);
+        for (ix, d) in planned.zip(demands.iter().chain(&batch_demands)) {
+            if let Some(j) = self.model.job_mut(*ix) {
+                j.supply = match d {
+                    Demand { refused: true, .. } => Some(Reason::CloudRefuses),
+                    Demand { count: 1.., .. } => Some(Reason::MachineBooting),
+                    // Not hurried: it will be in time without.
+                    _ => None,
+                };
+            }
+        }
+        let untouched: Vec<bool> = bins
+            .iter()
+            .zip(&free_before)
+            .map(|(b, before)| b.free == *before)
+            .collect();
+        let mut spares: Vec<Demand> = self
+            .spares()
+            .into_iter()
+            .map(|r| Demand {
+                need: r.need,
+                count: r.wanted,
+                types: r.types,
+                zone: None,
+                spot: r.spot,
+                per_zone: None,
+                refused: false,
+            })
+            .collect();
+        for (bin, held) in room.iter_mut().zip(batch_held) {
+            bin.free += held;
+        }
+        bought.extend(provision::plan(
+            &mut spares,
+            &mut room,
+            &offers,
+            provision::MAX_NEW,
+        ));
+        // A machine that still boots when its work is gone is given back, once
+        // the least that it costs is spent.
+        for (bin, ix) in coming_bins {
+            if let Some(m) = self.model.machine(ix)
+                && untouched[bin]
+                && now > m.since + LEAST_CHARGE
+            {
+                self.release(ix, "no longer needed", now);
+            }
+        }
+        let mut rents = Vec::new();
+        for p in bought {
+            let mut left = p.count;
+            while left > 0 {
+                let count = left.min(MAX_RENT);
+                left -= count;
+                self.requests += 1;
+                rents.push(Rent {
+                    request: format!("r-{}-{}", self.term, self.requests),
+                    type_name: self.model.types[p.type_ix].name.clone(),
+                    zone: self.model.zones.name(p.zone).to_owned(),
+                    spot: p.spot,
+                    count,
+                });
+            }
+        }
+        rents
+    }
+
+    /// `None`: no answer; the machines, if any, show in the list.
+    pub fn rented(&mut self, rent: &Rent, names: Option<&[String]>, now: Ms) {
+        self.renting = self.renting.saturating_sub(1);
+        let names = names.unwrap_or(&[]);
+        log::info!(
+            "rented {} of {} {} in {}{}",
+            names.len(),
+            rent.count,
+            rent.type_name,
+            rent.zone,
+            if rent.spot { ", spot" } else { "" }
+        );
+        self.tally.rented += names.len() as u64;
+        for name in names {
+            self.model
+                .insert_machine(name, "", &rent.type_name, &rent.zone, rent.spot, now);
+        }
+        if (names.len() as u32) < rent.count
+            && let (Some(t), Some(z)) = (
+                self.model.type_index(&rent.type_name),
+                self.model.zones.find(&rent.zone),
+            )
+        {
+            self.refused.insert((t, z, rent.spot), now + REFUSED);
+        }
+    }
+
+    /// The cloud answered a release: the machines are gone.
+    pub fn released(&mut self, names: &[String], ok: bool, now: Ms) {
+        for name in names {
+            let Some(ix) = self.model.machine_ix(name) else {
+                continue;
+            };
+            if !ok {
+                if let Some(m) = self.model.machine_mut(ix) {
+                    m.release_sent = false;
+                }
+                continue;
+            }
+            if let Some(m) = self.model.machine(ix)
+                && m.roster == Roster::Present
+            {
+                self.drops.push((name.clone(), m.version));
+            }
+            self.tally.released += 1;
+            self.model.remove_machine(ix);
+            self.released.insert(name.clone(), now);
+            self.changed = true;
+        }
+        if self.released.len() > 5000 {
+            self.released.retain(|_, at| now < *at + 600_000);
+        }
+    }
+}
