--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -65,6 +65,7 @@
             zone: "a".into(),
             spot: false,
             releasing: false,
+            quarantined: false,
             images: Vec::new(),
         };
         l.load_machine(&format!("i-{n:06}"), record, 1, 0);
--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -244,6 +244,8 @@
     pub listed: Ms,
     pub failures: u32,
     pub quarantined: bool,
+    /// The record lacks that.
+    pub quarantine_new: bool,
     /// A direct order is on its way.
     pub ordering: bool,
     pub order_retry: Ms,
@@ -563,6 +565,7 @@
             listed: now,
             failures: 0,
             quarantined: false,
+            quarantine_new: false,
             ordering: false,
             order_retry: 0,
             images: Vec::new(),
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -76,6 +76,9 @@
     /// Its release has been decided.
     #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
     pub releasing: bool,
+    /// Tasks fail on it: a new leader need not find that out again.
+    #[serde(rename = "q", default, skip_serializing_if = "std::ops::Not::not")]
+    pub quarantined: bool,
     /// Images it is thought to cache, so that a new leader knows where a
     /// task starts without a fetch.
     #[serde(rename = "i", default, skip_serializing_if = "Vec::is_empty")]
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -270,6 +270,7 @@
             m.version = version;
             m.releasing = record.releasing;
             m.release_marked = record.releasing;
+            m.quarantined = record.quarantined;
             m.unknown = true;
             m.answered = self.acquired;
         }
@@ -366,6 +367,7 @@
                     m.failures += 1;
                     if m.failures >= 3 && why == Why::Error && !m.quarantined {
                         m.quarantined = true;
+                        m.quarantine_new = true;
                         log::info!("machine {} quarantined: tasks fail on it", m.name);
                     }
                     log::debug!("task {id}/{task} failed on {}: {why:?}", m.name);
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -149,7 +149,8 @@
             let mark = m.releasing && !m.release_marked && m.roster == Roster::Present;
             // Not urgent, so only while much of the budget is left.
             let images = m.images_new && m.roster == Roster::Present && m.up && spare;
-            if !add && !mark && !images {
+            let quarantine = m.quarantine_new && m.roster == Roster::Present;
+            if !add && !mark && !images && !quarantine {
                 continue;
             }
             plan.txn.guards.push(Guard {
@@ -162,6 +163,7 @@
                 zone: self.model.zones.name(m.zone).to_owned(),
                 spot: m.spot,
                 releasing: m.releasing && m.roster == Roster::Present,
+                quarantined: m.quarantined,
                 images: m
                     .images
                     .iter()
@@ -183,6 +185,7 @@
             if let Some(m) = self.model.machine_mut(ix) {
                 m.writing = true;
                 m.images_new = false;
+                m.quarantine_new = false;
             }
         }
         while plan.txn.writes.len() < room
@@ -326,6 +329,7 @@
                 Item::Roster(ix, name) | Item::Mark(ix, name) => {
                     if let Some(m) = self.model.machine_mut(*ix).filter(|m| m.name == *name) {
                         m.writing = false;
+                        m.quarantine_new = m.quarantined;
                     }
                 }
                 Item::Drop(_) => {}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -461,6 +461,36 @@
     w.sound();
 }
 
+#[test]
+fn a_new_leader_knows_on_which_machine_tasks_fail() {
+    let mut w = quiet(25, 2, 0.0);
+    // A service on each machine, so that none is empty and goes back.
+    let mut service = job(1, Kind::Service, 2);
+    service.spread = true;
+    w.submit(service);
+    w.until(20_000, "up", |w| w.running("j-000001") == 2);
+    w.workers[0].sick = true;
+    for n in 2..6 {
+        w.submit(job(n, Kind::Array, 2));
+    }
+    w.until(60_000, "set aside", |w| {
+        let machines = w.store.kv.range("m/".to_owned()..);
+        let mut machines = machines.take_while(|(k, _)| k.starts_with("m/"));
+        machines.any(|(_, (v, _))| v["q"] == true)
+    });
+    let failed = w.failed;
+    let old = w.leader().unwrap();
+    w.crash(old, 3_000);
+    for n in 6..9 {
+        w.submit(job(n, Kind::Array, 2));
+    }
+    w.until(120_000, "all done on the other", |w| {
+        (2..9).all(|n| w.done(&format!("j-{n:06}")))
+    });
+    assert_eq!(w.failed, failed, "tasks were started there again");
+    w.sound();
+}
+
 /// A gang of whole machines in one zone.
 fn whole_machines(n: u32, tasks: u32) -> JobSpec {
     let mut gang = job(n, Kind::Gang, tasks);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -195,6 +195,8 @@
     sent: Ms,
     dirty: bool,
     target: usize,
+    /// Every task that starts on it fails.
+    pub sick: bool,
     flight: Option<(u64, Ms)>,
     boots: Ms,
 }
@@ -222,6 +224,8 @@
     pub slow_do: HashMap<usize, Ms>,
     pub broken: Vec<String>,
     pub starts: u32,
+    /// Tasks that failed on sick machines.
+    pub failed: u32,
     pub finished: BTreeSet<String>,
     pub run_ms: Ms,
     pub fetch_ms: Ms,
@@ -252,6 +256,7 @@
             slow_do: HashMap::new(),
             broken: Vec::new(),
             starts: 0,
+            failed: 0,
             finished: BTreeSet::new(),
             run_ms: 6_000,
             fetch_ms: 300,
@@ -298,6 +303,7 @@
             sent: 0,
             dirty: false,
             target: 0,
+            sick: false,
             flight: None,
             boots: self.now + boot,
         });
@@ -1019,6 +1025,12 @@
         for t in worker.tasks.iter_mut().filter(|t| now >= t.until) {
             let spec = &self.specs[t.name.rsplit_once('/').unwrap().0];
             match t.state {
+                TaskState::Fetching if worker.sick => {
+                    t.state = TaskState::Exited;
+                    t.why = Some(Why::Error);
+                    self.failed += 1;
+                    worker.dirty = true;
+                }
                 TaskState::Fetching => {
                     t.state = TaskState::Running;
                     t.until = if spec.kind == Kind::Service {
