--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -50,7 +50,7 @@
         }
         if !node.flushing.get() {
             let now = node.now();
-            let room = node.writes.borrow_mut().spare(now) as usize;
+            let room = node.writes.borrow_mut().level(now).max(0.0) as usize;
             if room >= 2 && node.requests.borrow_mut().level(now) >= 2.0 {
                 let plan = node.acting(|l, _| l.plan_flush(room)).flatten();
                 if let Some(plan) = plan {
