At debug, each choice of a machine is logged with its load and cost

What the decision went by: candidates, the rank of the kind, load against the threshold, fragmentation cost after the task. Decisions are as before.

--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -301,7 +301,7 @@
         zone_ok: impl Fn(usize) -> bool,
     ) -> Option<usize> {
         let job = self.model.job(job_ix)?;
-        placement::choose(&self.policy, candidates, &job.need, |c| {
+        let chosen = placement::choose(&self.policy, candidates, &job.need, |c| {
             zone_ok(c.zone)
                 && self.model.machine(c.machine).is_some_and(|m| {
                     (now >= m.no_batch_until || job.spec.kind != Kind::Array)
@@ -319,7 +319,22 @@
                         // An old attempt still listed there would refuse it.
                         && !m.tasks.iter().any(|a| a.job == job_ix && a.task == task)
                 })
-        })
+        });
+        if log::log_enabled!(log::Level::Debug)
+            && let Some(c) = chosen.and_then(|at| candidates.get(at))
+        {
+            let (load, after) = (self.policy.load, c.free.minus(job.need));
+            log::debug!(
+                "choice for {}/{task}: {} of {} candidates, kind rank {}, load {:.2}, cost {:.3}",
+                job.id,
+                self.model.machine(c.machine).map_or("?", |m| &m.name),
+                candidates.len(),
+                c.pool,
+                placement::load(&c.capacity, &c.free, load),
+                placement::fragmentation(&c.capacity, &after, &self.policy.shapes),
+            );
+        }
+        chosen
     }
 
     pub(super) fn take_reserve(&self, reserves: &mut [Reserve], c: &Candidate, need: &Amounts) {
