The pool of idle connections keeps to its limit

A host whose last connection was taken stayed in the pool without any. Closing the oldest then could close nothing, and the pool grew past its limit; entries of machines long gone stayed for ever. Found on reading; the pool's test now asserts that nothing stays.

--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -73,14 +73,16 @@
         }
     }
 
+    /// A host without connections is not kept: closing it in place of the
+    /// oldest would close nothing, and the pool would outgrow its limit.
     fn pop(&mut self, addr: SocketAddr) -> Option<Stream> {
         let (_, list) = self.hosts.get_mut(&addr)?;
-        let stream = list.pop();
-        match stream {
-            Some(_) => self.kept -= 1,
-            None => drop(self.hosts.remove(&addr)),
+        let stream = list.pop()?;
+        self.kept -= 1;
+        if list.is_empty() {
+            self.hosts.remove(&addr);
         }
-        stream
+        Some(stream)
     }
 }
 
@@ -183,5 +185,6 @@
         let pooled: Vec<bool> = (1..=4).map(|n| client.pooled(host(n)).is_some()).collect();
         assert_eq!(pooled, [false, true, true, true]);
         assert_eq!(client.idle.borrow().kept, 0);
+        assert!(client.idle.borrow().hosts.is_empty());
     }
 }
