One place each for held room, a gang's zones and the marking of candidates

gather and place worked out the same zones and the same question of held room; both ways of placing opened by marking candidates; a reason was noted in two like steps; status copied the picture to write it back; an entry point stood in the leader for a test alone. Behaviour as before, tests keep their assertions.

--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -276,6 +276,11 @@
         self.held_for
             .is_some_and(|(of, until)| of == job && now < until)
     }
+    /// No room on it is held for another job.
+    pub fn open_to(&self, job: u32, now: Ms) -> bool {
+        self.held_for
+            .is_none_or(|(of, until)| of == job || now >= until)
+    }
     /// May new tasks be placed here?
     pub fn usable(&self) -> bool {
         self.up
--- a/src/coordination/leader/gather.rs
+++ b/src/coordination/leader/gather.rs
@@ -10,7 +10,7 @@
 impl Leader {
     /// Zones that could take the missing tasks of a gang: the one its tasks
     /// are in already, if it must stay together. `None`: any mixture.
-    fn gang_zones(&self, job_ix: u32) -> Vec<Option<usize>> {
+    pub(super) fn gang_zones(&self, job_ix: u32) -> Vec<Option<usize>> {
         let Some(j) = self.model.job(job_ix) else {
             return Vec::new();
         };
@@ -58,11 +58,7 @@
         let fits = |c: &Candidate| {
             self.model
                 .machine(c.machine)
-                .filter(|m| {
-                    j.allows(m)
-                        && m.held_for
-                            .is_none_or(|(of, until)| of == job_ix || now >= until)
-                })
+                .filter(|m| j.allows(m) && m.open_to(job_ix, now))
                 .map_or(0, |_| c.free.count(&j.need).min(missing))
         };
         let found = |zone: &Option<usize>| -> i64 {
@@ -132,8 +128,7 @@
     /// Stops tasks of lower priority for all missing tasks of a gang at once,
     /// and holds the rooms. Returns on how many machines tasks were stopped.
     pub(super) fn make_room_for_gang(&mut self, job_ix: u32, now: Ms) -> usize {
-        let held = |m: &Machine| m.is_held_for(job_ix, now);
-        if !self.wants_room(job_ix) || self.model.each_machine().any(held) {
+        if !self.wants_room(job_ix) || self.holds_room(job_ix, now) {
             return 0;
         }
         match self.gang_rooms(job_ix, now, |_| true) {
@@ -159,7 +154,7 @@
         {
             return false;
         }
-        if self.model.each_machine().any(held) {
+        if self.holds_room(job_ix, now) {
             return true;
         }
         let rate = chosen
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -492,11 +492,6 @@
         }
     }
 
-    /// Whatever waits is to be looked at anew.
-    pub fn touch(&mut self) {
-        self.changed = true;
-    }
-
     /// Something happened that shouldn't wait for the next look.
     pub fn has_work(&self) -> bool {
         self.changed
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -148,12 +148,12 @@
             // Guards against a look at every machine for every job that
             // waits while the fleet is full.
             if !self.may_fit(job, &most) {
-                let reason = self.reason_left(job_ix, held.contains(&job_ix));
-                self.set_reason(job_ix, reason);
+                self.note_left(job_ix, held.contains(&job_ix));
                 wanting.push(job_ix);
                 continue;
             }
             let one = self.within_limit(team, &key.0, 1);
+            self.mark_candidates(job_ix, &mut candidates, now);
             let placed = if gang {
                 self.place_gang(job_ix, &mut candidates, &mut reserves, now)
             } else {
@@ -161,8 +161,7 @@
             };
             if !placed {
                 most = self.most_free(&candidates);
-                let reason = self.reason_left(job_ix, held.contains(&job_ix));
-                self.set_reason(job_ix, reason);
+                self.note_left(job_ix, held.contains(&job_ix));
                 wanting.push(job_ix);
             }
             if !placed && gang {
@@ -204,14 +203,14 @@
         })
     }
 
-    /// Why the rest of a job found no place in this pass.
-    fn reason_left(&self, job_ix: u32, held: bool) -> Reason {
+    /// Notes why the rest of a job found no place in this pass.
+    fn note_left(&mut self, job_ix: u32, held: bool) {
         let Some(j) = self.model.job(job_ix) else {
-            return Reason::New;
+            return;
         };
         let gang = j.spec.kind == Kind::Gang;
         let at_once = if gang { j.waiting() } else { 1 };
-        if gang && j.live > 0 && self.gang_to_complete(job_ix).is_none() {
+        let reason = if gang && j.live > 0 && self.gang_to_complete(job_ix).is_none() {
             Reason::OldAttempt
         } else if !self.within_limit(j.team, &j.need, i64::from(at_once)) {
             Reason::TeamLimit
@@ -221,7 +220,8 @@
             Reason::GangIncomplete
         } else {
             Reason::NoRoom
-        }
+        };
+        self.set_reason(job_ix, reason);
     }
 
     pub(super) fn mark_candidates(&self, job_ix: u32, candidates: &mut [Candidate], now: Ms) {
@@ -305,8 +305,7 @@
             zone_ok(c.zone)
                 && self.model.machine(c.machine).is_some_and(|m| {
                     (now >= m.no_batch_until || job.spec.kind != Kind::Array)
-                        && m.held_for
-                            .is_none_or(|(of, until)| of == job_ix || now >= until)
+                        && m.open_to(job_ix, now)
                         && reserves.iter().all(|r| {
                             r.priority <= job.spec.priority
                                 || !r.covers(m.type_ix, m.spot)
@@ -345,7 +344,8 @@
         }
     }
 
-    /// Returns whether all that waits was placed.
+    /// The candidates are marked for the job. Returns whether all that waits
+    /// was placed.
     pub(super) fn place_each(
         &mut self,
         job_ix: u32,
@@ -353,7 +353,6 @@
         reserves: &mut [Reserve],
         now: Ms,
     ) -> bool {
-        self.mark_candidates(job_ix, candidates, now);
         let Some(job) = self.model.job(job_ix) else {
             return true;
         };
@@ -416,7 +415,7 @@
         attempt
     }
 
-    /// All tasks of a gang in one pass, or none.
+    /// All tasks of a gang in one pass, or none. The candidates are marked.
     pub(super) fn place_gang(
         &mut self,
         job_ix: u32,
@@ -424,13 +423,12 @@
         reserves: &mut [Reserve],
         now: Ms,
     ) -> bool {
-        self.mark_candidates(job_ix, candidates, now);
         let Some(job) = self.model.job(job_ix) else {
             return true;
         };
         let (n, need, team) = (job.spec.tasks, job.need, job.team);
         let missing: Vec<u32> = (0..n).filter(|t| job.place(*t) == Place::Nowhere).collect();
-        let (one_zone, spread) = (job.spec.one_zone, job.spec.spread);
+        let spread = job.spec.spread;
         let again = match job.live {
             0 => None,
             // Tasks of an attempt that had started must be gone first.
@@ -444,15 +442,7 @@
         }
         let there = self.model.zones_of(job_ix);
         let half = n.div_ceil(2);
-        let zones: Vec<Option<usize>> = if one_zone {
-            (0..there.len())
-                .filter(|z| again.is_none() || there[*z] > 0)
-                .map(Some)
-                .collect()
-        } else {
-            vec![None]
-        };
-        for only in zones {
+        for only in self.gang_zones(job_ix) {
             let mut trial = candidates.to_vec();
             let mut chosen = Vec::with_capacity(n as usize);
             let mut late = false;
--- a/src/coordination/leader/preempt.rs
+++ b/src/coordination/leader/preempt.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Room is held for the job, or being made.
+    pub(super) fn holds_room(&self, job_ix: u32, now: Ms) -> bool {
+        let held = |m: &Machine| m.is_held_for(job_ix, now);
+        self.model.each_machine().any(held)
+    }
+
     /// The machine on which the least work is lost by making room for a task.
     pub(super) fn cheapest_room(
         &self,
@@ -189,7 +195,7 @@
         if self.model.machine(at.machine).is_some_and(held) {
             return false;
         }
-        if self.model.each_machine().any(held) {
+        if self.holds_room(job_ix, now) {
             return true;
         }
         let rate = self.model.machine(at.machine).map_or(1.0, |m| {
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -21,19 +21,17 @@
 impl Node {
     pub(super) async fn status(&self) -> Status {
         let now = self.now();
-        let last = self.last_picture.borrow().clone();
         if self.acting(|l, _| l.loaded) == Some(true) {
-            let fresh = last.filter(|(at, p)| {
-                now < at + FRESH && Some(p.term) == self.election.borrow().authority(now)
-            });
-            let (at, picture) = match fresh {
-                Some(fresh) => fresh,
-                None => match self.acting(|l, now| l.picture(now)) {
-                    Some(p) => (now, p),
-                    None => return self.own_status(now),
-                },
-            };
-            *self.last_picture.borrow_mut() = Some((at, picture));
+            let term = self.election.borrow().authority(now);
+            let last = self
+                .last_picture
+                .borrow()
+                .as_ref()
+                .map(|(at, p)| (*at, p.term));
+            let fresh = last.is_some_and(|(at, of)| now < at + FRESH && Some(of) == term);
+            if !fresh && let Some(picture) = self.acting(|l, now| l.picture(now)) {
+                *self.last_picture.borrow_mut() = Some((now, picture));
+            }
         } else if let Some((addr, _)) = self.leader_addr()
             && let Ok(Reply::Status(answer)) =
                 self.peers.call(addr, &Request::LeaderStatus, ASK).await
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -2,7 +2,9 @@
 
 mod world;
 
+use pathwinch::coordination::leader::Plan;
 use pathwinch::protocol::{
+    state::Txn,
     status::Reason,
     users::{JobSpec, JobState, Kind, Priority},
     workers::TaskState,
@@ -774,7 +776,10 @@
     let job = l.model.job_ix("j-000002").unwrap();
     let before = l.model.looked_at();
     // Something changed: the next tick is a whole pass.
-    l.touch();
+    l.reread_done(&Plan {
+        txn: Txn::default(),
+        items: Vec::new(),
+    });
     l.tick(now, now);
     assert!(l.model.job(job).is_some_and(|j| j.waiting() == 3));
     let pass = l.model.looked_at() - before;
