--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -126,7 +126,7 @@
         "memory" => {
             let (mut l, _) = leader(400, size)?;
             for n in 0..count {
-                l.remember_final(JobStatus {
+                l.remember_final(&JobStatus {
                     id: format!("j-{:06}", 500_000 + n),
                     state: JobState::Done,
                     done: 80,
--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -21,6 +21,14 @@
         }
     }
 
+    /// Another rate from now on.
+    pub fn set_rate(&mut self, now: Ms, per_s: f64, burst_s: f64) {
+        self.refill(now);
+        self.per_ms = per_s / 1000.0;
+        self.burst = (per_s * burst_s).max(1.0);
+        self.level = self.level.min(self.burst);
+    }
+
     fn refill(&mut self, now: Ms) {
         let passed = now.saturating_sub(self.at) as f64;
         self.at = self.at.max(now);
@@ -49,3 +57,53 @@
         self.level -= n;
     }
 }
+
+/// How the nodes share what all of them together may ask per second, in
+/// shares of the whole. A tenth is left for what can't wait.
+///
+/// Guards against followers that use up, for polls, what the leader needs to
+/// renew: each counted on nine tenths, and the leader was refused.
+pub mod share {
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum Role {
+        Leads,
+        /// Another node leads.
+        Follows,
+        /// Nobody leads.
+        Leaderless,
+    }
+    use Role::*;
+
+    pub fn of_requests(role: Role, nodes: usize) -> f64 {
+        match (role, nodes) {
+            (_, 0 | 1) => 0.9,
+            (Leads, _) => 0.55,
+            (Follows, n) => 0.35 / (n - 1) as f64,
+            (Leaderless, n) => 0.9 / n as f64,
+        }
+    }
+
+    /// Followers write only while no leader can be reached. Without one, who
+    /// comes first is served: whom users ask is not known beforehand.
+    pub fn of_changes(role: Role, nodes: usize) -> f64 {
+        match (role, nodes) {
+            (Follows, 2..) => 0.45 / (nodes - 1) as f64,
+            _ => 0.9,
+        }
+    }
+
+    #[cfg(test)]
+    mod tests {
+        use super::*;
+
+        #[test]
+        fn what_all_nodes_ask_together_stays_under_the_limit() {
+            for n in 1..9 {
+                let all = of_requests(Leads, n) + (n - 1) as f64 * of_requests(Follows, n);
+                assert!(all <= 0.9 + 1e-9, "{n} nodes: {all}");
+                let leaderless = n as f64 * of_requests(Leaderless, n);
+                assert!(leaderless <= 0.9 + 1e-9, "{n} nodes: {leaderless}");
+            }
+        }
+    }
+}
--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -55,6 +55,8 @@
     /// Chunks of `done` that the record lacks.
     pub dirty: Vec<bool>,
     pub writing: bool,
+    /// What is being written ends or withdraws it.
+    pub closing: bool,
     pub failures: u32,
     pub backoff_until: Ms,
     /// A task of it has run since this leader knows of it.
@@ -487,6 +489,7 @@
             cancel_wanted: false,
             version,
             writing: false,
+            closing: false,
             failures: 0,
             backoff_until: 0,
             has_run: false,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -15,6 +15,7 @@
 use super::{
     dispatch,
     placement::{self, Candidate, Policy},
+    polls::Finals,
     provision::{self, Bin, Demand, Offer},
 };
 use crate::{
@@ -47,7 +48,6 @@
 const FENCE_BITS: u32 = 20;
 /// Taken on top of a worker's lease before its tasks count as gone.
 const LAPSE_MARGIN: Ms = 150;
-const MAX_FINALS: usize = 20_000;
 /// How long a kind of machine that was refused is not asked for again.
 const REFUSED: Ms = 10_000;
 /// Over how long arrivals are counted, and for how long ahead an idle machine
@@ -129,7 +129,8 @@
     settled: bool,
     attempts: u64,
     requests: u64,
-    pub finals: HashMap<String, JobStatus>,
+    /// Final states told or learned; they outlast the term.
+    pub finals: Finals,
     policy: Policy,
     shapes: Vec<(Amounts, u64)>,
     /// Something changed since placement was last tried.
@@ -181,7 +182,7 @@
             settled: false,
             attempts: 0,
             requests: 0,
-            finals: HashMap::new(),
+            finals: Finals::default(),
             policy,
             shapes: Vec::new(),
             changed: true,
@@ -454,18 +455,31 @@
         if let Some(ix) = self.model.job_ix(id) {
             return self.model.job(ix).map(|j| j.status());
         }
-        self.finals.get(id).cloned()
+        self.finals.get(id)
     }
 
-    pub fn remember_final(&mut self, status: JobStatus) {
-        if self.finals.len() >= MAX_FINALS {
-            self.finals.clear();
+    /// The job's state as a user may be told it. Not while its end is being
+    /// recorded: another node may read that, and tell it, before the leader
+    /// learns that it stands.
+    pub fn told(&self, id: &str) -> Option<JobStatus> {
+        match self.is_closing(id) {
+            true => None,
+            false => self.status(id),
         }
-        self.finals.insert(status.id.clone(), status);
+    }
+
+    /// Its end is being recorded.
+    pub fn is_closing(&self, id: &str) -> bool {
+        let job = self.model.job_ix(id).and_then(|ix| self.model.job(ix));
+        job.is_some_and(|j| j.closing)
+    }
+
+    pub fn remember_final(&mut self, status: &JobStatus) {
+        self.finals.remember(status);
     }
 
     pub fn accepted(&mut self, record: JobRecord, version: u64, now: Ms) {
-        if !self.finals.contains_key(&record.spec.id) {
+        if self.finals.get(&record.spec.id).is_none() {
             log::debug!(
                 "job {} of {} accepted: {}, {} tasks, image {} of {} GB",
                 record.spec.id,
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -79,6 +79,7 @@
                         put(&mut plan, &mut bytes, job_key(&j.id), record);
                         plan.items.push(Item::Cancel(ix as u32, j.id.clone()));
                         j.writing = true;
+                        j.closing = true;
                     }
                     (1, Some(state)) => {
                         plan.txn.guards.push(guard);
@@ -97,6 +98,7 @@
                         });
                         plan.items.push(Item::Final(ix as u32, j.id.clone(), state));
                         j.writing = true;
+                        j.closing = true;
                     }
                     (2, None) if j.is_dirty() && !j.cancelled => {
                         let mut chunks = Vec::new();
@@ -212,6 +214,7 @@
                     if let Some(j) = self.job_of(*ix, id) {
                         j.version = revision;
                         j.writing = false;
+                        j.closing = false;
                         j.cancelled = true;
                         log::info!("job {id} withdrawn");
                     }
@@ -253,7 +256,7 @@
             self.orphans.push(chunk_key(id, c));
         }
         self.model.remove_job(ix);
-        self.remember_final(status);
+        self.remember_final(&status);
     }
 
     /// Keys to read again after a transaction that had no answer or failed.
@@ -315,6 +318,7 @@
                 Item::Cancel(ix, id) | Item::Final(ix, id, _) => {
                     if let Some(j) = self.job_of(*ix, id) {
                         j.writing = false;
+                        j.closing = false;
                     }
                 }
                 Item::Progress(ix, id, chunks) => {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,5 +7,7 @@
 pub mod leader;
 pub mod notices;
 pub mod placement;
+pub mod polls;
 pub mod provision;
+pub mod reach;
 pub mod relay;
--- /dev/null
+++ b/src/coordination/polls.rs
@@ -0,0 +1,132 @@
+//! Polls at a node: those of one job share an answer, many travel together,
+//! and final states are remembered, as they never change.
+
+use crate::protocol::users::{JobState, JobStatus};
+use std::collections::{HashMap, VecDeque};
+
+/// Questions that wait for the next round of answers. Whoever asks while a
+/// round is under way waits for the one after it: an answer that was read
+/// before the question came may be older than one already given elsewhere.
+#[derive(Debug)]
+pub struct Batch<T> {
+    asking: HashMap<String, Vec<T>>,
+    order: VecDeque<String>,
+    waiting: usize,
+    most: usize,
+}
+
+impl<T> Batch<T> {
+    pub fn new(most: usize) -> Self {
+        Batch {
+            asking: HashMap::new(),
+            order: VecDeque::new(),
+            waiting: 0,
+            most,
+        }
+    }
+
+    /// `false`: too many wait already.
+    pub fn add(&mut self, id: &str, who: T) -> bool {
+        if self.waiting >= self.most {
+            return false;
+        }
+        self.waiting += 1;
+        match self.asking.get_mut(id) {
+            Some(list) => list.push(who),
+            None => {
+                self.asking.insert(id.to_owned(), vec![who]);
+                self.order.push_back(id.to_owned());
+            }
+        }
+        true
+    }
+
+    /// The next round: at most so many jobs, those asked about first.
+    pub fn begin(&mut self, most: usize) -> Vec<(String, Vec<T>)> {
+        let n = most.min(self.order.len());
+        let mut round = Vec::with_capacity(n);
+        for id in self.order.drain(..n) {
+            if let Some(who) = self.asking.remove(&id) {
+                self.waiting -= who.len();
+                round.push((id, who));
+            }
+        }
+        round
+    }
+}
+
+/// Final states, the most recently learned ones. Half of them go at a time.
+#[derive(Debug, Default)]
+pub struct Finals {
+    young: HashMap<Box<str>, (JobState, u32)>,
+    old: HashMap<Box<str>, (JobState, u32)>,
+}
+
+const MAX_FINALS: usize = 20_000;
+
+impl Finals {
+    /// Anything but a final state is not kept.
+    pub fn remember(&mut self, status: &JobStatus) {
+        if !status.state.is_final() || self.young.contains_key(status.id.as_str()) {
+            return;
+        }
+        if self.young.len() >= MAX_FINALS / 2 {
+            self.old = std::mem::take(&mut self.young);
+        }
+        let id = status.id.as_str().into();
+        self.young.insert(id, (status.state, status.done));
+    }
+
+    pub fn get(&self, id: &str) -> Option<JobStatus> {
+        let (state, done) = self.young.get(id).or_else(|| self.old.get(id))?;
+        Some(JobStatus {
+            id: id.to_owned(),
+            state: *state,
+            done: *done,
+            running: 0,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_answer_serves_all_who_asked_before_it_was_read_and_nobody_later() {
+        let mut b = Batch::new(4);
+        assert!(b.add("j-000001", 'a') && b.add("j-000002", 'b') && b.add("j-000001", 'c'));
+        let round = b.begin(1);
+        assert_eq!(round, [("j-000001".to_owned(), vec!['a', 'c'])]);
+        // The answer is under way: this one needs another.
+        assert!(b.add("j-000001", 'd'));
+        let ids: Vec<String> = b.begin(9).into_iter().map(|(id, _)| id).collect();
+        assert_eq!(ids, ["j-000002", "j-000001"]);
+        assert!(b.begin(9).is_empty());
+        // A flood is bounded, and room comes back.
+        assert!((0..4).all(|n| b.add("j-000003", char::from(b'0' + n))));
+        assert!(!b.add("j-000004", 'x'));
+        b.begin(1);
+        assert!(b.add("j-000004", 'x'));
+    }
+
+    #[test]
+    fn only_final_states_are_remembered_and_not_without_bound() {
+        let mut f = Finals::default();
+        let status = |n: usize, state| JobStatus {
+            id: format!("j-{n:06}"),
+            state,
+            done: 1,
+            running: 0,
+        };
+        f.remember(&status(0, JobState::Running));
+        assert_eq!(f.get("j-000000"), None);
+        for n in 0..MAX_FINALS * 2 {
+            f.remember(&status(n, JobState::Done));
+        }
+        assert!(f.young.len() + f.old.len() <= MAX_FINALS);
+        let last = format!("j-{:06}", MAX_FINALS * 2 - 1);
+        assert_eq!(f.get(&last).map(|s| s.state), Some(JobState::Done));
+        assert_eq!(f.get("j-000000"), None);
+    }
+}
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -36,17 +36,13 @@
         };
         node.figures.borrow_mut().add(tally);
         for d in directs {
-            node.executor.spawn(node.clone().direct(term, d)).detach();
+            node.lanes.spawn(node.clone().direct(term, d)).detach();
         }
         for op in ops {
-            node.executor
-                .spawn(node.clone().cloud_op(term, op))
-                .detach();
+            node.lanes.spawn(node.clone().cloud_op(term, op)).detach();
         }
         if list && !node.listing.replace(true) {
-            node.executor
-                .spawn(node.clone().list_machines(term))
-                .detach();
+            node.lanes.spawn(node.clone().list_machines(term)).detach();
         }
         if !node.flushing.get() {
             let now = node.now();
@@ -55,7 +51,7 @@
                 let plan = node.acting(|l, _| l.plan_flush(room)).flatten();
                 if let Some(plan) = plan {
                     node.flushing.set(true);
-                    node.executor.spawn(node.clone().flush(term, plan)).detach();
+                    node.lanes.spawn(node.clone().flush(term, plan)).detach();
                 }
             }
         }
@@ -81,7 +77,7 @@
                 log::debug!("order to {}: {e}", d.machine);
                 DirectOutcome::NotSent
             }
-            Err(CallError::NoAnswer(e)) => {
+            Err(e @ (CallError::NoAnswer(_) | CallError::TooLong)) => {
                 log::debug!("order to {}: {e}", d.machine);
                 DirectOutcome::NoAnswer
             }
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -1,10 +1,13 @@
 //! Seeking, keeping and giving up leadership.
 
-use super::{Node, store::Found};
+use super::{
+    Node,
+    store::{Found, OVER_LIMIT},
+};
 use crate::{
     bookkeeping::records::{self, JobRecord, LEADER, LeaderRecord, MachineRecord},
     coordination::{
-        election::{LIFE, PROMISE},
+        election::{LIFE, Lead, PROMISE},
         leader::Leader,
         notices::{Next, Notices},
     },
@@ -12,7 +15,7 @@
         peers::{Reply, Request},
         state::{Guard, LeaseGranted, Txn, Write},
     },
-    transport::client::CallError,
+    transport::{client::CallError, within},
 };
 use async_executor::Task;
 use async_io::Timer;
@@ -22,12 +25,16 @@
 /// How long a node that was cut off lets the others lead, in milliseconds.
 const ABSTAIN: u64 = 15_000;
 const PROBE: Duration = Duration::from_millis(700);
+/// What a renewal that is tried again may take beyond the others' answers.
+const SECOND_TRY: Duration = Duration::from_millis(300);
 /// A watch waits for 20 s.
 const WATCH: Duration = Duration::from_secs(25);
 
 enum Touch {
     Renewed,
     Lost,
+    /// It answers, but all nodes together ask too much.
+    Busy,
     Failed,
 }
 
@@ -51,11 +58,12 @@
             let record: LeaderRecord = serde_json::from_value(i.value).ok()?;
             Some((record.node, i.version))
         });
-        if seen != self.election.borrow().seen {
-            self.unreachable.set(None);
+        let changed = seen != self.election.borrow().seen;
+        self.election.borrow_mut().saw(seen);
+        if changed {
             self.relays.borrow_mut().clear();
+            self.set_shares();
         }
-        self.election.borrow_mut().saw(seen);
         Ok(())
     }
 
@@ -75,7 +83,7 @@
         }
         if let Err(e) = self.read_leader().await {
             log::debug!("reading the leader's key: {e}");
-            return Duration::from_millis(250);
+            return Duration::from_millis(250 + fastrand::u64(0..100));
         }
         let Some(version) = self.election.borrow().may_seek(self.now()) else {
             let nobody = self.election.borrow().seen.is_none();
@@ -145,15 +153,17 @@
         if let Some(term) = term {
             self.election.borrow_mut().won(term, lease, asked);
             log::info!("leading, term {term}");
-            let leader = Leader::new(
+            self.set_shares();
+            let mut leader = Leader::new(
                 self.settings.clone(),
                 self.options.clone(),
                 self.types.borrow().clone(),
                 term,
                 self.now(),
             );
+            leader.finals = self.finals.take();
             *self.leader.borrow_mut() = Some(leader);
-            self.executor.spawn(load(self.clone(), term)).detach();
+            self.lanes.spawn(load(self.clone(), term)).detach();
         }
     }
 
@@ -180,33 +190,31 @@
                 self.resign("its lease has ended", false).await;
                 return Duration::ZERO;
             }
+            Touch::Busy => return Duration::from_millis(100),
             Touch::Failed => {}
         }
-        self.ask_promises(lead.term).await
+        self.ask_promises(lead).await
     }
 
     /// Asks all other nodes at once.
     fn ask_all(self: &Rc<Self>, request: &Request) -> Vec<Task<Result<Reply, CallError>>> {
-        let ask = |addr| {
+        let ask = |peer| {
             let (node, request) = (self.clone(), request.clone());
-            self.executor
-                .spawn(async move { node.peers.call(addr, &request, PROBE).await })
+            self.lanes
+                .spawn(async move { node.ask(peer, &request, PROBE).await })
         };
-        self.settings.peers.iter().map(|p| ask(p.addr)).collect()
+        (0..self.settings.peers.len()).map(ask).collect()
     }
 
     /// Whether a zone is cut off shows in its controllers as well.
     fn greet_other_zones(self: &Rc<Self>, term: u64) {
         let own = &self.settings.zone;
-        for p in self.settings.peers.iter().filter(|p| p.zone != *own) {
-            let (node, addr, zone) = (self.clone(), p.addr, p.zone.clone());
-            self.executor
+        let peers = self.settings.peers.iter().enumerate();
+        for (peer, p) in peers.filter(|(_, p)| p.zone != *own) {
+            let (node, zone) = (self.clone(), p.zone.clone());
+            self.lanes
                 .spawn(async move {
-                    let greeting = Request::Unheard {
-                        machines: Vec::new(),
-                        for_ms: 0,
-                    };
-                    if node.peers.call(addr, &greeting, PROBE).await.is_ok() {
+                    if node.ask(peer, &Request::greeting(), PROBE).await.is_ok() {
                         node.of_term(term, |l, now| l.controller_heard(&zone, now));
                     }
                 })
@@ -259,6 +267,7 @@
         match self.state(Method::Post, &path, None, PROBE).await {
             Ok(a) if a.status == 200 => Touch::Renewed,
             Ok(a) if a.status == 404 => Touch::Lost,
+            Ok(a) if a.status == 429 => Touch::Busy,
             Ok(a) => {
                 log::debug!("renewing leadership: status {}", a.status);
                 Touch::Failed
@@ -270,11 +279,16 @@
         }
     }
 
-    /// The state service fails this node: does it fail the others too?
-    async fn ask_promises(self: &Rc<Self>, term: u64) -> Duration {
+    /// The state service fails this node: does it fail the others too? It is
+    /// asked again meanwhile, as one answer may just be late.
+    async fn ask_promises(self: &Rc<Self>, lead: Lead) -> Duration {
         let sent = self.now();
+        let node = self.clone();
+        let again = self
+            .lanes
+            .spawn(async move { node.touch(lead.lease).await });
         let request = Request::Promise {
-            term,
+            term: lead.term,
             leader: self.settings.name.clone(),
             for_ms: PROMISE,
         };
@@ -288,14 +302,21 @@
                 _ => all = false,
             }
         }
-        if refused {
-            self.resign("the state service fails this node alone", true)
-                .await;
-            return Duration::from_millis(500);
-        }
         if all {
             self.election.borrow_mut().promised_by_all(sent);
         }
+        // No longer than the promises last.
+        match within(SECOND_TRY, again).await {
+            Some(Touch::Renewed) => self.election.borrow_mut().renewed(sent),
+            Some(Touch::Lost) => self.resign("its lease has ended", false).await,
+            Some(Touch::Busy) => {}
+            Some(Touch::Failed) | None if refused => {
+                let why = "the state service fails this node alone";
+                self.resign(why, true).await;
+                return Duration::from_millis(500);
+            }
+            Some(Touch::Failed) | None => {}
+        }
         Duration::from_millis(100)
     }
 
@@ -309,7 +330,8 @@
                 Ok(_) => true,
                 Err(e) => {
                     log::debug!("asked for a promise: {e}");
-                    false
+                    // It answers: there is no outage.
+                    e == OVER_LIMIT
                 }
             }
         };
@@ -326,26 +348,22 @@
         let Some(lead) = self.election.borrow_mut().resign() else {
             return;
         };
-        *self.leader.borrow_mut() = None;
+        if let Some(leader) = self.leader.borrow_mut().take() {
+            self.finals.replace(leader.finals);
+        }
+        self.set_shares();
         log::info!("term {} given up: {why}", lead.term);
         // Nothing is done under it any more, so the key may go at once.
         let node = self.clone();
-        self.executor
+        self.lanes
             .spawn(async move {
                 let path = format!("/leases/{}", lead.lease);
                 let _ = node.state(Method::Delete, &path, None, PROBE).await;
             })
             .detach();
         if tell {
-            for p in &self.settings.peers {
-                let (node, addr) = (self.clone(), p.addr);
-                self.executor
-                    .spawn(async move {
-                        let request = Request::Resigned { term: lead.term };
-                        let _ = node.peers.call(addr, &request, PROBE).await;
-                    })
-                    .detach();
-            }
+            let request = Request::Resigned { term: lead.term };
+            self.ask_all(&request).into_iter().for_each(Task::detach);
         }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,40 +6,52 @@
 mod engine;
 mod lead;
 mod metrics;
+mod peers;
+mod polls;
 mod status;
 mod store;
 mod users;
 mod workers;
 
 use crate::{
-    bookkeeping::{Ms, budget::Budget},
-    coordination::{election::Election, leader::Leader, relay::Relays},
-    protocol::{cloud::MachineType, options::Options, peers, settings::Settings},
+    bookkeeping::{
+        Ms,
+        budget::{
+            Budget,
+            share::{self, Role},
+        },
+    },
+    coordination::{
+        election::Election, leader::Leader, polls::Finals, reach::Reach, relay::Relays,
+    },
+    protocol::{cloud::MachineType, options::Options, settings::Settings},
     transport::{
         client::Client,
         frames::{self, PeerClient},
+        lanes::Lanes,
         server::{self, HttpRequest, HttpResponse},
     },
 };
 use anyhow::{Context, Result};
-use async_executor::LocalExecutor;
 use http_types::Method;
 use std::{
     cell::{Cell, RefCell},
-    net::SocketAddr,
     rc::Rc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
 const BEAT: &str = "/agent/beat";
+/// For how many seconds' worth of requests a budget may be saved.
+const BURST_S: f64 = 0.9;
 
 pub struct Node {
     settings: Rc<Settings>,
     options: Options,
-    executor: Rc<LocalExecutor<'static>>,
+    lanes: Rc<Lanes>,
     start: Instant,
     http: Client,
     peers: PeerClient,
+    reach: RefCell<Reach>,
     election: RefCell<Election>,
     leader: RefCell<Option<Leader>>,
     requests: RefCell<Budget>,
@@ -50,8 +62,13 @@
     state_ok: Cell<Option<Ms>>,
     flushing: Cell<bool>,
     listing: Cell<bool>,
-    /// When the leader last gave a forwarded request no answer.
-    unreachable: Cell<Option<Ms>>,
+    /// Polls that wait for the leader, and those that wait for the records.
+    polls: polls::Waiting,
+    reads: polls::Waiting,
+    /// Final states that this node has learned while it did not lead.
+    finals: RefCell<Finals>,
+    /// Whose turn it is to be named to a worker while no leader answers.
+    turn: Cell<usize>,
     /// When a report was last answered.
     last_beat: Cell<Ms>,
     relays: RefCell<Relays>,
@@ -61,9 +78,11 @@
 }
 
 pub fn run(settings: Settings, options: Options) -> Result<()> {
-    let executor = Rc::new(LocalExecutor::new());
+    let lanes = Rc::new(Lanes::default());
     let limits = settings.cluster.clone();
     let sockets = limits.quota.max_connections;
+    let nodes = settings.peers.len() + 1;
+    let users = sockets / 4;
     let node = Rc::new(Node {
         election: RefCell::new(Election::new(
             &settings.name,
@@ -72,44 +91,64 @@
         )),
         settings: Rc::new(settings),
         options,
-        executor: executor.clone(),
+        lanes: lanes.clone(),
         start: Instant::now(),
         // Of the sockets, 5/8 are for those who call and 1/8 for other
         // controllers; what is left must also do for calls under way.
         http: Client::new(sockets / 5),
         peers: PeerClient::default(),
+        reach: RefCell::new(Reach::new(nodes - 1)),
         leader: RefCell::new(None),
-        requests: RefCell::new(Budget::new(limits.state.rps * 0.9, 0.9)),
-        writes: RefCell::new(Budget::new(limits.state.write_rps * 0.9, 0.9)),
+        requests: RefCell::new(Budget::new(
+            limits.state.rps * share::of_requests(Role::Leaderless, nodes),
+            BURST_S,
+        )),
+        writes: RefCell::new(Budget::new(
+            limits.state.write_rps * share::of_changes(Role::Leaderless, nodes),
+            BURST_S,
+        )),
         cloud_requests: RefCell::new(Budget::new(limits.cloud.rps * 0.8, 1.0)),
         types: RefCell::new(Vec::new()),
         state_ok: Cell::new(None),
         flushing: Cell::new(false),
         listing: Cell::new(false),
-        unreachable: Cell::new(None),
+        polls: polls::Waiting::new(users),
+        reads: polls::Waiting::new(2 * users),
+        finals: RefCell::default(),
+        turn: Cell::new(0),
         last_beat: Cell::new(0),
         relays: RefCell::new(Relays::default()),
         last_picture: RefCell::new(None),
         figures: RefCell::new(metrics::Metrics::new()),
         wake: async_channel::bounded(1),
     });
-    async_io::block_on(executor.run(async {
-        executor.spawn(lead::run(node.clone())).detach();
-        executor.spawn(engine::run(node.clone())).detach();
-        executor.spawn(cloud::types(node.clone())).detach();
+    async_io::block_on(lanes.run(async {
+        lanes.spawn(lead::run(node.clone())).detach();
+        lanes.spawn(engine::run(node.clone())).detach();
+        lanes.spawn(cloud::types(node.clone())).detach();
+        lanes.spawn(peers::watch(node.clone())).detach();
+        lanes.spawn_second(polls::ask_leader(node.clone())).detach();
+        lanes
+            .spawn_second(polls::ask_records(node.clone()))
+            .detach();
         let n = node.clone();
-        let back = executor.spawn(frames::serve(
-            executor.clone(),
+        let back = lanes.spawn(frames::serve(
+            lanes.clone(),
             node.settings.peer_listen,
             sockets / 8,
             move |request| n.clone().peer(request),
         ));
         let n = node.clone();
-        let listen = executor.spawn(server::serve(
-            executor.clone(),
+        // The rest is for connections to workers, peers and services.
+        let limits = server::Limits {
+            connections: sockets * 5 / 8,
+            others: users,
+            first: BEAT,
+        };
+        let listen = lanes.spawn(server::serve(
+            lanes.clone(),
             node.settings.listen,
-            // The rest is for connections to workers, peers and services.
-            sockets * 5 / 8,
+            limits,
             move |request| n.clone().http(request),
         ));
         log::info!(
@@ -141,6 +180,24 @@
         self.of_term(term, f)
     }
 
+    /// What this node may ask of the state service, as it leads or not.
+    fn set_shares(&self) {
+        let role = {
+            let election = self.election.borrow();
+            match (election.lead(), &election.seen) {
+                (Some(_), _) => Role::Leads,
+                (None, Some(_)) => Role::Follows,
+                (None, None) => Role::Leaderless,
+            }
+        };
+        let (now, limits) = (self.now(), &self.settings.cluster.state);
+        let nodes = self.settings.peers.len() + 1;
+        let rate = limits.rps * share::of_requests(role, nodes);
+        self.requests.borrow_mut().set_rate(now, rate, BURST_S);
+        let rate = limits.write_rps * share::of_changes(role, nodes);
+        self.writes.borrow_mut().set_rate(now, rate, BURST_S);
+    }
+
     /// The leader's state, for results of what was begun with authority.
     fn of_term<T>(&self, term: u64, f: impl FnOnce(&mut Leader, Ms) -> T) -> Option<T> {
         let now = self.now();
@@ -197,13 +254,6 @@
         answer
     }
 
-    /// Address and name of the node that leads, if that is another.
-    fn leader_addr(&self) -> Option<(SocketAddr, String)> {
-        let (name, _) = self.election.borrow().seen.clone()?;
-        let peer = self.settings.peers.iter().find(|p| p.name == name)?;
-        Some((peer.addr, name))
-    }
-
     fn ready(&self) -> HttpResponse {
         let now = self.now();
         let fresh = self.state_ok.get().is_some_and(|at| now < at + 3000);
@@ -213,47 +263,4 @@
             HttpResponse::later("the state service can't be reached")
         }
     }
-
-    async fn peer(self: Rc<Self>, request: peers::Request) -> peers::Reply {
-        match request {
-            peers::Request::Unheard { machines, for_ms } => {
-                let now = self.now();
-                self.relays.borrow_mut().unheard(&machines, for_ms, now);
-                peers::Reply::Ok
-            }
-            peers::Request::Forward { path, body, .. } if path == BEAT => {
-                let answer = serde_json::from_slice(&body)
-                    .ok()
-                    .and_then(|report| self.beat_here(&report));
-                match answer {
-                    Some(r) => peers::Reply::Forwarded {
-                        status: r.status,
-                        retry_after_s: None,
-                        body: r.body,
-                    },
-                    None => peers::Reply::NotLeader,
-                }
-            }
-            peers::Request::Forward { method, path, body } => {
-                match self.user_here(&method, &path, &body).await {
-                    Some(r) => peers::Reply::Forwarded {
-                        status: r.status,
-                        retry_after_s: r.retry_after_s,
-                        body: r.body,
-                    },
-                    None => peers::Reply::NotLeader,
-                }
-            }
-            peers::Request::Promise { term, for_ms, .. } => self.promise(term, for_ms).await,
-            peers::Request::Status => peers::Reply::Status(Box::new(self.status().await)),
-            peers::Request::LeaderStatus => self.leader_status().await,
-            peers::Request::Explain { id, forwarded } => {
-                peers::Reply::Explained(self.explain(&id, !forwarded).await)
-            }
-            peers::Request::Resigned { term } => {
-                self.election.borrow_mut().resigned(term);
-                peers::Reply::Ok
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/node/peers.rs
@@ -0,0 +1,124 @@
+//! The other controllers: what they ask, what is asked of them, and which of
+//! them answer.
+
+use super::{BEAT, Node};
+use crate::{
+    coordination::reach::{Contact, PATIENCE},
+    protocol::peers::{Reply, Request},
+    transport::client::CallError,
+};
+use async_io::Timer;
+use std::{rc::Rc, time::Duration};
+
+/// Between two looks at which nodes are to be asked whether they answer.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Keeps up to date whether the leader answers, and the others while there is
+/// none that does.
+pub async fn watch(node: Rc<Node>) {
+    loop {
+        Timer::after(LOOK).await;
+        let now = node.now();
+        if node.election.borrow().authority(now).is_some() {
+            continue;
+        }
+        let leader = node.leader_peer();
+        let others = 0..node.settings.peers.len();
+        let due: Vec<usize> = {
+            let reach = node.reach.borrow();
+            let enough = leader.filter(|p| reach.contact(*p, now) == Contact::Answers);
+            others
+                .filter(|p| enough.is_none_or(|leader| leader == *p) && reach.due(*p, now))
+                .collect()
+        };
+        for peer in due {
+            let n = node.clone();
+            let ask = async move {
+                let limit = Duration::from_millis(2 * PATIENCE);
+                let _ = n.ask(peer, &Request::greeting(), limit).await;
+            };
+            node.lanes.spawn(ask).detach();
+        }
+    }
+}
+
+impl Node {
+    /// The node that leads, if that is another, as an index into the peers.
+    pub(super) fn leader_peer(&self) -> Option<usize> {
+        let election = self.election.borrow();
+        let (name, _) = election.seen.as_ref()?;
+        self.settings.peers.iter().position(|p| p.name == *name)
+    }
+
+    pub(super) fn contact(&self, peer: usize) -> Contact {
+        self.reach.borrow().contact(peer, self.now())
+    }
+
+    /// The leader, if it is another node and answers.
+    pub(super) fn answering_leader(&self) -> Option<usize> {
+        self.leader_peer()
+            .filter(|p| self.contact(*p) == Contact::Answers)
+    }
+
+    pub(super) async fn ask(
+        &self,
+        peer: usize,
+        request: &Request,
+        limit: Duration,
+    ) -> Result<Reply, CallError> {
+        let addr = self.settings.peers[peer].addr;
+        self.reach.borrow_mut().asked(peer, self.now());
+        let answer = self.peers.call(addr, request, limit).await;
+        let how = match &answer {
+            Ok(_) => Contact::Answers,
+            Err(CallError::TooLong) => Contact::Silent,
+            Err(_) => Contact::Refuses,
+        };
+        self.reach.borrow_mut().ended(peer, how, self.now());
+        answer
+    }
+
+    pub(super) async fn peer(self: Rc<Self>, request: Request) -> Reply {
+        match request {
+            Request::Unheard { machines, for_ms } => {
+                let now = self.now();
+                self.relays.borrow_mut().unheard(&machines, for_ms, now);
+                Reply::Ok
+            }
+            Request::Forward { path, body, .. } if path == BEAT => {
+                let answer = serde_json::from_slice(&body)
+                    .ok()
+                    .and_then(|report| self.beat_here(&report));
+                match answer {
+                    Some(r) => Reply::Forwarded {
+                        status: r.status,
+                        retry_after_s: None,
+                        body: r.body,
+                    },
+                    None => Reply::NotLeader,
+                }
+            }
+            Request::Forward { method, path, body } => {
+                match self.user_here(&method, &path, &body).await {
+                    Some(r) => Reply::Forwarded {
+                        status: r.status,
+                        retry_after_s: r.retry_after_s,
+                        body: r.body,
+                    },
+                    None => Reply::NotLeader,
+                }
+            }
+            Request::Polls { ids } => self.polled_here(&ids),
+            Request::Promise { term, for_ms, .. } => self.promise(term, for_ms).await,
+            Request::Status => Reply::Status(Box::new(self.status().await)),
+            Request::LeaderStatus => self.leader_status().await,
+            Request::Explain { id, forwarded } => {
+                Reply::Explained(self.explain(&id, !forwarded).await)
+            }
+            Request::Resigned { term } => {
+                self.election.borrow_mut().resigned(term);
+                Reply::Ok
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/polls.rs
@@ -0,0 +1,208 @@
+//! Polls: answered from memory where that can't be older than any answer
+//! given, else by the leader or from the records, many at a time.
+
+use super::{
+    Node,
+    store::Found,
+    users::{final_status, ok, stored_status},
+};
+use crate::{
+    bookkeeping::records::{JOBS, JobRecord, final_key, job_key},
+    coordination::polls::Batch,
+    protocol::{
+        peers::{Reply, Request},
+        users::{JobStatus, valid_ref},
+    },
+    transport::server::HttpResponse,
+};
+use async_channel::{Receiver, Sender};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+
+const FORWARD: Duration = Duration::from_millis(500);
+/// Jobs asked about in one frame, and in one look at the records.
+const MOST: usize = 500;
+/// Up to so many jobs are read one by one; of more, all live ones are listed.
+const FEW: usize = 4;
+
+/// What a poll comes to: `Ok(None)` is a job that nobody submitted.
+pub(super) type Answer = Result<Option<JobStatus>, String>;
+
+pub(super) struct Waiting {
+    batch: RefCell<Batch<Sender<Answer>>>,
+    wake: (Sender<()>, Receiver<()>),
+}
+
+type Round = Vec<(String, Vec<Sender<Answer>>)>;
+
+impl Waiting {
+    pub(super) fn new(most: usize) -> Self {
+        Waiting {
+            batch: RefCell::new(Batch::new(most)),
+            wake: async_channel::bounded(1),
+        }
+    }
+
+    /// Where too many wait already, `who` is dropped and so learns of it.
+    fn add(&self, id: &str, who: Sender<Answer>) {
+        self.batch.borrow_mut().add(id, who);
+        let _ = self.wake.0.try_send(());
+    }
+
+    async fn ask(&self, id: &str) -> Answer {
+        let (tx, rx) = async_channel::bounded(1);
+        self.add(id, tx);
+        let answer = rx.recv().await;
+        answer.unwrap_or_else(|_| Err("too many polls at once".into()))
+    }
+
+    /// Waits until something is asked.
+    async fn round(&self) -> Round {
+        loop {
+            let round = self.batch.borrow_mut().begin(MOST);
+            if !round.is_empty() {
+                return round;
+            }
+            let _ = self.wake.1.recv().await;
+        }
+    }
+}
+
+fn tell(who: Vec<Sender<Answer>>, answer: &Answer) {
+    for w in who {
+        let _ = w.try_send(answer.clone());
+    }
+}
+
+/// Asks the leader, for all who wait at once; what it can't say is read from
+/// the records.
+pub async fn ask_leader(node: Rc<Node>) {
+    loop {
+        let round = node.polls.round().await;
+        let mut known = Vec::new();
+        if let Some(leader) = node.answering_leader() {
+            let ids = round.iter().map(|(id, _)| id.clone()).collect();
+            match node.ask(leader, &Request::Polls { ids }, FORWARD).await {
+                Ok(Reply::Polled(answers)) => known = answers,
+                Ok(_) => {}
+                Err(e) => log::debug!("asking the leader: {e}"),
+            }
+        }
+        known.resize(round.len(), None);
+        for ((id, who), known) in round.into_iter().zip(known) {
+            match known {
+                Some((state, done, running)) => {
+                    let status = JobStatus {
+                        id,
+                        state,
+                        done,
+                        running,
+                    };
+                    node.finals.borrow_mut().remember(&status);
+                    tell(who, &Ok(Some(status)));
+                }
+                None => {
+                    for w in who {
+                        node.reads.add(&id, w);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Reads the records, for all who wait at once.
+pub async fn ask_records(node: Rc<Node>) {
+    let mut listed = 0;
+    loop {
+        let round = node.reads.round().await;
+        let mut live = HashMap::new();
+        // A list costs by the number of live jobs, a look-up by the request.
+        let list = round.len() > FEW && round.len() * 16 >= listed;
+        if list {
+            match node.list(JOBS).await {
+                Ok(items) => {
+                    listed = items.len();
+                    for i in items {
+                        live.insert(i.key, i.value);
+                    }
+                }
+                Err(e) => {
+                    log::debug!("polls of {} jobs are not answered: {e}", round.len());
+                    let why = Err(format!("records can't be read: {e}"));
+                    round.into_iter().for_each(|(_, who)| tell(who, &why));
+                    continue;
+                }
+            }
+        }
+        for (id, who) in round {
+            let found = match live.remove(&job_key(&id)) {
+                Some(value) => serde_json::from_value::<JobRecord>(value)
+                    .map(|r| Some(stored_status(&r)))
+                    .map_err(|e| e.to_string()),
+                None if list => node.read_final(&id).await,
+                None => node.lookup(&id).await.map(|found| match found {
+                    Found::Live(record, _) => Some(stored_status(&record)),
+                    Found::Final(record) => Some(final_status(&id, &record)),
+                    Found::Nothing => None,
+                }),
+            };
+            if let Ok(Some(status)) = &found {
+                node.finals.borrow_mut().remember(status);
+            }
+            let found = found.map_err(|e| format!("records can't be read: {e}"));
+            tell(who, &found);
+        }
+    }
+}
+
+impl Node {
+    pub(super) async fn poll(&self, id: &str) -> HttpResponse {
+        match self.state_of(id).await {
+            Ok(Some(status)) => ok(&status),
+            Ok(None) => HttpResponse::error(404, "no such job"),
+            Err(why) => HttpResponse::later(&why),
+        }
+    }
+
+    async fn state_of(&self, id: &str) -> Answer {
+        if !valid_ref(id) {
+            return Ok(None);
+        }
+        if let Some(status) = self.finals.borrow().get(id) {
+            return Ok(Some(status));
+        }
+        match self.acting(|l, _| l.loaded.then(|| l.told(id)).flatten()) {
+            Some(Some(status)) => Ok(Some(status)),
+            // It leads, and only the records can tell.
+            Some(None) => self.reads.ask(id).await,
+            None => self.polls.ask(id).await,
+        }
+    }
+
+    /// Polls at other nodes.
+    pub(super) fn polled_here(&self, ids: &[String]) -> Reply {
+        let answers = self.acting(|l, _| {
+            l.loaded.then(|| {
+                let known = |id: &String| l.told(id).map(|s| (s.state, s.done, s.running));
+                ids.iter().take(MOST).map(known).collect()
+            })
+        });
+        match answers.flatten() {
+            Some(answers) => Reply::Polled(answers),
+            None => Reply::NotLeader,
+        }
+    }
+
+    /// The final state of a job that is not live, read after that was seen.
+    async fn read_final(&self, id: &str) -> Answer {
+        if !self.may_request(3.0) {
+            return Err("over the request budget".into());
+        }
+        match self.get(&final_key(id), Duration::from_millis(900)).await? {
+            Some(item) => serde_json::from_value(item.value)
+                .map(|r| Some(final_status(id, &r)))
+                .map_err(|e| e.to_string()),
+            None => Ok(None),
+        }
+    }
+}
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -32,9 +32,8 @@
             if !fresh && let Some(picture) = self.acting(|l, now| l.picture(now)) {
                 *self.last_picture.borrow_mut() = Some((now, picture));
             }
-        } else if let Some((addr, _)) = self.leader_addr()
-            && let Ok(Reply::Status(answer)) =
-                self.peers.call(addr, &Request::LeaderStatus, ASK).await
+        } else if let Some(leader) = self.leader_peer()
+            && let Ok(Reply::Status(answer)) = self.ask(leader, &Request::LeaderStatus, ASK).await
             && let Some(picture) = answer.picture
         {
             let age = (answer.age_s.max(0.0) * 1000.0) as Ms;
@@ -69,11 +68,10 @@
                 return Explanation::Job(Box::new(job));
             }
         } else if forward
-            && let Some((addr, _)) = self.leader_addr()
+            && let Some(leader) = self.leader_peer()
             && let Ok(Reply::Explained(answer)) = self
-                .peers
-                .call(
-                    addr,
+                .ask(
+                    leader,
                     &Request::Explain {
                         id: id.to_owned(),
                         forwarded: true,
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -11,6 +11,9 @@
 
 pub const USUAL: Duration = Duration::from_millis(1500);
 
+/// All nodes together ask more than the state service answers.
+pub const OVER_LIMIT: &str = "over its request limit";
+
 /// What stands in the store about a job.
 pub enum Found {
     Live(Box<JobRecord>, u64),
@@ -63,6 +66,7 @@
                 .map(Some)
                 .map_err(|e| e.to_string()),
             404 => Ok(None),
+            429 => Err(OVER_LIMIT.into()),
             s => Err(format!("status {s}")),
         }
     }
@@ -76,7 +80,12 @@
         let mut items: Vec<Item> = Vec::new();
         let mut revision = None;
         loop {
+            let mut tries = 0;
             while !self.may_request(2.0) {
+                tries += 1;
+                if tries > 20 {
+                    return Err("over the request budget".into());
+                }
                 async_io::Timer::after(Duration::from_millis(50)).await;
             }
             let from = items
@@ -120,7 +129,7 @@
                 _ => TxnResult::Unknown,
             },
             Err(CallError::NotSent(_)) => TxnResult::Refused,
-            Err(CallError::NoAnswer(_)) => TxnResult::Unknown,
+            Err(CallError::NoAnswer(_) | CallError::TooLong) => TxnResult::Unknown,
         }
     }
 
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -6,7 +6,10 @@
 };
 use crate::{
     bookkeeping::records::{FinalRecord, JobRecord, LEADER},
-    coordination::{admission, leader::acceptance_with_notice},
+    coordination::{
+        admission,
+        leader::{Leader, acceptance_with_notice},
+    },
     protocol::{
         peers::{Reply, Request},
         users::{JobSpec, JobState, JobStatus, valid_ref},
@@ -16,9 +19,10 @@
 use async_io::Timer;
 use std::{rc::Rc, time::Duration};
 
-pub(super) const FORWARD: Duration = Duration::from_millis(800);
+/// For a submission or a withdrawal to be answered by the leader.
+const FORWARD: Duration = Duration::from_millis(800);
 
-fn final_status(id: &str, record: &FinalRecord) -> JobStatus {
+pub(super) fn final_status(id: &str, record: &FinalRecord) -> JobStatus {
     JobStatus {
         id: id.to_owned(),
         state: record.state,
@@ -27,7 +31,7 @@
     }
 }
 
-fn stored_status(record: &JobRecord) -> JobStatus {
+pub(super) fn stored_status(record: &JobRecord) -> JobStatus {
     let mut bits = crate::bookkeeping::records::Bits::with_len(record.spec.tasks);
     bits.load(0, &record.done);
     let done = bits.count();
@@ -45,7 +49,7 @@
     }
 }
 
-fn ok(status: &JobStatus) -> HttpResponse {
+pub(super) fn ok(status: &JobStatus) -> HttpResponse {
     HttpResponse::json(200, status)
 }
 
@@ -76,19 +80,19 @@
         path: &str,
         body: Vec<u8>,
     ) -> HttpResponse {
+        if let ("GET", Some((id, false))) = (method, target(path)) {
+            return self.poll(id).await;
+        }
         if let Some(answer) = self.user_here(method, path, &body).await {
             return answer;
         }
-        // A leader that did not answer a moment ago is not waited for again.
-        let now = self.now();
-        let unreachable = self.unreachable.get().is_some_and(|at| now < at + 2000);
-        if let Some((addr, _)) = self.leader_addr().filter(|_| !unreachable) {
+        if let Some(leader) = self.answering_leader() {
             let request = Request::Forward {
                 method: method.to_owned(),
                 path: path.to_owned(),
                 body: body.clone(),
             };
-            match self.peers.call(addr, &request, FORWARD).await {
+            match self.ask(leader, &request, FORWARD).await {
                 Ok(Reply::Forwarded {
                     status,
                     retry_after_s,
@@ -102,17 +106,10 @@
                     };
                 }
                 Ok(_) => {}
-                Err(e) => {
-                    log::debug!("forwarding: {e}");
-                    self.unreachable.set(Some(self.now()));
-                }
+                Err(e) => log::debug!("forwarding: {e}"),
             }
         }
-        // No leader in reach: a poll can be answered from the records, which
-        // are never older than any answer given.
-        if let Some((id, false)) = target(path) {
-            return self.poll_records(id).await;
-        }
+        // No leader in reach.
         if target(path).is_none() {
             return self.accept_alone(&body).await;
         }
@@ -161,18 +158,6 @@
         }
     }
 
-    async fn poll_records(&self, id: &str) -> HttpResponse {
-        if !valid_ref(id) {
-            return HttpResponse::error(404, "no such job");
-        }
-        match self.lookup(id).await {
-            Ok(Found::Live(record, _)) => ok(&stored_status(&record)),
-            Ok(Found::Final(record)) => ok(&final_status(id, &record)),
-            Ok(Found::Nothing) => HttpResponse::error(404, "no such job"),
-            Err(e) => HttpResponse::later(&format!("records can't be read: {e}")),
-        }
-    }
-
     /// `None`: this node doesn't lead.
     pub(super) async fn user_here(
         self: &Rc<Self>,
@@ -181,55 +166,43 @@
         body: &[u8],
     ) -> Option<HttpResponse> {
         if !self.acting(|l, _| l.loaded)? {
-            return Some(match target(path) {
-                Some((id, false)) => self.poll_records(id).await,
-                _ => HttpResponse::later("a new leader is reading the records"),
-            });
+            return Some(HttpResponse::later("a new leader is reading the records"));
         }
         match (method, target(path)) {
             ("POST", None) => Some(self.submit(body).await),
-            ("GET", Some((id, false))) => Some(self.poll(id).await),
             ("POST", Some((id, true))) => Some(self.abort(id).await),
             _ => Some(HttpResponse::error(404, "no such path")),
         }
     }
 
-    /// The job's state as the leader knows it, reading the records for one
+    /// The job's state as the leader may tell it, reading the records for one
     /// that it doesn't know. `Err` is the answer to give instead.
     async fn known(&self, id: &str) -> Result<Option<JobStatus>, HttpResponse> {
         let lost = || HttpResponse::later("leadership is changing");
-        if let Some(status) = self.acting(|l, _| l.status(id)).ok_or_else(lost)? {
+        if let Some(status) = self.acting(|l, _| l.told(id)).ok_or_else(lost)? {
             return Ok(Some(status));
         }
         if !valid_ref(id) {
             return Ok(None);
         }
         match self.lookup(id).await {
-            Ok(Found::Live(record, version)) => self
-                .acting(|l, now| {
-                    l.accepted(*record, version, now);
-                    l.status(id)
-                })
-                .ok_or_else(lost),
+            Ok(Found::Live(record, version)) => {
+                let status = stored_status(&record);
+                let learn = |l: &mut Leader, now| l.accepted(*record, version, now);
+                self.acting(learn).ok_or_else(lost)?;
+                Ok(Some(status))
+            }
             Ok(Found::Final(record)) => {
                 let status = final_status(id, &record);
-                self.acting(|l, _| l.remember_final(status.clone()));
+                self.acting(|l, _| l.remember_final(&status));
                 Ok(Some(status))
             }
             // It may have been accepted while the records were read.
-            Ok(Found::Nothing) => self.acting(|l, _| l.status(id)).ok_or_else(lost),
+            Ok(Found::Nothing) => self.acting(|l, _| l.told(id)).ok_or_else(lost),
             Err(e) => Err(HttpResponse::later(&format!("records can't be read: {e}"))),
         }
     }
 
-    async fn poll(&self, id: &str) -> HttpResponse {
-        match self.known(id).await {
-            Ok(Some(status)) => ok(&status),
-            Ok(None) => HttpResponse::error(404, "no such job"),
-            Err(answer) => answer,
-        }
-    }
-
     /// Status and reason with which a submission that isn't known is refused.
     fn refusal(&self, parsed: &Result<JobSpec, String>) -> Option<(u16, String)> {
         match parsed {
@@ -258,7 +231,7 @@
         let Ok(spec) = parsed else {
             return HttpResponse::error(400, "malformed");
         };
-        if let Some(Some(status)) = self.acting(|l, _| l.status(&spec.id)) {
+        if let Some(Some(status)) = self.acting(|l, _| l.told(&spec.id)) {
             return ok(&status);
         }
         self.accept(spec).await
@@ -270,17 +243,16 @@
             return HttpResponse::later("too many submissions at once");
         }
         let wall = self.wall_ms();
-        let Some((txn, record)) = self.acting(|l, _| l.acceptance(&spec, wall)) else {
+        let begun = self.acting(|l, _| (l.term, l.acceptance(&spec, wall)));
+        let Some((term, (txn, record))) = begun else {
             return HttpResponse::later("leadership is changing");
         };
         match self.txn(&txn, Duration::from_millis(2000)).await {
             TxnResult::Done(version) => {
+                // Whether or not this node still leads, it is recorded, and
+                // whoever leads next reads it.
                 let status = stored_status(&record);
-                // Whether or not this node still leads, it is recorded.
-                let kept = self.acting(|l, now| l.accepted(record, version, now));
-                if kept.is_none() {
-                    return HttpResponse::later("leadership is changing");
-                }
+                self.of_term(term, |l, now| l.accepted(record, version, now));
                 HttpResponse::json(201, &status)
             }
             TxnResult::Conflict(failed) if !failed.iter().any(|k| k == LEADER) => {
@@ -297,13 +269,15 @@
     async fn abort(&self, id: &str) -> HttpResponse {
         let began = self.now();
         loop {
-            let status = match self.known(id).await {
-                Ok(Some(status)) => status,
-                Ok(None) => return HttpResponse::error(404, "no such job"),
-                Err(answer) => return answer,
-            };
-            if matches!(status.state, JobState::Cancelled | JobState::Done) {
-                return ok(&status);
+            if self.acting(|l, _| l.is_closing(id)) != Some(true) {
+                let status = match self.known(id).await {
+                    Ok(Some(status)) => status,
+                    Ok(None) => return HttpResponse::error(404, "no such job"),
+                    Err(answer) => return answer,
+                };
+                if status.state.is_final() {
+                    return ok(&status);
+                }
             }
             if self.acting(|l, _| l.cancel(id)).is_none() || self.now() > began + 1500 {
                 return HttpResponse::later("the withdrawal could not be recorded yet");
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -1,15 +1,26 @@
 //! Reports of workers: answered by the leader, and relayed to it for workers
 //! that can't reach it themselves.
 
-use super::{Node, users::FORWARD};
+use super::Node;
 use crate::{
+    coordination::reach::Contact,
     protocol::{
         peers::{Reply, Request},
         workers::Report,
     },
     transport::server::{HttpResponse, JSON},
 };
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
+
+const RELAY: Duration = Duration::from_millis(800);
+
+/// Sends a worker to another node; without a name it tries the next one.
+fn elsewhere(name: Option<&str>) -> HttpResponse {
+    match name {
+        Some(name) => HttpResponse::json(421, &serde_json::json!({ "foreman": name })),
+        None => HttpResponse::json(421, &serde_json::json!({})),
+    }
+}
 
 impl Node {
     pub(super) async fn beat(self: &Rc<Self>, body: Option<Vec<u8>>) -> HttpResponse {
@@ -23,12 +34,17 @@
         if let Some(answer) = self.beat_here(&report) {
             return answer;
         }
-        let Some((addr, name)) = self.leader_addr() else {
-            return HttpResponse::json(421, &serde_json::json!({}));
-        };
         let now = self.now();
+        // Not to a leader that is only remembered: each worker would wait for
+        // it until its report times out, which takes half of its lease.
+        let leader = self.leader_peer();
+        let Some(leader) = leader.filter(|p| self.contact(*p) != Contact::Silent) else {
+            let turn = self.turn.replace(self.turn.get().wrapping_add(1));
+            let other = self.reach.borrow().another(turn, now);
+            return elsewhere(other.map(|p| self.settings.peers[p].name.as_str()));
+        };
         if !self.relays.borrow_mut().relays(&report.machine, now) {
-            return HttpResponse::json(421, &serde_json::json!({ "foreman": name }));
+            return elsewhere(Some(&self.settings.peers[leader].name));
         }
         // The leader's network to the workers may be cut while ours is not.
         let request = Request::Forward {
@@ -36,7 +52,7 @@
             path: super::BEAT.into(),
             body,
         };
-        match self.peers.call(addr, &request, FORWARD).await {
+        match self.ask(leader, &request, RELAY).await {
             Ok(Reply::Forwarded {
                 status: 200, body, ..
             }) => HttpResponse {
@@ -45,7 +61,7 @@
                 content: JSON,
                 body,
             },
-            _ => HttpResponse::json(421, &serde_json::json!({})),
+            _ => elsewhere(None),
         }
     }
 
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -1,6 +1,9 @@
 //! Messages between controllers: CBOR in length-prefixed frames.
 
-use super::status::{Explanation, Status};
+use super::{
+    status::{Explanation, Status},
+    users::JobState,
+};
 use serde::{Deserialize, Serialize};
 
 /// Raised when a frame's meaning changes; others are refused.
@@ -22,6 +25,8 @@
         path: String,
         body: Vec<u8>,
     },
+    /// Polls of users, as many as wait: how do these jobs stand?
+    Polls { ids: Vec<String> },
     /// The leader of `term` can't reach the state service: will the peer
     /// refrain from seeking leadership for `for_ms`?
     Promise {
@@ -42,6 +47,16 @@
     Explain { id: String, forwarded: bool },
 }
 
+impl Request {
+    /// Asks nothing but an answer.
+    pub fn greeting() -> Self {
+        Request::Unheard {
+            machines: Vec::new(),
+            for_ms: 0,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Reply {
     Forwarded {
@@ -49,6 +64,9 @@
         retry_after_s: Option<u32>,
         body: Vec<u8>,
     },
+    /// In the order of the ids asked about: state, tasks done and running.
+    /// Of a job that the leader doesn't know, the records may.
+    Polled(Vec<Option<(JobState, u32, u32)>>),
     /// Not the leader.
     NotLeader,
     Promise {
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -141,6 +141,13 @@
     Cancelled,
 }
 
+impl JobState {
+    /// It never changes again.
+    pub fn is_final(self) -> bool {
+        matches!(self, JobState::Done | JobState::Cancelled)
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobStatus {
     #[serde(rename = "ref")]
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -24,6 +24,8 @@
     NotSent(String),
     /// It may have been executed, or may be executed later.
     NoAnswer(String),
+    /// The same, and nothing came back at all.
+    TooLong,
 }
 
 impl fmt::Display for CallError {
@@ -31,6 +33,7 @@
         match self {
             CallError::NotSent(e) => write!(f, "not sent: {e}"),
             CallError::NoAnswer(e) => write!(f, "no answer: {e}"),
+            CallError::TooLong => write!(f, "no answer: took too long"),
         }
     }
 }
@@ -162,7 +165,7 @@
                 Ok(answer)
             }
             Some(Err(e)) => Err(CallError::NoAnswer(e.to_string())),
-            None => Err(CallError::NoAnswer("took too long".into())),
+            None => Err(CallError::TooLong),
         }
     }
 }
--- a/src/transport/frames.rs
+++ b/src/transport/frames.rs
@@ -1,9 +1,8 @@
 //! Length-prefixed CBOR frames between controllers.
 
-use super::{Slot, Stream, client::CallError, within};
+use super::{Slot, Stream, client::CallError, lanes::Lanes, within};
 use crate::protocol::peers::{Frame, MAX_FRAME, Reply, Request, VERSION};
 use anyhow::{Result, ensure};
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde::{Serialize, de::DeserializeOwned};
@@ -49,7 +48,7 @@
 }
 
 pub async fn serve<F, Fut>(
-    executor: Rc<LocalExecutor<'static>>,
+    lanes: Rc<Lanes>,
     addr: SocketAddr,
     limit: usize,
     handler: F,
@@ -71,7 +70,7 @@
         };
         let _ = stream.get_ref().set_nodelay(true);
         let handler = handler.clone();
-        executor
+        lanes
             .spawn(async move {
                 let _slot = slot;
                 let mut stream = Stream(Arc::new(stream));
@@ -155,7 +154,7 @@
         };
         match within(limit, exchange).await {
             Some(result) => result,
-            None => Err(CallError::NoAnswer("took too long".into())),
+            None => Err(CallError::TooLong),
         }
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod frames;
+pub mod lanes;
 pub mod server;
 
 use async_io::{Async, Timer};
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -1,7 +1,6 @@
 //! The HTTP server of the users' and workers' interface.
 
-use super::{Slot, Stream, within};
-use async_executor::LocalExecutor;
+use super::{Slot, Stream, lanes::Lanes, within};
 use async_h1::server::{Encoder, decode};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, io};
@@ -62,10 +61,27 @@
     }
 }
 
+/// How many connections there may be, and what goes first.
+pub struct Limits {
+    pub connections: usize,
+    /// Of these, so many for requests to other paths than `first`. Guards
+    /// against users who take all connections, so that workers find none.
+    pub others: usize,
+    /// The path whose connections are served in the first lane.
+    pub first: &'static str,
+}
+
+struct Server<F> {
+    lanes: Rc<Lanes>,
+    limits: Limits,
+    others: Rc<Cell<usize>>,
+    handler: F,
+}
+
 pub async fn serve<F, Fut>(
-    executor: Rc<LocalExecutor<'static>>,
+    lanes: Rc<Lanes>,
     addr: SocketAddr,
-    limit: usize,
+    limits: Limits,
     handler: F,
 ) -> std::io::Result<()>
 where
@@ -74,7 +90,13 @@
 {
     let listener = Async::<TcpListener>::bind(addr)?;
     let used = Rc::new(Cell::new(0));
-    let handler = Rc::new(handler);
+    let most = limits.connections;
+    let server = Rc::new(Server {
+        lanes,
+        limits,
+        others: Rc::default(),
+        handler,
+    });
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -85,82 +107,137 @@
                 continue;
             }
         };
-        let Some(slot) = Slot::take(&used, limit) else {
-            shed(&executor, stream);
+        let Some(slot) = Slot::take(&used, most) else {
+            shed(&server.lanes, stream);
             continue;
         };
         let _ = stream.get_ref().set_nodelay(true);
-        let handler = handler.clone();
-        executor
-            .spawn(async move {
-                let _slot = slot;
-                if let Err(e) = connection(Stream(Arc::new(stream)), handler).await {
-                    log::debug!("connection: {e}");
-                }
-            })
-            .detach();
+        let stream = Stream(Arc::new(stream));
+        let first = newcomer(server.clone(), stream, slot);
+        server.lanes.spawn_second(first).detach();
     }
 }
 
-fn shed(executor: &Rc<LocalExecutor<'static>>, mut stream: Async<std::net::TcpStream>) {
-    executor
-        .spawn(async move {
-            let answer = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
-                           content-length: 0\r\nconnection: close\r\n\r\n";
-            let _ = within(Duration::from_millis(200), stream.write_all(answer)).await;
+const BUSY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 2\r\n\
+                      content-length: 0\r\nconnection: close\r\n\r\n";
+
+fn shed(lanes: &Rc<Lanes>, mut stream: Async<std::net::TcpStream>) {
+    lanes
+        .spawn_second(async move {
+            let _ = within(Duration::from_millis(200), stream.write_all(BUSY)).await;
         })
         .detach();
 }
 
-/// async-h1's own loop can't be told to leave its headers timeout out, which
-/// would start the reactor thread of an older async-io; so its decoder and
-/// encoder are driven here.
-async fn connection<F, Fut>(mut stream: Stream, handler: Rc<F>) -> http_types::Result<()>
+/// What a connection is for shows in its first request.
+async fn newcomer<F, Fut>(server: Rc<Server<F>>, mut stream: Stream, slot: Slot)
 where
+    F: Fn(HttpRequest) -> Fut + 'static,
+    Fut: Future<Output = HttpResponse> + 'static,
+{
+    let first = match receive(&mut stream).await {
+        Ok(Some(first)) => first,
+        Ok(None) => return,
+        Err(e) => return log::debug!("connection: {e}"),
+    };
+    if first.request.path == server.limits.first {
+        let work = connection(server.clone(), stream, first, slot, None);
+        server.lanes.spawn(work).detach();
+        return;
+    }
+    match Slot::take(&server.others, server.limits.others) {
+        Some(other) => connection(server, stream, first, slot, Some(other)).await,
+        None => {
+            let _ = within(Duration::from_millis(200), stream.write_all(BUSY)).await;
+        }
+    }
+}
+
+async fn connection<F, Fut>(
+    server: Rc<Server<F>>,
+    mut stream: Stream,
+    first: Received,
+    _slot: Slot,
+    _other: Option<Slot>,
+) where
     F: Fn(HttpRequest) -> Fut,
     Fut: Future<Output = HttpResponse>,
 {
+    let mut next = first;
     loop {
-        let (mut req, _rest) = match within(IDLE, decode(stream.clone())).await {
-            None | Some(Ok(None)) => return Ok(()),
-            Some(Ok(Some(got))) => got,
-            Some(Err(e)) => {
-                let answer = b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\
-                               connection: close\r\n\r\n";
-                let _ = within(Duration::from_millis(200), stream.write_all(answer)).await;
-                return Err(e);
-            }
-        };
-        let mut body = Vec::new();
-        let mut limited = (&mut req).take(MAX_BODY as u64 + 1);
-        let read = within(BODY, limited.read_to_end(&mut body)).await;
-        let complete = matches!(read, Some(Ok(_))) && body.len() <= MAX_BODY;
-        let close = !complete
-            || req
-                .header(headers::CONNECTION)
-                .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
-        let method = req.method();
-        let answer = handler(HttpRequest {
-            method,
-            path: req.url().path().to_owned(),
-            body: complete.then_some(body),
-        })
-        .await;
-        let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::InternalServerError);
-        let mut res = Response::new(status);
-        res.set_body(answer.body);
-        res.insert_header(headers::CONTENT_TYPE, answer.content);
-        if let Some(s) = answer.retry_after_s {
-            res.insert_header(headers::RETRY_AFTER, s.to_string());
-        }
-        if close {
-            res.insert_header(headers::CONNECTION, "close");
+        let (method, close) = (next.request.method, next.close);
+        let answer = (server.handler)(next.request).await;
+        match respond(&mut stream, answer, method, close).await {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(e) => return log::debug!("connection: {e}"),
         }
-        let mut encoder = Encoder::new(res, method);
-        match within(BODY, io::copy(&mut encoder, &mut stream)).await {
-            Some(Ok(_)) if !close => {}
-            Some(Err(e)) => return Err(e.into()),
-            _ => return Ok(()),
+        next = match receive(&mut stream).await {
+            Ok(Some(next)) => next,
+            Ok(None) => return,
+            Err(e) => return log::debug!("connection: {e}"),
+        };
+    }
+}
+
+struct Received {
+    request: HttpRequest,
+    /// The connection is closed after the answer.
+    close: bool,
+}
+
+/// The next request; `None` when there will be none. async-h1's own loop
+/// can't be told to leave its headers timeout out, which would start the
+/// reactor thread of an older async-io; so its decoder and encoder are driven
+/// here.
+async fn receive(stream: &mut Stream) -> http_types::Result<Option<Received>> {
+    let (mut req, _rest) = match within(IDLE, decode(stream.clone())).await {
+        None | Some(Ok(None)) => return Ok(None),
+        Some(Ok(Some(got))) => got,
+        Some(Err(e)) => {
+            let answer = b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\
+                           connection: close\r\n\r\n";
+            let _ = within(Duration::from_millis(200), stream.write_all(answer)).await;
+            return Err(e);
         }
+    };
+    let mut body = Vec::new();
+    let mut limited = (&mut req).take(MAX_BODY as u64 + 1);
+    let read = within(BODY, limited.read_to_end(&mut body)).await;
+    let complete = matches!(read, Some(Ok(_))) && body.len() <= MAX_BODY;
+    let close = !complete
+        || req
+            .header(headers::CONNECTION)
+            .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
+    let request = HttpRequest {
+        method: req.method(),
+        path: req.url().path().to_owned(),
+        body: complete.then_some(body),
+    };
+    Ok(Some(Received { request, close }))
+}
+
+/// Returns whether the connection goes on.
+async fn respond(
+    stream: &mut Stream,
+    answer: HttpResponse,
+    method: Method,
+    close: bool,
+) -> http_types::Result<bool> {
+    let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::InternalServerError);
+    let mut res = Response::new(status);
+    res.set_body(answer.body);
+    res.insert_header(headers::CONTENT_TYPE, answer.content);
+    if let Some(s) = answer.retry_after_s {
+        res.insert_header(headers::RETRY_AFTER, s.to_string());
+    }
+    if close {
+        res.insert_header(headers::CONNECTION, "close");
+    }
+    let mut encoder = Encoder::new(res, method);
+    match within(BODY, io::copy(&mut encoder, stream)).await {
+        Some(Ok(_)) => Ok(!close),
+        Some(Err(e)) => Err(e.into()),
+        None => Ok(false),
     }
 }
