The lead goes where the node that workers try next answers

Now a node whose successor in the workers' order hangs leaves the lead to others for half a second, and a leader in such a place gives it up once, at most every two minutes. The order is taken to be that of the names. Ruled out: relaying by a node that answers, as that can't keep a worker without an answer.

Left: two nodes that fall silent at the same moment, asked one after the other by a worker.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -7,6 +7,11 @@
 pub const LIFE: Ms = 4000;
 /// Taken off every span of authority: timers fire late, clocks drift.
 const MARGIN: Ms = 150;
+/// How long a node that is placed poorly leaves the lead to others.
+const HESITATE: Ms = 500;
+/// The same for one that gives up the lead for its place.
+const STAND_BACK: Ms = 1500;
+const ONCE_IN: Ms = 120_000;
 /// How long a promise not to seek leadership holds.
 pub const PROMISE: Ms = 1300;
 
@@ -32,6 +37,11 @@
     replaceable: Option<u64>,
     highest: u64,
     abstain_until: Ms,
+    /// Since when the lead could be sought; a node that is placed poorly
+    /// gives the others some time.
+    open_since: Option<Ms>,
+    /// When it last gave up the lead for its place alone.
+    stood_back: Option<Ms>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,6 +64,8 @@
             replaceable: None,
             highest: 0,
             abstain_until: 0,
+            open_since: None,
+            stood_back: None,
         }
     }
 
@@ -70,6 +82,9 @@
     pub fn saw(&mut self, leader: Option<(String, u64)>) {
         if let Some((_, term)) = &leader {
             self.highest = self.highest.max(*term);
+            if self.replaceable != Some(*term) {
+                self.open_since = None;
+            }
         }
         self.seen = leader;
     }
@@ -93,6 +108,23 @@
         }
     }
 
+    /// Whether a node that may seek the lead leaves it to others first.
+    pub fn hesitates(&mut self, now: Ms, poor_place: impl Fn() -> bool) -> bool {
+        let since = *self.open_since.get_or_insert(now);
+        now < since + HESITATE && poor_place()
+    }
+
+    /// A leader that is placed poorly lets another try, once in a while: if
+    /// none does, leadership must not go to and fro for it.
+    pub fn stands_back(&mut self, now: Ms) -> bool {
+        if self.stood_back.is_some_and(|at| now < at + ONCE_IN) {
+            return false;
+        }
+        self.stood_back = Some(now);
+        self.abstain_until = now + STAND_BACK;
+        true
+    }
+
     pub fn won(&mut self, term: u64, lease: u64, lease_asked: Ms) {
         self.highest = self.highest.max(term);
         self.seen = Some((self.me.clone(), term));
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -56,6 +56,9 @@
 const KEEP_IDLE: Ms = 25_000;
 /// How long room made for a job is kept for it.
 const HELD: Ms = 8_000;
+/// How long a worker may take to find a new leader: a report that times out
+/// and a pause.
+const FOUND: Ms = 5_000;
 /// How long places are kept for services that move.
 const MOVE: Ms = 5_000;
 /// A machine costs at least a minute.
@@ -200,7 +203,8 @@
             place_at: 0,
             wall_ms: 0,
             unseen: Vec::new(),
-            zone_life: vec![zones::ZoneLife::since(now); zones],
+            // Workers need some time to find a new leader.
+            zone_life: vec![zones::ZoneLife::since(now + FOUND); zones],
             tally: Tally::default(),
             failed: VecDeque::new(),
         }
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -96,6 +96,15 @@
         if self.types.borrow().is_empty() {
             return soon;
         }
+        // Nodes that are better placed go first.
+        let now = self.now();
+        let hesitates = self
+            .election
+            .borrow_mut()
+            .hesitates(now, || self.reach.borrow().poor_place(now));
+        if hesitates {
+            return soon;
+        }
         self.acquire(version).await;
         soon
     }
@@ -184,6 +193,13 @@
                         .await;
                     return Duration::from_millis(500);
                 }
+                let now = self.now();
+                let poor = self.reach.borrow().poor_place(now);
+                if poor && self.election.borrow_mut().stands_back(now) {
+                    let why = "the node that workers try after this one is silent";
+                    self.resign(why, true).await;
+                    return Duration::from_millis(500);
+                }
                 return Duration::from_millis(LIFE / 4);
             }
             Touch::Lost => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -83,6 +83,8 @@
     let sockets = limits.quota.max_connections;
     let nodes = settings.peers.len() + 1;
     let users = sockets / 4;
+    let names: Vec<&str> = settings.peers.iter().map(|p| p.name.as_str()).collect();
+    let reach = Reach::new(&settings.name, &names);
     let node = Rc::new(Node {
         election: RefCell::new(Election::new(
             &settings.name,
@@ -97,7 +99,7 @@
         // controllers; what is left must also do for calls under way.
         http: Client::new(sockets / 5),
         peers: PeerClient::default(),
-        reach: RefCell::new(Reach::new(nodes - 1)),
+        reach: RefCell::new(reach),
         leader: RefCell::new(None),
         requests: RefCell::new(Budget::new(
             limits.state.rps * share::of_requests(Role::Leaderless, nodes),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -13,22 +13,22 @@
 /// Between two looks at which nodes are to be asked whether they answer.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// Keeps up to date whether the leader answers, and the others while there is
-/// none that does.
+/// Keeps up to date which nodes answer, as far as that matters now.
 pub async fn watch(node: Rc<Node>) {
     loop {
         Timer::after(LOOK).await;
         let now = node.now();
-        if node.election.borrow().authority(now).is_some() {
-            continue;
-        }
-        let leader = node.leader_peer();
-        let others = 0..node.settings.peers.len();
         let due: Vec<usize> = {
             let reach = node.reach.borrow();
-            let enough = leader.filter(|p| reach.contact(*p, now) == Contact::Answers);
-            others
-                .filter(|p| enough.is_none_or(|leader| leader == *p) && reach.due(*p, now))
+            // One that answers is enough: the leader, or for the leader the
+            // node that its workers would try next.
+            let enough = match node.election.borrow().lead() {
+                Some(_) => reach.successor(),
+                None => node.leader_peer(),
+            };
+            let enough = enough.filter(|p| reach.contact(*p, now) == Contact::Answers);
+            (0..node.settings.peers.len())
+                .filter(|p| enough.is_none_or(|one| one == *p) && reach.due(*p, now))
                 .collect()
         };
         for peer in due {
