--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -258,8 +258,9 @@
     pub batch_until: Ms,
     /// Services move here: batches keep off until then.
     pub no_batch_until: Ms,
-    /// Up, but its reports are overdue.
+    /// Up, but its reports are overdue, and since when.
     pub suspect: bool,
+    pub suspect_since: Ms,
     /// Its services are being moved off, then it is returned.
     pub draining: bool,
     /// Room is being made on it for this job, until then.
@@ -285,11 +286,14 @@
     }
     /// May new tasks be placed here?
     pub fn usable(&self) -> bool {
+        !self.suspect && self.lasting()
+    }
+    /// The same if its reports were not overdue.
+    pub fn lasting(&self) -> bool {
         self.up
             && !self.releasing
             && !self.quarantined
             && !self.draining
-            && !self.suspect
             && self.notice.is_none()
             && self.roster == Roster::Present
     }
@@ -581,6 +585,7 @@
             batch_until: now,
             no_batch_until: 0,
             suspect: false,
+            suspect_since: 0,
             draining: false,
             held_for: None,
         };
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -95,7 +95,7 @@
         if !names.is_empty() {
             ops.push(CloudOp::Release(names));
         }
-        if self.settled && self.renting == 0 {
+        if self.settled && now >= self.deaf_until && self.renting == 0 {
             for rent in self.purchases(now, wall_ms) {
                 self.renting += 1;
                 ops.push(CloudOp::Rent(rent));
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -59,6 +59,9 @@
 /// How long a worker may take to find a new leader: a report that times out
 /// and a pause.
 const FOUND: Ms = 5_000;
+/// A machine that has been overdue for no longer than this may just be late:
+/// nothing is rented in its place.
+const MISSED: Ms = 2_000;
 /// How long places are kept for services that move.
 const MOVE: Ms = 5_000;
 /// A machine costs at least a minute.
@@ -152,6 +155,10 @@
     classes: Vec<Class>,
     drain_at: Ms,
     place_at: Ms,
+    /// When this process last went on after it had stood still.
+    resumed: Ms,
+    /// Most machines were overdue at once: nothing is rented in their place.
+    deaf_until: Ms,
     wall_ms: u64,
     /// By team, see `count_unseen`; empty once settled.
     unseen: Vec<Amounts>,
@@ -201,6 +208,8 @@
             classes: Vec::new(),
             drain_at: 0,
             place_at: 0,
+            resumed: now,
+            deaf_until: 0,
             wall_ms: 0,
             unseen: Vec::new(),
             // Workers need some time to find a new leader.
--- a/src/coordination/leader/rent.rs
+++ b/src/coordination/leader/rent.rs
@@ -27,7 +27,9 @@
                 && !m.unknown
                 && !self.is_dark(m.zone, now)
                 && now < m.since + boot + boot * 7 / 10;
-            if coming || (m.up && m.roster == Roster::Absent && !m.releasing) || m.usable() {
+            let late = m.suspect && now < m.suspect_since + MISSED && m.lasting();
+            let there = m.usable() || late || (m.up && m.roster == Roster::Absent && !m.releasing);
+            if coming || there {
                 if coming {
                     coming_bins.push((bins.len(), ix));
                 }
@@ -196,6 +198,11 @@
         rents
     }
 
+    /// The request was not made after all.
+    pub fn not_rented(&mut self) {
+        self.renting = self.renting.saturating_sub(1);
+    }
+
     /// `None`: no answer; the machines, if any, show in the list.
     pub fn rented(&mut self, rent: &Rent, names: Option<&[String]>, now: Ms) {
         self.renting = self.renting.saturating_sub(1);
--- a/src/coordination/leader/upkeep.rs
+++ b/src/coordination/leader/upkeep.rs
@@ -2,21 +2,57 @@
 
 use super::*;
 
+/// So many machines that are overdue at once, if they are most of all, show
+/// that this node does not hear, not that they are gone.
+const DEAF: usize = 3;
+/// Until others have found their way to it.
+const DEAF_FOR: Ms = 5_000;
+
 impl Leader {
+    /// This process stood still, or could not keep up, until now. What came
+    /// meanwhile still waits to be read: nobody is judged silent before that.
+    ///
+    /// That a lease has lapsed is another matter: nothing was answered while
+    /// the process stood still, so it has.
+    pub fn stood_still(&mut self, now: Ms) {
+        self.resumed = now;
+    }
+
+    /// Machines whose reports are overdue, and how many others there are.
+    pub fn unheard(&self, now: Ms) -> (Vec<String>, usize) {
+        let report = millis(self.settings.cluster.workers.report_s);
+        let mut heard = 0;
+        let mut names = Vec::new();
+        for m in self.model.each_machine().filter(|m| m.up) {
+            if now > m.heard.max(self.resumed) + report + report / 2 + 500 {
+                names.push(m.name.clone());
+            } else {
+                heard += 1;
+            }
+        }
+        names.truncate(500);
+        (names, heard)
+    }
+
     pub(super) fn lapse(&mut self, now: Ms) {
         let after = self.lapse_after();
         let overdue = millis(self.settings.cluster.workers.report_s * 2.5) + 500;
+        let resumed = self.resumed;
         let mut silent = vec![0; self.model.zones.len()];
+        let (mut up, mut overdue_now) = (0, 0);
         for ix in self.model.machine_range() {
             let Some(m) = self.model.machine_mut(ix) else {
                 continue;
             };
-            let suspect = m.up && now > m.heard + overdue;
+            let suspect = m.up && now > m.heard.max(resumed) + overdue;
             if suspect || (!m.up && (m.session > 0 || m.roster == Roster::Present)) {
                 silent[m.zone] += 1;
             }
+            up += usize::from(m.up);
+            overdue_now += usize::from(suspect);
             if m.suspect != suspect {
                 m.suspect = suspect;
+                m.suspect_since = now;
                 self.changed = true;
                 log::debug!("machine {} overdue: {suspect}", m.name);
             }
@@ -35,6 +71,9 @@
             self.model.clear_machine(ix);
             self.changed = true;
         }
+        if overdue_now >= DEAF && 2 * overdue_now > up {
+            self.deaf_until = now + DEAF_FOR;
+        }
         self.judge_zones(&silent, overdue, now);
     }
 
--- a/src/coordination/leader/zones.rs
+++ b/src/coordination/leader/zones.rs
@@ -51,7 +51,8 @@
             let Some(life) = self.zone_life.get_mut(zone) else {
                 continue;
             };
-            if *n < SILENT || Some(zone) == home || now <= life.heard + overdue {
+            let heard = life.heard.max(self.resumed);
+            if *n < SILENT || Some(zone) == home || now <= heard + overdue {
                 continue;
             }
             let name = self.model.zones.name(zone);
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -21,6 +21,17 @@
     Silent,
 }
 
+/// Where a worker that reports to a node that doesn't lead is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Foreman {
+    /// The leader, who is taken to answer.
+    Leads(usize),
+    /// Nobody that leads answers: to another that does, until one leads.
+    Answers(usize),
+    /// To whichever it tries next.
+    Next,
+}
+
 #[derive(Debug, Clone)]
 struct Peer {
     last: Contact,
@@ -37,6 +48,8 @@
     /// All controllers in the order in which a worker tries them, as far as
     /// that can be guessed; `None` is this one.
     ring: Vec<Option<usize>>,
+    /// Whose turn it is to be named to a worker while no leader answers.
+    turn: usize,
 }
 
 impl Reach {
@@ -57,6 +70,7 @@
         Reach {
             peers: vec![fresh; names.len()],
             ring,
+            turn: 0,
         }
     }
 
@@ -136,12 +150,18 @@
             .is_some_and(|p| p.asked.is_none() && now >= p.next)
     }
 
-    /// Another node that answers, each time the next of them.
-    pub fn another(&self, turn: usize, now: Ms) -> Option<usize> {
+    /// Not to a leader that is only remembered: each worker would wait for it
+    /// until its report times out, which takes half of its lease.
+    pub fn foreman(&mut self, leader: Option<usize>, now: Ms) -> Foreman {
+        if let Some(leader) = leader.filter(|p| self.contact(*p, now) != Contact::Silent) {
+            return Foreman::Leads(leader);
+        }
         let n = self.peers.len();
+        self.turn = self.turn.wrapping_add(1);
         (0..n)
-            .map(|i| (turn + i) % n)
+            .map(|i| self.turn.wrapping_add(i) % n)
             .find(|p| self.contact(*p, now) == Contact::Answers)
+            .map_or(Foreman::Next, Foreman::Answers)
     }
 }
 
@@ -186,16 +206,21 @@
     }
 
     #[test]
-    fn the_nodes_that_answer_take_turns() {
+    fn a_worker_is_sent_to_nodes_that_answer() {
         let mut r = Reach::new("n-0", &["n-1", "n-2", "n-3"]);
+        assert_eq!(r.foreman(Some(1), 0), Foreman::Leads(1));
         r.asked(1, 0);
         r.ended(1, Contact::Refuses, 10);
-        assert_eq!(r.another(0, 20), Some(0));
-        assert_eq!(r.another(1, 20), Some(2));
+        assert_eq!(r.foreman(Some(1), 20), Foreman::Leads(1), "soon tried");
+        r.asked(1, 20);
+        r.ended(1, Contact::Silent, 700);
+        let sent: Vec<Foreman> = (0..4).map(|_| r.foreman(Some(1), 700)).collect();
+        assert!(sent.contains(&Foreman::Answers(0)) && sent.contains(&Foreman::Answers(2)));
+        assert!(!sent.contains(&Foreman::Answers(1)));
         for p in [0, 2] {
-            r.asked(p, 20);
-            r.ended(p, Contact::Silent, 500);
+            r.asked(p, 700);
+            r.ended(p, Contact::Silent, 1400);
         }
-        assert_eq!(r.another(0, 500), None);
+        assert_eq!(r.foreman(None, 1400), Foreman::Next);
     }
 }
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -10,6 +10,7 @@
 use std::{rc::Rc, time::Duration};
 
 const LIMIT: Duration = Duration::from_secs(4);
+const NOT_SENT: &str = "not sent: authority has ended";
 
 /// Keeps machine types and prices current.
 pub async fn types(node: Rc<Node>) {
@@ -42,13 +43,18 @@
 }
 
 impl Node {
+    /// `term`: only as long as this node leads that term.
     async fn cloud(
         &self,
+        term: Option<u64>,
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
     ) -> Result<(u16, Vec<u8>), String> {
         loop {
+            if term.is_some() && self.election.borrow().authority(self.now()) != term {
+                return Err(NOT_SENT.into());
+            }
             let now = self.now();
             if self.cloud_requests.borrow_mut().take(now, 1.0, 0.0) {
                 break;
@@ -65,7 +71,10 @@
     }
 
     async fn fetch_types(&self) -> Result<Vec<MachineType>, String> {
-        match self.cloud(Method::Get, "/machine_types", None).await? {
+        match self
+            .cloud(None, Method::Get, "/machine_types", None)
+            .await?
+        {
             (200, body) => serde_json::from_slice::<MachineTypes>(&body)
                 .map(|t| t.types)
                 .map_err(|e| e.to_string()),
@@ -77,7 +86,7 @@
         let mut from = String::new();
         loop {
             let path = format!("/hosts?from={from}&most=500");
-            let page: MachineList = match self.cloud(Method::Get, &path, None).await {
+            let page: MachineList = match self.cloud(Some(term), Method::Get, &path, None).await {
                 Ok((200, body)) => match serde_json::from_slice(&body) {
                     Ok(page) => page,
                     Err(e) => {
@@ -107,7 +116,10 @@
         match op {
             CloudOp::Rent(rent) => {
                 let body = serde_json::to_vec(&rent).unwrap_or_default();
-                let names = match self.cloud(Method::Post, "/hosts", Some(body)).await {
+                let names = match self
+                    .cloud(Some(term), Method::Post, "/hosts", Some(body))
+                    .await
+                {
                     Ok((200, body)) => serde_json::from_slice::<MachineNames>(&body)
                         .ok()
                         .map(|n| n.machines),
@@ -117,6 +129,10 @@
                     }
                     Err(e) => {
                         log::info!("rental {}: {e}", rent.request);
+                        if e == NOT_SENT {
+                            self.of_term(term, |l, _| l.not_rented());
+                            return;
+                        }
                         None
                     }
                 };
@@ -127,10 +143,9 @@
                     machines: names.clone(),
                 };
                 let body = serde_json::to_vec(&request).unwrap_or_default();
-                let ok = matches!(
-                    self.cloud(Method::Post, "/hosts/release", Some(body)).await,
-                    Ok((200, _))
-                );
+                let path = "/hosts/release";
+                let answer = self.cloud(Some(term), Method::Post, path, Some(body)).await;
+                let ok = matches!(answer, Ok((200, _)));
                 self.of_term(term, |l, now| l.released(&names, ok, now));
             }
         }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -16,10 +16,27 @@
 const STEP: Duration = Duration::from_millis(200);
 const LEAST: Duration = Duration::from_millis(15);
 
+/// A round that takes so much longer than it should shows that this process
+/// stood still, or had no processor.
+const STOOD_STILL: u64 = 700;
+
 pub async fn run(node: Rc<Node>) {
+    let mut last = node.now();
     loop {
         let _ = within(STEP, node.wake.1.recv()).await;
         Timer::after(LEAST).await;
+        let late = node.now().saturating_sub(last);
+        last = node.now();
+        if late > STOOD_STILL {
+            log::info!("this process stood still for {late} ms");
+            let lead = node.election.borrow().lead();
+            if let Some(lead) = lead {
+                node.of_term(lead.term, |l, now| l.stood_still(now));
+            }
+            // What has arrived is taken in first.
+            Timer::after(STEP).await;
+            last = node.now();
+        }
         let wall = node.wall_ms();
         let begun = node.acting(|l, now| {
             l.tick(now, wall);
@@ -62,10 +79,16 @@
     async fn direct(self: Rc<Self>, term: u64, d: Direct) {
         let body = serde_json::to_vec(&d.order).unwrap_or_default();
         let limit = Duration::from_secs(2);
-        let result = self
-            .http
-            .call(d.addr, Method::Post, "/do", Some(body), limit)
-            .await;
+        // Decided with authority, but that may have ended since. Past this
+        // point the token's order makes a late order harmless.
+        let result = match self.acting(|l, _| l.term) == Some(term) {
+            true => {
+                self.http
+                    .call(d.addr, Method::Post, "/do", Some(body), limit)
+                    .await
+            }
+            false => Err(CallError::NotSent("authority has ended".into())),
+        };
         let outcome = match result {
             Ok(a) => match (a.status, serde_json::from_slice::<Report>(&a.body).ok()) {
                 (200, Some(report)) => DirectOutcome::Executed(report),
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -243,21 +243,7 @@
     /// after 5 s of its lease, so there is no time to find out first. Returns
     /// whether neither workers nor controllers are heard.
     async fn hears_nobody(self: &Rc<Self>, term: u64) -> bool {
-        let report = (self.settings.cluster.workers.report_s * 1000.0) as u64;
-        let unheard = |l: &mut Leader, now: u64| {
-            let mut heard = 0;
-            let mut names = Vec::new();
-            for m in l.model.each_machine().filter(|m| m.up) {
-                if now > m.heard + report + report / 2 + 500 {
-                    names.push(m.name.clone());
-                } else {
-                    heard += 1;
-                }
-            }
-            names.truncate(500);
-            (names, heard)
-        };
-        let Some((machines, heard)) = self.of_term(term, unheard) else {
+        let Some((machines, heard)) = self.of_term(term, |l, now| l.unheard(now)) else {
             return false;
         };
         if machines.is_empty() {
@@ -272,6 +258,7 @@
         for ask in asks {
             anybody |= ask.await.is_ok();
         }
+        let report = (self.settings.cluster.workers.report_s * 1000.0) as u64;
         let silence = self.now().saturating_sub(self.last_beat.get());
         !anybody && silence > 3 * report + 2000
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -67,8 +67,6 @@
     reads: polls::Waiting,
     /// Final states that this node has learned while it did not lead.
     finals: RefCell<Finals>,
-    /// Whose turn it is to be named to a worker while no leader answers.
-    turn: Cell<usize>,
     /// When a report was last answered.
     last_beat: Cell<Ms>,
     relays: RefCell<Relays>,
@@ -117,7 +115,6 @@
         polls: polls::Waiting::new(users),
         reads: polls::Waiting::new(2 * users),
         finals: RefCell::default(),
-        turn: Cell::new(0),
         last_beat: Cell::new(0),
         relays: RefCell::new(Relays::default()),
         last_picture: RefCell::new(None),
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -3,7 +3,7 @@
 
 use super::Node;
 use crate::{
-    coordination::reach::Contact,
+    coordination::reach::Foreman,
     protocol::{
         peers::{Reply, Request},
         workers::Report,
@@ -35,16 +35,15 @@
             return answer;
         }
         let now = self.now();
-        // Not to a leader that is only remembered: each worker would wait for
-        // it until its report times out, which takes half of its lease.
-        let leader = self.leader_peer();
-        let Some(leader) = leader.filter(|p| self.contact(*p) != Contact::Silent) else {
-            let turn = self.turn.replace(self.turn.get().wrapping_add(1));
-            let other = self.reach.borrow().another(turn, now);
-            return elsewhere(other.map(|p| self.settings.peers[p].name.as_str()));
+        let foreman = self.reach.borrow_mut().foreman(self.leader_peer(), now);
+        let name = |peer: usize| Some(self.settings.peers[peer].name.as_str());
+        let leader = match foreman {
+            Foreman::Leads(leader) => leader,
+            Foreman::Answers(other) => return elsewhere(name(other)),
+            Foreman::Next => return elsewhere(None),
         };
         if !self.relays.borrow_mut().relays(&report.machine, now) {
-            return elsewhere(Some(&self.settings.peers[leader].name));
+            return elsewhere(name(leader));
         }
         // The leader's network to the workers may be cut while ours is not.
         let request = Request::Forward {
--- /dev/null
+++ b/tests/controllers.rs
@@ -0,0 +1,239 @@
+//! Stories of controllers that stand still, fall silent or are cut off in
+//! part, against a whole installation in memory.
+
+mod world;
+
+use pathwinch::protocol::users::{JobState, Kind, Priority};
+use world::{Cut, Side, World, job};
+
+/// Services on all machines, led for a while.
+fn serving(seed: u64, nodes: usize) -> World {
+    let mut w = World::sized(seed, 8, 0.0, nodes);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    for n in 1..5 {
+        let mut service = job(n, Kind::Service, 3);
+        service.priority = Priority::Production;
+        w.submit(service);
+    }
+    w.until(20_000, "all run", |w| running(w) == 12);
+    // Reports and renewals fall differently each time.
+    let some = w.rng.u64(0..2_000);
+    w.run(15_000 + some);
+    (w.lapsed, w.terms, w.asked_for) = (0, 0, 0);
+    w.returned.clear();
+    w
+}
+
+fn running(w: &World) -> usize {
+    (1..5).map(|n| w.running(&format!("j-{n:06}"))).sum()
+}
+
+/// Nothing was lost, rented or returned, and leadership has settled.
+fn unharmed(w: &mut World, what: &str, most_terms: u32) {
+    assert_eq!(w.lapsed, 0, "{what}: tasks killed by leases");
+    assert_eq!(running(w), 12, "{what}");
+    assert_eq!(w.asked_for, 0, "{what}: nothing was missing");
+    assert!(w.returned.is_empty(), "{what}: {:?}", w.returned);
+    assert!(w.terms <= most_terms, "{what}: {} terms", w.terms);
+    assert!(w.leader().is_some(), "{what}");
+    w.sound();
+}
+
+#[test]
+fn a_leader_that_stands_still_harms_nothing_whenever_that_is() {
+    for (seed, ms) in (0..24).flat_map(|s| [(s, 1_500), (s, 3_300), (s, 5_000), (s, 20_000)]) {
+        for nodes in [3, 7] {
+            let mut w = serving(100 + seed, nodes);
+            let leader = w.leader().unwrap();
+            w.stand_still(leader, ms);
+            w.run(ms + 15_000);
+            let most = if ms < 3_000 { 0 } else { 1 };
+            unharmed(
+                &mut w,
+                &format!("seed {seed}, {ms} ms, {nodes} nodes"),
+                most,
+            );
+        }
+    }
+}
+
+#[test]
+fn no_machine_is_judged_silent_because_its_reports_waited() {
+    for seed in 0..10 {
+        let mut w = serving(150 + seed, 3);
+        let leader = w.leader().unwrap();
+        w.stand_still(leader, 3_300);
+        let end = w.now + 6_000;
+        while w.now < end {
+            w.step();
+            let now = w.now;
+            if w.leader() == Some(leader) && w.reaches(leader) {
+                let l = w.nodes[leader].leader.as_ref().unwrap();
+                assert_eq!(l.unheard(now).0, Vec::<String>::new(), "seed {seed}");
+                assert!(!l.model.each_machine().any(|m| m.suspect), "seed {seed}");
+            }
+        }
+        unharmed(&mut w, &format!("seed {seed}"), 0);
+    }
+}
+
+/// Guards against two silent nodes in a row in the order in which workers try
+/// them: that takes as long as their lease.
+#[test]
+fn the_lead_moves_where_the_node_that_workers_try_next_answers() {
+    for (seed, nodes) in (0..8).flat_map(|s| [(s, 3), (s, 7)]) {
+        let mut w = serving(250 + seed, nodes);
+        let leader = w.leader().unwrap();
+        w.cut((leader + 1) % nodes, Side::All, Cut::Hold);
+        w.run(20_000);
+        let moved = w.leader().unwrap();
+        assert_ne!(moved, leader);
+        w.run(60_000);
+        assert_eq!(w.leader(), Some(moved), "once is enough");
+        w.cut(moved, Side::All, Cut::Hold);
+        w.run(30_000);
+        (0..nodes).for_each(|i| w.join(i));
+        w.run(20_000);
+        unharmed(&mut w, &format!("seed {seed}, {nodes} nodes"), 4);
+    }
+}
+
+/// Guards against sending workers to a leader that is only remembered: the
+/// key of a silent leader stands for as long as the state service is down, and
+/// 4 s more.
+#[test]
+fn workers_are_kept_among_nodes_that_answer_until_one_leads() {
+    for (seed, nodes) in (0..8).flat_map(|s| [(s, 3), (s, 7)]) {
+        let mut w = serving(270 + seed, nodes);
+        let leader = w.leader().unwrap();
+        w.cut(leader, Side::All, Cut::Hold);
+        w.store.down = true;
+        w.run(2_500);
+        w.store.down = false;
+        w.run(40_000);
+        w.join(leader);
+        w.run(20_000);
+        unharmed(&mut w, &format!("seed {seed}, {nodes} nodes"), 2);
+    }
+}
+
+#[test]
+fn a_leader_silent_for_90_s_is_replaced_and_disturbs_nothing_when_it_returns() {
+    for seed in 0..8 {
+        let mut w = serving(200 + seed, 3);
+        let old = w.leader().unwrap();
+        w.cut(old, Side::All, Cut::Hold);
+        w.until(6_000, "another leads", |w| {
+            w.leader().is_some_and(|l| l != old)
+        });
+        w.run(90_000);
+        w.join(old);
+        w.run(20_000);
+        // It goes once more where the workers' next node answers, at most.
+        unharmed(&mut w, &format!("seed {seed}"), 2);
+    }
+}
+
+#[test]
+fn any_node_may_stand_still_or_fall_silent_beside_another() {
+    // The second fault hits whoever leads 10 s after the first.
+    for (seed, ms) in (0..10).flat_map(|s| [(s, 5_000), (s, 20_000), (s, 90_000)]) {
+        for nodes in [3, 7] {
+            let mut w = serving(300 + seed, nodes);
+            let first = w.leader().unwrap();
+            w.cut(first, Side::All, Cut::Hold);
+            w.run(10_000);
+            let second = w.leader().unwrap();
+            w.stand_still(second, ms);
+            w.run(ms.min(30_000));
+            w.join(first);
+            w.run(ms + 20_000);
+            let what = format!("seed {seed}, {ms} ms, {nodes} nodes");
+            unharmed(&mut w, &what, 4);
+        }
+    }
+}
+
+#[test]
+fn a_partial_cut_of_the_leader_costs_no_lease() {
+    let sides = |nodes: usize| {
+        let peers = (0..nodes).map(Side::Node);
+        [Side::State, Side::Workers].into_iter().chain(peers)
+    };
+    for nodes in [3, 7] {
+        for side in sides(nodes) {
+            for how in [Cut::Hold, Cut::Reset] {
+                let mut w = serving(400, nodes);
+                let leader = w.leader().unwrap();
+                w.cut(leader, side, how);
+                w.run(40_000);
+                w.join(leader);
+                w.run(20_000);
+                unharmed(&mut w, &format!("{side:?} {how:?}, {nodes} nodes"), 1);
+            }
+        }
+    }
+}
+
+#[test]
+fn two_partial_cuts_the_second_of_the_successor_cost_no_lease() {
+    let sides = [Side::State, Side::Workers, Side::All];
+    for (a, b) in sides
+        .iter()
+        .flat_map(|a| sides.iter().map(move |b| (*a, *b)))
+    {
+        for how in [Cut::Hold, Cut::Reset] {
+            let mut w = serving(500, 3);
+            let first = w.leader().unwrap();
+            w.cut(first, a, how);
+            w.run(10_000);
+            let second = w.leader().unwrap();
+            w.cut(second, b, how);
+            w.run(30_000);
+            (0..3).for_each(|i| w.join(i));
+            w.run(20_000);
+            unharmed(&mut w, &format!("{a:?}, {b:?}, {how:?}"), 4);
+        }
+    }
+}
+
+/// Guards against a leader that tells, from memory, less than another node
+/// has read and told: it learns late that the end of the job is recorded.
+#[test]
+fn while_a_jobs_end_is_being_recorded_only_the_records_tell_its_state() {
+    let mut w = World::new(7, 3, 0.0);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.submit(job(1, Kind::Array, 1));
+    w.until(20_000, "it runs", |w| w.running("j-000001") == 1);
+    let leader = w.leader().unwrap();
+    let other = (leader + 1) % 3;
+    w.cut(other, Side::Node(leader), Cut::Reset);
+    // Applied, but its answer is lost.
+    w.store.late = vec![50; 40];
+    let id = "j-000001";
+    let tell = |w: &mut World| w.poll(other, id) == Some(JobState::Done);
+    let end = w.now + 20_000;
+    while !tell(&mut w) {
+        assert!(w.now < end);
+        w.step();
+    }
+    w.nodes[leader].election.authority(w.now).expect("leads on");
+    assert_eq!(w.poll(leader, id), Some(JobState::Done));
+    w.sound();
+}
+
+#[test]
+fn final_states_outlast_the_leader_that_learned_them() {
+    let mut w = World::new(8, 3, 0.0);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.submit(job(1, Kind::Array, 2));
+    w.until(30_000, "done", |w| w.done("j-000001"));
+    let old = w.leader().unwrap();
+    w.cut(old, Side::State, Cut::Reset);
+    w.until(9_000, "another leads", |w| {
+        w.leader().is_some_and(|l| l != old)
+    });
+    // It reaches neither the records nor, now, any other node.
+    (0..3).for_each(|j| w.cut(old, Side::Node(j), Cut::Reset));
+    assert_eq!(w.poll(old, "j-000001"), Some(JobState::Done));
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -9,7 +9,7 @@
     users::{JobSpec, JobState, Kind, Priority},
     workers::TaskState,
 };
-use world::{LEASE, Net, World, job};
+use world::{Cut, LEASE, Net, Side, World, job};
 
 fn quiet(seed: u64, machines: usize, limit: f64) -> World {
     let mut w = World::new(seed, machines, limit);
@@ -649,6 +649,95 @@
     }
 }
 
+/// A day on which controllers stand still at any moment, fall silent, are cut
+/// off in part and crash, several at once, under jobs of all kinds.
+fn hard_day(seed: u64, nodes: usize) -> World {
+    let mut w = World::sized(seed, 6, 48.0, nodes);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.rents = true;
+    let mut n = 0;
+    for _ in 0..50 {
+        n += 1;
+        let kind = [Kind::Array, Kind::Service, Kind::Gang][w.rng.usize(..3)];
+        let tasks = w.rng.u32(1..6);
+        let mut j = job(n, kind, tasks);
+        j.spread = w.rng.u8(..4) == 0;
+        j.one_zone = !j.spread && w.rng.u8(..4) == 0;
+        j.spot = w.rng.bool();
+        w.submit(j);
+        // The leader more often than others.
+        let i = match w.leader() {
+            Some(leader) if w.rng.bool() => leader,
+            _ => w.rng.usize(..nodes),
+        };
+        let how = if w.rng.bool() { Cut::Hold } else { Cut::Reset };
+        match w.rng.u8(..12) {
+            0..4 => {
+                let ms = [500, 3_000, 5_000, 12_000, 20_000][w.rng.usize(..5)];
+                w.stand_still(i, ms);
+            }
+            4 => w.cut(i, Side::All, Cut::Hold),
+            5 => w.cut(i, Side::State, how),
+            6 => w.cut(i, Side::Workers, how),
+            7 => {
+                let j = w.rng.usize(..nodes);
+                w.cut(i, Side::Node(j), how);
+            }
+            8 => w.crash(i, 3_000),
+            9 => {
+                let m = w.rng.usize(..w.workers.len());
+                w.workers[m].net = if w.rng.bool() { Net::Hold } else { Net::Lose };
+            }
+            10 => {
+                let m = w.rng.usize(..w.workers.len());
+                let delay = w.rng.u64(50..15_000);
+                w.slow_do.insert(m, delay);
+            }
+            _ => {
+                w.store.down = true;
+                let ms = w.rng.u64(1_000..9_000);
+                w.run(ms);
+                w.store.down = false;
+            }
+        }
+        let ms = w.rng.u64(200..8_000);
+        w.run(ms);
+        // Never so many at once that nobody is left to accept a job.
+        let able = |i: &usize| w.reaches(*i) && w.reaches_state(*i);
+        let none_left = (0..nodes).filter(able).count() < 2;
+        for i in 0..nodes {
+            if none_left || w.rng.u8(..4) == 0 {
+                w.join(i);
+            }
+        }
+        if w.rng.u8(..4) == 0 {
+            (0..w.workers.len()).for_each(|m| w.heal(m));
+        }
+        if n > 6 {
+            if w.rng.bool() {
+                (0..nodes).for_each(|i| w.join(i));
+            }
+            w.cancel(&format!("j-{:06}", n - 6));
+        }
+        for i in 0..nodes {
+            let id = format!("j-{:06}", w.rng.u32(1..=n));
+            w.poll(i, &id);
+        }
+    }
+    w
+}
+
+#[test]
+fn days_of_silent_and_stalled_controllers_break_no_rule() {
+    for seed in 0..12 {
+        for nodes in [3, 7] {
+            let w = hard_day(2000 + seed, nodes);
+            assert!(w.broken.is_empty(), "seed {seed}, {nodes}: {:?}", w.broken);
+            assert!(w.starts > 40);
+        }
+    }
+}
+
 /// Seven nodes and 400 machines: gangs of eight, an array of 500, services; a
 /// node is down when the state service goes, and all crash as it comes back.
 #[test]
--- /dev/null
+++ b/tests/world/net.rs
@@ -0,0 +1,333 @@
+//! The network: who reaches whom, and what is on its way.
+
+use super::*;
+
+/// A machine's network.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Net {
+    Up,
+    /// Nothing arrives; what was sent is delivered when the cut ends.
+    Hold,
+    /// Nothing arrives, ever.
+    Lose,
+}
+
+/// How a controller is cut off: packets are held, or refused.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Cut {
+    Hold,
+    Reset,
+}
+
+/// From what a controller is cut off.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Side {
+    State,
+    Workers,
+    Node(usize),
+    /// From everything, its users included.
+    All,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum End {
+    State,
+    Worker(usize),
+    Node(usize),
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Link {
+    Up,
+    Hold,
+    Reset,
+}
+
+#[derive(Clone)]
+pub(super) enum Msg {
+    Beat(usize, usize, Report, Ms),
+    /// Passed on by the first node to the second.
+    Relay(usize, usize, usize, Report, Ms),
+    Reply(usize, usize, Option<ReportReply>, u64, u64, Ms),
+    Do(usize, usize, u64, DirectOrder),
+    Done(usize, u64, String, u64, Option<(bool, Report)>),
+}
+
+impl Msg {
+    fn ends(&self) -> Option<(usize, usize)> {
+        match self {
+            Msg::Beat(i, w, ..) | Msg::Reply(w, i, ..) | Msg::Do(i, w, ..) => Some((*i, *w)),
+            Msg::Relay(..) | Msg::Done(..) => None,
+        }
+    }
+}
+
+impl World {
+    // ---- troubles ----
+
+    pub fn crash(&mut self, i: usize, back: Ms) {
+        let n = &mut self.nodes[i];
+        n.alive = false;
+        n.leader = None;
+        n.back_at = self.now + back;
+        n.unclear = None;
+    }
+
+    pub fn cut(&mut self, i: usize, side: Side, how: Cut) {
+        self.cuts.push((i, side, how));
+    }
+
+    /// All cuts of a node end; what was held arrives.
+    pub fn join(&mut self, i: usize) {
+        self.cuts.retain(|(n, ..)| *n != i);
+        for (at, node, _) in self.store.held.iter_mut() {
+            if *node == i && *at == Ms::MAX {
+                *at = self.now;
+            }
+        }
+        for (at, node, ..) in self.late_ops.iter_mut() {
+            if *node == i && *at == Ms::MAX {
+                *at = self.now;
+            }
+        }
+        self.release_held();
+    }
+
+    /// The node goes on computing for a moment, but nothing of what comes out
+    /// leaves it before `ms` have passed; meanwhile it takes in nothing and
+    /// its clock runs on.
+    pub fn stand_still(&mut self, i: usize, ms: Ms) {
+        if !self.nodes[i].alive || self.nodes[i].still_until > self.now {
+            return;
+        }
+        let until = self.now + ms;
+        self.stalls = Some((i, until));
+        self.node_time(i);
+        self.stalls = None;
+        self.nodes[i].still_until = until;
+    }
+
+    pub fn heal(&mut self, w: usize) {
+        self.workers[w].net = Net::Up;
+        self.release_held();
+    }
+
+    fn release_held(&mut self) {
+        for m in std::mem::take(&mut self.held) {
+            match m.ends() {
+                Some((i, w)) => self.send(i, w, 5, m),
+                None => self.wire.push((self.now + 5, m)),
+            }
+        }
+    }
+
+    // ---- who reaches whom ----
+
+    pub fn link(&self, i: usize, other: End) -> Link {
+        let hits = |n: usize, side: Side, other: End| match (side, other) {
+            (Side::All, _) | (Side::State, End::State) | (Side::Workers, End::Worker(_)) => n == i,
+            (Side::Node(a), End::Node(b)) => n == i && a == b,
+            _ => false,
+        };
+        let mut link = Link::Up;
+        for (n, side, how) in &self.cuts {
+            let own = hits(*n, *side, other);
+            let theirs = other == End::Node(*n) && (*side == Side::All || *side == Side::Node(i));
+            if own || theirs {
+                match how {
+                    Cut::Hold => return Link::Hold,
+                    Cut::Reset => link = Link::Reset,
+                }
+            }
+        }
+        link
+    }
+
+    /// It runs, and users, health checks and others reach it.
+    pub fn reaches(&self, i: usize) -> bool {
+        self.nodes[i].alive && self.nodes[i].still_until <= self.now && self.is_cut_off(i).is_none()
+    }
+
+    /// From everything.
+    pub fn is_cut_off(&self, i: usize) -> Option<Cut> {
+        let of = |(n, side, _): &&(usize, Side, Cut)| *n == i && *side == Side::All;
+        self.cuts.iter().find(of).map(|(_, _, how)| *how)
+    }
+
+    pub fn reaches_state(&self, i: usize) -> bool {
+        !self.store.refuses(i) && self.link(i, End::State) == Link::Up
+    }
+
+    /// How a question of one node to another ends at once, if it does.
+    pub(super) fn contact(&self, i: usize, j: usize) -> Option<Contact> {
+        match self.link(i, End::Node(j)) {
+            Link::Hold => None,
+            Link::Reset => Some(Contact::Refuses),
+            Link::Up if !self.nodes[j].alive => Some(Contact::Refuses),
+            Link::Up if self.nodes[j].still_until > self.now => None,
+            Link::Up => Some(Contact::Answers),
+        }
+    }
+
+    // ---- what is on its way ----
+
+    pub(super) fn send(&mut self, i: usize, w: usize, delay: Ms, msg: Msg) {
+        let from_node = matches!(msg, Msg::Reply(..) | Msg::Do(..));
+        let stalled = self.stalls.filter(|(n, _)| *n == i && from_node);
+        let at = stalled.map_or(self.now, |(_, until)| until) + delay;
+        match (self.workers[w].net, self.link(i, End::Worker(w))) {
+            (Net::Up, Link::Up) => self.wire.push((at, msg)),
+            (Net::Lose, _) | (_, Link::Reset) => {}
+            _ => self.held.push(msg),
+        }
+    }
+
+    pub(super) fn send_direct(&mut self, i: usize, term: u64, d: Direct) {
+        let Some(w) = self.workers.iter().position(|w| w.name == d.machine) else {
+            return;
+        };
+        // No answer within two seconds, unless one comes.
+        let lost = Msg::Done(i, term, d.machine.clone(), d.order.token, None);
+        self.wire.push((self.now + 2000, lost));
+        let delay = self.slow_do.get(&w).copied().unwrap_or(5);
+        self.send(i, w, delay, Msg::Do(i, w, term, d.order));
+    }
+
+    pub(super) fn deliver(&mut self, msg: Msg) {
+        let now = self.now;
+        // What comes to a node that stands still waits at its door.
+        let to = match &msg {
+            Msg::Beat(i, ..) | Msg::Relay(_, i, ..) | Msg::Done(i, ..) => Some(*i),
+            Msg::Reply(..) | Msg::Do(..) => None,
+        };
+        if let Some(i) = to.filter(|i| self.nodes[*i].still_until > now) {
+            let some = self.rng.u64(0..3) * STEP;
+            let at = self.nodes[i].still_until + some;
+            self.wire.push((at, msg));
+            return;
+        }
+        match msg {
+            Msg::Beat(i, w, report, sent) => self.beat(i, w, report, sent),
+            Msg::Relay(via, i, w, report, sent) => {
+                let reply = self.answer(i, &report);
+                if reply.is_some() && self.link(via, End::Node(i)) == Link::Up {
+                    let (session, seq) = (report.session, report.seq);
+                    self.send(via, w, 5, Msg::Reply(w, via, reply, session, seq, sent));
+                }
+            }
+            Msg::Reply(w, i, reply, session, seq, sent) => {
+                let nodes = self.nodes.len();
+                let worker = &self.workers[w];
+                if worker.flight != Some((seq, sent)) || now > sent + 4000 || !worker.alive {
+                    return;
+                }
+                let Some(reply) = reply else {
+                    let leader = self.known_leader(i);
+                    let peers: Vec<usize> = peers_of(i, nodes).collect();
+                    let (target, pause) = match self.nodes[i].reach.foreman(leader, now) {
+                        Foreman::Leads(p) | Foreman::Answers(p) => (peers[p], 250),
+                        Foreman::Next => ((i + 1) % nodes, 1000),
+                    };
+                    let worker = &mut self.workers[w];
+                    worker.flight = None;
+                    worker.target = target;
+                    worker.next = now + pause;
+                    worker.sent = now.max(500) + pause - 500;
+                    return;
+                };
+                let worker = &mut self.workers[w];
+                worker.flight = None;
+                if session != worker.session || reply.token < worker.token {
+                    return;
+                }
+                if reply.token > worker.token {
+                    worker.token = reply.token;
+                    worker.dirty = true;
+                }
+                worker.last_ok = sent;
+                self.execute(w, reply.commands);
+            }
+            Msg::Do(i, w, term, order) => {
+                let worker = &mut self.workers[w];
+                if !worker.alive {
+                    return;
+                }
+                let ok = order.token >= worker.token && order.session == worker.session;
+                if ok {
+                    worker.token = order.token;
+                    self.execute(w, order.commands);
+                }
+                let report = self.report(w);
+                let name = report.machine.clone();
+                if self.workers[w].net == Net::Up && self.link(i, End::Worker(w)) == Link::Up {
+                    let done = Msg::Done(i, term, name, order.token, Some((ok, report)));
+                    self.wire.push((now + 5, done));
+                }
+            }
+            Msg::Done(i, term, name, token, answer) => {
+                let Some(l) = self.nodes[i].leader.as_mut().filter(|l| l.term == term) else {
+                    return;
+                };
+                let open = l
+                    .model
+                    .machine_ix(&name)
+                    .and_then(|ix| l.model.machine(ix))
+                    .is_some_and(|m| m.ordering && m.fence | (term << 20) == token);
+                if !open {
+                    return;
+                }
+                let outcome = match answer {
+                    Some((true, r)) => DirectOutcome::Executed(r),
+                    Some((false, r)) => DirectOutcome::Refused(Some(r)),
+                    // The time limit, unless it was answered.
+                    None => DirectOutcome::NoAnswer,
+                };
+                l.direct_done(&name, token, outcome, now);
+            }
+        }
+    }
+
+    /// The leader that a node knows of, as an index into its peers.
+    fn known_leader(&self, i: usize) -> Option<usize> {
+        let (name, _) = self.nodes[i].election.seen.as_ref()?;
+        let leader: usize = name[1..].parse().ok()?;
+        peers_of(i, self.nodes.len()).position(|j| j == leader)
+    }
+
+    fn answer(&mut self, i: usize, report: &Report) -> Option<ReportReply> {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        if !node.alive {
+            return None;
+        }
+        node.election.authority(now)?;
+        let reply = node.leader.as_mut()?.on_beat(report, now)?;
+        node.last_beat = now;
+        Some(reply)
+    }
+
+    fn beat(&mut self, i: usize, w: usize, report: Report, sent: Ms) {
+        if !self.nodes[i].alive {
+            return;
+        }
+        let now = self.now;
+        let reply = self.answer(i, &report);
+        let (session, seq) = (report.session, report.seq);
+        if reply.is_none()
+            && let Some(leader) = self.known_leader(i)
+            && matches!(
+                self.nodes[i].reach.foreman(Some(leader), now),
+                Foreman::Leads(_)
+            )
+            && self.nodes[i].relays.relays(&report.machine, now)
+            && let Some(l) = peers_of(i, self.nodes.len()).nth(leader)
+            && self.contact(i, l) != Some(Contact::Refuses)
+        {
+            self.wire.push((now + 5, Msg::Relay(i, l, w, report, sent)));
+            let late = Msg::Reply(w, i, None, session, seq, sent);
+            self.wire.push((now + 800, late));
+            return;
+        }
+        self.send(i, w, 5, Msg::Reply(w, i, reply, session, seq, sent));
+    }
+}
--- /dev/null
+++ b/tests/world/nodes.rs
@@ -0,0 +1,344 @@
+//! What a controller does as time passes: the loops of `node`, in steps.
+
+use super::*;
+
+impl World {
+    pub(super) fn node_time(&mut self, i: usize) {
+        let now = self.now;
+        let nodes = self.nodes.len();
+        if !self.nodes[i].alive {
+            if self.nodes[i].back_at <= now {
+                self.nodes[i] = self.fresh(i, nodes);
+            }
+            return;
+        }
+        if self.nodes[i].still_until > now {
+            return;
+        }
+        if self.nodes[i].still_until > 0 {
+            self.nodes[i].still_until = 0;
+            if let Some(l) = self.nodes[i].leader.as_mut() {
+                l.stood_still(now);
+            }
+        }
+        self.ping(i);
+        if now >= self.nodes[i].next {
+            self.elect(i);
+        }
+        if self.nodes[i].election.authority(now).is_none() {
+            return;
+        }
+        self.greet(i);
+        let reaches_state = self.reaches_state(i);
+        let stalled = self.stalls.is_some_and(|(n, _)| n == i);
+        let node = &mut self.nodes[i];
+        let Some(l) = node.leader.as_mut() else {
+            return;
+        };
+        if !l.loaded && reaches_state && !stalled {
+            for (k, v, r) in self.store.under(records::ROSTER) {
+                let record: MachineRecord = serde_json::from_value(v).unwrap();
+                l.load_machine(k.trim_start_matches(records::ROSTER), record, r, now);
+            }
+            for (_, v, r) in self.store.under(records::JOBS) {
+                l.load_job(serde_json::from_value(v).unwrap(), r, now);
+            }
+            for (k, v, _) in self.store.under(records::CHUNKS) {
+                let (id, c) = k[2..].rsplit_once('/').unwrap();
+                l.load_chunk(id, c.parse().unwrap(), v.as_str().unwrap());
+            }
+            l.finish_loading(now);
+            if self.sabotage {
+                for m in l.model.each_machine_mut() {
+                    m.unknown = false;
+                }
+            }
+        }
+        l.tick(now, now);
+        let term = l.term;
+        let directs = l.directs(now);
+        let ops = l.cloud_ops(now, now);
+        for d in directs {
+            self.send_direct(i, term, d);
+        }
+        for op in ops {
+            let stalls = self.stalls.filter(|(n, _)| *n == i);
+            match (stalls, self.is_cut_off(i)) {
+                // Checked, and carried out after standing still.
+                (Some((_, until)), _) => self.late_ops.push((until, i, term, op)),
+                // Carried out when the cut ends.
+                (None, Some(_)) => self.late_ops.push((Ms::MAX, i, term, op)),
+                (None, None) => self.cloud(i, term, op),
+            }
+        }
+        if self.nodes[i].leader.is_some() {
+            self.flush(i);
+        }
+    }
+
+    pub(super) fn cloud_time(&mut self) {
+        let (due, later) = std::mem::take(&mut self.late_ops)
+            .into_iter()
+            .partition(|(at, ..)| *at <= self.now);
+        self.late_ops = later;
+        for (_, i, term, op) in due {
+            self.cloud(i, term, op);
+        }
+    }
+
+    fn cloud(&mut self, i: usize, term: u64, op: CloudOp) {
+        let now = self.now;
+        match op {
+            CloudOp::Rent(r) => {
+                self.asked_for += r.count;
+                let names: Vec<String> = if self.rents {
+                    (0..r.count.min(4))
+                        .map(|_| self.add_worker(&r.zone, r.spot, 5_000))
+                        .collect()
+                } else {
+                    Vec::new()
+                };
+                let leader = self.nodes[i].leader.as_mut();
+                if let Some(l) = leader.filter(|l| l.term == term) {
+                    l.rented(&r, Some(&names), now);
+                }
+            }
+            CloudOp::Release(names) => {
+                for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
+                    w.alive = false;
+                    w.tasks.clear();
+                }
+                self.returned.extend(names.iter().cloned());
+                let leader = self.nodes[i].leader.as_mut();
+                if let Some(l) = leader.filter(|l| l.term == term) {
+                    l.released(&names, true, now);
+                }
+            }
+        }
+    }
+
+    fn flush(&mut self, i: usize) {
+        let now = self.now;
+        let (reaches, link) = (self.reaches_state(i), self.link(i, End::State));
+        let stalled = self.stalls.filter(|(n, _)| *n == i);
+        let node = &mut self.nodes[i];
+        let l = node.leader.as_mut().unwrap();
+        if let Some((at, plan)) = node.unclear.take() {
+            if now < at || !reaches || stalled.is_some() {
+                node.unclear = Some((at, plan));
+                return;
+            }
+            for key in Leader::keys_of(&plan) {
+                l.reread(&key, self.store.kv.get(&key).cloned());
+            }
+            l.reread_done(&plan);
+        }
+        if now < node.flush_at {
+            return;
+        }
+        node.flush_at = now + 100;
+        let Some(plan) = l.plan_flush(12) else { return };
+        // No answer, and it may be applied yet.
+        let late = match (stalled, link) {
+            (Some((_, until)), _) => Some(until),
+            (None, Link::Hold) => Some(Ms::MAX),
+            _ => None,
+        };
+        if let Some(at) = late {
+            self.store.held.push((at, i, plan.txn.clone()));
+            node.unclear = Some((now + 1500, plan));
+            return;
+        }
+        if !reaches {
+            l.reread_done(&plan);
+            return;
+        }
+        if let Some(delay) = self.store.late.pop() {
+            self.store.held.push((now + delay, i, plan.txn.clone()));
+            node.unclear = Some((now + 1500, plan));
+            return;
+        }
+        match self.store.apply(&plan.txn) {
+            Ok(revision) => l.flushed(&plan, revision),
+            Err(failed) if failed.iter().any(|k| k == LEADER) => self.resign(i, false),
+            Err(_) => node.unclear = Some((now, plan)),
+        }
+    }
+
+    // ---- leadership ----
+
+    fn resign(&mut self, i: usize, tell: bool) {
+        let node = &mut self.nodes[i];
+        let Some(lead) = node.election.resign() else {
+            return;
+        };
+        if let Some(l) = node.leader.take() {
+            node.finals = l.finals;
+        }
+        if self.reaches_state(i) {
+            self.store.end_lease(lead.lease);
+        }
+        for j in peers_of(i, self.nodes.len()) {
+            if tell && self.contact(i, j) == Some(Contact::Answers) {
+                self.nodes[j].election.resigned(lead.term);
+            }
+        }
+    }
+
+    fn elect(&mut self, i: usize) {
+        let now = self.now;
+        let nodes = self.nodes.len();
+        let reaches = self.reaches_state(i);
+        let stalled = self.stalls.filter(|(n, _)| *n == i);
+        self.nodes[i].next = now + 200;
+        if let Some(lead) = self.nodes[i].election.lead() {
+            if stalled.is_some() {
+                return;
+            }
+            if reaches {
+                match self.store.leases.get_mut(&lead.lease) {
+                    Some(until) => {
+                        *until = now + LIFE;
+                        self.nodes[i].election.renewed(now);
+                    }
+                    None => self.resign(i, false),
+                }
+                let node = &mut self.nodes[i];
+                if node.reach.poor_place(now) && node.election.stands_back(now) {
+                    self.resign(i, true);
+                }
+                return;
+            }
+            // Ask the others.
+            let (mut all, mut alone) = (true, false);
+            for j in peers_of(i, nodes) {
+                let fails = !self.reaches_state(j);
+                let answers = self.contact(i, j) == Some(Contact::Answers);
+                let peer = &mut self.nodes[j];
+                if !answers {
+                    all = false;
+                } else if !peer.election.grant(now, lead.term, PROMISE, fails) {
+                    all = false;
+                    alone |= !fails;
+                }
+            }
+            if alone {
+                self.resign(i, true);
+            } else if all {
+                self.nodes[i].election.promised_by_all(now);
+            }
+            return;
+        }
+        if !reaches {
+            return;
+        }
+        if let Some(lease) = self.nodes[i].election.doubt {
+            if stalled.is_none() {
+                self.store.end_lease(lease);
+                self.nodes[i].election.doubt = None;
+            }
+            return;
+        }
+        let seen = self.store.kv.get(LEADER).map(|(v, r)| {
+            let name = v["n"].as_str().unwrap().to_owned();
+            (name, *r)
+        });
+        let node = &mut self.nodes[i];
+        if node.election.seen != seen {
+            node.relays.clear();
+        }
+        node.election.saw(seen);
+        let Some(version) = node.election.may_seek(now) else {
+            return;
+        };
+        let reach = &node.reach;
+        if node.election.hesitates(now, || reach.poor_place(now)) {
+            return;
+        }
+        self.store.lease += 1;
+        let lease = self.store.lease;
+        self.store.leases.insert(lease, now + LIFE);
+        let txn = Txn {
+            guards: vec![Guard {
+                key: LEADER.into(),
+                version,
+            }],
+            writes: vec![Write::Put {
+                key: LEADER.into(),
+                value: serde_json::json!({"n": format!("n{i}"), "i": 1}),
+                lease: Some(lease),
+            }],
+        };
+        if let Some((_, until)) = stalled {
+            self.nodes[i].election.doubt = Some(lease);
+            self.store.held.push((until, i, txn));
+            return;
+        }
+        if let Ok(term) = self.store.apply(&txn) {
+            self.terms += 1;
+            let node = &mut self.nodes[i];
+            node.election.won(term, lease, now);
+            let mut leader = Leader::new(
+                self.settings.clone(),
+                Options {
+                    // Where nothing can be rented, nothing is returned.
+                    idle_s: if self.rents { 20.0 } else { 36_000.0 },
+                    ..Options::default()
+                },
+                types(),
+                term,
+                now,
+            );
+            leader.finals = std::mem::take(&mut node.finals);
+            node.leader = Some(leader);
+        }
+    }
+
+    /// Learns which other nodes answer.
+    fn ping(&mut self, i: usize) {
+        let now = self.now;
+        for (p, j) in peers_of(i, self.nodes.len()).enumerate() {
+            let contact = self.contact(i, j);
+            let node = &mut self.nodes[i];
+            if node.asked[j].is_none() && node.reach.due(p, now) {
+                node.reach.asked(p, now);
+                node.asked[j] = Some(now);
+            }
+            let Some(since) = node.asked[j] else { continue };
+            let timed_out = now >= since + 2 * EVERY;
+            if let Some(how) = contact.or(timed_out.then_some(Contact::Silent)) {
+                node.reach.ended(p, how, now);
+                node.asked[j] = None;
+            }
+        }
+    }
+
+    /// Each second the leader has the reports relayed of machines that it
+    /// does not hear, and hands over if it hears nobody at all.
+    fn greet(&mut self, i: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        if now < node.greet_at {
+            return;
+        }
+        node.greet_at = now + 1000;
+        let Some(l) = node.leader.as_ref() else {
+            return;
+        };
+        let (machines, heard) = l.unheard(now);
+        if machines.is_empty() {
+            return;
+        }
+        let mut anybody = heard > 0;
+        for j in peers_of(i, self.nodes.len()) {
+            if self.contact(i, j) == Some(Contact::Answers) {
+                anybody = true;
+                self.nodes[j].relays.unheard(&machines, 15_000, now);
+            }
+        }
+        if !anybody && now > self.nodes[i].last_beat + 5000 {
+            self.nodes[i].election.abstain(now + 15_000);
+            self.resign(i, false);
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/store.rs
@@ -0,0 +1,112 @@
+//! The state service.
+
+use pathwinch::{
+    bookkeeping::{Ms, records::LEADER},
+    coordination::election::LIFE,
+    protocol::state::{Txn, Write},
+};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Default)]
+pub struct Store {
+    pub revision: u64,
+    pub kv: BTreeMap<String, (Value, u64)>,
+    pub down: bool,
+    /// Nodes that alone are refused.
+    pub refuses: BTreeSet<usize>,
+    pub lease: u64,
+    pub leases: BTreeMap<u64, Ms>,
+    pub key_lease: Option<u64>,
+    /// Answers of the next transactions are lost, and they are applied so
+    /// much later.
+    pub late: Vec<Ms>,
+    /// To be applied then, each by a node; `Ms::MAX`: when it is healed.
+    pub held: Vec<(Ms, usize, Txn)>,
+}
+
+impl Store {
+    pub fn apply(&mut self, txn: &Txn) -> Result<u64, Vec<String>> {
+        assert!(txn.writes.len() <= 12 && txn.guards.len() <= 48, "txn_ops");
+        assert!(serde_json::to_vec(txn).unwrap().len() <= 65536, "64 KiB");
+        let leases = txn.writes.iter().filter_map(|w| match w {
+            Write::Put { lease, .. } => *lease,
+            _ => None,
+        });
+        // "no such lease", whatever the conditions.
+        if leases.into_iter().any(|l| !self.leases.contains_key(&l)) {
+            return Err(Vec::new());
+        }
+        let failed: Vec<String> = txn
+            .guards
+            .iter()
+            .filter(|g| self.kv.get(&g.key).map_or(0, |v| v.1) != g.version)
+            .map(|g| g.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        self.revision += 1;
+        for w in &txn.writes {
+            match w {
+                Write::Put { key, value, lease } => {
+                    if key == LEADER {
+                        self.key_lease = *lease;
+                    }
+                    assert!(value.to_string().len() <= 8192, "value_kb: {key}");
+                    self.kv.insert(key.clone(), (value.clone(), self.revision));
+                }
+                Write::Delete { key } => {
+                    self.kv.remove(key);
+                }
+            }
+        }
+        Ok(self.revision)
+    }
+
+    pub fn refuses(&self, node: usize) -> bool {
+        self.down || self.refuses.contains(&node)
+    }
+
+    pub fn under(&self, prefix: &str) -> Vec<(String, Value, u64)> {
+        self.kv
+            .range(prefix.to_owned()..)
+            .take_while(|(k, _)| k.starts_with(prefix))
+            .map(|(k, (v, r))| (k.clone(), v.clone(), *r))
+            .collect()
+    }
+}
+
+impl Store {
+    pub fn pass_time(&mut self, now: Ms) {
+        for (at, node, txn) in std::mem::take(&mut self.held) {
+            if at <= now && !self.down {
+                let _ = self.apply(&txn);
+            } else {
+                self.held.push((at, node, txn));
+            }
+        }
+        if self.down {
+            // After an outage all leases have their full time again.
+            for until in self.leases.values_mut() {
+                *until = now + LIFE;
+            }
+        }
+        self.leases.retain(|_, until| now < *until);
+        self.drop_key();
+    }
+
+    pub fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        self.drop_key();
+    }
+
+    fn drop_key(&mut self) {
+        let gone = |l: u64| !self.leases.contains_key(&l);
+        if self.key_lease.is_some_and(gone) {
+            self.key_lease = None;
+            self.revision += 1;
+            self.kv.remove(LEADER);
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/workers.rs
@@ -0,0 +1,206 @@
+//! Workers: what they report, carry out and run.
+
+use super::*;
+
+impl World {
+    /// A report as the worker would send it now.
+    pub fn report_of(&mut self, w: usize) -> Report {
+        self.report(w)
+    }
+
+    pub(super) fn report(&mut self, w: usize) -> Report {
+        let worker = &mut self.workers[w];
+        worker.seq += 1;
+        Report {
+            machine: worker.name.clone(),
+            addr: "127.0.0.1:9".into(),
+            type_name: "m8".into(),
+            zone: worker.zone.clone(),
+            spot: worker.spot,
+            session: worker.session,
+            seq: worker.seq,
+            token: worker.token,
+            notice_s: None,
+            tasks: worker
+                .tasks
+                .iter()
+                .map(|t| ReportedTask {
+                    task: t.name.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    why: t.why,
+                    saved: false,
+                })
+                .collect(),
+        }
+    }
+
+    pub(super) fn execute(&mut self, w: usize, commands: Vec<Command>) {
+        let now = self.now;
+        let fetch_ms = self.fetch_ms;
+        for c in commands {
+            let worker = &mut self.workers[w];
+            worker.dirty = true;
+            match c {
+                Command::Start { task, attempt } => {
+                    if worker
+                        .tasks
+                        .iter()
+                        .any(|t| t.name == task && t.attempt == attempt)
+                    {
+                        continue;
+                    }
+                    let other = worker
+                        .tasks
+                        .iter()
+                        .any(|t| t.name == task && t.state != TaskState::Exited);
+                    let id = task.rsplit_once('/').unwrap().0.to_owned();
+                    let live = worker
+                        .tasks
+                        .iter()
+                        .filter(|t| t.state != TaskState::Exited)
+                        .count();
+                    let why = if other {
+                        Some(Why::Busy)
+                    } else if live >= 2 {
+                        Some(Why::NoRoom)
+                    } else if !self.specs.contains_key(&id) {
+                        Some(Why::Unknown)
+                    } else {
+                        None
+                    };
+                    worker.tasks.push(Task {
+                        name: task,
+                        attempt,
+                        state: if why.is_some() {
+                            TaskState::Exited
+                        } else {
+                            TaskState::Fetching
+                        },
+                        why,
+                        until: now + fetch_ms,
+                    });
+                }
+                Command::Stop { task, attempt, .. } => {
+                    for t in worker
+                        .tasks
+                        .iter_mut()
+                        .filter(|t| t.name == task && t.attempt == attempt)
+                    {
+                        if t.state != TaskState::Exited {
+                            t.state = TaskState::Exited;
+                            t.why = Some(Why::Stopped);
+                        }
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let done = worker.tasks.iter().any(|t| {
+                        t.name == task && t.attempt == attempt && t.why == Some(Why::Done)
+                    });
+                    if done && !self.recorded(&task) {
+                        self.broken.push(format!("reaped before recorded: {task}"));
+                    }
+                    self.workers[w].tasks.retain(|t| {
+                        !(t.name == task && t.attempt == attempt && t.state == TaskState::Exited)
+                    });
+                }
+            }
+        }
+    }
+
+    fn recorded(&self, task: &str) -> bool {
+        let (id, n) = task.rsplit_once('/').unwrap();
+        let n: u32 = n.parse().unwrap();
+        if self.done(id) {
+            return true;
+        }
+        let Some((v, _)) = self.store.kv.get(&records::job_key(id)) else {
+            return false;
+        };
+        let record: JobRecord = serde_json::from_value(v.clone()).unwrap();
+        let mut bits = Bits::with_len(record.spec.tasks);
+        bits.load(0, &record.done);
+        for (k, v, _) in self.store.under(&format!("c/{id}/")) {
+            let c = k.rsplit_once('/').unwrap().1.parse().unwrap();
+            bits.load(c, v.as_str().unwrap());
+        }
+        record.cancelled || bits.get(n)
+    }
+
+    pub(super) fn worker_time(&mut self, w: usize) {
+        let now = self.now;
+        let run_ms = self.run_ms;
+        let nodes = self.nodes.len();
+        let mut started = Vec::new();
+        let worker = &mut self.workers[w];
+        if !worker.alive || now < worker.boots {
+            return;
+        }
+        if now > worker.last_ok + LEASE {
+            worker.session += 1;
+            worker.last_ok = now;
+            self.lapsed += worker
+                .tasks
+                .iter()
+                .filter(|t| t.state != TaskState::Exited)
+                .count();
+            worker.tasks.clear();
+            worker.dirty = true;
+        }
+        for t in worker.tasks.iter_mut().filter(|t| now >= t.until) {
+            let spec = &self.specs[t.name.rsplit_once('/').unwrap().0];
+            match t.state {
+                TaskState::Fetching if worker.sick || self.faulty.contains(&spec.id) => {
+                    t.state = TaskState::Exited;
+                    t.why = Some(Why::Error);
+                    self.failed += 1;
+                    worker.dirty = true;
+                }
+                TaskState::Fetching => {
+                    t.state = TaskState::Running;
+                    t.until = if spec.kind == Kind::Service {
+                        Ms::MAX
+                    } else {
+                        now + run_ms
+                    };
+                    started.push(t.name.clone());
+                    worker.dirty = true;
+                }
+                TaskState::Running => {
+                    t.state = TaskState::Exited;
+                    t.why = Some(Why::Done);
+                    self.finished.insert(t.name.clone());
+                    worker.dirty = true;
+                }
+                _ => {}
+            }
+        }
+        if let Some((_, sent)) = worker.flight
+            && now > sent + 4000
+        {
+            worker.flight = None;
+            worker.target = (worker.target + 1) % nodes;
+            worker.next = now + 1000;
+        }
+        if worker.flight.is_none()
+            && (now >= worker.next || (worker.dirty && now >= worker.sent + 500))
+        {
+            worker.next = now + 1000;
+            worker.sent = now;
+            worker.dirty = false;
+            let target = worker.target;
+            let refused = self.link(target, End::Worker(w)) == Link::Reset;
+            if self.nodes[target].alive && !refused {
+                let report = self.report(w);
+                self.workers[w].flight = Some((report.seq, now));
+                self.send(target, w, 5, Msg::Beat(target, w, report, now));
+            } else {
+                self.workers[w].target = (target + 1) % nodes;
+            }
+        }
+        for name in started {
+            self.starts += 1;
+            self.check_start(w, &name);
+        }
+    }
+}
