Nodes tell each other who leads; workers are not handed on to silent nodes

A worker whose report could not be passed on went to whichever node is next, silent or not.

The greeting now says who leads; a node that can't ask the state service goes by that, for routing only.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -7,6 +7,8 @@
 pub const LIFE: Ms = 4000;
 /// Taken off every span of authority: timers fire late, clocks drift.
 const MARGIN: Ms = 150;
+/// How long it holds what was last read or told of who leads.
+const HEARSAY: Ms = 2_000;
 /// How long a node that is placed poorly leaves the lead to others.
 const HESITATE: Ms = 500;
 /// The same for one that gives up the lead for its place.
@@ -27,8 +29,12 @@
     started: Ms,
     /// The term this process leads, with the state service's lease.
     lead: Option<Lead>,
-    /// Leader and term as last read.
+    /// Leader and term as last read, and when that was.
     pub seen: Option<(String, u64)>,
+    seen_at: Ms,
+    /// The same as another node last said.
+    told: Option<(String, u64)>,
+    told_at: Ms,
     promised_until: Ms,
     /// An attempt to become leader had no answer: the lease under which it
     /// was made. Until that is surely over, it may still succeed.
@@ -59,6 +65,9 @@
             started: now,
             lead: None,
             seen: None,
+            seen_at: 0,
+            told: None,
+            told_at: 0,
             promised_until: 0,
             doubt: None,
             replaceable: None,
@@ -79,7 +88,8 @@
     }
 
     /// The key was read from the state service.
-    pub fn saw(&mut self, leader: Option<(String, u64)>) {
+    pub fn saw(&mut self, leader: Option<(String, u64)>, now: Ms) {
+        self.seen_at = now;
         if let Some((_, term)) = &leader {
             self.highest = self.highest.max(*term);
             if self.replaceable != Some(*term) {
@@ -89,6 +99,30 @@
         self.seen = leader;
     }
 
+    /// Another node says who leads.
+    pub fn heard(&mut self, leader: Option<(String, u64)>, now: Ms) {
+        let newer = |a: &(String, u64), b: &Option<(String, u64)>| {
+            b.as_ref().is_none_or(|(_, term)| a.1 >= *term)
+        };
+        let stale = now > self.told_at + HEARSAY;
+        if let Some(leader) = leader.filter(|l| stale || newer(l, &self.told)) {
+            self.told = Some(leader);
+            self.told_at = now;
+        }
+    }
+
+    /// Who leads, to send others there: as the state service says, or, while
+    /// that can't be asked, as the other nodes do. Guards against a node that
+    /// is cut off from the state service and sends workers to any other,
+    /// though that may be a leader which can't hear them.
+    pub fn leader(&self, now: Ms) -> Option<(&str, u64)> {
+        let read = now <= self.seen_at + HEARSAY;
+        let told = self.told.as_ref();
+        let told = told.filter(|_| !read && now <= self.told_at + HEARSAY);
+        let latest = self.seen.iter().chain(told).max_by_key(|(_, term)| *term);
+        latest.map(|(name, term)| (name.as_str(), *term))
+    }
+
     /// With which version of the leader's key may this node try to replace
     /// it? 0: it must not exist.
     pub fn may_seek(&self, now: Ms) -> Option<u64> {
@@ -185,3 +219,27 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn while_the_state_service_cant_be_asked_the_others_tell_who_leads() {
+        let mut e = Election::new("n0", 1, 0);
+        let of = |name: &str, term| Some((name.to_owned(), term));
+        e.saw(of("n1", 5), 100);
+        e.heard(of("n2", 9), 200);
+        assert_eq!(e.leader(1000), Some(("n1", 5)), "it was read just now");
+        e.heard(of("n2", 9), 3000);
+        assert_eq!(e.leader(3000), Some(("n2", 9)));
+        // A node that lags does not take that back, nor does one that knows
+        // nothing.
+        e.heard(of("n1", 5), 3100);
+        e.heard(None, 3100);
+        assert_eq!(e.leader(3100), Some(("n2", 9)));
+        assert_eq!(e.may_seek(9000), None, "hearsay entitles to nothing");
+        e.saw(None, 4000);
+        assert_eq!(e.leader(4000), None);
+    }
+}
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -59,7 +59,7 @@
             Some((record.node, i.version))
         });
         let changed = seen != self.election.borrow().seen;
-        self.election.borrow_mut().saw(seen);
+        self.election.borrow_mut().saw(seen, self.now());
         if changed {
             self.relays.borrow_mut().clear();
             self.set_shares();
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -46,8 +46,8 @@
     /// The node that leads, if that is another, as an index into the peers.
     pub(super) fn leader_peer(&self) -> Option<usize> {
         let election = self.election.borrow();
-        let (name, _) = election.seen.as_ref()?;
-        self.settings.peers.iter().position(|p| p.name == *name)
+        let (name, _) = election.leader(self.now())?;
+        self.settings.peers.iter().position(|p| p.name == name)
     }
 
     pub(super) fn contact(&self, peer: usize) -> Contact {
@@ -75,6 +75,10 @@
             Err(_) => Contact::Refuses,
         };
         self.reach.borrow_mut().ended(peer, how, self.now());
+        if let Ok(Reply::Greeted { leader }) = &answer {
+            let leader = leader.clone();
+            self.election.borrow_mut().heard(leader, self.now());
+        }
         answer
     }
 
@@ -83,7 +87,9 @@
             Request::Unheard { machines, for_ms } => {
                 let now = self.now();
                 self.relays.borrow_mut().unheard(&machines, for_ms, now);
-                Reply::Ok
+                let election = self.election.borrow();
+                let leader = election.leader(now).map(|(n, t)| (n.to_owned(), t));
+                Reply::Greeted { leader }
             }
             Request::Forward { path, body, .. } if path == BEAT => {
                 let answer = serde_json::from_slice(&body)
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -14,14 +14,6 @@
 
 const RELAY: Duration = Duration::from_millis(800);
 
-/// Sends a worker to another node; without a name it tries the next one.
-fn elsewhere(name: Option<&str>) -> HttpResponse {
-    match name {
-        Some(name) => HttpResponse::json(421, &serde_json::json!({ "foreman": name })),
-        None => HttpResponse::json(421, &serde_json::json!({})),
-    }
-}
-
 impl Node {
     pub(super) async fn beat(self: &Rc<Self>, body: Option<Vec<u8>>) -> HttpResponse {
         let Some(body) = body else {
@@ -35,15 +27,18 @@
             return answer;
         }
         let now = self.now();
-        let foreman = self.reach.borrow_mut().foreman(self.leader_peer(), now);
-        let name = |peer: usize| Some(self.settings.peers[peer].name.as_str());
-        let leader = match foreman {
-            Foreman::Leads(leader) => leader,
-            Foreman::Answers(other) => return elsewhere(name(other)),
-            Foreman::Next => return elsewhere(None),
+        let leads = self.election.borrow().lead().is_some();
+        let foreman = match leads {
+            // It may not act just now: they are back soonest by themselves.
+            true => Foreman::Next,
+            false => self.reach.borrow_mut().foreman(self.leader_peer(), now),
+        };
+        log::debug!("report of {}: {foreman:?}", report.machine);
+        let Foreman::Leads(leader) = foreman else {
+            return self.elsewhere(foreman);
         };
         if !self.relays.borrow_mut().relays(&report.machine, now) {
-            return elsewhere(name(leader));
+            return self.elsewhere(foreman);
         }
         // The leader's network to the workers may be cut while ours is not.
         let request = Request::Forward {
@@ -60,7 +55,22 @@
                 content: JSON,
                 body,
             },
-            _ => elsewhere(None),
+            // Not to whichever it tries next: that may be a silent node.
+            _ => {
+                let other = self.reach.borrow_mut().foreman(None, self.now());
+                self.elsewhere(other)
+            }
+        }
+    }
+
+    /// Sends a worker to another node.
+    fn elsewhere(&self, to: Foreman) -> HttpResponse {
+        match to {
+            Foreman::Leads(p) | Foreman::Answers(p) => {
+                let name = &self.settings.peers[p].name;
+                HttpResponse::json(421, &serde_json::json!({ "foreman": name }))
+            }
+            Foreman::Next => HttpResponse::json(421, &serde_json::json!({})),
         }
     }
 
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -75,6 +75,10 @@
         state_ok: bool,
     },
     Ok,
+    /// Name and term of the leader, as far as this node knows.
+    Greeted {
+        leader: Option<(String, u64)>,
+    },
     Status(Box<Status>),
     Explained(Explanation),
 }
--- a/tests/controllers.rs
+++ b/tests/controllers.rs
@@ -117,6 +117,51 @@
     }
 }
 
+/// Guards against handing workers on to a silent node, or back and forth, for
+/// the seconds in which the leader may not act: one node is away, so there is
+/// no promise of all.
+#[test]
+fn workers_last_through_an_outage_in_which_one_node_is_away() {
+    for (seed, nodes) in (0..6).flat_map(|s| [(s, 3), (s, 7)]) {
+        for away in 1..nodes {
+            let mut w = serving(280 + seed, nodes);
+            let leader = w.leader().unwrap();
+            w.cut((leader + away) % nodes, Side::All, Cut::Hold);
+            w.run(8_000);
+            w.store.down = true;
+            w.run(10_000);
+            w.store.down = false;
+            w.run(20_000);
+            (0..nodes).for_each(|i| w.join(i));
+            w.run(20_000);
+            let what = format!("seed {seed}, {nodes} nodes, {away} after the leader");
+            unharmed(&mut w, &what, 1);
+        }
+    }
+}
+
+/// Guards against sending a worker to a leader that can't hear it: the node
+/// that it asks is itself cut off from the state service, and knows only from
+/// the others who leads.
+#[test]
+fn a_node_that_cant_ask_the_state_service_knows_where_to_send_workers() {
+    for seed in 0..8 {
+        let mut w = serving(290 + seed, 3);
+        let first = w.leader().unwrap();
+        w.cut(first, Side::State, Cut::Hold);
+        // The one that leads next is tried before the first.
+        w.crash((first + 1) % 3, 3_000);
+        w.run(12_000);
+        let second = w.leader().unwrap();
+        assert_eq!((second + 1) % 3, first);
+        w.cut(second, Side::Workers, Cut::Hold);
+        w.run(30_000);
+        (0..3).for_each(|i| w.join(i));
+        w.run(20_000);
+        unharmed(&mut w, &format!("seed {seed}"), 2);
+    }
+}
+
 #[test]
 fn a_leader_silent_for_90_s_is_replaced_and_disturbs_nothing_when_it_returns() {
     for seed in 0..8 {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -171,6 +171,8 @@
     /// What this node sends now leaves it only then: it stands still between
     /// its last check and the wire.
     stalls: Option<(usize, Ms)>,
+    /// Workers, and their reports, that a node passed on.
+    relaying: BTreeSet<(usize, u64)>,
     late_ops: Vec<(Ms, usize, u64, CloudOp)>,
     /// Extra delay of direct orders to a worker.
     pub slow_do: HashMap<usize, Ms>,
@@ -217,6 +219,7 @@
             held: Vec::new(),
             cuts: Vec::new(),
             stalls: None,
+            relaying: BTreeSet::new(),
             late_ops: Vec::new(),
             slow_do: HashMap::new(),
             broken: Vec::new(),
@@ -378,7 +381,7 @@
         if self.nodes[i].election.authority(self.now).is_some() {
             return Some(i);
         }
-        let (name, _) = self.nodes[i].election.seen.as_ref()?;
+        let (name, _) = self.nodes[i].election.leader(self.now)?;
         let l: usize = name[1..].parse().ok()?;
         (l != i && self.reaches(l) && self.link(i, End::Node(l)) == Link::Up).then_some(l)
     }
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -224,7 +224,15 @@
                 let Some(reply) = reply else {
                     let leader = self.known_leader(i);
                     let peers: Vec<usize> = peers_of(i, nodes).collect();
-                    let (target, pause) = match self.nodes[i].reach.foreman(leader, now) {
+                    let leads = self.nodes[i].election.lead().is_some();
+                    let relayed = self.relaying.remove(&(w, seq));
+                    let reach = &mut self.nodes[i].reach;
+                    let foreman = match (leads, relayed) {
+                        (true, _) => Foreman::Next,
+                        (_, true) => reach.foreman(None, now),
+                        _ => reach.foreman(leader, now),
+                    };
+                    let (target, pause) = match foreman {
                         Foreman::Leads(p) | Foreman::Answers(p) => (peers[p], 250),
                         Foreman::Next => ((i + 1) % nodes, 1000),
                     };
@@ -289,7 +297,7 @@
 
     /// The leader that a node knows of, as an index into its peers.
     fn known_leader(&self, i: usize) -> Option<usize> {
-        let (name, _) = self.nodes[i].election.seen.as_ref()?;
+        let (name, _) = self.nodes[i].election.leader(self.now)?;
         let leader: usize = name[1..].parse().ok()?;
         peers_of(i, self.nodes.len()).position(|j| j == leader)
     }
@@ -325,6 +333,7 @@
         {
             self.wire.push((now + 5, Msg::Relay(i, l, w, report, sent)));
             let late = Msg::Reply(w, i, None, session, seq, sent);
+            self.relaying.insert((w, seq));
             self.wire.push((now + 800, late));
             return;
         }
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -247,7 +247,7 @@
         if node.election.seen != seen {
             node.relays.clear();
         }
-        node.election.saw(seen);
+        node.election.saw(seen, now);
         let Some(version) = node.election.may_seek(now) else {
             return;
         };
@@ -309,6 +309,11 @@
             if let Some(how) = contact.or(timed_out.then_some(Contact::Silent)) {
                 node.reach.ended(p, how, now);
                 node.asked[j] = None;
+                if how == Contact::Answers {
+                    let view = self.nodes[j].election.leader(now);
+                    let view = view.map(|(name, term)| (name.to_owned(), term));
+                    self.nodes[i].election.heard(view, now);
+                }
             }
         }
     }
