--- a/src/coordination/polls.rs
+++ b/src/coordination/polls.rs
@@ -41,6 +41,10 @@
         true
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
     /// The next round: at most so many jobs, those asked about first.
     pub fn begin(&mut self, most: usize) -> Vec<(String, Vec<T>)> {
         let n = most.min(self.order.len());
--- a/src/node/polls.rs
+++ b/src/node/polls.rs
@@ -16,6 +16,7 @@
     transport::server::HttpResponse,
 };
 use async_channel::{Receiver, Sender};
+use async_io::Timer;
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 const FORWARD: Duration = Duration::from_millis(500);
@@ -56,15 +57,15 @@
     }
 
     /// Waits until something is asked.
-    async fn round(&self) -> Round {
-        loop {
-            let round = self.batch.borrow_mut().begin(MOST);
-            if !round.is_empty() {
-                return round;
-            }
+    async fn asked(&self) {
+        while self.batch.borrow().is_empty() {
             let _ = self.wake.1.recv().await;
         }
     }
+
+    fn round(&self) -> Round {
+        self.batch.borrow_mut().begin(MOST)
+    }
 }
 
 fn tell(who: Vec<Sender<Answer>>, answer: &Answer) {
@@ -77,7 +78,8 @@
 /// the records.
 pub async fn ask_leader(node: Rc<Node>) {
     loop {
-        let round = node.polls.round().await;
+        node.polls.asked().await;
+        let round = node.polls.round();
         let mut known = Vec::new();
         if let Some(leader) = node.answering_leader() {
             let ids = round.iter().map(|(id, _)| id.clone()).collect();
@@ -114,10 +116,14 @@
 pub async fn ask_records(node: Rc<Node>) {
     let mut listed = 0;
     loop {
-        let round = node.reads.round().await;
+        node.reads.asked().await;
+        // While requests are scarce more polls gather, for whom one list does.
+        let room = node.room_to_read().await;
+        let round = node.reads.round();
         let mut live = HashMap::new();
         // A list costs by the number of live jobs, a look-up by the request.
-        let list = round.len() > FEW && round.len() * 16 >= listed;
+        let dear = round.len() * 16 < listed && 2 * round.len() < room;
+        let list = round.len() > FEW && !dear;
         if list {
             match node.list(JOBS).await {
                 Ok(items) => {
@@ -127,7 +133,6 @@
                     }
                 }
                 Err(e) => {
-                    log::debug!("polls of {} jobs are not answered: {e}", round.len());
                     let why = Err(format!("records can't be read: {e}"));
                     round.into_iter().for_each(|(_, who)| tell(who, &why));
                     continue;
@@ -160,7 +165,10 @@
         match self.state_of(id).await {
             Ok(Some(status)) => ok(&status),
             Ok(None) => HttpResponse::error(404, "no such job"),
-            Err(why) => HttpResponse::later(&why),
+            Err(why) => {
+                log::debug!("poll of {id} shed: {why}");
+                HttpResponse::later(&why)
+            }
         }
     }
 
@@ -193,6 +201,18 @@
         }
     }
 
+    /// Waits, though no longer than users do, until some requests may be made.
+    async fn room_to_read(&self) -> usize {
+        let room = || self.requests.borrow_mut().level(self.now()) as usize;
+        for _ in 0..10 {
+            if room() >= 2 * FEW {
+                break;
+            }
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        room()
+    }
+
     /// The final state of a job that is not live, read after that was seen.
     async fn read_final(&self, id: &str) -> Answer {
         if !self.may_request(3.0) {
