--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -49,6 +49,7 @@
         spec: JobSpec::parse(spec.as_bytes()).map_err(anyhow::Error::msg)?,
         at_ms: 0,
         cancelled: false,
+        suspected: false,
         done: String::new(),
     })
 }
--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -1,7 +1,12 @@
 //! The leader's picture of jobs, machines and what runs where. Names are
 //! mapped to dense indices at the door; everything inside uses those.
 
-use super::{Ms, amounts::Amounts, records::Bits};
+use super::{
+    Ms,
+    amounts::Amounts,
+    blame::{JobFile, MachineFile},
+    records::Bits,
+};
 use crate::protocol::{
     cloud::MachineType,
     settings::{Settings, Team},
@@ -57,8 +62,10 @@
     pub writing: bool,
     /// What is being written ends or withdraws it.
     pub closing: bool,
-    pub failures: u32,
+    /// Starts in a row that came to nothing for other reasons than errors.
+    pub refusals: u32,
     pub backoff_until: Ms,
+    pub file: JobFile,
     /// A task of it has run since this leader knows of it.
     pub has_run: bool,
     /// Why what waits does not run, as placement last decided.
@@ -195,6 +202,9 @@
     /// The report whose response carried the launch.
     pub sent_seq: u64,
     pub since: Ms,
+    /// It was reported running more than once, or completed: it was counted
+    /// in favour of its job and its machine.
+    pub ran: bool,
 }
 
 impl Assignment {
@@ -244,10 +254,9 @@
     pub since: Ms,
     pub idle_since: Ms,
     pub listed: Ms,
-    pub failures: u32,
-    pub quarantined: bool,
-    /// The record lacks that.
-    pub quarantine_new: bool,
+    pub file: MachineFile,
+    /// The record lacks the verdict on it.
+    pub verdict_new: bool,
     /// A direct order is on its way.
     pub ordering: bool,
     pub order_retry: Ms,
@@ -292,7 +301,7 @@
     pub fn lasting(&self) -> bool {
         self.up
             && !self.releasing
-            && !self.quarantined
+            && !self.file.set_aside
             && !self.draining
             && self.notice.is_none()
             && self.roster == Roster::Present
@@ -494,8 +503,9 @@
             version,
             writing: false,
             closing: false,
-            failures: 0,
+            refusals: 0,
             backoff_until: 0,
+            file: JobFile::default(),
             has_run: false,
             reason: Reason::New,
             supply: None,
@@ -575,9 +585,8 @@
             since: now,
             idle_since: now,
             listed: now,
-            failures: 0,
-            quarantined: false,
-            quarantine_new: false,
+            file: MachineFile::default(),
+            verdict_new: false,
             ordering: false,
             order_retry: 0,
             images: Vec::new(),
@@ -676,6 +685,7 @@
                 doubt: 0,
                 sent_seq: 0,
                 since: now,
+                ran: false,
             });
         }
     }
@@ -734,6 +744,7 @@
                 doubt: 0,
                 sent_seq: 0,
                 since: now,
+                ran: false,
             });
         }
     }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -56,6 +56,9 @@
     pub at_ms: u64,
     #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
     pub cancelled: bool,
+    /// It fails wherever it starts: a new leader need not find that out again.
+    #[serde(rename = "e", default, skip_serializing_if = "std::ops::Not::not")]
+    pub suspected: bool,
     /// Finished tasks of the first chunk.
     #[serde(rename = "b", default, skip_serializing_if = "String::is_empty")]
     pub done: String,
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -24,6 +24,9 @@
     pub ended: Vec<(u32, u32, Why)>,
     /// Jobs of tasks that began to run.
     pub started: Vec<u32>,
+    /// Jobs of tasks that are seen to run or have completed, and when those
+    /// were started.
+    pub ran: Vec<(u32, Ms)>,
 }
 
 fn phase_of(state: TaskState, why: Option<Why>) -> Phase {
@@ -106,6 +109,18 @@
                 let Some(a) = model.machine(ix).and_then(|m| m.tasks.get(at)) else {
                     continue;
                 };
+                // Seen running once, it may be about to fail.
+                let again = phase == Phase::Running && a.phase == phase;
+                let ran = !a.ran && a.live() && (again || phase == Phase::Ended(Why::Done));
+                if ran {
+                    news.ran.push((a.job, a.since));
+                }
+                if ran && let Some(m) = model.machine_mut(ix) {
+                    m.tasks[at].ran = true;
+                }
+                let Some(a) = model.machine(ix).and_then(|m| m.tasks.get(at)) else {
+                    continue;
+                };
                 if a.phase == phase || !a.live() {
                     continue;
                 }
@@ -115,11 +130,6 @@
                 }
                 if let Phase::Ended(why) = phase {
                     news.ended.push((job, task, why));
-                    if let Some(m) = model.machine_mut(ix)
-                        && why == Why::Done
-                    {
-                        m.failures = 0;
-                    }
                 }
                 news.changed = true;
                 log::debug!("task {}: {phase:?}", t.task);
--- a/src/coordination/leader/gather.rs
+++ b/src/coordination/leader/gather.rs
@@ -145,7 +145,8 @@
         let Some(j) = self.model.job(job_ix) else {
             return false;
         };
-        let (image, high) = (j.image, j.spec.priority >= Priority::High);
+        let high = j.spec.priority >= Priority::High && !j.file.suspected;
+        let image = j.image;
         if !high
             || chosen
                 .iter()
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -135,8 +135,8 @@
             }
             let boot = millis(self.model.types[m.type_ix].boot_s);
             let empty = m.tasks.is_empty();
-            let why = if m.up && m.quarantined && empty {
-                Some("quarantined")
+            let why = if m.up && m.file.set_aside && empty {
+                Some("tasks fail on it")
             } else if m.up && m.draining && empty && !m.ordering {
                 Some("drained")
             } else if m.up
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -10,6 +10,7 @@
 mod reserves;
 mod status;
 mod upkeep;
+mod verdicts;
 mod zones;
 
 use super::{
@@ -22,6 +23,7 @@
     bookkeeping::{
         Ms,
         amounts::Amounts,
+        blame::{JobFile, MachineFile},
         model::{Assignment, Job, Machine, Model, NONE, Phase, Place, Roster},
         records::{
             self as keys, Bits, FinalRecord, JobRecord, LEADER, MachineRecord, chunk_key,
@@ -74,6 +76,8 @@
 /// miss the aim for starting. The latter weighs more.
 const SURPLUS_RANK: u32 = 1000;
 const LATE_RANK: u32 = 10_000;
+/// The same for one on which the job has failed: the fault may be there.
+const FAILED_RANK: u32 = 1_000_000;
 /// A fetch that a service may be moved for. Longer ones cost more of its
 /// replica time than the machine is worth (tried without this bound).
 const SHORT_FETCH_S: f64 = 4.0;
@@ -165,6 +169,8 @@
     zone_life: Vec<zones::ZoneLife>,
     tally: Tally,
     failed: VecDeque<status::Failed>,
+    /// Jobs of which a task failed and none has run.
+    accused: Vec<u32>,
 }
 
 impl Leader {
@@ -216,6 +222,7 @@
             zone_life: vec![zones::ZoneLife::since(now + FOUND); zones],
             tally: Tally::default(),
             failed: VecDeque::new(),
+            accused: Vec::new(),
         }
     }
 
@@ -241,12 +248,15 @@
         done.load(0, &record.done);
         self.learn_shape(&record.spec);
         self.changed = true;
-        let at_ms = record.at_ms;
+        let (at_ms, suspected) = (record.at_ms, record.suspected);
         let ix = self
             .model
             .insert_job(record.spec, at_ms, version, done, record.cancelled, now);
         if let Some(j) = self.model.job_mut(ix) {
             j.fresh |= version > self.term;
+            if suspected && !j.file.proven && !j.file.suspected {
+                j.file = JobFile::suspected_before(now);
+            }
         }
         let age = self.wall_ms.saturating_sub(at_ms);
         self.note_arrival(ix, now.saturating_sub(age));
@@ -284,7 +294,9 @@
             m.version = version;
             m.releasing = record.releasing;
             m.release_marked = record.releasing;
-            m.quarantined = record.quarantined;
+            if record.quarantined {
+                m.file = MachineFile::set_aside_before(now);
+            }
             m.unknown = true;
             m.answered = self.acquired;
         }
@@ -351,46 +363,14 @@
                 self.tally.waits.push((j.spec.class.clone(), waited));
             }
         }
+        for (job_ix, started) in news.ran {
+            self.on_ran(ix, job_ix, started, now);
+        }
         for (job_ix, task, why) in news.ended {
             self.on_ended(ix, job_ix, task, why, now);
         }
     }
 
-    fn on_ended(&mut self, machine: u32, job_ix: u32, task: u32, why: Why, now: Ms) {
-        let Some(job) = self.model.job_mut(job_ix) else {
-            return;
-        };
-        match why {
-            Why::Done => job.failures = 0,
-            Why::Error | Why::Unknown | Why::Other | Why::NoRoom | Why::Busy => {
-                job.failures += 1;
-                let failures = job.failures;
-                // Guards against relaunching a job that fails everywhere in
-                // a tight loop.
-                if failures > 2 {
-                    job.backoff_until = now + (500 << failures.min(7));
-                }
-                let id = job.id.clone();
-                if let Some(m) = self.model.machine(machine) {
-                    let machine = m.name.clone();
-                    self.note_failure(format!("{id}/{task}"), machine, why, now);
-                }
-                if let Some(m) = self.model.machine_mut(machine)
-                    && failures <= 3
-                {
-                    m.failures += 1;
-                    if m.failures >= 3 && why == Why::Error && !m.quarantined {
-                        m.quarantined = true;
-                        m.quarantine_new = true;
-                        log::info!("machine {} quarantined: tasks fail on it", m.name);
-                    }
-                    log::debug!("task {id}/{task} failed on {}: {why:?}", m.name);
-                }
-            }
-            Why::Stopped | Why::Peers | Why::Alone => {}
-        }
-    }
-
     pub fn directs(&mut self, now: Ms) -> Vec<Direct> {
         let mut out = Vec::new();
         if !self.loaded {
@@ -551,6 +531,7 @@
             .iter()
             .flatten()
             .any(|j| j.backoff_until != 0 && j.backoff_until <= now);
+        self.try_again(now);
         // Rates and holds change with time alone, so look now and then anyway.
         let due = now >= self.place_at;
         if self.changed || backoff || due {
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -24,7 +24,8 @@
         order.sort_by_cached_key(|ix| {
             jobs[*ix as usize].as_ref().map(|j| {
                 let band = deadline_band(&j.spec, objectives, wall.saturating_sub(j.at_ms));
-                (std::cmp::Reverse(j.spec.priority), band, j.at_ms, *ix)
+                let rank = std::cmp::Reverse(j.spec.priority);
+                (j.file.suspected, rank, band, j.at_ms, *ix)
             })
         });
         order
@@ -46,6 +47,7 @@
                     free: m.free(),
                     caches_image: false,
                     pool: 0,
+                    late: false,
                     preference: m.free().cpus,
                 });
             }
@@ -122,10 +124,13 @@
             let Some(job) = self.model.job(job_ix) else {
                 continue;
             };
-            if job.backoff_until > now {
+            // One try at a time.
+            let tried = job.file.suspected && job.live > 0;
+            if job.backoff_until > now || job.file.waits(now) || tried {
                 self.set_reason(job_ix, Reason::FailsEverywhere);
                 continue;
             }
+            let suspected = job.file.suspected;
             if !self.job_settled(job) {
                 self.set_reason(job_ix, Reason::Settling);
                 continue;
@@ -145,6 +150,12 @@
             let bound = job.spec.one_zone || job.spec.spread || job.spec.kind == Kind::Gang;
             let (team, priority) = (job.team, job.spec.priority);
             let gang = job.spec.kind == Kind::Gang;
+            if suspected {
+                // Into room that is free; nothing is made or kept for it.
+                self.mark_candidates(job_ix, &mut candidates, now);
+                self.place_try(job_ix, &mut candidates, &mut reserves, now);
+                continue;
+            }
             // Guards against a look at every machine for every job that
             // waits while the fleet is full.
             if !self.may_fit(job, &most) {
@@ -235,10 +246,14 @@
                 c.pool = self.task_price(&job.need, m.type_ix, m.spot);
                 // Where the fetch alone would miss the aim goes last.
                 let rate = self.model.types[m.type_ix].fetch_gb_per_s.max(0.001);
-                if !c.caches_image && time_left.is_some_and(|left| job.spec.image_gb / rate > left)
-                {
+                c.late = !c.caches_image
+                    && time_left.is_some_and(|left| job.spec.image_gb / rate > left);
+                if c.late {
                     c.pool += LATE_RANK;
                 }
+                if job.file.failed_on(c.machine) {
+                    c.pool += FAILED_RANK;
+                }
                 // A machine that has been empty for a while is about to be
                 // returned: used only when the others have no room, or would
                 // have to fetch what it has. Guards against gangs that leave
@@ -344,6 +359,26 @@
         }
     }
 
+    /// A try of a suspected job: one task, or a whole gang.
+    fn place_try(
+        &mut self,
+        job_ix: u32,
+        candidates: &mut [Candidate],
+        reserves: &mut [Reserve],
+        now: Ms,
+    ) {
+        self.set_reason(job_ix, Reason::FailsEverywhere);
+        let gang = self.model.job(job_ix).map(|j| j.spec.kind == Kind::Gang);
+        match gang {
+            Some(true) => {
+                self.place_gang(job_ix, candidates, reserves, now);
+            }
+            _ => {
+                self.place_some(job_ix, 1, candidates, reserves, now);
+            }
+        }
+    }
+
     /// The candidates are marked for the job. Returns whether all that waits
     /// was placed.
     pub(super) fn place_each(
@@ -352,6 +387,18 @@
         candidates: &mut [Candidate],
         reserves: &mut [Reserve],
         now: Ms,
+    ) -> bool {
+        self.place_some(job_ix, u32::MAX, candidates, reserves, now)
+    }
+
+    /// The same for at most so many tasks.
+    fn place_some(
+        &mut self,
+        job_ix: u32,
+        most: u32,
+        candidates: &mut [Candidate],
+        reserves: &mut [Reserve],
+        now: Ms,
     ) -> bool {
         let Some(job) = self.model.job(job_ix) else {
             return true;
@@ -364,10 +411,15 @@
         } else {
             Vec::new()
         };
+        let mut placed = 0;
         loop {
             let Some(task) = self.model.job_mut(job_ix).and_then(|j| j.next_waiting()) else {
                 return true;
             };
+            if placed >= most {
+                return false;
+            }
+            placed += 1;
             if !self.within_limit(team, &need, 1) {
                 return false;
             }
@@ -456,7 +508,7 @@
                 trial[at].free -= need;
                 trial[at].preference = trial[at].free.cpus;
                 per_zone[trial[at].zone] += 1;
-                late |= trial[at].pool >= LATE_RANK;
+                late |= trial[at].late;
                 chosen.push(trial[at].machine);
             }
             if chosen.len() == missing.len() {
--- a/src/coordination/leader/preempt.rs
+++ b/src/coordination/leader/preempt.rs
@@ -178,14 +178,14 @@
         now: Ms,
         zone_ok: impl Fn(usize) -> bool,
     ) -> bool {
-        if at.pool < LATE_RANK {
+        if !at.late {
             return false;
         }
         let Some(job) = self.model.job(job_ix) else {
             return false;
         };
         let priority = job.spec.priority;
-        if priority < Priority::High {
+        if priority < Priority::High || job.file.suspected {
             return false;
         }
         let held = |m: &Machine| m.is_held_for(job_ix, now);
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -17,6 +17,7 @@
             spec: spec.clone(),
             at_ms: wall_ms,
             cancelled: false,
+            suspected: false,
             done: String::new(),
         };
         let mut txn = acceptance(&record);
@@ -151,7 +152,7 @@
             let mark = m.releasing && !m.release_marked && m.roster == Roster::Present;
             // Not urgent, so only while much of the budget is left.
             let images = m.images_new && m.roster == Roster::Present && m.up && spare;
-            let quarantine = m.quarantine_new && m.roster == Roster::Present;
+            let quarantine = m.verdict_new && m.roster == Roster::Present;
             if !add && !mark && !images && !quarantine {
                 continue;
             }
@@ -165,7 +166,7 @@
                 zone: self.model.zones.name(m.zone).to_owned(),
                 spot: m.spot,
                 releasing: m.releasing && m.roster == Roster::Present,
-                quarantined: m.quarantined,
+                quarantined: m.file.set_aside,
                 images: m
                     .images
                     .iter()
@@ -187,7 +188,7 @@
             if let Some(m) = self.model.machine_mut(ix) {
                 m.writing = true;
                 m.images_new = false;
-                m.quarantine_new = false;
+                m.verdict_new = false;
             }
         }
         while plan.txn.writes.len() < room
@@ -333,7 +334,7 @@
                 Item::Roster(ix, name) | Item::Mark(ix, name) => {
                     if let Some(m) = self.model.machine_mut(*ix).filter(|m| m.name == *name) {
                         m.writing = false;
-                        m.quarantine_new = m.quarantined;
+                        m.verdict_new |= m.file.set_aside;
                     }
                 }
                 Item::Drop(_) => {}
@@ -381,6 +382,7 @@
         spec: j.spec.clone(),
         at_ms: j.at_ms,
         cancelled: cancelled || j.cancelled,
+        suspected: j.file.suspected,
         done: j.done.chunk(0),
     })
     .unwrap_or_default()
--- a/src/coordination/leader/rent.rs
+++ b/src/coordination/leader/rent.rs
@@ -75,7 +75,7 @@
             let Some(j) = self.model.job(ix) else {
                 continue;
             };
-            if j.failures > 5 {
+            if j.file.suspected || j.refusals > 5 {
                 continue;
             }
             let waiting = i64::from(j.waiting());
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -178,8 +178,8 @@
                 fleet.booting += 1;
             }
             let boot = millis(self.model.types[m.type_ix].boot_s);
-            let why = if m.quarantined {
-                "quarantined: tasks fail on it"
+            let why = if m.file.set_aside {
+                "set aside: jobs that run elsewhere, or several, fail on it"
             } else if m.unknown {
                 "not heard in this term"
             } else if m.suspect {
@@ -212,8 +212,29 @@
         picture.fleet.truncate(MOST_ROWS);
     }
 
+    fn verdict_on(&self, job: &Job, now: Ms) -> Option<String> {
+        let machines = job.file.failures().len();
+        let times = |n| if n == 1 { "machine" } else { "machines" };
+        if job.file.suspected {
+            let of = match machines {
+                0 => "as an earlier leader found".to_owned(),
+                n => format!("on {n} {} or more", times(n)),
+            };
+            let next = job.file.next_try().saturating_sub(now).div_ceil(1000);
+            return Some(format!(
+                "suspected: its tasks failed {of} and none has run; the next try in {next} s"
+            ));
+        }
+        (machines > 0).then(|| {
+            format!(
+                "tasks of it failed on {machines} {}, not taken for its own fault",
+                times(machines)
+            )
+        })
+    }
+
     /// `None`: not a live job.
-    pub fn explain(&self, id: &str) -> Option<Explained> {
+    pub fn explain(&self, id: &str, now: Ms) -> Option<Explained> {
         let ix = self.model.job_ix(id)?;
         let j = self.model.job(ix)?;
         let waiting = j.waiting();
@@ -236,6 +257,7 @@
             waiting,
             age_s: self.age_s(j),
             reason: (waiting > 0 && !j.cancelled).then(|| self.reason_of(j)),
+            verdict: self.verdict_on(j, now),
             due: self.due_of(j),
             deadline_s: j.spec.deadline_s,
             places: places.take(MOST_ROWS).collect(),
--- /dev/null
+++ b/src/coordination/leader/verdicts.rs
@@ -0,0 +1,160 @@
+//! Who is at fault when tasks fail, and what follows.
+
+use super::*;
+
+impl Leader {
+    pub(super) fn on_ended(&mut self, machine: u32, job_ix: u32, task: u32, why: Why, now: Ms) {
+        let Some(job) = self.model.job_mut(job_ix) else {
+            return;
+        };
+        match why {
+            Why::Done => job.refusals = 0,
+            Why::Error => {
+                job.file.note(machine, now);
+                job.file.put_off(now);
+                let (id, proven) = (job.id.clone(), job.file.proven);
+                if let Some(m) = self.model.machine_mut(machine) {
+                    m.file.note(&id, proven, 1, now);
+                }
+                if !proven && !self.accused.contains(&job_ix) {
+                    self.accused.push(job_ix);
+                }
+                self.judge_machine(machine, now);
+                self.judge_job(job_ix, now);
+            }
+            Why::Unknown | Why::Other | Why::NoRoom | Why::Busy => {}
+            Why::Stopped | Why::Peers | Why::Alone => return,
+        }
+        // Guards against starting again in a tight loop what comes to nothing
+        // each time, if only one task of a job that runs otherwise.
+        let counts = |j: &&mut Job| why != Why::Done && (why != Why::Error || j.file.proven);
+        if let Some(j) = self.model.job_mut(job_ix).filter(counts) {
+            j.refusals += 1;
+            if j.refusals > 2 {
+                j.backoff_until = now + (500 << j.refusals.min(7));
+            }
+        }
+        if why != Why::Done
+            && let (Some(j), Some(m)) = (self.model.job(job_ix), self.model.machine(machine))
+        {
+            let (task, machine) = (format!("{}/{task}", j.id), m.name.clone());
+            log::debug!("task {task} failed on {machine}: {why:?}");
+            self.note_failure(task, machine, why, now);
+        }
+    }
+
+    /// A task of the job, started then, runs there or has completed.
+    pub(super) fn on_ran(&mut self, machine: u32, job_ix: u32, started: Ms, now: Ms) {
+        if let Some(m) = self.model.machine_mut(machine) {
+            m.file.ran(started);
+        }
+        if let Some(j) = self.model.job_mut(job_ix).filter(|j| !j.file.proven) {
+            let accused = j.file.failures().to_vec();
+            let was = j.file.suspected;
+            j.file.ran();
+            let id = j.id.clone();
+            if was {
+                self.verdict(job_ix);
+            }
+            self.accused.retain(|a| *a != job_ix);
+            // It runs, so what failed it is the machine, unless one that was
+            // started there later runs too.
+            for f in accused {
+                if let Some(m) = self.model.machine_mut(f.machine)
+                    && m.file.good().is_none_or(|good| good <= f.last)
+                {
+                    m.file.pardon(&id);
+                    m.file.note(&id, true, f.count, f.last);
+                }
+                self.judge_machine(f.machine, now);
+            }
+        }
+        // Where one runs, others that failed there are suspected.
+        self.judge_accused(machine, now);
+    }
+
+    /// Judges again all jobs that failed on the machine.
+    fn judge_accused(&mut self, machine: u32, now: Ms) {
+        let mut accused = std::mem::take(&mut self.accused);
+        accused.retain(|j| {
+            let job = self.model.job(*j);
+            job.is_some_and(|j| !j.file.proven && !j.file.failures().is_empty())
+        });
+        for &j in &accused {
+            let there = self.model.job(j).map(|j| j.file.failed_on(machine));
+            if there == Some(true) {
+                self.judge_job(j, now);
+            }
+        }
+        self.accused = accused;
+    }
+
+    fn judge_job(&mut self, job_ix: u32, now: Ms) {
+        let Some(j) = self.model.job(job_ix) else {
+            return;
+        };
+        let mut file = j.file.clone();
+        let changed = file.judge(now, |m| {
+            let m = self.model.machine(m);
+            m.map_or((true, None), |m| (m.file.surely_at_fault(), m.file.good()))
+        });
+        let (id, suspected) = (j.id.clone(), file.suspected);
+        let accused = file.failures().to_vec();
+        if let Some(j) = self.model.job_mut(job_ix) {
+            j.file = file;
+        }
+        if !changed {
+            return;
+        }
+        self.verdict(job_ix);
+        if suspected {
+            for f in accused {
+                if let Some(m) = self.model.machine_mut(f.machine) {
+                    m.file.pardon(&id);
+                }
+                self.judge_machine(f.machine, now);
+            }
+        }
+    }
+
+    /// Notes and records that a job is suspected, or no longer.
+    fn verdict(&mut self, job_ix: u32) {
+        self.changed = true;
+        if let Some(j) = self.model.job_mut(job_ix) {
+            match j.file.suspected {
+                true => log::info!("job {} is suspected: it fails wherever it starts", j.id),
+                false => log::info!("job {} is no longer suspected", j.id),
+            }
+            // It is written with the first tasks done.
+            if let Some(first) = j.dirty.first_mut() {
+                *first = true;
+            }
+        }
+    }
+
+    fn judge_machine(&mut self, machine: u32, now: Ms) {
+        let Some(m) = self.model.machine_mut(machine) else {
+            return;
+        };
+        if !m.file.judge(now) {
+            return;
+        }
+        m.verdict_new = true;
+        self.changed = true;
+        match m.file.set_aside {
+            true => log::info!("machine {} set aside: tasks fail on it", m.name),
+            false => log::info!("machine {} is used again: a job was at fault", m.name),
+        }
+        self.judge_accused(machine, now);
+    }
+
+    /// Machines that are set aside, but can't be returned, are tried again.
+    pub(super) fn try_again(&mut self, now: Ms) {
+        for m in self.model.each_machine_mut().filter(|m| m.file.set_aside) {
+            if m.live_tasks() > 0 && m.file.tried_again(now) {
+                log::info!("machine {} is tried again", m.name);
+                m.verdict_new = true;
+            }
+        }
+    }
+}
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -16,6 +16,8 @@
     /// Rank of its kind of machine for this task: dearer kinds only when the
     /// cheaper have no room.
     pub pool: u32,
+    /// Its image fetch alone would miss the aim for starting.
+    pub late: bool,
     /// Among equals, the lower goes first.
     pub preference: i64,
 }
@@ -134,6 +136,7 @@
             free: Amounts::offer(free.0, free.1, free.2),
             caches_image: false,
             pool: 0,
+            late: false,
             preference: 0,
         }
     }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -64,7 +64,7 @@
 
     pub(super) async fn explain(self: &Rc<Self>, id: &str, forward: bool) -> Explanation {
         if self.acting(|l, _| l.loaded) == Some(true) {
-            if let Some(job) = self.acting(|l, _| l.explain(id)).flatten() {
+            if let Some(job) = self.acting(|l, now| l.explain(id, now)).flatten() {
                 return Explanation::Job(Box::new(job));
             }
         } else if forward
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -144,6 +144,7 @@
             spec,
             at_ms: self.wall_ms(),
             cancelled: false,
+            suspected: false,
             done: String::new(),
         };
         let txn = acceptance_with_notice(&record);
--- a/src/protocol/status.rs
+++ b/src/protocol/status.rs
@@ -146,6 +146,9 @@
     pub waiting: u32,
     pub age_s: f64,
     pub reason: Option<Reason>,
+    /// What is held against it, if anything.
+    #[serde(default)]
+    pub verdict: Option<String>,
     pub due: Option<Due>,
     pub deadline_s: Option<f64>,
     /// Its tasks on machines: task, machine, phase.
@@ -277,6 +280,10 @@
         if let Some(r) = self.reason {
             out.push_str(&format!("waits: {}\n", r.text()));
         }
+        if let Some(verdict) = &self.verdict {
+            out.push_str(verdict);
+            out.push('\n');
+        }
         if let (Some(due), Some(at)) = (self.due, self.deadline_s) {
             let due = match due {
                 Due::InTime => "in time so far",
--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,223 @@
+//! Stories of jobs that fail everywhere and machines that fail everything,
+//! against a whole installation in memory.
+
+mod world;
+
+use pathwinch::protocol::users::{JobState, Kind, Priority};
+use world::{World, job};
+
+fn quiet(seed: u64, machines: usize) -> World {
+    let mut w = World::new(seed, machines, 0.0);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w
+}
+
+/// A job that was submitted with a mistake.
+fn broken(w: &mut World, n: u32, kind: Kind, tasks: u32) -> String {
+    let j = job(n, kind, tasks);
+    w.faulty.insert(j.id.clone());
+    let id = j.id.clone();
+    w.submit(j);
+    id
+}
+
+fn suspected(w: &mut World, id: &str) -> bool {
+    let Some(i) = w.leader() else { return false };
+    let l = w.nodes[i].leader.as_ref().unwrap();
+    let j = l.model.job_ix(id).and_then(|ix| l.model.job(ix));
+    j.is_some_and(|j| j.file.suspected)
+}
+
+fn set_aside(w: &mut World) -> Vec<String> {
+    let Some(i) = w.leader() else { return vec![] };
+    let model = &w.nodes[i].leader.as_ref().unwrap().model;
+    let aside = model.each_machine().filter(|m| m.file.set_aside);
+    aside.map(|m| m.name.clone()).collect()
+}
+
+/// A service on each machine, so that none is empty and goes back.
+fn service_on_each(w: &mut World, tasks: u32) {
+    let mut service = job(900, Kind::Service, tasks);
+    service.priority = Priority::Production;
+    w.submit(service);
+    w.until(20_000, "up", |w| w.running("j-000900") == tasks as usize);
+}
+
+#[test]
+fn several_broken_jobs_at_once_cost_no_good_machine_and_no_good_job() {
+    for kind in [Kind::Array, Kind::Gang] {
+        let mut w = quiet(1, 6);
+        for n in 1..5 {
+            broken(&mut w, n, kind, 3);
+        }
+        for n in 11..15 {
+            w.submit(job(n, Kind::Array, 6));
+        }
+        let all = |w: &mut World| (11..15).all(|n| w.done(&format!("j-{n:06}")));
+        let end = w.now + 40_000;
+        while !all(&mut w) {
+            assert!(w.now < end, "{kind:?}: good jobs wait for broken ones");
+            assert_eq!(set_aside(&mut w), Vec::<String>::new(), "{kind:?}");
+            w.step();
+        }
+        for n in 1..5 {
+            assert!(suspected(&mut w, &format!("j-{n:06}")), "{kind:?} {n}");
+        }
+        // From now on a slow, bounded pace.
+        let failed = w.failed;
+        w.run(120_000);
+        let tries = (w.failed - failed) / if kind == Kind::Gang { 3 } else { 1 };
+        assert!(
+            (4..=20).contains(&tries),
+            "{kind:?}: {tries} tries in 120 s"
+        );
+        assert_eq!(set_aside(&mut w), Vec::<String>::new(), "{kind:?}");
+        // Withdrawn as quickly as any.
+        let asked = w.now;
+        w.cancel("j-000001");
+        assert!(w.now <= asked + 1_000);
+        w.sound();
+    }
+}
+
+#[test]
+fn a_sick_machine_is_found_beside_broken_jobs_and_they_beside_it() {
+    for seed in 0..6 {
+        let mut w = quiet(10 + seed, 5);
+        service_on_each(&mut w, 5);
+        w.workers[0].sick = true;
+        let array = broken(&mut w, 1, Kind::Array, 4);
+        let gang = broken(&mut w, 2, Kind::Gang, 3);
+        for n in 11..16 {
+            w.submit(job(n, Kind::Array, 4));
+        }
+        w.until(60_000, "good jobs done", |w| {
+            (11..16).all(|n| w.done(&format!("j-{n:06}")))
+        });
+        w.until(30_000, "told apart", |w| {
+            suspected(w, &array) && suspected(w, &gang)
+        });
+        let aside = set_aside(&mut w);
+        assert!(aside.iter().all(|m| *m == w.workers[0].name), "{aside:?}");
+        w.sound();
+    }
+}
+
+#[test]
+fn a_job_suspected_for_two_sick_machines_runs_on_others() {
+    let mut w = quiet(20, 2);
+    (0..2).for_each(|m| w.workers[m].sick = true);
+    w.submit(job(1, Kind::Array, 4));
+    w.until(20_000, "suspected", |w| suspected(w, "j-000001"));
+    // Machines of which nothing is known come up.
+    (0..2).for_each(|_| drop(w.add_worker("a", false, 0)));
+    w.until(60_000, "done", |w| w.done("j-000001"));
+    w.sound();
+}
+
+/// On a site with one machine nothing else can tell them apart.
+#[test]
+fn a_job_that_fails_where_others_run_is_suspected() {
+    let mut w = quiet(26, 1);
+    w.run_ms = 1_500;
+    let id = broken(&mut w, 1, Kind::Array, 1);
+    for n in 2..6 {
+        w.submit(job(n, Kind::Array, 2));
+    }
+    w.until(20_000, "suspected", |w| suspected(w, &id));
+    w.until(30_000, "done", |w| {
+        (2..6).all(|n| w.done(&format!("j-{n:06}")))
+    });
+    assert_eq!(set_aside(&mut w), Vec::<String>::new());
+    w.sound();
+}
+
+/// A service is not an array: what fails is the start of a replica.
+#[test]
+fn a_broken_service_is_suspected_and_a_good_one_is_not() {
+    let mut w = quiet(21, 4);
+    let id = broken(&mut w, 1, Kind::Service, 3);
+    w.submit(job(2, Kind::Service, 3));
+    w.until(20_000, "told apart", |w| {
+        suspected(w, &id) && w.running("j-000002") == 3
+    });
+    assert!(!suspected(&mut w, "j-000002"));
+    w.sound();
+}
+
+#[test]
+fn nothing_is_rented_or_stopped_for_a_suspected_job() {
+    let mut w = quiet(22, 3);
+    let mut urgent = job(1, Kind::Gang, 3);
+    urgent.priority = Priority::High;
+    urgent.image_gb = 10.0;
+    w.faulty.insert(urgent.id.clone());
+    w.submit(urgent);
+    w.until(20_000, "suspected", |w| suspected(w, "j-000001"));
+    // The fleet fills with work of lower priority.
+    w.run_ms = 500_000;
+    w.submit(job(2, Kind::Array, 6));
+    w.until(20_000, "full", |w| w.running("j-000002") == 6);
+    w.asked_for = 0;
+    let failed = w.failed;
+    w.run(200_000);
+    assert_eq!(w.running("j-000002"), 6, "tasks were stopped for it");
+    assert_eq!(w.asked_for, 0);
+    assert_eq!(w.failed, failed, "no room, no try");
+    w.sound();
+}
+
+#[test]
+fn the_verdicts_outlast_the_leader() {
+    let mut w = quiet(23, 4);
+    service_on_each(&mut w, 4);
+    let id = broken(&mut w, 1, Kind::Array, 40);
+    w.until(20_000, "suspected", |w| suspected(w, &id));
+    w.run(2_000);
+    let old = w.leader().unwrap();
+    w.crash(old, 3_000);
+    let failed = w.failed;
+    w.until(20_000, "another leads", |w| w.leader().is_some());
+    w.run(30_000);
+    assert!(w.failed - failed <= 3, "{} tried again", w.failed - failed);
+    assert!(suspected(&mut w, &id));
+    w.sound();
+}
+
+#[test]
+fn a_machine_set_aside_wrongly_comes_back() {
+    let mut w = quiet(24, 1);
+    service_on_each(&mut w, 1);
+    // One by one, so that each fails there before it could elsewhere.
+    let ids: Vec<String> = (1..4)
+        .map(|n| {
+            let id = broken(&mut w, n, Kind::Array, 1);
+            w.run(400);
+            id
+        })
+        .collect();
+    w.until(20_000, "set aside", |w| !set_aside(w).is_empty());
+    // There they can't be told apart from a sick machine; elsewhere they can.
+    (0..2).for_each(|_| drop(w.add_worker("b", false, 0)));
+    w.until(90_000, "back", |w| set_aside(w).is_empty());
+    w.until(90_000, "suspected", |w| {
+        ids.iter().all(|id| suspected(w, id))
+    });
+    w.submit(job(9, Kind::Array, 8));
+    w.until(60_000, "done", |w| w.done("j-000009"));
+    let told = w.poll(0, "j-000009");
+    assert_eq!(told, Some(JobState::Done));
+    w.sound();
+}
+
+#[test]
+fn operators_are_told_the_verdict_and_why() {
+    let mut w = quiet(25, 4);
+    let id = broken(&mut w, 1, Kind::Array, 4);
+    w.until(20_000, "suspected", |w| suspected(w, &id));
+    let i = w.leader().unwrap();
+    let l = w.nodes[i].leader.as_ref().unwrap();
+    let text = l.explain(&id, w.now).unwrap().text();
+    assert!(text.contains("job fails everywhere"), "{text}");
+    assert!(text.contains("suspected: its tasks failed on"), "{text}");
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -780,7 +780,7 @@
 
 fn reason(w: &mut World, id: &str) -> Option<Reason> {
     let i = w.leader()?;
-    w.nodes[i].leader.as_ref()?.explain(id)?.reason
+    w.nodes[i].leader.as_ref()?.explain(id, w.now)?.reason
 }
 
 #[test]
