Rentals count demand by kind, and begin before a leader has settled

Equal needs now make one demand, so the bound is on kinds, and each class has its own.

It now rents once those that can report have had the time to; machines not heard yet count as rooms that are filled first, as what may run on them looks like waiting.

--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -393,6 +393,28 @@
             && (limit.gpus == 0 || used.gpus + n * need.gpus <= limit.gpus)
     }
 
+    /// How many more such tasks, of at most `n`, the team may run beside what
+    /// it uses and `unseen`.
+    pub fn most_within_limit(&self, team: usize, need: &Amounts, n: u32, unseen: Amounts) -> i64 {
+        let Some(t) = self.teams.get(team) else {
+            return 0;
+        };
+        let limit = Amounts::offer(t.cpus_max, t.gpus_max, 0.0);
+        let mut used = self.usage[team];
+        used += unseen;
+        let room = |limit: i64, used: i64, each: i64| match (limit, each) {
+            // Past its limit a team may not run what takes nothing of it
+            // either: one task more would leave it past its limit.
+            (0, _) => i64::MAX,
+            (_, 0) if used <= limit => i64::MAX,
+            (_, 0) => 0,
+            _ => (limit - used).max(0) / each,
+        };
+        room(limit.cpus, used.cpus, need.cpus)
+            .min(room(limit.gpus, used.gpus, need.gpus))
+            .min(i64::from(n))
+    }
+
     pub fn job_ix(&self, id: &str) -> Option<u32> {
         self.by_ref.get(id).copied()
     }
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -95,7 +95,7 @@
         if !names.is_empty() {
             ops.push(CloudOp::Release(names));
         }
-        if self.settled && now >= self.deaf_until && self.renting == 0 {
+        if self.knows_enough_to_rent(now) && now >= self.deaf_until && self.renting == 0 {
             for rent in self.purchases(now, wall_ms) {
                 self.renting += 1;
                 ops.push(CloudOp::Rent(rent));
@@ -104,6 +104,14 @@
         ops
     }
 
+    /// Every machine is known, or those that can report have had the time to.
+    /// Guards against a lease during which nothing is rented, as a few
+    /// machines are silent when a new leader begins.
+    fn knows_enough_to_rent(&self, now: Ms) -> bool {
+        let report = millis(self.settings.cluster.workers.report_s * 1.25);
+        self.settled || now >= self.acquired + FOUND + report
+    }
+
     fn price(&self, m: &Machine) -> f64 {
         self.model.types[m.type_ix].price_of(m.spot)
     }
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -92,6 +92,18 @@
         self.model.within_limit(team, need, n, unseen)
     }
 
+    /// How many of at most `n` such tasks the team may run beside `planned`.
+    pub(super) fn most_within_limit(
+        &self,
+        team: usize,
+        need: &Amounts,
+        n: u32,
+        mut planned: Amounts,
+    ) -> i64 {
+        planned += self.unseen.get(team).copied().unwrap_or_default();
+        self.model.most_within_limit(team, need, n, planned)
+    }
+
     pub(super) fn place(&mut self, now: Ms) {
         self.count_unseen();
         let mut candidates = self.candidates();
--- a/src/coordination/leader/rent.rs
+++ b/src/coordination/leader/rent.rs
@@ -2,6 +2,54 @@
 
 use super::*;
 
+/// Kinds of demand that are looked at in a round: arrays whose tasks differ
+/// in size are one each.
+const MOST_KINDS: usize = 200;
+
+/// What waits, by what it takes of which machines. Guards against a bound on
+/// the jobs that are looked at: with more than that waiting at high priority,
+/// nothing was rented for what came after them.
+#[derive(Default)]
+struct Wanted {
+    /// In the order of service of their first jobs.
+    demands: Vec<Demand>,
+    /// Jobs, and which demand they are part of.
+    jobs: Vec<(u32, usize)>,
+}
+
+impl Wanted {
+    fn add(&mut self, ix: u32, j: &Job, count: i64) {
+        let per_zone = j.spec.spread.then(|| i64::from(j.spec.tasks.div_ceil(2)));
+        let same = |d: &Demand| {
+            d.need == j.need
+                && d.zone == j.zone
+                && d.spot == j.spec.spot
+                && d.per_zone.is_some() == per_zone.is_some()
+                && d.types == j.types
+        };
+        let at = match self.demands.iter().position(same) {
+            Some(at) => at,
+            None if self.demands.len() >= MOST_KINDS => return,
+            None => {
+                self.demands.push(Demand {
+                    need: j.need,
+                    count: 0,
+                    types: j.types.clone(),
+                    zone: j.zone,
+                    spot: j.spec.spot,
+                    per_zone: per_zone.map(|_| 0),
+                    refused: false,
+                });
+                self.demands.len() - 1
+            }
+        };
+        let d = &mut self.demands[at];
+        d.count += count;
+        d.per_zone = d.per_zone.zip(per_zone).map(|(all, own)| all + own);
+        self.jobs.push((ix, at));
+    }
+}
+
 impl Leader {
     pub(super) fn boot_s(&self, types: &[bool]) -> f64 {
         self.model
@@ -29,7 +77,16 @@
                 && now < m.since + boot + boot * 7 / 10;
             let late = m.suspect && now < m.suspect_since + MISSED && m.lasting();
             let there = m.usable() || late || (m.up && m.roster == Roster::Absent && !m.releasing);
-            if coming || there {
+            if m.unknown && !m.releasing {
+                // What may run there still looks like waiting.
+                batch_held.push(Amounts::default());
+                bins.push(Bin {
+                    type_ix: m.type_ix,
+                    zone: m.zone,
+                    spot: m.spot,
+                    free: m.capacity,
+                });
+            } else if coming || there {
                 if coming {
                     coming_bins.push((bins.len(), ix));
                 }
@@ -67,10 +124,9 @@
         }
         let order = self.queue();
         let free_before: Vec<Amounts> = bins.iter().map(|b| b.free).collect();
-        let mut room: HashMap<usize, Amounts> = HashMap::new();
-        let mut demands = Vec::new();
-        let mut batch_demands = Vec::new();
-        let (mut of, mut batch_of) = (Vec::new(), Vec::new());
+        let mut wanted = Wanted::default();
+        let mut batches = Wanted::default();
+        let mut planned: HashMap<usize, Amounts> = HashMap::new();
         for &ix in &order {
             let Some(j) = self.model.job(ix) else {
                 continue;
@@ -78,31 +134,13 @@
             if j.file.suspected || j.refusals > 5 {
                 continue;
             }
-            let waiting = i64::from(j.waiting());
-            let mut count = waiting;
             // What the team may not run yet needs no machine yet.
-            let planned = room.entry(j.team).or_default();
-            while count > 0 {
-                let mut all = j.need.scaled(count);
-                all += *planned;
-                if self.within_limit(j.team, &all, 1) {
-                    break;
-                }
-                count -= 1;
-            }
+            let planned = planned.entry(j.team).or_default();
+            let count = self.most_within_limit(j.team, &j.need, j.waiting(), *planned);
             *planned += j.need.scaled(count);
             if count <= 0 {
                 continue;
             }
-            let mut demand = Demand {
-                need: j.need,
-                count,
-                types: j.types.clone(),
-                zone: j.zone,
-                spot: j.spec.spot,
-                per_zone: j.spec.spread.then(|| i64::from(j.spec.tasks.div_ceil(2))),
-                refused: false,
-            };
             if j.spec.kind == Kind::Array {
                 let age = wall_ms.saturating_sub(j.at_ms) as f64 / 1000.0;
                 let left = j
@@ -110,36 +148,34 @@
                     .deadline_s
                     .map(|d| d - age - self.boot_s(&j.types) - 5.0);
                 let live = i64::from(j.live);
-                demand.count = provision::parallel(count, live, j.spec.estimate_s, left);
-                batch_demands.push(demand);
-                batch_of.push(ix);
+                let at_once = provision::parallel(count, live, j.spec.estimate_s, left);
+                batches.add(ix, j, at_once);
             } else {
-                demands.push(demand);
-                of.push(ix);
-            }
-            if demands.len() + batch_demands.len() >= 200 {
-                break;
+                wanted.add(ix, j, count);
             }
         }
         self.order = order;
-        let mut bought = provision::plan(&mut demands, &mut bins, &offers, provision::MAX_NEW);
+        let demands = &mut wanted.demands;
+        let mut bought = provision::plan(demands, &mut bins, &offers, provision::MAX_NEW);
         // Batches may use what high priority leaves.
         let mut room: Vec<Bin> = bins.clone();
+        let demands = &mut batches.demands;
         bought.extend(provision::plan(
-            &mut batch_demands,
+            demands,
             &mut bins,
             &offers,
             provision::BATCH_NEW,
         ));
-        let planned = of.iter().chain(&batch_of);
-        for (ix, d) in planned.zip(demands.iter().chain(&batch_demands)) {
-            if let Some(j) = self.model.job_mut(*ix) {
-                j.supply = match d {
-                    Demand { refused: true, .. } => Some(Reason::CloudRefuses),
-                    Demand { count: 1.., .. } => Some(Reason::MachineBooting),
-                    // Not hurried: it will be in time without.
-                    _ => None,
-                };
+        for w in [&wanted, &batches] {
+            for (ix, of) in &w.jobs {
+                if let Some(j) = self.model.job_mut(*ix) {
+                    j.supply = match &w.demands[*of] {
+                        Demand { refused: true, .. } => Some(Reason::CloudRefuses),
+                        Demand { count: 1.., .. } => Some(Reason::MachineBooting),
+                        // Not hurried: it will be in time without.
+                        _ => None,
+                    };
+                }
             }
         }
         let untouched: Vec<bool> = bins
