Batches with a deadline let later smaller ones pass while room is short

A batch now yields to those that came up to 40 times later as the fleet would take for what is left of it.

--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -21,16 +21,27 @@
         }
         let jobs = &self.model.jobs;
         let (objectives, wall) = (&self.settings.cluster.objectives, self.wall_ms);
+        let fleet = self.fleet_offers();
         order.sort_by_cached_key(|ix| {
             jobs[*ix as usize].as_ref().map(|j| {
                 let band = deadline_band(&j.spec, objectives, wall.saturating_sub(j.at_ms));
                 let rank = std::cmp::Reverse(j.spec.priority);
-                (j.file.suspected, rank, band, j.at_ms, *ix)
+                let turn = j.at_ms + yields_for(j, &fleet);
+                (j.file.suspected, rank, band, turn, *ix)
             })
         });
         order
     }
 
+    /// All that machines which are up offer.
+    fn fleet_offers(&self) -> Amounts {
+        let mut all = Amounts::default();
+        for m in self.model.each_machine().filter(|m| m.usable()) {
+            all += m.capacity;
+        }
+        all
+    }
+
     pub(super) fn attempt(&mut self) -> u64 {
         self.attempts += 1;
         (self.term << FENCE_BITS) | self.attempts
@@ -579,6 +590,26 @@
     }
 }
 
+/// A batch with a deadline lets those pass that came up to so many times later
+/// as the whole fleet would take for what is left of it.
+const YIELD: f64 = 40.0;
+
+/// For how long after its arrival a batch lets smaller ones pass, in
+/// milliseconds. Guards against a burst that makes all batches late by the same
+/// time, where most would keep their deadline if the few large ones waited; it
+/// ends by itself, so none waits for ever.
+fn yields_for(j: &Job, fleet: &Amounts) -> u64 {
+    if j.spec.kind != Kind::Array || j.spec.deadline_s.is_none() {
+        return 0;
+    }
+    let (each, all) = match j.need.gpus {
+        0 => (j.need.cpus, fleet.cpus),
+        n => (n, fleet.gpus),
+    };
+    let left = f64::from(j.waiting()) * j.spec.estimate_s * each as f64;
+    (YIELD * 1000.0 * left / all.max(each).max(1) as f64) as u64
+}
+
 /// Within a priority, jobs are served in arrival order, but those that have
 /// missed their deadline let the others pass, until a later aim for them (or
 /// three times the deadline) draws near.
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -104,3 +104,30 @@
     assert_eq!(rented(&mut l, 8_000, "m8"), 2);
     assert!(!l.settled());
 }
+
+fn due(mut spec: JobSpec) -> JobSpec {
+    spec.deadline_s = Some(60.0);
+    spec
+}
+
+/// Guards against a large batch that makes all that come after it late: in
+/// arrival order, the small one would wait for 40 tasks of 10 s on two places.
+#[test]
+fn a_small_batch_with_a_deadline_is_not_made_late_by_a_large_one() {
+    let mut w = world::World::new(41, 1, 0.0);
+    w.run_ms = 10_000;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.submit(due(job(1, Kind::Array, 40)));
+    w.run(1_000);
+    w.submit(due(job(2, Kind::Array, 2)));
+    w.until(45_000, "the small one done", |w| w.done("j-000002"));
+    assert!(!w.done("j-000001"));
+    // Only batches that say when they are due let others pass.
+    w.submit(job(3, Kind::Array, 20));
+    w.run(1_000);
+    w.submit(job(4, Kind::Array, 1));
+    w.until(700_000, "the large one done", |w| w.done("j-000001"));
+    w.until(400_000, "all done", |w| w.done("j-000003"));
+    w.until(60_000, "the last done", |w| w.done("j-000004"));
+    w.sound();
+}
