Phases of a recovery are logged and measured

Nobody could see what a change of leadership spends its time on. At info, and as recovery_seconds{phase} in the metrics: how long nobody led, loading, settling, and starting what waited meanwhile and may not wait. A story tells them apart.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -32,6 +32,8 @@
     /// Leader and term as last read, and when that was.
     pub seen: Option<(String, u64)>,
     seen_at: Ms,
+    /// When a leader was last read there.
+    led_at: Ms,
     /// The same as another node last said.
     told: Option<(String, u64)>,
     told_at: Ms,
@@ -66,6 +68,7 @@
             lead: None,
             seen: None,
             seen_at: 0,
+            led_at: now,
             told: None,
             told_at: 0,
             promised_until: 0,
@@ -91,6 +94,7 @@
     pub fn saw(&mut self, leader: Option<(String, u64)>, now: Ms) {
         self.seen_at = now;
         if let Some((_, term)) = &leader {
+            self.led_at = now;
             self.highest = self.highest.max(*term);
             if self.replaceable != Some(*term) {
                 self.open_since = None;
@@ -99,6 +103,11 @@
         self.seen = leader;
     }
 
+    /// Since when nobody was seen to lead; at most since this process began.
+    pub fn leaderless_for(&self, now: Ms) -> Ms {
+        now.saturating_sub(self.led_at)
+    }
+
     /// Another node says who leads.
     pub fn heard(&mut self, leader: Option<(String, u64)>, now: Ms) {
         let newer = |a: &(String, u64), b: &Option<(String, u64)>| {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -6,6 +6,7 @@
 mod place;
 mod preempt;
 mod records;
+mod recovery;
 mod rent;
 mod reserves;
 mod status;
@@ -169,6 +170,7 @@
     unseen: Vec<Amounts>,
     zone_life: Vec<zones::ZoneLife>,
     tally: Tally,
+    recovery: recovery::Recovery,
     failed: VecDeque<status::Failed>,
     /// Jobs of which a task failed and none has run.
     accused: Vec<u32>,
@@ -222,6 +224,7 @@
             // Workers need some time to find a new leader.
             zone_life: vec![zones::ZoneLife::since(now + FOUND); zones],
             tally: Tally::default(),
+            recovery: recovery::Recovery::begun(now),
             failed: VecDeque::new(),
             accused: Vec::new(),
         }
@@ -543,6 +546,7 @@
             self.place_at = now + 2000;
             self.place(now);
         }
+        self.recover(now);
     }
 
     /// All records have been read. Workers were answered meanwhile, so their
--- /dev/null
+++ b/src/coordination/leader/recovery.rs
@@ -0,0 +1,99 @@
+//! How long a new leader takes until the service is whole again, phase by
+//! phase: for the log, and for the operators' figures.
+
+use super::*;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// Reads jobs and roster.
+    Loading,
+    /// Waits to hear every machine, or for its lease to lapse.
+    Settling,
+    /// Works off what waited meanwhile and may not wait: services and gangs.
+    Starting,
+    Whole,
+}
+
+impl Phase {
+    fn name(self) -> &'static str {
+        match self {
+            Phase::Loading => "loading",
+            Phase::Settling => "settling",
+            Phase::Starting => "starting",
+            Phase::Whole => "whole",
+        }
+    }
+
+    fn next(self) -> Phase {
+        match self {
+            Phase::Loading => Phase::Settling,
+            Phase::Settling => Phase::Starting,
+            Phase::Starting | Phase::Whole => Phase::Whole,
+        }
+    }
+}
+
+pub(super) struct Recovery {
+    phase: Phase,
+    since: Ms,
+}
+
+impl Recovery {
+    pub(super) fn begun(now: Ms) -> Self {
+        Recovery {
+            phase: Phase::Loading,
+            since: now,
+        }
+    }
+}
+
+impl Leader {
+    /// For how long nobody was seen to lead before this term.
+    pub fn nobody_led_for(&mut self, ms: Ms) {
+        self.phase_took("leaderless", ms);
+    }
+
+    fn phase_took(&mut self, phase: &'static str, ms: Ms) {
+        log::info!("term {}: {phase} took {ms} ms", self.term);
+        self.tally.phases.push((phase, ms as f64 / 1000.0));
+    }
+
+    /// Notes which phases are over.
+    pub(super) fn recover(&mut self, now: Ms) {
+        loop {
+            let phase = self.recovery.phase;
+            let over = match phase {
+                Phase::Loading => self.loaded,
+                Phase::Settling => self.settled,
+                Phase::Starting => !self.owes_starts(),
+                Phase::Whole => return,
+            };
+            if !over {
+                return;
+            }
+            self.phase_took(phase.name(), now - self.recovery.since);
+            self.recovery = Recovery {
+                phase: phase.next(),
+                since: now,
+            };
+            if self.recovery.phase == Phase::Whole {
+                let all = now - self.acquired;
+                log::info!("term {}: whole after {all} ms", self.term);
+            }
+        }
+    }
+
+    /// Services or gangs from before it settled wait for room that they may
+    /// have. Batches do not count: they may wait for minutes on any day.
+    fn owes_starts(&self) -> bool {
+        let since = self.recovery.since;
+        self.model.jobs.iter().flatten().any(|j| {
+            j.spec.kind != Kind::Array
+                && j.waiting() > 0
+                && j.known_ms <= since
+                && !j.cancelled
+                && !j.cancel_wanted
+                && !matches!(j.reason, Reason::TeamLimit | Reason::FailsEverywhere)
+        })
+    }
+}
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -19,6 +19,8 @@
     pub released: u64,
     /// Class, and seconds from acceptance to a task's first run.
     pub waits: Vec<(String, f64)>,
+    /// Phases of a recovery that are over, and their seconds.
+    pub phases: Vec<(&'static str, f64)>,
 }
 
 /// A task that failed: when, which, where, why.
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -186,6 +186,7 @@
                 self.now(),
             );
             leader.finals = self.finals.take();
+            leader.nobody_led_for(self.election.borrow().leaderless_for(self.now()));
             self.bars.take();
             *self.leader.borrow_mut() = Some(leader);
             self.lanes.spawn(load(self.clone(), term)).detach();
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -22,12 +22,18 @@
     request: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Phase {
+    phase: &'static str,
+}
+
 type Histograms<L> = Family<L, Histogram, fn() -> Histogram>;
 
 pub(super) struct Metrics {
     registry: Registry,
     answers: Histograms<Kind>,
     waits: Histograms<Class>,
+    recoveries: Histograms<Phase>,
     classes: std::collections::BTreeSet<String>,
     failures: Counter,
     preemptions: Counter,
@@ -49,12 +55,17 @@
     Histogram::new([1.0, 5.0, 10.0, 20.0, 30.0, 60.0, 120.0, 300.0, 900.0])
 }
 
+fn recovery_times() -> Histogram {
+    Histogram::new([0.1, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 30.0, 60.0, 120.0])
+}
+
 impl Metrics {
     pub(super) fn new() -> Self {
         let mut m = Metrics {
             registry: Registry::with_prefix("pathwinch"),
             answers: Family::new_with_constructor(answer_times as fn() -> Histogram),
             waits: Family::new_with_constructor(wait_times as fn() -> Histogram),
+            recoveries: Family::new_with_constructor(recovery_times as fn() -> Histogram),
             classes: Default::default(),
             failures: Counter::default(),
             preemptions: Counter::default(),
@@ -72,6 +83,8 @@
         r.register("answer_seconds", help, m.answers.clone());
         let help = "Seconds from a job's acceptance to the first run of a task, by class";
         r.register("wait_seconds", help, m.waits.clone());
+        let help = "Seconds that a phase took until the service was whole under a new leader";
+        r.register("recovery_seconds", help, m.recoveries.clone());
         r.register("task_failures", "Tasks that failed", m.failures.clone());
         let help = "Tasks told to stop for others";
         r.register("preemptions", help, m.preemptions.clone());
@@ -101,6 +114,10 @@
         self.preemptions.inc_by(tally.preempted);
         self.rentals.inc_by(tally.rented);
         self.releases.inc_by(tally.released);
+        for (phase, seconds) in tally.phases {
+            let phase = Phase { phase };
+            self.recoveries.get_or_create(&phase).observe(seconds);
+        }
         for (class, waited) in tally.waits {
             let known = self.classes.contains(&class);
             let class = match known || self.classes.len() < MOST_CLASSES {
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -220,3 +220,34 @@
         w.sound();
     }
 }
+
+/// Guards against a recovery that operators cannot see: each phase is told
+/// once, in order, and a silent machine shows in the one that waits for it.
+#[test]
+fn the_phases_of_a_recovery_are_told_apart() {
+    let mut w = World::new(62, 4, 0.0);
+    w.run_ms = 600_000;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.submit(job(1, Kind::Service, 6));
+    w.until(20_000, "running", |w| w.running("j-000001") == 6);
+    let old = w.leader().unwrap();
+    let busy = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
+    w.workers[busy].net = Net::Lose;
+    w.crash(old, 3_000);
+    w.until(10_000, "another leads", |w| {
+        w.leader().is_some_and(|l| l != old)
+    });
+    let i = w.leader().unwrap();
+    w.run(LEASE + 6_000);
+    let l = w.nodes[i].leader.as_mut().unwrap();
+    let phases = l.take_tally().phases;
+    let names: Vec<_> = phases.iter().map(|(name, _)| *name).collect();
+    assert_eq!(names, ["loading", "settling", "starting"]);
+    let lease = LEASE as f64 / 1000.0;
+    assert!(
+        phases[0].1 < 1.0 && phases[1].1 >= lease - 1.0,
+        "{phases:?}"
+    );
+    assert!(phases[2].1 < 2.0, "{phases:?}");
+    w.sound();
+}
