--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -7,11 +7,44 @@
     pub fn list_due(&mut self, now: Ms) -> bool {
         let due = self.loaded && now >= self.list_at;
         if due {
+            let telling = self.list_tells_from();
             self.list_at = now + 4000;
+            if !self.settled && now < telling {
+                self.list_at = self.list_at.min(telling);
+            }
         }
         due
     }
 
+    /// A list asked for from then on shows the machines as they were after this
+    /// term began.
+    fn list_tells_from(&self) -> Ms {
+        let lag = millis(self.settings.cluster.cloud.list_lag_s);
+        self.acquired + 2 * lag + LIST_MARGIN
+    }
+
+    /// The whole list was read, from `asked` on. What stood in the roster when
+    /// this term began was up, so it had been or would be listed until it is
+    /// gone: a list that describes a later time and lacks it shows that it is.
+    /// Guards against a lease of waiting for machines that were taken away.
+    pub fn listed_whole(&mut self, names: &HashSet<String>, asked: Ms, now: Ms) {
+        if self.settled || asked < self.list_tells_from() {
+            return;
+        }
+        let mut gone = 0;
+        for m in self.model.each_machine_mut() {
+            if m.unknown && !names.contains(&m.name) {
+                m.unknown = false;
+                m.since = now;
+                gone += 1;
+            }
+        }
+        if gone > 0 {
+            log::info!("{gone} machines of the roster are not listed any more: they are gone");
+            self.changed = true;
+        }
+    }
+
     pub fn listed(&mut self, list: &[ListedMachine], now: Ms) {
         for l in list {
             if self.released.contains_key(&l.id) {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -42,7 +42,7 @@
     },
 };
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
 };
@@ -51,6 +51,8 @@
 const FENCE_BITS: u32 = 20;
 /// Taken on top of a worker's lease before its tasks count as gone.
 const LAPSE_MARGIN: Ms = 150;
+/// Taken on top of twice the lag of the machine list.
+const LIST_MARGIN: Ms = 1_000;
 /// How long a kind of machine that was refused is not asked for again.
 const REFUSED: Ms = 10_000;
 /// Over how long arrivals are counted, and for how long ahead an idle machine
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -251,3 +251,38 @@
     assert!(phases[2].1 < 2.0, "{phases:?}");
     w.sound();
 }
+
+/// Guards against a lease of waiting for a machine that the cloud has taken
+/// away; and against taking an old list for a new one.
+#[test]
+fn a_machine_missing_from_a_list_younger_than_the_term_is_not_waited_for() {
+    let mut w = World::new(63, 3, 0.0);
+    w.run_ms = 600_000;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.submit(job(1, Kind::Service, 6));
+    w.until(20_000, "running", |w| w.running("j-000001") == 6);
+    w.workers[1].alive = false;
+    let old = w.leader().unwrap();
+    w.crash(old, 3_000);
+    w.until(10_000, "another leads", |w| {
+        w.leader().is_some_and(|l| l != old)
+    });
+    let (i, began) = (w.leader().unwrap(), w.now);
+    w.run(2_000);
+    let names = |l: &Leader| {
+        let others = l.model.each_machine().filter(|m| !m.unknown);
+        others.map(|m| m.name.clone()).collect()
+    };
+    w.run(5_500);
+    let now = w.now;
+    let l = w.nodes[i].leader.as_mut().unwrap();
+    // The lag is 3 s: such a list may be older than the term.
+    l.listed_whole(&names(l), began + 4_000, now);
+    l.tick(now, now);
+    assert!(!l.settled());
+    l.listed_whole(&names(l), began + 7_000, now);
+    l.tick(now, now);
+    assert!(l.settled());
+    w.run(30_000);
+    w.sound();
+}
