--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -286,3 +286,135 @@
     w.run(30_000);
     w.sound();
 }
+
+/// Guards against placing again what comes back within its lease.
+#[test]
+fn all_controllers_end_while_a_third_is_silent_and_comes_back_with_its_tasks() {
+    for seed in 64..68 {
+        let mut w = World::new(seed, 9, 0.0);
+        w.run_ms = 600_000;
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        w.submit(job(1, Kind::Service, 18));
+        w.until(30_000, "running", |w| w.running("j-000001") == 18);
+        let starts = w.starts;
+        (0..3).for_each(|m| w.workers[m].net = Net::Hold);
+        (0..3).for_each(|i| w.crash(i, 2_000));
+        w.run(5_500);
+        (0..3).for_each(|m| w.heal(m));
+        w.run(30_000);
+        assert_eq!(w.running("j-000001"), 18, "seed {seed}");
+        assert_eq!(w.starts, starts, "seed {seed}: nothing was started anew");
+        w.sound();
+    }
+}
+
+/// Guards against a task in two places, or a team past its limit, when those
+/// that were given up return beside their replacements.
+#[test]
+fn machines_thought_dead_return_after_their_replacements_run() {
+    for (seed, net) in [(68, Net::Hold), (69, Net::Lose), (70, Net::Hold)] {
+        let mut w = World::new(seed, 9, 48.0);
+        w.run_ms = 600_000;
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        w.submit(job(1, Kind::Service, 12));
+        w.until(30_000, "running", |w| w.running("j-000001") == 12);
+        let lost: Vec<usize> = (0..9)
+            .filter(|m| !w.workers[*m].tasks.is_empty())
+            .take(3)
+            .collect();
+        lost.iter().for_each(|m| w.workers[*m].net = net);
+        w.run(4_000);
+        let old = w.leader().unwrap();
+        w.crash(old, 3_000);
+        w.run(LEASE + 12_000);
+        let there = |w: &World| {
+            let others = (0..9).filter(|m| !lost.contains(m));
+            others.map(|m| w.workers[m].tasks.len()).sum::<usize>()
+        };
+        assert_eq!(there(&w), 12, "seed {seed}: all run elsewhere");
+        lost.iter().for_each(|m| w.heal(*m));
+        w.run(20_000);
+        assert_eq!(w.running("j-000001"), 12);
+        w.sound();
+    }
+}
+
+/// Guards against guests that keep a team with a guarantee from its aims: all
+/// room is theirs when its work comes, one vast array and a flood of tiny jobs.
+#[test]
+fn guests_fill_the_room_and_make_way_for_a_team_with_a_guarantee() {
+    let mut w = World::new(71, 4, 0.0);
+    w.run_ms = 20_000;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    let guest = |n, tasks| {
+        let mut j = job(n, Kind::Array, tasks);
+        j.team = "guests".into();
+        j.priority = Priority::Low;
+        j
+    };
+    w.submit(guest(1, 500));
+    (2..80).for_each(|n| w.submit(guest(n, 1)));
+    w.run(10_000);
+    assert_eq!(w.running("j-000001"), 8, "they have all there is");
+    let mut service = job(100, Kind::Service, 2);
+    service.priority = Priority::Production;
+    w.submit(service);
+    w.until(3_000, "the service", |w| w.running("j-000100") == 2);
+    // Normal work within a guarantee waits a while for others' to end.
+    let mut batch = job(101, Kind::Array, 2);
+    batch.team = "u".into();
+    w.submit(batch);
+    w.until(60_000, "the batch", |w| w.done("j-000101"));
+    assert_eq!(w.running("j-000100"), 2);
+    w.run(100_000);
+    assert!(w.starts > 40, "guests go on in what is left");
+    w.sound();
+}
+
+/// Guards against a pass over the fleet for each first report.
+#[test]
+fn first_reports_of_a_large_fleet_cost_each_machine_a_few_looks() {
+    let looks = |machines: u32| {
+        let mut l = leader(9);
+        for n in 0..machines {
+            let record = MachineRecord {
+                addr: "127.0.0.1:9".into(),
+                type_name: "m8".into(),
+                zone: "a".into(),
+                spot: false,
+                releasing: false,
+                lapsed: false,
+                quarantined: false,
+                images: Vec::new(),
+            };
+            l.load_machine(&format!("i-{n:06}"), record, 3, 0);
+        }
+        l.load_job(record(job(1, Kind::Service, 2 * machines)), 4, 0);
+        l.finish_loading(0);
+        let before = l.model.looked_at();
+        for n in 0..machines {
+            let report = serde_json::json!({
+                "post": format!("i-{n:06}"), "addr": "127.0.0.1:9", "rig": "m8", "hall": "a",
+                "lendback": false, "tenure": 1, "tick": 5, "baton": 9u64 << 20,
+                "reclaim_in_s": null, "pieces": [
+                    {"piece": format!("j-000001/{}", 2 * n), "try": 1, "stage": "running"},
+                    {"piece": format!("j-000001/{}", 2 * n + 1), "try": 1, "stage": "running"}]
+            });
+            let report = serde_json::from_value(report).unwrap();
+            assert!(l.on_beat(&report, 1_000).is_some());
+        }
+        let looked = l.model.looked_at() - before;
+        l.tick(1_050, 1_050);
+        assert!(l.settled());
+        assert_eq!(
+            l.model
+                .job(l.model.job_ix("j-000001").unwrap())
+                .unwrap()
+                .running,
+            2 * machines
+        );
+        looked / u64::from(machines)
+    };
+    let (few, many) = (looks(20), looks(1_252));
+    assert_eq!(few, many);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -54,7 +54,7 @@
             "cluster": {
                 "zones": ["a", "b"],
                 "teams": [{"name": "t", "cpus": 8.0, "cpus_max": cpus_max},
-                          {"name": "u", "cpus": 8.0}],
+                          {"name": "u", "cpus": 8.0}, {"name": "guests"}],
                 "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 45.0,
                             "gang_peer_s": 5.0, "cancel_s": 35.0},
                 "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 12},
