--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -38,6 +38,36 @@
     }
 }
 
+fn machine_record() -> MachineRecord {
+    MachineRecord {
+        addr: "127.0.0.1:9".into(),
+        type_name: "m8".into(),
+        zone: "a".into(),
+        spot: false,
+        releasing: false,
+        lapsed: false,
+        quarantined: false,
+        images: Vec::new(),
+    }
+}
+
+/// An installation with a leader, whose tasks run for so long.
+fn led(seed: u64, machines: usize, limit: f64, run_ms: Ms) -> World {
+    let mut w = World::new(seed, machines, limit);
+    w.run_ms = run_ms;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w
+}
+
+/// The leader ends, and another leads.
+fn change_leader(w: &mut World) {
+    let old = w.leader().unwrap();
+    w.crash(old, 3_000);
+    w.until(10_000, "another leads", |w| {
+        w.leader().is_some_and(|l| l != old)
+    });
+}
+
 fn leader(term: u64) -> Leader {
     let settings = Rc::new(world::settings(0.0));
     Leader::new(settings, Options::default(), types(), term, 0)
@@ -84,17 +114,7 @@
 fn a_leader_rents_before_it_has_heard_every_machine_but_not_for_what_may_run_on_them() {
     let mut l = leader(9);
     let machine = |name: &str, l: &mut Leader| {
-        let record = MachineRecord {
-            addr: "127.0.0.1:9".into(),
-            type_name: "m8".into(),
-            zone: "a".into(),
-            spot: false,
-            releasing: false,
-            lapsed: false,
-            quarantined: false,
-            images: Vec::new(),
-        };
-        l.load_machine(name, record, 3, 0);
+        l.load_machine(name, machine_record(), 3, 0);
     };
     (0..3).for_each(|n| machine(&format!("i-{n:06}"), &mut l));
     // Two tasks to a machine: six may be running.
@@ -115,9 +135,7 @@
 /// arrival order, the small one would wait for 40 tasks of 10 s on two places.
 #[test]
 fn a_small_batch_with_a_deadline_is_not_made_late_by_a_large_one() {
-    let mut w = World::new(41, 1, 0.0);
-    w.run_ms = 10_000;
-    w.until(10_000, "a leader", |w| w.leader().is_some());
+    let mut w = led(41, 1, 0.0, 10_000);
     w.submit(due(job(1, Kind::Array, 40)));
     w.run(1_000);
     w.submit(due(job(2, Kind::Array, 2)));
@@ -138,20 +156,15 @@
 #[test]
 fn a_new_leader_need_not_wait_for_machines_whose_leases_had_lapsed_before() {
     for seed in 50..58 {
-        let mut w = World::new(seed, 4, 0.0);
-        w.run_ms = 600_000;
-        w.until(10_000, "a leader", |w| w.leader().is_some());
+        let mut w = led(seed, 4, 0.0, 600_000);
         w.submit(job(1, Kind::Service, 6));
         w.until(20_000, "running", |w| w.running("j-000001") == 6);
         w.workers[0].net = Net::Lose;
         w.run(LEASE + 3_000);
-        let old = w.leader().unwrap();
+
         // Lapsed, but not so long ago that it would be returned.
         assert!(w.workers[0].alive);
-        w.crash(old, 3_000);
-        w.until(10_000, "another leads", |w| {
-            w.leader().is_some_and(|l| l != old)
-        });
+        change_leader(&mut w);
         w.submit(job(2, Kind::Array, 3));
         w.run(2_500);
         let i = w.leader().unwrap();
@@ -162,11 +175,7 @@
         w.submit(job(3, Kind::Service, 8));
         w.until(20_000, "used again", |w| !w.workers[0].tasks.is_empty());
         w.workers[0].net = Net::Lose;
-        let old = w.leader().unwrap();
-        w.crash(old, 3_000);
-        w.until(10_000, "a third leads", |w| {
-            w.leader().is_some_and(|l| l != old)
-        });
+        change_leader(&mut w);
         w.run(2_500);
         let i = w.leader().unwrap();
         assert!(!w.nodes[i].leader.as_ref().unwrap().settled());
@@ -178,9 +187,7 @@
 /// Two machines, of which the first has been silent for longer than its lease,
 /// and a service for which one is not enough.
 fn with_a_silent_machine(seed: u64, before_lapse: impl Fn(&mut World)) -> World {
-    let mut w = World::new(seed, 2, 0.0);
-    w.run_ms = 600_000;
-    w.until(10_000, "a leader", |w| w.leader().is_some());
+    let mut w = led(seed, 2, 0.0, 600_000);
     w.submit(job(1, Kind::Service, 4));
     w.until(20_000, "running", |w| w.running("j-000001") == 4);
     w.workers[0].net = Net::Lose;
@@ -225,9 +232,7 @@
 /// once, in order, and a silent machine shows in the one that waits for it.
 #[test]
 fn the_phases_of_a_recovery_are_told_apart() {
-    let mut w = World::new(62, 4, 0.0);
-    w.run_ms = 600_000;
-    w.until(10_000, "a leader", |w| w.leader().is_some());
+    let mut w = led(62, 4, 0.0, 600_000);
     w.submit(job(1, Kind::Service, 6));
     w.until(20_000, "running", |w| w.running("j-000001") == 6);
     let old = w.leader().unwrap();
@@ -256,17 +261,11 @@
 /// away; and against taking an old list for a new one.
 #[test]
 fn a_machine_missing_from_a_list_younger_than_the_term_is_not_waited_for() {
-    let mut w = World::new(63, 3, 0.0);
-    w.run_ms = 600_000;
-    w.until(10_000, "a leader", |w| w.leader().is_some());
+    let mut w = led(63, 3, 0.0, 600_000);
     w.submit(job(1, Kind::Service, 6));
     w.until(20_000, "running", |w| w.running("j-000001") == 6);
     w.workers[1].alive = false;
-    let old = w.leader().unwrap();
-    w.crash(old, 3_000);
-    w.until(10_000, "another leads", |w| {
-        w.leader().is_some_and(|l| l != old)
-    });
+    change_leader(&mut w);
     let (i, began) = (w.leader().unwrap(), w.now);
     w.run(2_000);
     let names = |l: &Leader| {
@@ -291,9 +290,7 @@
 #[test]
 fn all_controllers_end_while_a_third_is_silent_and_comes_back_with_its_tasks() {
     for seed in 64..68 {
-        let mut w = World::new(seed, 9, 0.0);
-        w.run_ms = 600_000;
-        w.until(10_000, "a leader", |w| w.leader().is_some());
+        let mut w = led(seed, 9, 0.0, 600_000);
         w.submit(job(1, Kind::Service, 18));
         w.until(30_000, "running", |w| w.running("j-000001") == 18);
         let starts = w.starts;
@@ -313,9 +310,7 @@
 #[test]
 fn machines_thought_dead_return_after_their_replacements_run() {
     for (seed, net) in [(68, Net::Hold), (69, Net::Lose), (70, Net::Hold)] {
-        let mut w = World::new(seed, 9, 48.0);
-        w.run_ms = 600_000;
-        w.until(10_000, "a leader", |w| w.leader().is_some());
+        let mut w = led(seed, 9, 48.0, 600_000);
         w.submit(job(1, Kind::Service, 12));
         w.until(30_000, "running", |w| w.running("j-000001") == 12);
         let lost: Vec<usize> = (0..9)
@@ -343,9 +338,7 @@
 /// room is theirs when its work comes, one vast array and a flood of tiny jobs.
 #[test]
 fn guests_fill_the_room_and_make_way_for_a_team_with_a_guarantee() {
-    let mut w = World::new(71, 4, 0.0);
-    w.run_ms = 20_000;
-    w.until(10_000, "a leader", |w| w.leader().is_some());
+    let mut w = led(71, 4, 0.0, 20_000);
     let guest = |n, tasks| {
         let mut j = job(n, Kind::Array, tasks);
         j.team = "guests".into();
@@ -377,17 +370,7 @@
     let looks = |machines: u32| {
         let mut l = leader(9);
         for n in 0..machines {
-            let record = MachineRecord {
-                addr: "127.0.0.1:9".into(),
-                type_name: "m8".into(),
-                zone: "a".into(),
-                spot: false,
-                releasing: false,
-                lapsed: false,
-                quarantined: false,
-                images: Vec::new(),
-            };
-            l.load_machine(&format!("i-{n:06}"), record, 3, 0);
+            l.load_machine(&format!("i-{n:06}"), machine_record(), 3, 0);
         }
         l.load_job(record(job(1, Kind::Service, 2 * machines)), 4, 0);
         l.finish_loading(0);
@@ -424,9 +407,7 @@
 #[test]
 fn a_leader_ends_a_second_time_while_its_successor_loads() {
     for seed in 72..76 {
-        let mut w = World::new(seed, 6, 0.0);
-        w.run_ms = 600_000;
-        w.until(10_000, "a leader", |w| w.leader().is_some());
+        let mut w = led(seed, 6, 0.0, 600_000);
         w.submit(job(1, Kind::Service, 10));
         w.until(30_000, "running", |w| w.running("j-000001") == 10);
         let starts = w.starts;
@@ -456,9 +437,7 @@
 /// arrival for it must not pass the end of time.
 #[test]
 fn an_absurd_estimate_stops_nobody() {
-    let mut w = World::new(76, 1, 0.0);
-    w.run_ms = 5_000;
-    w.until(10_000, "a leader", |w| w.leader().is_some());
+    let mut w = led(76, 1, 0.0, 5_000);
     let mut absurd = due(job(1, Kind::Array, 6));
     absurd.estimate_s = 1e300;
     w.submit(absurd);
