--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -181,6 +181,7 @@
 
     /// A renewal sent at `sent` succeeded.
     pub fn renewed(&mut self, sent: Ms) {
+        self.led_at = self.led_at.max(sent);
         if let Some(l) = &mut self.lead {
             l.until = l.until.max(sent + safe(LIFE));
         }
@@ -252,4 +253,15 @@
         e.saw(None, 4000);
         assert_eq!(e.leader(4000), None);
     }
+
+    /// Guards against counting a node's own term as time without a leader, as
+    /// it reads the key of none then.
+    #[test]
+    fn while_it_leads_itself_somebody_leads() {
+        let mut e = Election::new("a", 1, 0);
+        e.won(5, 1, 1_000);
+        e.renewed(9_000);
+        e.resign();
+        assert_eq!(e.leaderless_for(10_000), 1_000);
+    }
 }
