The repository becomes a workspace: protocol and transport as packages of their own

Need: a client, stand-ins and a market broker are to speak the same types over the same HTTP without linking the scheduler.

Change: src/protocol moves to crates/protocol (types alone, without the operators' INI, which is the controller's and moves to src/options.rs), src/transport to crates/transport. The controller keeps its name, binary and run line and re-exports both under the old paths.

--- a/src/protocol/mod.rs
+++ b/crates/protocol/src/lib.rs
@@ -2,7 +2,6 @@
 //! installation's wire format uses appear here as renames and nowhere else.
 
 pub mod cloud;
-pub mod options;
 pub mod peers;
 pub mod settings;
 pub mod state;
--- a/src/transport/frames.rs
+++ b/crates/transport/src/frames.rs
@@ -1,10 +1,10 @@
 //! Length-prefixed CBOR frames between controllers.
 
 use super::{Slot, Stream, client::CallError, lanes::Lanes, within};
-use crate::protocol::peers::{Frame, MAX_FRAME, Reply, Request, VERSION};
 use anyhow::{Result, ensure};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use pathwinch_protocol::peers::{Frame, MAX_FRAME, Reply, Request, VERSION};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
     cell::{Cell, RefCell},
--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -8,9 +8,9 @@
 use pathwinch::{
     bookkeeping::records::{JobRecord, MachineRecord},
     coordination::leader::Leader,
+    options::Options,
     protocol::{
         cloud::MachineType,
-        options::Options,
         settings::Settings,
         users::{JobSpec, JobState, JobStatus},
         workers::Report,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -31,9 +31,9 @@
             final_key, job_key, machine_key,
         },
     },
+    options::{LoadResource, Options},
     protocol::{
         cloud::{ListedMachine, ListedState, MAX_RENT, MachineType, Rent},
-        options::{LoadResource, Options},
         settings::{Objective, Settings},
         state::{Guard, Txn, Write},
         status::Reason,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     bookkeeping::amounts::Amounts,
-    protocol::options::{LoadResource, Shape},
+    options::{LoadResource, Shape},
 };
 
 #[derive(Debug, Clone)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod coordination;
 pub mod node;
 pub mod operator;
-pub mod protocol;
-pub mod transport;
+pub mod options;
+
+pub use pathwinch_protocol as protocol;
+pub use pathwinch_transport as transport;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,10 +2,7 @@
 
 use anyhow::Result;
 use clap::{Args, Parser, Subcommand};
-use pathwinch::{
-    node, operator,
-    protocol::{options::Options, settings::Settings},
-};
+use pathwinch::{node, operator, options::Options, protocol::settings::Settings};
 use std::{path::PathBuf, process::ExitCode};
 
 /// A small cluster scheduler.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -25,7 +25,8 @@
     coordination::{
         bars::Bars, election::Election, leader::Leader, polls::Finals, reach::Reach, relay::Relays,
     },
-    protocol::{cloud::MachineType, options::Options, settings::Settings},
+    options::Options,
+    protocol::{cloud::MachineType, settings::Settings},
     transport::{
         client::Client,
         frames::{self, PeerClient},
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -5,8 +5,8 @@
 use pathwinch::{
     coordination::admission::never_runs,
     operator,
+    options::Options,
     protocol::{
-        options::Options,
         peers::{Frame, Reply, Request},
         settings::Settings,
         status,
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -8,9 +8,9 @@
         records::{JobRecord, MachineRecord},
     },
     coordination::leader::{CloudOp, Leader},
+    options::Options,
     protocol::{
         cloud::MachineType,
-        options::Options,
         users::{JobSpec, Kind, Priority},
     },
 };
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -28,9 +28,9 @@
         reach::{Contact, Foreman, Reach},
         relay::Relays,
     },
+    options::Options,
     protocol::{
         cloud::MachineType,
-        options::Options,
         settings::Settings,
         state::{Guard, Txn, Write},
         users::{JobSpec, JobState, JobStatus, Kind, Priority},
