--- a/src/operator.rs
+++ b/crates/client/src/operator.rs
@@ -1,12 +1,10 @@
 //! What operators ask from the command line, of any controller's `back`.
 
-use crate::{
-    protocol::{
-        peers::{Reply, Request},
-        status::Explanation,
-    },
-    transport::frames::PeerClient,
+use pathwinch_protocol::{
+    peers::{Reply, Request},
+    status::Explanation,
 };
+use pathwinch_transport::frames::PeerClient;
 use std::{net::SocketAddr, time::Duration};
 
 const LIMIT: Duration = Duration::from_secs(3);
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -40,6 +40,8 @@
 
 pub struct Answer {
     pub status: u16,
+    /// The `Retry-After` header, if it is a number of seconds.
+    pub retry_after_s: Option<u32>,
     pub body: Vec<u8>,
 }
 
@@ -151,11 +153,19 @@
                 .header("connection")
                 .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
             let status = u16::from(response.status());
+            let retry_after_s = response
+                .header("retry-after")
+                .and_then(|v| v.as_str().trim().parse().ok());
             (&mut response)
                 .take(MAX_ANSWER)
                 .read_to_end(&mut body)
                 .await?;
-            Ok::<_, http_types::Error>((Answer { status, body }, close))
+            let answer = Answer {
+                status,
+                retry_after_s,
+                body,
+            };
+            Ok::<_, http_types::Error>((answer, close))
         };
         match within(left, exchange).await {
             Some(Ok((answer, close))) => {
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -24,6 +24,7 @@
 pub struct HttpRequest {
     pub method: Method,
     pub path: String,
+    pub query: Option<String>,
     /// `None`: larger than the limit, or not received completely.
     pub body: Option<Vec<u8>>,
 }
@@ -212,6 +213,7 @@
     let request = HttpRequest {
         method: req.method(),
         path: req.url().path().to_owned(),
+        query: req.url().query().map(str::to_owned),
         body: complete.then_some(body),
     };
     Ok(Some(Received { request, close }))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 pub mod bookkeeping;
 pub mod coordination;
 pub mod node;
-pub mod operator;
 pub mod options;
 
+pub use pathwinch_client::operator;
 pub use pathwinch_protocol as protocol;
 pub use pathwinch_transport as transport;
