pathwinch-lab: an installation on loopback, with stand-ins and real controllers

Need: a new user could not try the service without a platform, and markets, gateway and agent are to be met by stand-ins that are written once.

Change: crates/lab has the state service, the cloud, workers and what lies outside the machines (images, results, checkpoints, gangs) as parts without clock or sockets, written from the protocols and bounded by the settings' limits, and `up`, which binds them to loopback beside three real controllers and starts those again that end.

--- /dev/null
+++ b/crates/lab/src/cloud.rs
@@ -0,0 +1,254 @@
+//! The cloud: rents machines by the second, lists them late.
+
+use crate::{Ms, Rate, millis, site::Site};
+use fastrand::Rng;
+use pathwinch_protocol::cloud::{
+    ListedMachine, ListedState, MAX_RENT, MachineList, MachineNames, MachineType, Rent,
+};
+use std::collections::{BTreeMap, HashMap};
+
+#[derive(Debug, Clone)]
+pub struct Rented {
+    pub type_index: usize,
+    pub zone: String,
+    pub spot: bool,
+    pub rented: Ms,
+    /// `None`: it never comes up.
+    pub up: Option<Ms>,
+    /// Where its worker listens, once it has one.
+    pub addr: String,
+    gone: Option<Ms>,
+}
+
+#[derive(Debug)]
+pub struct Cloud {
+    types: Vec<MachineType>,
+    zones: Vec<String>,
+    capacity: u32,
+    stillborn: f64,
+    lag: Ms,
+    requests: Rate,
+    machines: BTreeMap<String, Rented>,
+    /// What each request's name was answered with: it rents once.
+    answered: HashMap<String, Vec<String>>,
+    last: u64,
+    rng: Rng,
+    /// Money spent on machines that are gone.
+    spent: f64,
+}
+
+const RELEASE_MOST: usize = 100;
+const LIST_MOST: usize = 500;
+/// The least time charged for a machine that is deleted.
+const LEAST_CHARGED: Ms = 60_000;
+
+#[derive(Debug, PartialEq)]
+pub enum Refused {
+    Malformed(&'static str),
+    NoCapacity,
+}
+
+impl Cloud {
+    pub fn new(site: &Site) -> Self {
+        Cloud {
+            types: site.rigs.clone(),
+            zones: site.cluster.zones.clone(),
+            capacity: site.capacity,
+            stillborn: site.stillborn,
+            lag: millis(site.cluster.cloud.list_lag_s),
+            requests: Rate::new(site.cluster.cloud.rps, 2.0),
+            machines: BTreeMap::new(),
+            answered: HashMap::new(),
+            last: 0,
+            rng: Rng::with_seed(site.seed),
+            spent: 0.0,
+        }
+    }
+
+    pub fn admit(&mut self, now: Ms) -> bool {
+        self.requests.take(now, 1.0)
+    }
+
+    pub fn types(&self) -> &[MachineType] {
+        &self.types
+    }
+
+    pub fn type_of(&self, machine: &Rented) -> &MachineType {
+        &self.types[machine.type_index]
+    }
+
+    /// A machine that exists.
+    pub fn machine(&self, id: &str) -> Option<&Rented> {
+        self.machines.get(id).filter(|m| m.gone.is_none())
+    }
+
+    pub fn set_addr(&mut self, id: &str, addr: String) {
+        if let Some(m) = self.machines.get_mut(id) {
+            m.addr = addr;
+        }
+    }
+
+    /// Machines that are up.
+    pub fn ready(&self, now: Ms) -> Vec<String> {
+        let up = |m: &Rented| m.gone.is_none() && m.up.is_some_and(|up| up <= now);
+        let up = self.machines.iter().filter(|(_, m)| up(m));
+        up.map(|(id, _)| id.clone()).collect()
+    }
+
+    pub fn present(&self) -> usize {
+        self.machines.values().filter(|m| m.gone.is_none()).count()
+    }
+
+    pub fn rent(&mut self, rent: &Rent, now: Ms) -> Result<Vec<String>, Refused> {
+        if let Some(names) = self.answered.get(&rent.request) {
+            return Ok(names.clone());
+        }
+        let Some(type_index) = self.types.iter().position(|t| t.name == rent.type_name) else {
+            return Err(Refused::Malformed("rig: unknown"));
+        };
+        let t = &self.types[type_index];
+        if !t.zones.contains(&rent.zone) || !self.zones.contains(&rent.zone) {
+            return Err(Refused::Malformed("hall: not one of this rig's"));
+        }
+        if rent.count == 0 || rent.count > MAX_RENT {
+            return Err(Refused::Malformed("count: must be 1 to 50"));
+        }
+        let taken = self.machines.values().filter(|m| {
+            m.gone.is_none()
+                && m.type_index == type_index
+                && m.zone == rent.zone
+                && m.spot == rent.spot
+        });
+        let free = self.capacity.saturating_sub(taken.count() as u32);
+        if free == 0 {
+            return Err(Refused::NoCapacity);
+        }
+        let boot = millis(t.boot_s) as f64;
+        let mut names = Vec::new();
+        for _ in 0..rent.count.min(free) {
+            self.last += 1;
+            let id = format!("i-{:06}", self.last);
+            let never = self.rng.f64() < self.stillborn;
+            let after = boot * (0.6 + 0.9 * self.rng.f64());
+            self.machines.insert(
+                id.clone(),
+                Rented {
+                    type_index,
+                    zone: rent.zone.clone(),
+                    spot: rent.spot,
+                    rented: now,
+                    up: (!never).then_some(now + after as Ms),
+                    addr: String::new(),
+                    gone: None,
+                },
+            );
+            names.push(id);
+        }
+        self.answered.insert(rent.request.clone(), names.clone());
+        Ok(names)
+    }
+
+    /// Returns those that were there and are gone now.
+    pub fn release(&mut self, names: &MachineNames, now: Ms) -> Result<Vec<String>, Refused> {
+        if names.machines.len() > RELEASE_MOST {
+            return Err(Refused::Malformed("posts: at most 100"));
+        }
+        let mut gone = Vec::new();
+        for id in &names.machines {
+            let Some(m) = self.machines.get_mut(id).filter(|m| m.gone.is_none()) else {
+                continue;
+            };
+            m.gone = Some(now);
+            let price = self.types[m.type_index].price_of(m.spot);
+            let charged = now.saturating_sub(m.rented).max(LEAST_CHARGED);
+            self.spent += price * charged as f64 / 3_600_000.0;
+            gone.push(id.clone());
+        }
+        // What the list no longer shows is forgotten.
+        let horizon = now.saturating_sub(4 * self.lag + 60_000);
+        self.machines
+            .retain(|_, m| m.gone.is_none_or(|gone| gone > horizon));
+        Ok(gone)
+    }
+
+    /// As things stood a while ago.
+    pub fn list(&self, from: &str, most: usize, now: Ms) -> MachineList {
+        let then = now.saturating_sub(self.lag);
+        let mut machines = Vec::new();
+        for (id, m) in self.machines.range(from.to_owned()..) {
+            if id.as_str() <= from || m.rented > then || m.gone.is_some_and(|g| g <= then) {
+                continue;
+            }
+            if machines.len() >= most.clamp(1, LIST_MOST) {
+                return MachineList {
+                    machines,
+                    more: true,
+                };
+            }
+            let up = m.up.is_some_and(|up| up <= then) && !m.addr.is_empty();
+            machines.push(ListedMachine {
+                id: id.clone(),
+                addr: m.addr.clone(),
+                type_name: self.types[m.type_index].name.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                state: match up {
+                    true => ListedState::Running,
+                    false => ListedState::Booting,
+                },
+                age_s: then.saturating_sub(m.rented) as f64 / 1000.0,
+            });
+        }
+        MachineList {
+            machines,
+            more: false,
+        }
+    }
+
+    /// Money spent so far, in the units of the price list.
+    pub fn spent(&self, now: Ms) -> f64 {
+        let running = self.machines.values().filter(|m| m.gone.is_none());
+        let cost = |m: &Rented| {
+            let price = self.types[m.type_index].price_of(m.spot);
+            price * now.saturating_sub(m.rented) as f64 / 3_600_000.0
+        };
+        self.spent + running.map(cost).sum::<f64>()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rent(cloud: &mut Cloud, name: &str, count: u32, now: Ms) -> Result<usize, Refused> {
+        let rent = Rent {
+            request: name.into(),
+            type_name: "m8".into(),
+            zone: "a".into(),
+            spot: false,
+            count,
+        };
+        cloud.rent(&rent, now).map(|names| names.len())
+    }
+
+    #[test]
+    fn a_request_rents_once_within_capacity_and_the_list_is_late() {
+        let mut cloud = Cloud::new(&Site::default());
+        assert_eq!(rent(&mut cloud, "r-1", 15, 0), Ok(15));
+        assert_eq!(rent(&mut cloud, "r-1", 15, 0), Ok(15), "the same answer");
+        assert_eq!(cloud.present(), 15);
+        assert_eq!(rent(&mut cloud, "r-2", 15, 0), Ok(5), "what there is");
+        assert_eq!(rent(&mut cloud, "r-3", 1, 0), Err(Refused::NoCapacity));
+        let listed = cloud.list("i-000018", 500, 2000).machines;
+        assert_eq!(listed.len(), 2, "after the eighteenth");
+        let names = MachineNames {
+            machines: vec!["i-000001".into(), "i-999999".into()],
+        };
+        assert_eq!(cloud.release(&names, 3000), Ok(vec!["i-000001".into()]));
+        assert_eq!(cloud.list("", 1, 3500).machines[0].id, "i-000001", "still");
+        assert_eq!(cloud.list("", 1, 5000).machines[0].id, "i-000002");
+        // One machine at 0.4 an hour is charged a minute, 19 by the second.
+        let minute = 0.4 / 60.0;
+        assert!((cloud.spent(60_000) - 20.0 * minute).abs() < 1e-9);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,109 @@
+//! Command line of the lab.
+
+use anyhow::{Context, Result};
+use async_signal::{Signal, Signals};
+use clap::{Args, Parser, Subcommand};
+use futures_lite::StreamExt;
+use pathwinch_lab::{
+    site::Site,
+    up::{self, Addresses},
+};
+use std::{path::PathBuf, process::ExitCode};
+
+/// A whole installation on this machine: stand-ins of the state service, the
+/// cloud and workers, and real controllers.
+#[derive(Parser)]
+#[command(name = "pathwinch-lab", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Start everything on loopback and run until Ctrl-C.
+    Up(Up),
+    /// Print the site that `up` uses when it is given none, to be edited.
+    Site,
+}
+
+#[derive(Args)]
+struct Up {
+    /// The site, as JSON (see `pathwinch-lab site`).
+    #[arg(long, value_name = "FILE")]
+    site: Option<PathBuf>,
+    /// The controllers' program; by default the one beside this.
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+    /// Where the controllers' settings and logs go; by default a directory of
+    /// its own among the system's temporary files.
+    #[arg(long, value_name = "DIR")]
+    dir: Option<PathBuf>,
+    /// Print the addresses as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+fn tell(addresses: &Addresses, json: bool) {
+    use std::io::Write;
+    let mut out = std::io::stdout().lock();
+    if json {
+        let text = serde_json::to_string(addresses).unwrap_or_default();
+        let _ = writeln!(out, "{text}");
+        let _ = out.flush();
+        return;
+    }
+    let _ = writeln!(out, "users         {}", addresses.users);
+    for (name, listen, back) in &addresses.controllers {
+        let _ = writeln!(out, "{name:<13} listen {listen}, back {back}");
+    }
+    let _ = writeln!(out, "state service {}", addresses.state);
+    let _ = writeln!(out, "cloud         {}", addresses.cloud);
+    let _ = writeln!(out, "settings, logs {}", addresses.dir.display());
+    let _ = writeln!(
+        out,
+        "\nTry: pathwinch submit examples/job.json --wait --at {}\nCtrl-C ends everything.",
+        addresses.users
+    );
+    let _ = out.flush();
+}
+
+fn start(cli: Cli) -> Result<()> {
+    let Command::Up(asked) = cli.command else {
+        println!("{}", serde_json::to_string_pretty(&Site::default())?);
+        return Ok(());
+    };
+    let site = match &asked.site {
+        Some(path) => Site::load(path)?,
+        None => Site::default(),
+    };
+    let program = match asked.program {
+        Some(path) => path,
+        None => up::program_beside()?,
+    };
+    let own = format!("pathwinch-lab-{}", std::process::id());
+    let dir = asked.dir.unwrap_or_else(|| std::env::temp_dir().join(own));
+    let mut signals =
+        Signals::new([Signal::Int, Signal::Term]).context("signals can't be received")?;
+    let over = async {
+        signals.next().await;
+    };
+    up::run(site, program, dir, |a| tell(a, asked.json), over)
+}
+
+fn main() -> ExitCode {
+    let env = env_logger::Env::new().filter_or("LOG_LEVEL", "warn");
+    env_logger::Builder::from_env(env)
+        .format(|out, record| {
+            use std::io::Write;
+            writeln!(out, "{} {}", record.level(), record.args())
+        })
+        .init();
+    match start(Cli::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("pathwinch-lab: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/worker.rs
@@ -0,0 +1,541 @@
+//! One worker: what it reports, how it takes commands, what its tasks do.
+
+use crate::{
+    Ms,
+    depot::{Depot, GangState},
+    millis,
+};
+use pathwinch_protocol::{
+    cloud::MachineType,
+    settings::Workers,
+    users::Kind,
+    workers::{Command, DirectOrder, Report, ReportedTask, TaskState, Why},
+};
+use std::collections::VecDeque;
+
+#[derive(Debug)]
+struct Task {
+    name: String,
+    attempt: u64,
+    state: TaskState,
+    why: Option<Why>,
+    saved: bool,
+    /// When it came into this state.
+    since: Ms,
+    /// When what it does now is over, for fetching, running and saving.
+    until: Ms,
+}
+
+impl Task {
+    fn is(&self, name: &str, attempt: u64) -> bool {
+        self.name == name && self.attempt == attempt
+    }
+
+    fn live(&self) -> bool {
+        self.state != TaskState::Exited
+    }
+}
+
+/// Images kept on a machine.
+const CACHED: usize = 16;
+/// Commands taken from one answer.
+const MOST_ORDERS: usize = 10_000;
+
+pub struct Worker {
+    pub id: String,
+    pub addr: String,
+    rig: MachineType,
+    zone: String,
+    spot: bool,
+    limits: Workers,
+    session: u64,
+    seq: u64,
+    token: u64,
+    /// From when the lease counts.
+    renewed: Ms,
+    tasks: Vec<Task>,
+    images: VecDeque<String>,
+    /// The state service of changes: something is to be reported.
+    changed: bool,
+    reported: Ms,
+    next: Ms,
+}
+
+impl Worker {
+    pub fn new(
+        id: &str,
+        addr: String,
+        rig: MachineType,
+        zone: &str,
+        spot: bool,
+        limits: Workers,
+        now: Ms,
+    ) -> Self {
+        Worker {
+            id: id.to_owned(),
+            addr,
+            rig,
+            zone: zone.to_owned(),
+            spot,
+            limits,
+            session: 1,
+            seq: 0,
+            token: 0,
+            renewed: now,
+            tasks: Vec::new(),
+            images: VecDeque::new(),
+            changed: true,
+            reported: 0,
+            next: now,
+        }
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            addr: self.addr.clone(),
+            type_name: self.rig.name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|t| ReportedTask {
+                    task: t.name.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    why: t.why,
+                    saved: t.saved,
+                })
+                .collect(),
+        }
+    }
+
+    /// Whether a report is to be sent now; `chance` from 0 to 1 spreads the
+    /// next one.
+    pub fn report_due(&mut self, now: Ms, chance: f64) -> bool {
+        let due = now >= self.next || (self.changed && now >= self.reported + 500);
+        if due {
+            let every = self.limits.report_s * (0.75 + 0.5 * chance);
+            self.next = now + millis(every);
+            self.reported = now;
+            self.changed = false;
+        }
+        due
+    }
+
+    /// The answer to a report that was sent at `sent`, in session `session`.
+    /// Returns whether it counts.
+    pub fn answered(
+        &mut self,
+        sent: Ms,
+        session: u64,
+        token: u64,
+        commands: Vec<Command>,
+        depot: &mut Depot,
+        now: Ms,
+    ) -> bool {
+        if session != self.session || !self.saw(token) {
+            return false;
+        }
+        self.renewed = self.renewed.max(sent);
+        self.execute(commands, depot, now);
+        true
+    }
+
+    fn saw(&mut self, token: u64) -> bool {
+        if token < self.token {
+            return false;
+        }
+        if token > self.token {
+            self.token = token;
+            self.changed = true;
+        }
+        true
+    }
+
+    /// A direct order. Returns the status; the body is the report.
+    pub fn ordered(&mut self, order: DirectOrder, depot: &mut Depot, now: Ms) -> (u16, Report) {
+        let fits = order.session == self.session && self.saw(order.token);
+        if fits {
+            self.execute(order.commands, depot, now);
+        }
+        (if fits { 200 } else { 409 }, self.report())
+    }
+
+    fn execute(&mut self, commands: Vec<Command>, depot: &mut Depot, now: Ms) {
+        for command in commands.into_iter().take(MOST_ORDERS) {
+            self.changed = true;
+            match command {
+                Command::Start { task, attempt } => self.launch(task, attempt, depot, now),
+                Command::Stop {
+                    task,
+                    attempt,
+                    grace_s,
+                } => self.halt(&task, attempt, millis(grace_s), depot, now),
+                Command::Forget { task, attempt } => {
+                    self.tasks.retain(|t| t.live() || !t.is(&task, attempt));
+                }
+            }
+        }
+    }
+
+    fn free(&self, depot: &Depot) -> (f64, f64, f64) {
+        let all = (self.rig.cpus, self.rig.gpus, self.rig.memory_gb);
+        let live = self.tasks.iter().filter(|t| t.live());
+        live.filter_map(|t| depot.spec(&t.name))
+            .fold(all, |(c, g, m), s| {
+                (c - s.cpus, g - s.gpus, m - s.memory_gb)
+            })
+    }
+
+    fn launch(&mut self, name: String, attempt: u64, depot: &mut Depot, now: Ms) {
+        if self.tasks.iter().any(|t| t.is(&name, attempt)) {
+            return;
+        }
+        let (cpus, gpus, memory) = self.free(depot);
+        const SLACK: f64 = 1e-6;
+        let refused = match depot.spec(&name) {
+            _ if self.tasks.iter().any(|t| t.live() && t.name == name) => Some(Why::Busy),
+            None => Some(Why::Unknown),
+            Some(s)
+                if s.cpus > cpus + SLACK
+                    || s.gpus > gpus + SLACK
+                    || s.memory_gb > memory + SLACK =>
+            {
+                Some(Why::NoRoom)
+            }
+            Some(_) => None,
+        };
+        let fetch = match depot.spec(&name) {
+            Some(s) if !self.images.contains(&s.image) => {
+                millis(s.image_gb / self.rig.fetch_gb_per_s)
+            }
+            _ => 0,
+        };
+        // A fetch that is under way serves this task too.
+        let image = depot.spec(&name).map(|s| s.image.clone());
+        let under_way = self
+            .tasks
+            .iter()
+            .filter(|t| t.state == TaskState::Fetching)
+            .find(|t| depot.spec(&t.name).map(|s| &s.image) == image.as_ref())
+            .map(|t| t.until);
+        self.tasks.push(Task {
+            name,
+            attempt,
+            state: match refused {
+                Some(_) => TaskState::Exited,
+                None => TaskState::Fetching,
+            },
+            why: refused,
+            saved: false,
+            since: now,
+            until: under_way.unwrap_or(now + fetch),
+        });
+    }
+
+    fn halt(&mut self, name: &str, attempt: u64, grace: Ms, depot: &mut Depot, now: Ms) {
+        let Some(i) = self
+            .tasks
+            .iter()
+            .position(|t| t.live() && t.is(name, attempt))
+        else {
+            return;
+        };
+        let Some(spec) = depot.spec(name).cloned() else {
+            return;
+        };
+        let save = millis(spec.save_s);
+        let saves = self.tasks[i].state == TaskState::Running
+            && spec.checkpoint_s > 0.0
+            && spec.kind != Kind::Service
+            && grace >= save;
+        match self.tasks[i].state {
+            TaskState::Saving if grace > 0 => {}
+            _ if saves => {
+                if spec.kind == Kind::Gang {
+                    depot.gang_stops(name, attempt, now);
+                }
+                let task = &mut self.tasks[i];
+                // How long it had run is needed when it has saved.
+                task.state = TaskState::Saving;
+                task.until = now + save;
+                task.since = now.saturating_sub(task.since);
+            }
+            _ => self.exit(i, Why::Stopped, depot, now),
+        }
+    }
+
+    /// A task ends on this machine, however it came to it.
+    fn exit(&mut self, i: usize, why: Why, depot: &mut Depot, now: Ms) {
+        let task = &mut self.tasks[i];
+        let kind = depot.spec(&task.name).map(|s| s.kind);
+        let was = task.state;
+        task.state = TaskState::Exited;
+        task.why = Some(why);
+        self.changed = true;
+        let name = task.name.clone();
+        if why == Why::Done {
+            depot.finish(&name);
+        } else if kind == Some(Kind::Gang) {
+            if !matches!(was, TaskState::Fetching) && !task.saved {
+                depot.gang_lost(&name, task.attempt, now);
+            }
+        } else if was == TaskState::Running {
+            depot.ran(&name, now.saturating_sub(task.since), false);
+        }
+        depot.leaves(&name, &self.id);
+    }
+
+    /// Lets time pass: tasks go on, the lease may lapse.
+    pub fn step(&mut self, depot: &mut Depot, now: Ms) {
+        if now > self.renewed + millis(self.limits.lease_s) {
+            self.lapse(depot, now);
+        }
+        for i in 0..self.tasks.len() {
+            self.advance(i, depot, now);
+        }
+    }
+
+    fn lapse(&mut self, depot: &mut Depot, now: Ms) {
+        self.lose_all(depot, now);
+        self.tasks.clear();
+        self.session += 1;
+        self.renewed = now;
+        self.changed = true;
+    }
+
+    /// Everything on it is gone, as when the machine is deleted.
+    pub fn lose_all(&mut self, depot: &mut Depot, now: Ms) {
+        for i in 0..self.tasks.len() {
+            if self.tasks[i].live() {
+                self.exit(i, Why::Stopped, depot, now);
+            }
+        }
+    }
+
+    fn advance(&mut self, i: usize, depot: &mut Depot, now: Ms) {
+        let (name, attempt) = (self.tasks[i].name.clone(), self.tasks[i].attempt);
+        let Some(kind) = depot.spec(&name).map(|s| s.kind) else {
+            return;
+        };
+        match self.tasks[i].state {
+            TaskState::Fetching if now >= self.tasks[i].until => {
+                self.has_image(i, kind, depot, now);
+            }
+            TaskState::Waiting => match depot.gang_state(&name, attempt, now) {
+                GangState::Waiting => {
+                    let wait = millis(self.limits.gang_wait_s);
+                    if now > self.tasks[i].since + wait {
+                        self.exit(i, Why::Alone, depot, now);
+                    }
+                }
+                GangState::Running => self.becomes(i, TaskState::Running, now),
+                GangState::Done => self.exit(i, Why::Done, depot, now),
+                GangState::PeersGone => self.exit(i, Why::Peers, depot, now),
+            },
+            TaskState::Running if kind == Kind::Gang => {
+                match depot.gang_state(&name, attempt, now) {
+                    GangState::Done => self.exit(i, Why::Done, depot, now),
+                    GangState::PeersGone => self.exit(i, Why::Peers, depot, now),
+                    GangState::Running | GangState::Waiting => {}
+                }
+            }
+            TaskState::Running if now >= self.tasks[i].until => {
+                self.exit(i, Why::Done, depot, now);
+            }
+            TaskState::Saving if now >= self.tasks[i].until => self.saved(i, kind, depot, now),
+            _ => {}
+        }
+    }
+
+    fn becomes(&mut self, i: usize, state: TaskState, now: Ms) {
+        self.tasks[i].state = state;
+        self.tasks[i].since = now;
+        self.changed = true;
+    }
+
+    fn has_image(&mut self, i: usize, kind: Kind, depot: &mut Depot, now: Ms) {
+        let (name, attempt) = (self.tasks[i].name.clone(), self.tasks[i].attempt);
+        if let Some(image) = depot.spec(&name).map(|s| s.image.clone()) {
+            self.images.retain(|o| *o != image);
+            self.images.push_back(image);
+            if self.images.len() > CACHED {
+                self.images.pop_front();
+            }
+        }
+        if depot.is_finished(&name) {
+            return self.exit(i, Why::Done, depot, now);
+        }
+        depot.arrives(&name, &self.id, now);
+        if depot.fails(&name) {
+            return self.exit(i, Why::Error, depot, now);
+        }
+        if kind == Kind::Gang {
+            self.becomes(i, TaskState::Waiting, now);
+            depot.gathers(&name, attempt, now);
+        } else {
+            self.becomes(i, TaskState::Running, now);
+            self.tasks[i].until = depot.left_ms(&name).map_or(Ms::MAX, |left| now + left);
+        }
+    }
+
+    fn saved(&mut self, i: usize, kind: Kind, depot: &mut Depot, now: Ms) {
+        let (name, attempt) = (self.tasks[i].name.clone(), self.tasks[i].attempt);
+        if kind == Kind::Gang {
+            match depot.gang_saved(&name, attempt, now) {
+                Some(true) => self.tasks[i].saved = true,
+                Some(false) => return self.exit(i, Why::Peers, depot, now),
+                None => return,
+            }
+        } else {
+            let ran = self.tasks[i].since;
+            depot.ran(&name, ran, true);
+            self.tasks[i].saved = true;
+        }
+        self.exit(i, Why::Stopped, depot, now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::site::Site;
+    use pathwinch_protocol::users::{JobSpec, Priority};
+
+    fn job(kind: Kind, tasks: u32) -> JobSpec {
+        JobSpec {
+            id: "j-000001".into(),
+            class: "c".into(),
+            team: "orders".into(),
+            kind,
+            priority: Priority::Normal,
+            tasks,
+            cpus: 4.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "img".into(),
+            image_gb: 2.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 10.0,
+            checkpoint_s: 2.0,
+            save_s: 1.0,
+            deadline_s: None,
+        }
+    }
+
+    fn worker(id: &str, now: Ms) -> Worker {
+        let site = Site::default();
+        let rig = site.rigs[0].clone();
+        Worker::new(
+            id,
+            String::new(),
+            rig,
+            "a",
+            false,
+            site.cluster.workers,
+            now,
+        )
+    }
+
+    fn start(task: &str) -> Vec<Command> {
+        vec![Command::Start {
+            task: task.into(),
+            attempt: 1,
+        }]
+    }
+
+    fn halt(task: &str, grace_s: f64) -> Vec<Command> {
+        vec![Command::Stop {
+            task: task.into(),
+            attempt: 1,
+            grace_s,
+        }]
+    }
+
+    fn depot(spec: &JobSpec) -> Depot {
+        let mut depot = Depot::new(1, 0.0, 5_000, 20_000);
+        depot.upload(spec);
+        depot
+    }
+
+    fn states(w: &mut Worker) -> Vec<(TaskState, Option<Why>)> {
+        let report = w.report();
+        report.tasks.iter().map(|t| (t.state, t.why)).collect()
+    }
+
+    #[test]
+    fn a_task_fetches_runs_saves_and_goes_on_from_there() {
+        let mut d = depot(&job(Kind::Array, 4));
+        let mut w = worker("i-1", 0);
+        assert!(w.answered(0, 1, 7, start("j-000001/0"), &mut d, 0));
+        // Two tasks fill its 8 cores; a third is refused, as is an unknown one.
+        w.answered(0, 1, 7, start("j-000001/1"), &mut d, 0);
+        w.answered(0, 1, 7, start("j-000001/2"), &mut d, 0);
+        w.answered(0, 1, 7, start("j-000001/9"), &mut d, 0);
+        w.step(&mut d, 1000);
+        let seen = states(&mut w);
+        assert_eq!(seen[0].0, TaskState::Running);
+        assert_eq!(seen[2], (TaskState::Exited, Some(Why::NoRoom)));
+        assert_eq!(seen[3], (TaskState::Exited, Some(Why::Unknown)));
+        let all = d.left_ms("j-000001/0").unwrap();
+        w.answered(1000, 1, 7, halt("j-000001/0", 5.0), &mut d, 4000);
+        w.answered(1000, 1, 7, halt("j-000001/1", 0.0), &mut d, 4000);
+        w.step(&mut d, 5000);
+        assert_eq!(d.left_ms("j-000001/0"), Some(all - 3000), "saved as it was");
+        let seen = w.report();
+        assert!(seen.tasks[0].saved && !seen.tasks[1].saved);
+        assert!(
+            !w.answered(4000, 1, 6, start("j-000001/3"), &mut d, 5000),
+            "old token"
+        );
+    }
+
+    #[test]
+    fn a_gang_starts_together_and_falls_back_when_a_machine_is_lost() {
+        let mut d = depot(&job(Kind::Gang, 2));
+        let (mut one, mut two) = (worker("i-1", 0), worker("i-2", 0));
+        one.answered(0, 1, 1, start("j-000001/0"), &mut d, 0);
+        one.step(&mut d, 1000);
+        assert_eq!(states(&mut one)[0].0, TaskState::Waiting);
+        two.answered(0, 1, 1, start("j-000001/1"), &mut d, 2000);
+        two.step(&mut d, 3000);
+        one.step(&mut d, 3000);
+        assert_eq!(states(&mut one)[0].0, TaskState::Running);
+        let all = d.left_ms("j-000001/0").unwrap();
+        // The second machine's lease lapses; it had run for 3 s of 2 s steps.
+        one.renewed = 31_000;
+        two.lose_all(&mut d, 6000);
+        one.step(&mut d, 8000);
+        assert_eq!(states(&mut one)[0].0, TaskState::Running, "not noticed yet");
+        one.step(&mut d, 8500);
+        assert_eq!(states(&mut one)[0].1, Some(Why::Peers));
+        assert_eq!(d.left_ms("j-000001/0"), Some(all - 2000));
+        assert!(d.broken().is_empty());
+    }
+
+    #[test]
+    fn a_lapsed_lease_kills_and_a_task_in_two_places_is_noticed() {
+        let mut d = depot(&job(Kind::Service, 1));
+        let (mut one, mut two) = (worker("i-1", 0), worker("i-2", 0));
+        one.answered(0, 1, 1, start("j-000001/0"), &mut d, 0);
+        one.step(&mut d, 1000);
+        two.answered(0, 1, 1, start("j-000001/0"), &mut d, 1000);
+        two.step(&mut d, 2000);
+        assert_eq!(d.broken().len(), 1, "the checker sees it");
+        one.step(&mut d, 31_000);
+        assert_eq!(one.session, 2);
+        assert!(states(&mut one).is_empty());
+        assert!(!one.answered(0, 1, 1, start("j-000001/0"), &mut d, 31_000));
+    }
+}
--- a/crates/protocol/src/cloud.rs
+++ b/crates/protocol/src/cloud.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct MachineType {
     #[serde(rename = "sku")]
     pub name: String,
@@ -30,7 +30,7 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct MachineTypes {
     #[serde(rename = "rigs")]
     pub types: Vec<MachineType>,
@@ -39,7 +39,7 @@
 /// Machines that one rental may ask for.
 pub const MAX_RENT: u32 = 50;
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Rent {
     #[serde(rename = "hire_ask")]
     pub request: String,
@@ -58,7 +58,7 @@
     pub machines: Vec<String>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
 pub enum ListedState {
     #[serde(rename = "booting")]
     Booting,
@@ -68,7 +68,7 @@
     Failed,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct ListedMachine {
     #[serde(rename = "ref")]
     pub id: String,
@@ -86,7 +86,7 @@
     pub age_s: f64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct MachineList {
     #[serde(rename = "posts")]
     pub machines: Vec<ListedMachine>,
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -1,10 +1,10 @@
 //! The platform's JSON settings file, read once at the start and checked.
 
 use anyhow::{Context, Result, ensure};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, path::Path};
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Settings {
     #[serde(rename = "host_name")]
     pub name: String,
@@ -20,7 +20,7 @@
     pub cluster: Cluster,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Peer {
     #[serde(rename = "host_name")]
     pub name: String,
@@ -31,13 +31,13 @@
     pub addr: SocketAddr,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Services {
     pub cloud: SocketAddr,
     pub state: SocketAddr,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Cluster {
     pub zones: Vec<String>,
     pub teams: Vec<Team>,
@@ -49,7 +49,7 @@
     pub quota: Quota,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Team {
     pub name: String,
     /// Guaranteed amounts; 0 is no guarantee.
@@ -66,7 +66,7 @@
 
 /// An aim as the operators state it. Only `kind`, the class and the times
 /// matter to scheduling.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Objective {
     pub kind: String,
     #[serde(default)]
@@ -78,7 +78,7 @@
     pub times: Option<f64>,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Workers {
     pub report_s: f64,
     pub lease_s: f64,
@@ -87,7 +87,7 @@
     pub cancel_s: f64,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct StateLimits {
     pub rps: f64,
     pub write_rps: f64,
@@ -95,13 +95,13 @@
     pub txn_ops: usize,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct CloudLimits {
     pub rps: f64,
     pub list_lag_s: f64,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Quota {
     #[serde(rename = "max_sockets")]
     pub max_connections: usize,
--- a/crates/protocol/src/state.rs
+++ b/crates/protocol/src/state.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Item {
     pub key: String,
     #[serde(rename = "data")]
@@ -12,7 +12,7 @@
     pub version: u64,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Page {
     #[serde(rename = "rows")]
     pub items: Vec<Item>,
@@ -22,7 +22,7 @@
     pub revision: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct Watched {
     #[serde(rename = "ledger_rev")]
     pub revision: u64,
@@ -30,21 +30,21 @@
     pub events: Vec<Event>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct Event {
     /// Absent when the key was deleted.
     #[serde(rename = "set", default)]
     pub put: Option<String>,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Guard {
     pub key: String,
     #[serde(rename = "key_rev")]
     pub version: u64,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Write {
     Put {
@@ -61,15 +61,15 @@
     },
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize, Default)]
+#[derive(Debug, Clone, PartialEq, Serialize, Default, Deserialize)]
 pub struct Txn {
-    #[serde(rename = "guards")]
+    #[serde(rename = "guards", default)]
     pub guards: Vec<Guard>,
-    #[serde(rename = "writes")]
+    #[serde(rename = "writes", default)]
     pub writes: Vec<Write>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct Revision {
     #[serde(rename = "ledger_rev")]
     pub revision: u64,
@@ -77,7 +77,7 @@
     pub failed: Vec<String>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct LeaseGranted {
     #[serde(rename = "hold")]
     pub lease: u64,
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -89,7 +89,23 @@
     F: Fn(HttpRequest) -> Fut + 'static,
     Fut: Future<Output = HttpResponse> + 'static,
 {
-    let listener = Async::<TcpListener>::bind(addr)?;
+    let listener = TcpListener::bind(addr)?;
+    serve_on(lanes, listener, limits, handler).await
+}
+
+/// The same on a listener that stands already, such as one on a port that the
+/// system chose.
+pub async fn serve_on<F, Fut>(
+    lanes: Rc<Lanes>,
+    listener: TcpListener,
+    limits: Limits,
+    handler: F,
+) -> std::io::Result<()>
+where
+    F: Fn(HttpRequest) -> Fut + 'static,
+    Fut: Future<Output = HttpResponse> + 'static,
+{
+    let listener = Async::new(listener)?;
     let used = Rc::new(Cell::new(0));
     let most = limits.connections;
     let server = Rc::new(Server {
