--- /dev/null
+++ b/crates/market/src/clock.rs
@@ -0,0 +1,214 @@
+//! A market's clock as seen from here, and how long what was awarded there
+//! may run.
+//!
+//! Everything at a market runs under one tenancy, which it ends by its own
+//! steady clock. The home keeps a horizon, in its own time of day: a bound
+//! written durably before each renewal, after which nothing awarded there can
+//! be running, whether or not an answer ever came.
+
+use crate::{Ms, wire::Until};
+
+/// Steady clocks of two machines drift apart by up to this share.
+const DRIFT: f64 = 0.0005;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reading {
+    pub epoch: u64,
+    pub clock_ms: u64,
+    /// When the request for it was sent and its answer received, here.
+    pub sent: Ms,
+    pub received: Ms,
+}
+
+/// What a new reading shows.
+#[derive(Debug, PartialEq)]
+pub enum Look {
+    Fine,
+    /// The market has lost what it knew.
+    NewEpoch,
+    /// The clock went back or runs slower than any drift: what it says of
+    /// time can't be relied on.
+    Wrong,
+}
+
+#[derive(Debug, Default)]
+pub struct Clock {
+    last: Option<Reading>,
+    /// Its readings contradict each other within this epoch.
+    wrong: Option<u64>,
+}
+
+impl Clock {
+    pub fn reading(&self) -> Option<&Reading> {
+        self.last.as_ref()
+    }
+
+    /// May its clock be relied on?
+    pub fn sound(&self) -> bool {
+        match (&self.last, self.wrong) {
+            (Some(r), Some(epoch)) => r.epoch != epoch,
+            (Some(_), None) => true,
+            (None, _) => false,
+        }
+    }
+
+    pub fn read(&mut self, new: Reading) -> Look {
+        let Some(old) = self.last else {
+            self.last = Some(new);
+            return Look::Fine;
+        };
+        if new.sent < old.sent {
+            // An answer that was overtaken says nothing new.
+            return Look::Fine;
+        }
+        if new.epoch != old.epoch {
+            self.last = Some(new);
+            return Look::NewEpoch;
+        }
+        // At least this much passed between the two readings at the market.
+        let least = new.sent.saturating_sub(old.received) as f64 * (1.0 - DRIFT);
+        let passed = new.clock_ms as f64 - old.clock_ms as f64;
+        if passed + 1.0 < least {
+            self.wrong = Some(new.epoch);
+            return Look::Wrong;
+        }
+        self.last = Some(new);
+        Look::Fine
+    }
+
+    /// A time `from_now` ahead on the market's clock: never later there than
+    /// meant, as the reading is not younger than its receipt.
+    pub fn ahead(&self, now: Ms, from_now: Ms) -> Option<Until> {
+        let r = self.last.filter(|_| self.sound())?;
+        let since = now.saturating_sub(r.received) as f64 * (1.0 - DRIFT);
+        Some(Until {
+            epoch: r.epoch,
+            clock_ms: r.clock_ms + since as u64 + from_now,
+        })
+    }
+
+    /// Whether the market's own clock has surely passed that time.
+    pub fn passed(&self, until: &Until) -> bool {
+        self.last
+            .is_some_and(|r| r.epoch == until.epoch && r.clock_ms > until.clock_ms)
+    }
+}
+
+/// How long what runs at a market may run.
+#[derive(Debug)]
+pub struct Tenancy {
+    /// How far ahead each renewal reaches.
+    life_ms: Ms,
+    /// By how much the time of day may differ between brokers.
+    bound_ms: Ms,
+    /// Durable: nothing runs there after this.
+    horizon: Ms,
+    /// The horizon that is being written, if any.
+    writing: Option<Ms>,
+}
+
+impl Tenancy {
+    pub fn new(life_ms: Ms, bound_ms: Ms, horizon: Ms) -> Self {
+        Tenancy {
+            life_ms,
+            bound_ms,
+            horizon,
+            writing: None,
+        }
+    }
+
+    pub fn horizon(&self) -> Ms {
+        self.horizon
+    }
+
+    /// When a renewal that is granted now has surely ended.
+    fn ends(&self, now: Ms) -> Ms {
+        now + (self.life_ms as f64 * (1.0 + 2.0 * DRIFT)) as Ms + 1
+    }
+
+    /// A horizon to be written first, if renewals would soon go beyond the
+    /// one that is durable: it reaches further, so that it is written seldom.
+    pub fn to_write(&mut self, now: Ms) -> Option<Ms> {
+        if self.writing.is_some() || self.ends(now) + self.life_ms / 4 <= self.horizon {
+            return None;
+        }
+        let wanted = self.ends(now) + self.life_ms;
+        self.writing = Some(wanted);
+        Some(wanted)
+    }
+
+    /// It is durable now.
+    pub fn written(&mut self, horizon: Ms) {
+        self.horizon = self.horizon.max(horizon);
+        self.writing = None;
+    }
+
+    /// Until when a renewal may be granted, on the market's clock.
+    pub fn renewal(&self, clock: &Clock, now: Ms) -> Option<Until> {
+        if self.ends(now) > self.horizon {
+            return None;
+        }
+        clock.ahead(now, self.life_ms)
+    }
+
+    /// Nothing that was awarded there can be running.
+    pub fn over(&self, now: Ms) -> bool {
+        self.writing.is_none() && now > self.horizon + self.bound_ms
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn reading(epoch: u64, clock_ms: u64, at: Ms) -> Reading {
+        Reading {
+            epoch,
+            clock_ms,
+            sent: at,
+            received: at + 100,
+        }
+    }
+
+    #[test]
+    fn a_clock_that_goes_back_or_crawls_is_not_relied_on() {
+        let mut c = Clock::default();
+        assert_eq!(c.read(reading(1, 5_000, 0)), Look::Fine);
+        assert_eq!(c.read(reading(1, 15_000, 10_000)), Look::Fine);
+        assert_eq!(c.ahead(12_100, 1_000).map(|u| u.clock_ms), Some(17_999));
+        // A tenth too slow: leases there would end later than reckoned.
+        assert_eq!(c.read(reading(1, 24_000, 20_000)), Look::Wrong);
+        assert_eq!(c.ahead(21_000, 1_000), None);
+        assert_eq!(c.read(reading(2, 0, 30_000)), Look::NewEpoch);
+        assert!(c.sound());
+    }
+
+    #[test]
+    fn an_overtaken_answer_changes_nothing() {
+        let mut c = Clock::default();
+        c.read(reading(2, 50_000, 50_000));
+        assert_eq!(c.read(reading(1, 9_000, 10_000)), Look::Fine);
+        assert_eq!(c.reading().map(|r| r.epoch), Some(2));
+    }
+
+    /// Guards against a renewal that reaches beyond what a successor reads:
+    /// it would take a job as lost that still runs.
+    #[test]
+    fn no_renewal_goes_beyond_the_horizon_that_is_durable() {
+        let mut c = Clock::default();
+        c.read(reading(1, 0, 0));
+        let mut t = Tenancy::new(20_000, 500, 0);
+        assert_eq!(t.renewal(&c, 1_000), None, "nothing is durable yet");
+        let horizon = t.to_write(1_000).unwrap();
+        assert_eq!(t.to_write(1_000), None, "one write at a time");
+        assert_eq!(t.renewal(&c, 1_000), None);
+        t.written(horizon);
+        let until = t.renewal(&c, 1_000).unwrap();
+        // Were the market's clock slow by the whole drift, its 20 s from the
+        // reading on would still end before the horizon.
+        let ends = 100.0 + until.clock_ms as f64 / (1.0 - DRIFT);
+        assert!(ends <= horizon as f64, "{ends} {horizon}");
+        assert!(!t.over(horizon + 500));
+        assert!(t.over(horizon + 501));
+    }
+}
--- /dev/null
+++ b/crates/market/src/gate.rs
@@ -0,0 +1,213 @@
+//! What may be sent to a market now: a limit on calls under way, a circuit
+//! breaker, back-off with jitter and a budget of retries. Each market has its
+//! own, so that a slow or broken one costs the others nothing.
+
+use crate::Ms;
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// Calls under way at most; the limit in force moves below this.
+    pub calls: u32,
+    /// Failures in a row after which the market is left alone.
+    pub failures: u32,
+    /// For how long at first, and at most.
+    pub open_ms: Ms,
+    pub most_open_ms: Ms,
+    /// Retries saved up at most, and how many first calls earn one.
+    pub retries: u32,
+    pub calls_per_retry: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            calls: 16,
+            failures: 5,
+            open_ms: 2_000,
+            most_open_ms: 60_000,
+            retries: 10,
+            calls_per_retry: 10,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// Calls go through.
+    Closed,
+    /// None do, until then.
+    Open { until: Ms },
+    /// One call is under way that decides.
+    Trying,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered, and the answer could be read.
+    Good,
+    /// Answered with something that is refused.
+    Bad,
+    /// No answer in time, or the connection failed.
+    Missing,
+}
+
+#[derive(Debug)]
+pub struct Gate {
+    limits: Limits,
+    state: State,
+    under_way: u32,
+    /// Moves between 1 and `limits.calls`: up by one for each window of good
+    /// calls, halved when one is missing.
+    window: f64,
+    failed: u32,
+    /// How often it has opened without a good call since.
+    opened: u32,
+    /// First calls that have not been spent on retries.
+    credit: u32,
+}
+
+impl Gate {
+    pub fn new(limits: Limits) -> Self {
+        Gate {
+            state: State::Closed,
+            under_way: 0,
+            window: f64::from(limits.calls.clamp(1, 4)),
+            failed: 0,
+            opened: 0,
+            credit: limits.retries * limits.calls_per_retry,
+            limits,
+        }
+    }
+
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    pub fn under_way(&self) -> u32 {
+        self.under_way
+    }
+
+    /// Whether jobs may be planned for this market.
+    pub fn usable(&self) -> bool {
+        self.state == State::Closed
+    }
+
+    /// Takes a place for one call. `retry`: it repeats one that failed.
+    pub fn enter(&mut self, now: Ms, retry: bool) -> bool {
+        match self.state {
+            State::Open { until } if now < until => return false,
+            State::Open { .. } if self.under_way > 0 => return false,
+            State::Open { .. } => self.state = State::Trying,
+            State::Trying => return false,
+            State::Closed if f64::from(self.under_way) >= self.window.floor().max(1.0) => {
+                return false;
+            }
+            State::Closed if retry && self.credit < self.limits.calls_per_retry => return false,
+            State::Closed => {}
+        }
+        let earned = self.limits.retries * self.limits.calls_per_retry;
+        self.credit = match retry {
+            true => self.credit.saturating_sub(self.limits.calls_per_retry),
+            false => (self.credit + 1).min(earned),
+        };
+        self.under_way += 1;
+        true
+    }
+
+    /// A call has ended; `chance` from 0 to 1 spreads the next attempt.
+    pub fn leave(&mut self, outcome: Outcome, now: Ms, chance: f64) {
+        self.under_way = self.under_way.saturating_sub(1);
+        if outcome == Outcome::Good {
+            self.failed = 0;
+            self.opened = 0;
+            self.state = State::Closed;
+            let most = f64::from(self.limits.calls.max(1));
+            self.window = (self.window + 1.0 / self.window).min(most);
+            return;
+        }
+        if outcome == Outcome::Missing {
+            self.window = (self.window / 2.0).max(1.0);
+        }
+        self.failed += 1;
+        if self.state == State::Trying || self.failed >= self.limits.failures {
+            let long = self.limits.open_ms << self.opened.min(16);
+            let long = long.min(self.limits.most_open_ms) as f64;
+            // Half of it is sure, half is drawn.
+            let wait = long * (0.5 + 0.5 * chance.clamp(0.0, 1.0));
+            self.state = State::Open {
+                until: now + wait as Ms,
+            };
+            self.opened = self.opened.saturating_add(1);
+            self.failed = 0;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_silent_market_is_left_alone_ever_longer_and_tried_with_one_call() {
+        let mut g = Gate::new(Limits::default());
+        let mut now = 0;
+        for _ in 0..5 {
+            assert!(g.enter(now, false));
+            g.leave(Outcome::Missing, now, 1.0);
+        }
+        assert_eq!(g.state(), State::Open { until: 2_000 });
+        assert!(!g.enter(1_999, false));
+        for wait in [4_000, 8_000, 16_000, 32_000, 60_000, 60_000] {
+            let State::Open { until } = g.state() else {
+                panic!("not open")
+            };
+            now = until;
+            assert!(g.enter(now, false));
+            assert!(!g.enter(now, false), "one call decides");
+            g.leave(Outcome::Missing, now, 1.0);
+            assert_eq!(g.state(), State::Open { until: now + wait });
+        }
+        now += 60_000;
+        assert!(g.enter(now, false));
+        g.leave(Outcome::Good, now, 0.0);
+        assert!(g.usable());
+    }
+
+    #[test]
+    fn calls_under_way_are_few_at_a_slow_market_and_many_at_a_good_one() {
+        let mut g = Gate::new(Limits::default());
+        let take = |g: &mut Gate| (0..100).filter(|_| g.enter(0, false)).count() as u32;
+        assert_eq!(take(&mut g), 4);
+        for _ in 0..4 {
+            g.leave(Outcome::Good, 0, 0.0);
+        }
+        for _ in 0..200 {
+            if g.enter(0, false) {
+                g.leave(Outcome::Good, 0, 0.0);
+            }
+        }
+        assert_eq!(take(&mut g), 16);
+        g.leave(Outcome::Missing, 0, 0.0);
+        assert_eq!(g.under_way(), 15);
+        assert!(!g.enter(0, false), "halved: 8");
+    }
+
+    #[test]
+    fn retries_are_a_share_of_calls() {
+        let mut g = Gate::new(Limits::default());
+        let mut retry = |n: u32| {
+            let mut taken = 0;
+            for _ in 0..n {
+                if g.enter(0, true) {
+                    taken += 1;
+                    g.leave(Outcome::Bad, 0, 0.0);
+                    g.enter(0, false);
+                    g.leave(Outcome::Good, 0, 0.0);
+                }
+            }
+            taken
+        };
+        // Ten saved up, then one for each ten calls.
+        assert_eq!(retry(100), 11);
+    }
+}
--- /dev/null
+++ b/crates/market/src/lending.rs
@@ -0,0 +1,231 @@
+//! Which waiting jobs are offered to other clusters.
+
+use crate::{Money, Ms, options::Options, ranges::Ranges, wire::Slot};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    Array,
+    Gang,
+    Service,
+}
+
+/// A job as the leader tells of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Waiting {
+    pub job: String,
+    pub class: String,
+    pub team: String,
+    pub kind: Kind,
+    pub tasks: u32,
+    pub done: Ranges,
+    pub slot: Slot,
+    pub image: String,
+    pub image_gb: f64,
+    pub estimate_s: f64,
+    pub waited_ms: Ms,
+    /// Until its deadline, if it has one; below zero: passed.
+    pub left_ms: Option<i64>,
+    /// When it is expected to be done here; absent: nobody knows.
+    pub here_ms: Option<Ms>,
+    /// What renting for it here would cost, in millionths.
+    pub rent: Money,
+    /// Tasks that are, or may be, on machines here.
+    pub placed: u32,
+    /// Someone's guarantee or aim counts on its being started here.
+    pub kept: bool,
+}
+
+/// Why a job stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stays {
+    Service,
+    Class,
+    /// Some of it is, or may be, on a machine here.
+    Placed,
+    Guaranteed,
+    /// It is expected to make its aims here.
+    InTime,
+    WaitedTooLittle,
+    /// The floor of work that stays for the machines here.
+    Floor,
+    /// As many as allowed are lent.
+    Enough,
+    /// Its team may not spend anything.
+    NoBudget,
+}
+
+impl fmt::Display for Stays {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Stays::Service => "services are never lent",
+            Stays::Class => "its class is not lent",
+            Stays::Placed => "some of it runs here",
+            Stays::Guaranteed => "its team's guarantee covers it",
+            Stays::InTime => "expected in time here",
+            Stays::WaitedTooLittle => "has not waited long enough",
+            Stays::Floor => "kept as work for the machines here",
+            Stays::Enough => "as many jobs as allowed are lent",
+            Stays::NoBudget => "its team has no budget",
+        })
+    }
+}
+
+impl Waiting {
+    pub fn left(&self) -> u32 {
+        self.tasks.saturating_sub(self.done.count())
+    }
+
+    fn cpus(&self) -> f64 {
+        f64::from(self.left()) * self.slot.cpus
+    }
+
+    /// What can be said of the job alone.
+    fn stays(&self, o: &Options) -> Option<Stays> {
+        if self.kind == Kind::Service {
+            return Some(Stays::Service);
+        }
+        if !o.classes.contains(&self.class) {
+            return Some(Stays::Class);
+        }
+        // Never half a gang, and an array only whole: a job's tasks are in
+        // one place or in none.
+        if self.placed > 0 {
+            return Some(Stays::Placed);
+        }
+        if self.kept {
+            return Some(Stays::Guaranteed);
+        }
+        let in_time = match (self.left_ms, self.here_ms) {
+            (Some(left), Some(here)) => here as i64 <= left,
+            (None, Some(here)) => here <= o.after_ms,
+            (_, None) => false,
+        };
+        if in_time {
+            return Some(Stays::InTime);
+        }
+        (self.waited_ms < o.after_ms).then_some(Stays::WaitedTooLittle)
+    }
+}
+
+/// Splits what waits into jobs to be lent, most urgent first, and jobs that
+/// stay, with the reason. `lent`: jobs that are lent already; `money`: what a
+/// team may still spend.
+pub fn choose<'a>(
+    waiting: &'a [Waiting],
+    lent: usize,
+    money: impl Fn(&str) -> Money,
+    o: &Options,
+) -> (Vec<&'a Waiting>, Vec<(&'a str, Stays)>) {
+    let (mut go, mut stay) = (Vec::new(), Vec::new());
+    let mut local: f64 = waiting.iter().map(Waiting::cpus).sum();
+    let mut order: Vec<&Waiting> = waiting.iter().collect();
+    // Those that are latest, or have least time, first.
+    order.sort_by_key(|w| {
+        (
+            w.left_ms.unwrap_or(i64::MAX),
+            std::cmp::Reverse(w.waited_ms),
+        )
+    });
+    for w in order {
+        let why = w.stays(o).or_else(|| {
+            if money(&w.team) == 0 || w.rent == 0 {
+                Some(Stays::NoBudget)
+            } else if lent + go.len() >= o.jobs {
+                Some(Stays::Enough)
+            } else if local - w.cpus() < o.floor_cpus {
+                Some(Stays::Floor)
+            } else {
+                None
+            }
+        });
+        match why {
+            Some(why) => stay.push((w.job.as_str(), why)),
+            None => {
+                local -= w.cpus();
+                go.push(w);
+            }
+        }
+    }
+    (go, stay)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn waiting(n: u32) -> Waiting {
+        Waiting {
+            job: format!("j-{n:06}"),
+            class: "slice".into(),
+            team: "graphics".into(),
+            kind: Kind::Array,
+            tasks: 10,
+            done: Ranges::default(),
+            slot: Slot {
+                cpus: 2.0,
+                gpus: 0.0,
+                memory_gb: 4.0,
+            },
+            image: "slicer".into(),
+            image_gb: 1.0,
+            estimate_s: 600.0,
+            waited_ms: 30_000,
+            left_ms: Some(900_000),
+            here_ms: Some(1_800_000),
+            rent: 2_000_000,
+            placed: 0,
+            kept: false,
+        }
+    }
+
+    fn options() -> Options {
+        Options {
+            classes: vec!["slice".into()],
+            ..Options::default()
+        }
+    }
+
+    #[test]
+    fn what_must_stay_stays_and_says_why() {
+        let o = options();
+        let w = waiting(1);
+        let case = |change: &dyn Fn(&mut Waiting)| {
+            let mut w = w.clone();
+            change(&mut w);
+            let list = [w];
+            let (go, stay) = choose(&list, 0, |_| 1, &o);
+            assert_eq!(go.len() + stay.len(), 1);
+            stay.first().map(|s| s.1)
+        };
+        assert_eq!(case(&|_| {}), None);
+        assert_eq!(case(&|w| w.kind = Kind::Service), Some(Stays::Service));
+        assert_eq!(case(&|w| w.class = "orders".into()), Some(Stays::Class));
+        assert_eq!(case(&|w| w.placed = 1), Some(Stays::Placed));
+        assert_eq!(case(&|w| w.kept = true), Some(Stays::Guaranteed));
+        assert_eq!(case(&|w| w.here_ms = Some(900_000)), Some(Stays::InTime));
+        assert_eq!(case(&|w| w.waited_ms = 1), Some(Stays::WaitedTooLittle));
+        assert_eq!(case(&|w| w.rent = 0), Some(Stays::NoBudget));
+    }
+
+    #[test]
+    fn the_floor_and_the_limit_keep_the_least_urgent_here() {
+        let mut list: Vec<Waiting> = (0..5).map(waiting).collect();
+        for (n, w) in list.iter_mut().enumerate() {
+            w.left_ms = Some(1_000 * (5 - n as i64));
+        }
+        let mut o = options();
+        o.floor_cpus = 50.0;
+        let (go, stay) = choose(&list, 0, |_| 1, &o);
+        // 100 CPUs wait; two jobs of 20 may go, the latest ones first.
+        let names: Vec<&str> = go.iter().map(|w| w.job.as_str()).collect();
+        assert_eq!(names, ["j-000004", "j-000003"]);
+        assert!(stay.iter().all(|s| s.1 == Stays::Floor));
+        o.floor_cpus = 0.0;
+        o.jobs = 3;
+        assert_eq!(choose(&list, 2, |_| 1, &o).0.len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/market/src/wire.rs
@@ -0,0 +1,226 @@
+//! The market protocol, version 1. JSON over HTTP; the schemas under
+//! `crates/market/schemas` are made from these types, and what comes in is
+//! checked against them.
+//!
+//! Times that a market must obey are on the market's own steady clock, within
+//! one of its epochs: a message that comes hours late, or reaches a market
+//! whose time of day is wrong, still means what it meant when it was sent.
+
+use crate::{Money, ranges::Ranges};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+pub const VERSION: u16 = 1;
+/// Bodies beyond this are refused before they are read.
+pub const MAX_BODY: usize = 1024 * 1024;
+/// Offers that one answer may have.
+pub const MAX_OFFERS: usize = 1000;
+/// Awards or bids that one message may have.
+pub const MAX_ROWS: usize = 1000;
+
+/// What a home asks of a market.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Request {
+    #[schemars(range(min = 1, max = 1))]
+    pub v: u16,
+    /// The message's own id: repeating it changes nothing.
+    pub message: u64,
+    /// Who asks; must be the name in the certificate.
+    #[schemars(length(min = 1, max = 100))]
+    pub home: String,
+    /// The broker's term. A market refuses terms lower than one it has seen.
+    pub term: u64,
+    pub ask: Ask,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Ask {
+    Sync(Sync),
+    Bids(#[schemars(length(max = 1000))] Vec<Bid>),
+    Award(Award),
+}
+
+/// Renews what the home has here, and asks how it stands.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Sync {
+    /// Everything awarded by this home may run until then; absent: unchanged.
+    pub until: Option<Until>,
+    /// Awards asked about.
+    #[schemars(length(max = 1000))]
+    pub awards: Vec<u64>,
+    /// Awards that must not start any more, and end if they run.
+    #[schemars(length(max = 1000))]
+    pub recall: Vec<u64>,
+    /// Awards whose end the home has recorded: the market may forget them.
+    #[schemars(length(max = 1000))]
+    pub settled: Vec<u64>,
+    /// Bids that are not needed any more.
+    #[schemars(length(max = 1000))]
+    pub release: Vec<u64>,
+}
+
+/// A time on a market's steady clock, in one of its epochs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Until {
+    pub epoch: u64,
+    pub clock_ms: u64,
+}
+
+/// Asks a market to keep places for a short while. Binds the home to nothing.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Bid {
+    pub bid: u64,
+    #[schemars(length(min = 1, max = 100))]
+    pub offer: String,
+    #[schemars(range(min = 1, max = 100000))]
+    pub slots: u32,
+    /// At most this for a slot and hour, in millionths.
+    pub price: Money,
+}
+
+/// Lets a market run one job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Award {
+    /// Never used again.
+    pub award: u64,
+    pub bid: u64,
+    /// Not to be accepted later than this.
+    pub start_by: Until,
+    /// At most this in all, in millionths.
+    pub cap: Money,
+    pub job: Job,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Job {
+    #[schemars(length(min = 1, max = 100))]
+    pub id: String,
+    /// All tasks at once or none.
+    pub gang: bool,
+    #[schemars(range(min = 1, max = 100000))]
+    pub tasks: u32,
+    /// Already finished: not to be run.
+    pub done: Ranges,
+    pub slot: Slot,
+    #[schemars(length(min = 1, max = 200))]
+    pub image: String,
+    #[schemars(range(min = 0.0, max = 1e9))]
+    pub image_gb: f64,
+    #[schemars(range(min = 0.0, max = 1e9))]
+    pub estimate_s: f64,
+}
+
+/// What one task takes.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Slot {
+    #[schemars(range(min = 0.0, max = 1e6))]
+    pub cpus: f64,
+    #[schemars(range(min = 0.0, max = 1e6))]
+    pub gpus: f64,
+    #[schemars(range(min = 0.0, max = 1e6))]
+    pub memory_gb: f64,
+}
+
+impl Slot {
+    pub fn holds(&self, other: &Slot) -> bool {
+        other.cpus <= self.cpus && other.gpus <= self.gpus && other.memory_gb <= self.memory_gb
+    }
+}
+
+/// What a market answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Reply {
+    #[schemars(range(min = 1, max = 1))]
+    pub v: u16,
+    /// Of the request that it answers.
+    pub message: u64,
+    /// Changes when the market has lost what it knew.
+    pub epoch: u64,
+    /// The market's steady clock as it answered.
+    pub clock_ms: u64,
+    /// Nothing awarded in an earlier epoch can be running any more.
+    pub cleared: bool,
+    pub say: Say,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Say {
+    Synced(Synced),
+    /// In the order of the bids.
+    Bids(#[schemars(length(max = 1000))] Vec<BidSaid>),
+    Award(State),
+    /// A broker of a later term was here: the asker must stop.
+    Fenced {
+        term: u64,
+    },
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Synced {
+    #[schemars(length(max = 1000))]
+    pub offers: Vec<Offer>,
+    #[schemars(length(max = 2000))]
+    pub awards: Vec<AwardSaid>,
+}
+
+/// Spare places.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Offer {
+    #[schemars(length(min = 1, max = 100))]
+    pub offer: String,
+    pub slot: Slot,
+    pub slots: u32,
+    /// For a slot and hour, in millionths.
+    pub price: Money,
+    /// On the market's clock.
+    pub valid_until_ms: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum BidSaid {
+    /// Kept until then, on the market's clock, at this price.
+    Accepted {
+        price: Money,
+        until_ms: u64,
+    },
+    Refused,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct AwardSaid {
+    pub award: u64,
+    pub state: State,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Never heard of. It may still arrive, until its `start_by`.
+    Unknown,
+    /// It has not started and never will.
+    Void,
+    /// Accepted; so many tasks have finished.
+    Running { done: u32 },
+    /// The market took it back, or it was recalled: nothing of it runs.
+    Withdrawn { done: Ranges, charge: Money },
+    /// All tasks have finished.
+    Done {
+        #[schemars(length(min = 1, max = 200))]
+        result: String,
+        charge: Money,
+    },
+}
