--- /dev/null
+++ b/crates/market/src/books.rs
@@ -0,0 +1,324 @@
+//! Brings the records to what is wanted: one transaction at a time, each key
+//! guarded by the version last known. What had no answer is made again as it
+//! was; if that conflicts, a key that every transaction writes shows whether
+//! it was applied.
+//!
+//! That key, the line, is also what makes a transaction fail that comes late:
+//! a guard that a key doesn't exist holds again once the key is deleted.
+
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Change {
+    /// Key, version that it must have (0: none), and what to write (`None`:
+    /// delete).
+    pub writes: Vec<(String, u64, Option<Value>)>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Wrote {
+    /// Applied, as this revision.
+    Done(u64),
+    /// Some key has another version.
+    Conflict,
+    /// Refused for now: nothing was applied.
+    Later,
+    /// No answer: it may have been applied, or may still be.
+    Unknown,
+}
+
+/// What the books want done. Each step has a number of its own, and an answer
+/// counts only for the step that is under way: one that comes late would
+/// otherwise be taken for the answer to the next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    Write(u64, Change),
+    Read(u64, String),
+}
+
+/// What came of it.
+#[derive(Debug, PartialEq)]
+pub enum News {
+    Nothing,
+    /// These are durable now.
+    Durable(Vec<(String, Option<Value>)>),
+    /// Someone else has written: this broker must stop.
+    Lost,
+}
+
+#[derive(Debug, PartialEq)]
+enum Flight {
+    Idle,
+    Writing(Change),
+    /// To be made again.
+    Again(Change),
+    ToRead(Change),
+    Reading(Change),
+}
+
+#[derive(Debug)]
+pub struct Books {
+    versions: BTreeMap<String, u64>,
+    /// Groups that belong into one transaction, in order.
+    queue: VecDeque<Vec<(String, Option<Value>)>>,
+    flight: Flight,
+    steps: u64,
+    /// The broker's term: the line's values never recur.
+    term: u64,
+    most: usize,
+}
+
+/// Written by every transaction.
+pub const LINE: &str = "line";
+
+impl Books {
+    /// `most`: writes that one transaction may have.
+    pub fn new(most: usize, term: u64) -> Self {
+        Books {
+            versions: BTreeMap::new(),
+            queue: VecDeque::new(),
+            flight: Flight::Idle,
+            steps: 0,
+            term,
+            // One of them is for the line.
+            most: most.max(3) - 1,
+        }
+    }
+
+    pub fn loaded(&mut self, key: &str, version: u64) {
+        self.versions.insert(key.to_owned(), version);
+    }
+
+    /// 0: the key isn't known to exist.
+    pub fn version(&self, key: &str) -> u64 {
+        self.versions.get(key).copied().unwrap_or(0)
+    }
+
+    pub fn want(&mut self, group: Vec<(String, Option<Value>)>) {
+        self.queue.push_back(group);
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub fn next_step(&mut self) -> Option<Step> {
+        match std::mem::replace(&mut self.flight, Flight::Idle) {
+            Flight::Idle => {
+                let change = self.gather()?;
+                self.flight = Flight::Writing(change.clone());
+                self.steps += 1;
+                Some(Step::Write(self.steps, change))
+            }
+            Flight::Again(change) => {
+                self.flight = Flight::Writing(change.clone());
+                self.steps += 1;
+                Some(Step::Write(self.steps, change))
+            }
+            Flight::ToRead(change) => {
+                self.flight = Flight::Reading(change);
+                self.steps += 1;
+                Some(Step::Read(self.steps, LINE.to_owned()))
+            }
+            busy @ (Flight::Writing(_) | Flight::Reading(_)) => {
+                self.flight = busy;
+                None
+            }
+        }
+    }
+
+    fn gather(&mut self) -> Option<Change> {
+        let mut writes: Vec<(String, u64, Option<Value>)> = Vec::new();
+        while let Some(group) = self.queue.front() {
+            let new = group
+                .iter()
+                .filter(|(k, _)| !writes.iter().any(|w| w.0 == *k))
+                .count();
+            if !writes.is_empty() && writes.len() + new > self.most {
+                break;
+            }
+            for (key, value) in self.queue.pop_front().unwrap_or_default() {
+                match writes.iter_mut().find(|w| w.0 == key) {
+                    // The later value of a key holds.
+                    Some(write) => write.2 = value,
+                    None => {
+                        let version = self.version(&key);
+                        writes.push((key, version, value));
+                    }
+                }
+            }
+        }
+        if writes.is_empty() {
+            return None;
+        }
+        let line = json!([self.term, self.steps]);
+        writes.push((LINE.to_owned(), self.version(LINE), Some(line)));
+        Some(Change { writes })
+    }
+
+    fn applied(&mut self, change: Change, revision: u64) -> News {
+        let mut durable = Vec::new();
+        for (key, _, value) in change.writes {
+            match &value {
+                Some(_) => self.versions.insert(key.clone(), revision),
+                None => self.versions.remove(&key),
+            };
+            durable.push((key, value));
+        }
+        News::Durable(durable)
+    }
+
+    pub fn wrote(&mut self, step: u64, wrote: Wrote) -> News {
+        if step != self.steps {
+            return News::Nothing;
+        }
+        let change = match std::mem::replace(&mut self.flight, Flight::Idle) {
+            Flight::Writing(change) => change,
+            other => {
+                self.flight = other;
+                return News::Nothing;
+            }
+        };
+        match wrote {
+            Wrote::Done(revision) => return self.applied(change, revision),
+            Wrote::Later | Wrote::Unknown => self.flight = Flight::Again(change),
+            Wrote::Conflict => self.flight = Flight::ToRead(change),
+        }
+        News::Nothing
+    }
+
+    /// What the line holds, with its version; `Err`: it could not be read.
+    pub fn read(&mut self, step: u64, found: Result<Option<(Value, u64)>, ()>) -> News {
+        if step != self.steps {
+            return News::Nothing;
+        }
+        let change = match std::mem::replace(&mut self.flight, Flight::Idle) {
+            Flight::Reading(change) => change,
+            other => {
+                self.flight = other;
+                return News::Nothing;
+            }
+        };
+        let Ok(found) = found else {
+            self.flight = Flight::ToRead(change);
+            return News::Nothing;
+        };
+        let line = change.writes.iter().find(|w| w.0 == LINE);
+        let (before, ours) = line.map_or((0, None), |w| (w.1, w.2.as_ref()));
+        match found {
+            Some((value, version)) if Some(&value) == ours => self.applied(change, version),
+            other if other.as_ref().map_or(0, |o| o.1) == before => {
+                self.flight = Flight::Again(change);
+                News::Nothing
+            }
+            _ => News::Lost,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn change(step: Option<Step>) -> Change {
+        match step {
+            Some(Step::Write(_, c)) => c,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn groups_stay_together_and_one_transaction_is_under_way() {
+        let mut b = Books::new(4, 1);
+        let group = |a: &str, spent: u64| {
+            vec![
+                (a.to_owned(), Some(json!(1))),
+                ("s".to_owned(), Some(json!(spent))),
+            ]
+        };
+        b.want(group("a", 5));
+        b.want(group("b", 7));
+        b.want(group("c", 9));
+        let first = change(b.next_step());
+        assert_eq!(
+            first.writes.len(),
+            4,
+            "a, s, b and the line; the later value of s"
+        );
+        assert_eq!(first.writes[1], ("s".into(), 0, Some(json!(7))));
+        assert_eq!(b.next_step(), None);
+        assert!(matches!(b.wrote(1, Wrote::Done(9)), News::Durable(d) if d.len() == 4));
+        assert_eq!(b.version("s"), 9);
+        assert_eq!(change(b.next_step()).writes.len(), 3);
+    }
+
+    /// Guards against taking a lost answer for a lost leadership, and the
+    /// other way round.
+    #[test]
+    fn a_write_without_an_answer_is_found_out_about() {
+        let mut b = Books::new(8, 1);
+        b.loaded("a", 3);
+        b.want(vec![("a".into(), Some(json!(1)))]);
+        let first = change(b.next_step());
+        assert_eq!(b.wrote(1, Wrote::Unknown), News::Nothing);
+        assert_eq!(change(b.next_step()), first, "the same again");
+        assert_eq!(b.wrote(2, Wrote::Conflict), News::Nothing);
+        let read = Some(Step::Read(3, LINE.into()));
+        assert_eq!(b.next_step(), read);
+        let ours = first.writes[1].2.clone().unwrap();
+        assert!(matches!(b.read(3, Ok(Some((ours, 8)))), News::Durable(_)));
+        assert_eq!(b.version("a"), 8);
+        b.want(vec![("a".into(), None)]);
+        b.next_step();
+        b.wrote(4, Wrote::Conflict);
+        b.next_step();
+        assert_eq!(b.read(5, Ok(Some((json!("another's"), 9)))), News::Lost);
+    }
+
+    /// Guards against what the drawn histories found: a transaction that made
+    /// records came minutes late, after they had been deleted, and made them
+    /// again.
+    #[test]
+    fn a_late_transaction_finds_the_line_moved_on() {
+        let mut b = Books::new(8, 1);
+        b.want(vec![("a".into(), Some(json!(1)))]);
+        let late = change(b.next_step());
+        b.wrote(1, Wrote::Done(5));
+        b.want(vec![("a".into(), None)]);
+        b.next_step();
+        b.wrote(2, Wrote::Done(6));
+        // The key is gone again, as the late one wants it; the line is not.
+        let fails = |w: &(String, u64, Option<Value>)| b.version(&w.0) != w.1;
+        assert_eq!(b.version("a"), 0);
+        assert!(late.writes.iter().any(fails));
+    }
+
+    /// Guards against what the drawn histories found: the doubled answer to
+    /// one transaction was taken for that of the next, which then was
+    /// believed to be durable and was not.
+    #[test]
+    fn an_answer_counts_for_its_own_step_alone() {
+        let mut b = Books::new(8, 1);
+        b.want(vec![("a".into(), Some(json!(1)))]);
+        b.next_step();
+        assert!(matches!(b.wrote(1, Wrote::Done(1)), News::Durable(_)));
+        b.want(vec![("b".into(), Some(json!(2)))]);
+        b.next_step();
+        assert_eq!(b.wrote(1, Wrote::Done(1)), News::Nothing);
+        assert!(matches!(b.wrote(2, Wrote::Done(2)), News::Durable(_)));
+    }
+
+    /// Guards against what the drawn histories found: a second answer to a
+    /// step that was about to be made again dropped the change for good.
+    #[test]
+    fn a_second_answer_does_not_drop_what_is_to_be_made_again() {
+        let mut b = Books::new(8, 1);
+        b.want(vec![("a".into(), Some(json!(1)))]);
+        let first = change(b.next_step());
+        b.wrote(1, Wrote::Unknown);
+        b.wrote(1, Wrote::Later);
+        assert_eq!(change(b.next_step()), first);
+    }
+}
--- /dev/null
+++ b/crates/market/src/broker/mod.rs
@@ -0,0 +1,508 @@
+//! The broker's state and how events change it. It decides alone: effects are
+//! carried out by whoever drives it, which checks its leadership right before
+//! each and tells what came of it.
+//!
+//! A job that is lent passes through `Phase`; `docs/markets.md` has the table
+//! of what is certain in each, and what a successor does with it.
+
+mod bids;
+mod calls;
+mod settle;
+
+use crate::{
+    Money, Ms,
+    books::{Books, News, Step, Wrote},
+    clearing::Effort,
+    clock::{Clock, Tenancy},
+    gate::{Gate, Limits},
+    lending::{Stays, Waiting},
+    options::Options,
+    records::{
+        AWARDS, AwardRecord, End, HORIZONS, HorizonRecord, SPENT, SpentRecord, Why, award_key, day,
+        horizon_key, spent_key,
+    },
+    reputation::Reputation,
+    wire,
+};
+use fastrand::Rng;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// What a broker wants done outside.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// To the state service; guarded by the leadership besides.
+    Books(Step),
+    /// To a market. Answered by `Event::Answered` with the same number.
+    Call {
+        market: usize,
+        call: u64,
+        request: wire::Request,
+    },
+    /// The leader is to mark the job as lent, by a write guarded on this
+    /// version of the job's award record: one that comes late fails.
+    Lend {
+        job: String,
+        award: u64,
+        version: u64,
+    },
+    /// The leader is to keep what is done and lift the mark, if it is of this
+    /// award.
+    Return { job: String, award: u64, end: End },
+    /// Another broker acts: this one must end.
+    Resign,
+}
+
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// The answer to a step of the books, by its number.
+    Wrote(u64, Wrote),
+    Read(u64, Result<Option<(Value, u64)>, ()>),
+    /// What a market answered, already checked against the schema; `Err`: no
+    /// answer, or one that was refused.
+    Answered {
+        call: u64,
+        sent: Ms,
+        reply: Result<wire::Reply, Missing>,
+    },
+    /// `None`: no answer.
+    Lent {
+        job: String,
+        award: u64,
+        marked: Option<bool>,
+    },
+    Returned {
+        job: String,
+        award: u64,
+        taken: bool,
+    },
+    /// What waits here now.
+    Waiting(Vec<Waiting>),
+    /// The job is not needed any more, or is to be had back.
+    Recall(String),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Missing {
+    /// Refused connections, time-outs, resets.
+    NoAnswer,
+    /// An answer that the schema or a limit refuses.
+    Garbage,
+}
+
+/// How far an award has come. Each phase says what is certain.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Phase {
+    /// Its record is being written: nothing outside knows of it.
+    Intended,
+    /// The record is durable; the leader is asked to mark the job.
+    Marking { asked: Option<Ms> },
+    /// The job is marked; nothing was sent to the market.
+    Marked,
+    /// It is, or may be, at the market, or on its way there.
+    Awarded {
+        /// A call is under way.
+        calling: bool,
+        /// Tasks done, if the market has said that it runs.
+        running: Option<u32>,
+    },
+    /// It surely ended; that is being written.
+    Ending(End),
+    /// The end is durable; the leader is told.
+    Returning { end: End, asked: Option<Ms> },
+    /// The leader knows; the record is being deleted.
+    Dropping,
+}
+
+#[derive(Debug)]
+pub struct Lent {
+    pub award: u64,
+    pub market: usize,
+    pub team: String,
+    pub tasks: u32,
+    pub cap: Money,
+    pub start_by: wire::Until,
+    pub phase: Phase,
+    /// What to send; not known after a restart, which then recalls what has
+    /// not been accepted.
+    message: Option<wire::Award>,
+    /// It is to end, running or not.
+    recall: bool,
+}
+
+pub struct Market {
+    pub name: String,
+    /// Named by the options; others only have awards from before.
+    known: bool,
+    pub clock: Clock,
+    pub tenancy: Tenancy,
+    pub gate: Gate,
+    pub reputation: Reputation,
+    offers: Vec<wire::Offer>,
+    /// Until when the market has surely been let run things.
+    granted: Option<wire::Until>,
+    next_sync: Ms,
+    syncing: bool,
+    settled: Vec<u64>,
+    release: Vec<u64>,
+}
+
+/// A call under way.
+#[derive(Debug)]
+enum Call {
+    Sync {
+        until: Option<wire::Until>,
+        asked: Vec<u64>,
+    },
+    Bids(Vec<u64>),
+    Award(String),
+}
+
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Counts {
+    pub calls: u64,
+    pub writes: u64,
+    pub awards: u64,
+    pub done: u64,
+    pub lies: u64,
+}
+
+pub struct Broker {
+    o: Options,
+    home: String,
+    term: u64,
+    count: u64,
+    calls: u64,
+    pub markets: Vec<Market>,
+    by_name: HashMap<String, usize>,
+    jobs: BTreeMap<String, Lent>,
+    /// Job of each award that has not ended.
+    by_award: HashMap<u64, String>,
+    /// Jobs whose next step may be taken.
+    ready: BTreeSet<String>,
+    under_way: HashMap<u64, (usize, Call)>,
+    bidding: bids::Bidding,
+    waiting: Vec<Waiting>,
+    next_clearing: Ms,
+    spent: BTreeMap<String, SpentRecord>,
+    books: Books,
+    /// The state service is left alone until then.
+    books_after: Ms,
+    effort: Effort,
+    rng: Rng,
+    ended: bool,
+    pub counts: Counts,
+    out: Vec<Effect>,
+}
+
+/// Awards of one term.
+const COUNT_BITS: u32 = 20;
+/// Before the state service is asked again for what it refused.
+const BOOKS_PAUSE: Ms = 200;
+/// The leader is asked again after this.
+const ASK_AGAIN: Ms = 2_000;
+
+impl Broker {
+    /// `term`: of the leadership, higher than any before. `records`: all that
+    /// stands under the broker's prefix, read after the leadership was won.
+    pub fn new(
+        o: Options,
+        home: &str,
+        term: u64,
+        txn_ops: usize,
+        records: &BTreeMap<String, (Value, u64)>,
+        seed: u64,
+    ) -> Self {
+        let mut b = Broker {
+            home: home.to_owned(),
+            term,
+            count: 0,
+            calls: 0,
+            markets: Vec::new(),
+            by_name: HashMap::new(),
+            jobs: BTreeMap::new(),
+            by_award: HashMap::new(),
+            ready: BTreeSet::new(),
+            under_way: HashMap::new(),
+            bidding: bids::Bidding::default(),
+            waiting: Vec::new(),
+            next_clearing: 0,
+            spent: BTreeMap::new(),
+            books: Books::new(txn_ops, term),
+            books_after: 0,
+            effort: Effort::default(),
+            rng: Rng::with_seed(seed),
+            ended: false,
+            counts: Counts::default(),
+            out: Vec::new(),
+            o,
+        };
+        let names: Vec<String> = b.o.markets.keys().cloned().collect();
+        for name in names {
+            b.market(&name, true);
+        }
+        b.load(records);
+        b
+    }
+
+    fn market(&mut self, name: &str, known: bool) -> usize {
+        if let Some(m) = self.by_name.get(name) {
+            return *m;
+        }
+        self.markets.push(Market {
+            name: name.to_owned(),
+            known,
+            clock: Clock::default(),
+            tenancy: Tenancy::new(self.o.tenancy_ms, self.o.clock_bound_ms, 0),
+            gate: Gate::new(Limits::default()),
+            reputation: Reputation::default(),
+            offers: Vec::new(),
+            granted: None,
+            next_sync: 0,
+            syncing: false,
+            settled: Vec::new(),
+            release: Vec::new(),
+        });
+        self.by_name.insert(name.to_owned(), self.markets.len() - 1);
+        self.markets.len() - 1
+    }
+
+    fn load(&mut self, records: &BTreeMap<String, (Value, u64)>) {
+        for (key, (value, version)) in records {
+            self.books.loaded(key, *version);
+            if let Some(job) = key.strip_prefix(AWARDS) {
+                match serde_json::from_value::<AwardRecord>(value.clone()) {
+                    Ok(record) => self.load_award(job, record),
+                    Err(e) => log::error!("{key} can't be read and is left alone: {e}"),
+                }
+            } else if let Some(market) = key.strip_prefix(HORIZONS) {
+                if let Ok(r) = serde_json::from_value::<HorizonRecord>(value.clone()) {
+                    let m = self.market(market, false);
+                    self.markets[m].tenancy.written(r.until_ms);
+                }
+            } else if let Some(team) = key.strip_prefix(SPENT)
+                && let Ok(r) = serde_json::from_value::<SpentRecord>(value.clone())
+            {
+                self.spent.insert(team.to_owned(), r);
+            }
+        }
+    }
+
+    fn load_award(&mut self, job: &str, r: AwardRecord) {
+        let market = self.market(&r.market, false);
+        let phase = match r.end {
+            Some(end) => Phase::Returning { end, asked: None },
+            // Marked or not, sent or not: the market is asked.
+            None => {
+                self.by_award.insert(r.award, job.to_owned());
+                Phase::Awarded {
+                    calling: false,
+                    running: None,
+                }
+            }
+        };
+        let lent = Lent {
+            award: r.award,
+            market,
+            team: r.team,
+            tasks: r.tasks,
+            cap: r.cap,
+            start_by: r.start_by,
+            phase,
+            message: None,
+            recall: false,
+        };
+        self.jobs.insert(job.to_owned(), lent);
+    }
+
+    /// How hard clearings are worked on. Tests limit the solver by its nodes
+    /// alone, as its time depends on the machine.
+    pub fn set_effort(&mut self, effort: Effort) {
+        self.effort = effort;
+    }
+
+    pub fn lent(&self) -> impl Iterator<Item = (&str, &Lent)> {
+        self.jobs.iter().map(|(j, l)| (j.as_str(), l))
+    }
+
+    /// Jobs whose whereabouts are not known yet.
+    pub fn in_doubt(&self) -> usize {
+        let doubt = |l: &&Lent| matches!(l.phase, Phase::Awarded { running: None, .. });
+        self.jobs.values().filter(doubt).count()
+    }
+
+    /// What a team may still spend today, what is set aside left out.
+    pub fn money(&self, team: &str, now: Ms) -> Money {
+        let budget = self.o.budgets.get(team).copied().unwrap_or(0);
+        let spent = self
+            .spent
+            .get(team)
+            .filter(|s| s.day == day(now))
+            .map_or(0, |s| s.spent);
+        let aside: Money = self
+            .jobs
+            .values()
+            .filter(|l| l.team == team && !l.settled_money())
+            .map(|l| l.cap)
+            .sum();
+        budget.saturating_sub(spent).saturating_sub(aside)
+    }
+
+    /// Why jobs stay here, as of now.
+    pub fn stays(&self, now: Ms) -> Vec<(&str, Stays)> {
+        let money = |team: &str| self.money(team, now);
+        crate::lending::choose(&self.waiting, self.jobs.len(), money, &self.o).1
+    }
+
+    fn next_award(&mut self) -> Option<u64> {
+        // Beyond this, numbers of the next term would be used.
+        if self.count >= 1 << COUNT_BITS {
+            return None;
+        }
+        self.count += 1;
+        Some((self.term << COUNT_BITS) | (self.count - 1))
+    }
+
+    /// Takes in what has happened.
+    pub fn event(&mut self, event: Event, now: Ms) -> Vec<Effect> {
+        if self.ended {
+            return Vec::new();
+        }
+        match event {
+            Event::Wrote(step, wrote) => {
+                if matches!(wrote, Wrote::Later | Wrote::Unknown) {
+                    self.books_after = now + self.pause();
+                }
+                let news = self.books.wrote(step, wrote);
+                self.news(news);
+            }
+            Event::Read(step, found) => {
+                if found.is_err() {
+                    self.books_after = now + self.pause();
+                }
+                let news = self.books.read(step, found);
+                self.news(news);
+            }
+            Event::Answered { call, sent, reply } => self.answered(call, sent, reply, now),
+            Event::Lent { job, award, marked } => self.marked(&job, award, marked, now),
+            Event::Returned { job, award, taken } => self.returned(&job, award, taken),
+            Event::Waiting(list) => self.waiting = list,
+            Event::Recall(job) => {
+                self.bidding.forget(&job, &mut self.markets);
+                if let Some(lent) = self.jobs.get_mut(&job) {
+                    lent.recall = true;
+                    self.ready.insert(job);
+                }
+            }
+        }
+        self.go_on(now)
+    }
+
+    /// Works out the difference between what is wanted and what is.
+    pub fn tick(&mut self, now: Ms) -> Vec<Effect> {
+        if self.ended {
+            return Vec::new();
+        }
+        self.expire(now);
+        self.sync(now);
+        self.clear(now);
+        self.due(now);
+        self.go_on(now)
+    }
+
+    fn go_on(&mut self, now: Ms) -> Vec<Effect> {
+        if self.ended {
+            self.out.clear();
+            return vec![Effect::Resign];
+        }
+        self.advance(now);
+        if now < self.books_after {
+            return std::mem::take(&mut self.out);
+        }
+        while let Some(step) = self.books.next_step() {
+            if matches!(step, Step::Write(..)) {
+                self.counts.writes += 1;
+            }
+            self.out.push(Effect::Books(step));
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn pause(&mut self) -> Ms {
+        BOOKS_PAUSE + self.rng.u64(0..BOOKS_PAUSE)
+    }
+
+    fn resign(&mut self) {
+        self.ended = true;
+    }
+
+    /// What has become durable lets the next step be taken.
+    fn news(&mut self, news: News) {
+        let list = match news {
+            News::Nothing => return,
+            News::Lost => return self.resign(),
+            News::Durable(list) => list,
+        };
+        for (key, value) in list {
+            if let Some(job) = key.strip_prefix(AWARDS) {
+                self.durable(job, value.is_some());
+            } else if let Some(market) = key.strip_prefix(HORIZONS)
+                && let Some(r) = value.and_then(|v| serde_json::from_value::<HorizonRecord>(v).ok())
+                && let Some(m) = self.by_name.get(market)
+            {
+                let market = &mut self.markets[*m];
+                market.tenancy.written(r.until_ms);
+                if market.granted.is_none() {
+                    market.next_sync = 0;
+                }
+            }
+        }
+    }
+
+    fn durable(&mut self, job: &str, stands: bool) {
+        let Some(lent) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let next = match &lent.phase {
+            Phase::Intended if stands => Phase::Marking { asked: None },
+            Phase::Ending(end) if stands => Phase::Returning {
+                end: end.clone(),
+                asked: None,
+            },
+            Phase::Dropping if !stands => {
+                self.jobs.remove(job);
+                return;
+            }
+            // An earlier value of a key that has been changed again since.
+            other => other.clone(),
+        };
+        lent.phase = next;
+        self.ready.insert(job.to_owned());
+    }
+}
+
+impl Lent {
+    /// Its cost is already among what was spent.
+    fn settled_money(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Ending(_) | Phase::Returning { .. } | Phase::Dropping
+        )
+    }
+
+    fn record(&self, market: &str, end: Option<End>) -> AwardRecord {
+        AwardRecord {
+            award: self.award,
+            market: market.to_owned(),
+            team: self.team.clone(),
+            tasks: self.tasks,
+            cap: self.cap,
+            start_by: self.start_by,
+            end,
+        }
+    }
+}
+
+fn value<T: serde::Serialize>(record: &T) -> Option<Value> {
+    serde_json::to_value(record).ok()
+}
--- a/crates/market/src/lib.rs
+++ b/crates/market/src/lib.rs
@@ -2,12 +2,15 @@
 //! without clock or sockets: state, an event and the time go in, effects come
 //! out. `docs/markets.md` says why it is safe.
 
+pub mod books;
+pub mod broker;
 pub mod clearing;
 pub mod clock;
 pub mod gate;
 pub mod lending;
 pub mod options;
 pub mod ranges;
+pub mod records;
 pub mod reputation;
 pub mod schema;
 pub mod wire;
