--- a/crates/market/src/broker/bids.rs
+++ b/crates/market/src/broker/bids.rs
@@ -97,6 +97,7 @@
             };
             let here = self.jobs.values().filter(|l| l.market == m).count();
             if !market.known
+                || !market.clock.watched()
                 || !market.gate.usable()
                 || !market.reputation.trusted()
                 || here >= MAX_ROWS / 2
--- a/crates/market/src/broker/calls.rs
+++ b/crates/market/src/broker/calls.rs
@@ -11,6 +11,9 @@
 /// Two renewals that differ by less than this are one.
 const SYNC_SPREAD: f64 = 0.25;
 
+/// Besides three rounds, a market may be silent for so long.
+const SILENT: Ms = 2_000;
+
 impl Broker {
     pub(super) fn call(&mut self, market: usize, call: Call, ask: Ask) {
         self.calls += 1;
@@ -80,6 +83,10 @@
         if !market.known || !market.clock.sound() || !market.reputation.trusted() {
             return;
         }
+        // A silent market's horizon stands still, so that it is reached.
+        if !market.clock.heard(now, 3 * self.o.every_ms + SILENT) {
+            return;
+        }
         if let Some(until_ms) = market.tenancy.to_write(now) {
             let key = horizon_key(&market.name);
             self.books
--- a/crates/market/src/clock.rs
+++ b/crates/market/src/clock.rs
@@ -10,6 +10,12 @@
 
 /// Steady clocks of two machines drift apart by up to this share.
 const DRIFT: f64 = 0.0005;
+/// A market's clock is watched for so long before anything is awarded there,
+/// and from then on against the first reading.
+const WATCHED: Ms = 10_000;
+/// By this share a clock may be slow without being noticed within that time,
+/// as answers take up to a fifth of a second; horizons reach beyond it.
+const UNNOTICED: f64 = 0.02;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Reading {
@@ -33,6 +39,9 @@
 
 #[derive(Debug, Default)]
 pub struct Clock {
+    /// The first of this epoch: the longer ago, the less a slow clock can hide
+    /// in the time that answers take.
+    first: Option<Reading>,
     last: Option<Reading>,
     /// Its readings contradict each other within this epoch.
     wrong: Option<u64>,
@@ -52,9 +61,20 @@
         }
     }
 
+    /// Whether it has been watched for long enough to rely on.
+    pub fn watched(&self) -> bool {
+        let long = |(a, b): (Reading, Reading)| a.received + WATCHED <= b.sent;
+        self.sound() && self.first.zip(self.last).is_some_and(long)
+    }
+
+    /// Whether the market has answered within the last `within`.
+    pub fn heard(&self, now: Ms, within: Ms) -> bool {
+        self.last.is_some_and(|r| now <= r.received + within)
+    }
+
     pub fn read(&mut self, new: Reading) -> Look {
-        let Some(old) = self.last else {
-            self.last = Some(new);
+        let (Some(old), Some(first)) = (self.last, self.first) else {
+            (self.first, self.last) = (Some(new), Some(new));
             return Look::Fine;
         };
         if new.sent < old.sent {
@@ -62,13 +82,15 @@
             return Look::Fine;
         }
         if new.epoch != old.epoch {
-            self.last = Some(new);
+            (self.first, self.last) = (Some(new), Some(new));
             return Look::NewEpoch;
         }
-        // At least this much passed between the two readings at the market.
-        let least = new.sent.saturating_sub(old.received) as f64 * (1.0 - DRIFT);
-        let passed = new.clock_ms as f64 - old.clock_ms as f64;
-        if passed + 1.0 < least {
+        // At least so much passed between two readings at the market.
+        let slow = |from: Reading| {
+            let least = new.sent.saturating_sub(from.received) as f64 * (1.0 - DRIFT);
+            new.clock_ms as f64 - from.clock_ms as f64 + 1.0 < least
+        };
+        if slow(old) || slow(first) {
             self.wrong = Some(new.epoch);
             return Look::Wrong;
         }
@@ -123,7 +145,7 @@
 
     /// When a renewal that is granted now has surely ended.
     fn ends(&self, now: Ms) -> Ms {
-        now + (self.life_ms as f64 * (1.0 + 2.0 * DRIFT)) as Ms + 1
+        now + (self.life_ms as f64 * (1.0 + UNNOTICED)) as Ms + 1
     }
 
     /// A horizon to be written first, if renewals would soon go beyond the
@@ -183,6 +205,19 @@
         assert!(c.sound());
     }
 
+    /// Guards against a clock that is slow by less than an answer takes from
+    /// one reading to the next, but not over ten seconds.
+    #[test]
+    fn a_clock_that_is_a_little_slow_is_found_out_before_it_is_relied_on() {
+        let mut c = Clock::default();
+        for n in 0..10 {
+            assert_eq!(c.read(reading(1, n * 989, n * 1000)), Look::Fine);
+            assert!(!c.watched());
+        }
+        assert_eq!(c.read(reading(1, 10 * 989, 10_000)), Look::Wrong);
+        assert!(!c.watched());
+    }
+
     #[test]
     fn an_overtaken_answer_changes_nothing() {
         let mut c = Clock::default();
@@ -204,9 +239,9 @@
         assert_eq!(t.renewal(&c, 1_000), None);
         t.written(horizon);
         let until = t.renewal(&c, 1_000).unwrap();
-        // Were the market's clock slow by the whole drift, its 20 s from the
-        // reading on would still end before the horizon.
-        let ends = 100.0 + until.clock_ms as f64 / (1.0 - DRIFT);
+        // Were the market's clock as slow as can go unnoticed, its 20 s would
+        // still end before the horizon.
+        let ends = 100.0 + until.clock_ms as f64 / (1.0 - UNNOTICED);
         assert!(ends <= horizon as f64, "{ends} {horizon}");
         assert!(!t.over(horizon + 500));
         assert!(t.over(horizon + 501));
--- a/crates/market/tests/world/market.rs
+++ b/crates/market/tests/world/market.rs
@@ -5,7 +5,7 @@
 use pathwinch_market::{
     ranges::Ranges,
     wire::{
-        Ask, Award, AwardSaid, BidSaid, Offer, Reply, Request, Say, Slot, State, Sync, Synced,
+        Ask, Award, AwardSaid, Bid, BidSaid, Offer, Reply, Request, Say, Slot, State, Sync, Synced,
         VERSION,
     },
 };
@@ -59,6 +59,9 @@
     orphans: Vec<(Ms, String)>,
     rng: Rng,
     pub accepted: u64,
+    /// Bids accepted, and let go by the home.
+    pub held: u64,
+    pub released: u64,
 }
 
 impl MarketSim {
@@ -80,6 +83,8 @@
             orphans: Vec::new(),
             rng: Rng::with_seed(seed),
             accepted: 0,
+            held: 0,
+            released: 0,
         }
     }
 
@@ -176,17 +181,7 @@
             self.term = request.term;
             match &request.ask {
                 Ask::Sync(sync) => Say::Synced(self.sync(sync, now, &mut did)),
-                Ask::Bids(bids) => Say::Bids(
-                    bids.iter()
-                        .map(|b| match b.slots <= self.free() && b.price >= self.price {
-                            true => BidSaid::Accepted {
-                                price: self.price,
-                                until_ms: self.clock(now) + 10_000,
-                            },
-                            false => BidSaid::Refused,
-                        })
-                        .collect(),
-                ),
+                Ask::Bids(bids) => Say::Bids(bids.iter().map(|b| self.bid(b, now)).collect()),
                 Ask::Award(award) => Say::Award(self.award(award, now, &mut did)),
             }
         };
@@ -201,6 +196,17 @@
         (reply, did)
     }
 
+    fn bid(&mut self, b: &Bid, now: Ms) -> BidSaid {
+        if b.slots > self.free() || b.price < self.price {
+            return BidSaid::Refused;
+        }
+        self.held += 1;
+        BidSaid::Accepted {
+            price: self.price,
+            until_ms: self.clock(now) + 10_000,
+        }
+    }
+
     fn sync(&mut self, sync: &Sync, now: Ms, did: &mut Vec<Did>) -> Synced {
         if let Some(until) = sync.until
             && until.epoch == self.epoch
@@ -221,6 +227,7 @@
                 Some(_) => {}
             }
         }
+        self.released += sync.release.len() as u64;
         let mut awards: Vec<AwardSaid> = sync
             .awards
             .iter()
--- a/crates/market/tests/world/mod.rs
+++ b/crates/market/tests/world/mod.rs
@@ -1,6 +1,9 @@
 //! A home with its leader, a state service, brokers and three markets, all in
 //! memory, under one seed; and a checker of what must hold.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 pub mod market;
 
 use fastrand::Rng;
@@ -37,10 +40,10 @@
     here: Option<Ms>,
     pub answer: Option<&'static str>,
     /// Jobs that wait long enough are run here.
-    local_at: Ms,
+    pub local_at: Ms,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 enum Msg {
     Store(usize, Step),
     Market(usize, usize, u64, Ms, Request),
@@ -525,6 +528,29 @@
             .sum()
     }
 
+    /// Where a job runs now.
+    pub fn place(&self, job: &str) -> Option<&str> {
+        self.places.get(job)?.first().map(String::as_str)
+    }
+
+    pub fn broker(&self) -> &Broker {
+        self.brokers
+            .last()
+            .and_then(Option::as_ref)
+            .expect("a broker acts")
+    }
+
+    /// Goes on until it is so; panics after ten minutes.
+    pub fn until(&mut self, what: &str, so: impl Fn(&World) -> bool) {
+        for _ in 0..6_000 {
+            if so(self) {
+                return;
+            }
+            self.step();
+        }
+        panic!("never: {what}");
+    }
+
     /// What must hold at the end.
     pub fn check(&self) -> Vec<String> {
         let mut wrong = self.broken.clone();
