--- a/crates/market/tests/world/mod.rs
+++ b/crates/market/tests/world/mod.rs
@@ -41,6 +41,8 @@
     pub answer: Option<&'static str>,
     /// Jobs that wait long enough are run here.
     pub local_at: Ms,
+    /// When it is submitted.
+    pub come: Ms,
 }
 
 #[derive(Clone)]
@@ -76,9 +78,14 @@
     pub ends_at: Option<(u64, bool)>,
     pub takes_over_at: Ms,
     pub calls: u64,
+    /// Jobs that the home runs at a time, in the order in which they came;
+    /// `None`: as `local_at` says.
+    pub room: Option<usize>,
 }
 
 const TIMEOUT: Ms = 2_000;
+/// The time of day at which every world begins.
+pub const BEGIN: Ms = 1_000_000_000;
 
 impl World {
     pub fn new(seed: u64, jobs: u32) -> Self {
@@ -126,13 +133,14 @@
                     here: None,
                     answer: None,
                     local_at: rng.u64(100_000..900_000),
+                    come: 0,
                     w,
                 };
                 (id, job)
             })
             .collect();
         World {
-            now: 1_000_000_000,
+            now: BEGIN,
             markets: vec![
                 MarketSim::new("north", 90_000, 120, seed + 1),
                 MarketSim::new("south", 100_000, 120, seed + 2),
@@ -155,6 +163,7 @@
             ends_at: None,
             takes_over_at: 0,
             calls: 0,
+            room: None,
         }
     }
 
@@ -421,31 +430,44 @@
         }
     }
 
-    /// The leader starts what waited too long, and ends what is through.
+    /// The leader starts what waited too long, or what there is room for, and
+    /// ends what is through.
     fn home(&mut self) {
         let now = self.now;
-        let mut starts = Vec::new();
         let mut ends = Vec::new();
         for (id, j) in &mut self.jobs {
             if j.here.is_some_and(|at| at <= now) {
                 j.here = None;
                 ends.push(id.clone());
-            } else if j.answer.is_none()
-                && j.mark.is_none()
-                && j.here.is_none()
-                && now >= 1_000_000_000 + j.local_at
-            {
-                j.here = Some(now + 10_000);
-                starts.push(id.clone());
             }
         }
-        for id in starts {
-            self.arrives(&id, "home");
-        }
         for id in ends {
             self.leaves(&id, "home");
             self.answer(&id, "done");
         }
+        let here = self.jobs.values().filter(|j| j.here.is_some()).count();
+        let room = self.room.map_or(usize::MAX, |r| r.saturating_sub(here));
+        let mut starts: Vec<(Ms, String)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.answer.is_none() && j.mark.is_none() && j.here.is_none())
+            .filter(|(_, j)| match self.room {
+                Some(_) => now >= j.come,
+                None => now >= BEGIN + j.local_at,
+            })
+            .map(|(id, j)| (j.come, id.clone()))
+            .collect();
+        starts.sort();
+        for (_, id) in starts.into_iter().take(room) {
+            let run = match self.room {
+                Some(_) => (self.jobs[&id].w.estimate_s * 1000.0) as Ms,
+                None => 10_000,
+            };
+            if let Some(j) = self.jobs.get_mut(&id) {
+                j.here = Some(now + run);
+            }
+            self.arrives(&id, "home");
+        }
     }
 
     pub fn step(&mut self) {
@@ -467,7 +489,7 @@
             let waiting: Vec<Waiting> = self
                 .jobs
                 .values()
-                .filter(|j| j.answer.is_none() && j.mark.is_none())
+                .filter(|j| j.answer.is_none() && j.mark.is_none() && j.come <= self.now)
                 .map(|j| Waiting {
                     placed: u32::from(j.here.is_some()),
                     ..j.w.clone()
