Keys: an authority of one's own, certificates that are renewed and revoked while in use

Need: homes and markets know each other by certificate, and nobody is to restart a process because one was renewed.

--- a/crates/market/src/main.rs
+++ b/crates/market/src/main.rs
@@ -1,5 +1,7 @@
 //! Command line of the broker.
 
+mod keys;
+
 use anyhow::{Context, Result};
 use clap::{Parser, Subcommand};
 use pathwinch_market::{
@@ -31,6 +33,9 @@
         #[arg(long, value_name = "DIR")]
         write: Option<PathBuf>,
     },
+    /// Make, renew, revoke and show certificates.
+    #[command(subcommand)]
+    Keys(keys::Keys),
     /// Measure how long clearing takes and how near it comes to its bound, on
     /// drawn problems.
     Measure {
@@ -118,6 +123,7 @@
                 }
             }
         }
+        Command::Keys(asked) => keys::run(asked)?,
         Command::Measure {
             jobs,
             offers,
