The leader marks jobs as lent, guarded on the award's record, and takes them back

Need: a job that is with a neighbouring market must not start here, whoever leads and however late a request to mark or to return it comes.

Change: a job's record may say to which market and under which award it is lent; nothing of such a job starts, is rented for or made room for. The mark's write is guarded on the version of the award's record, in a transaction of its own; one without an answer keeps the job until the record has moved on. What comes back done is recorded before the mark is lifted; all of it done is the final answer. Brokers ask over back (Lendable, Lend, TakeBack); status and explain name the market. Nothing asks yet: without a broker nothing differs.

Measured: five stories (next leader, late and unanswered marks, returns twice, withdrawal while lent).

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! installation's wire format uses appear here as renames and nowhere else.
 
 pub mod cloud;
+pub mod market;
 pub mod peers;
 pub mod settings;
 pub mod state;
--- /dev/null
+++ b/crates/protocol/src/market.rs
@@ -0,0 +1,37 @@
+//! What a broker of markets asks of the controllers.
+
+use super::users::JobSpec;
+use serde::{Deserialize, Serialize};
+
+/// Where brokers keep their records in the state service.
+pub const PREFIX: &str = "market/";
+/// Under that, one record for each job that is, or may be, lent.
+pub const AWARDS: &str = "market/award/";
+/// Jobs in one answer, so that it fits a frame.
+pub const MOST_LENDABLE: usize = 100;
+
+/// A waiting job that could be lent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Lendable {
+    pub spec: JobSpec,
+    /// Finished tasks, as sorted ranges with both ends.
+    pub done: Vec<(u32, u32)>,
+    pub waited_ms: u64,
+    /// Until its deadline; below zero: passed.
+    pub left_ms: Option<i64>,
+    /// When it is expected to be done here, if that is known.
+    pub here_ms: Option<u64>,
+    /// What machines for it would cost here, in millionths.
+    pub rent: u64,
+    /// Its team's guarantee covers it.
+    pub kept: bool,
+}
+
+/// Whether a job is marked as lent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Marked {
+    Yes,
+    No,
+    /// To be asked again.
+    NotYet,
+}
--- a/crates/protocol/src/peers.rs
+++ b/crates/protocol/src/peers.rs
@@ -1,6 +1,7 @@
 //! Messages between controllers: CBOR in length-prefixed frames.
 
 use super::{
+    market::{Lendable, Marked},
     status::{Explanation, Status},
     users::JobState,
 };
@@ -45,6 +46,23 @@
     LeaderStatus,
     /// An operator asks about one job. `forwarded`: on their behalf.
     Explain { id: String, forwarded: bool },
+    /// A broker asks the leader what could be lent, and which of the jobs that
+    /// it has out (with their awards) are not needed any more.
+    Lendable { lent: Vec<(String, u64)> },
+    /// The job is to be marked as lent, if the award's record has this
+    /// version.
+    Lend {
+        id: String,
+        award: u64,
+        market: String,
+        version: u64,
+    },
+    /// The award is over: these tasks are done, the mark is to be lifted.
+    TakeBack {
+        id: String,
+        award: u64,
+        done: Vec<(u32, u32)>,
+    },
 }
 
 impl Request {
@@ -81,4 +99,11 @@
     },
     Status(Box<Status>),
     Explained(Explanation),
+    Lendable {
+        jobs: Vec<Lendable>,
+        recall: Vec<String>,
+    },
+    Lent(Marked),
+    /// Whether that is durable.
+    TakenBack(bool),
 }
--- a/crates/protocol/src/status.rs
+++ b/crates/protocol/src/status.rs
@@ -30,6 +30,8 @@
     Settling,
     /// Its tasks fail wherever they start: the next try is put off.
     FailsEverywhere,
+    /// With a neighbouring market, or on its way there.
+    Lent,
 }
 
 impl Reason {
@@ -45,6 +47,7 @@
             Reason::OldAttempt => "old attempt not surely gone",
             Reason::Settling => "controller settling",
             Reason::FailsEverywhere => "job fails everywhere",
+            Reason::Lent => "lent to a neighbouring market",
         }
     }
 }
--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -51,6 +51,7 @@
         cancelled: false,
         suspected: false,
         done: String::new(),
+        lent: None,
     })
 }
 
--- /dev/null
+++ b/src/bookkeeping/away.rs
@@ -0,0 +1,88 @@
+//! Whether a job is with a neighbouring market. While it isn't here, nothing
+//! of it starts here.
+
+use serde::{Deserialize, Serialize};
+
+/// To whom, as the job's record says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Lent {
+    #[serde(rename = "a")]
+    pub award: u64,
+    #[serde(rename = "m")]
+    pub market: String,
+}
+
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Away {
+    #[default]
+    Here,
+    /// The same, and the mark for this award can't be set any more.
+    Refused(u64),
+    /// The mark is wanted. It may be in the record, or get there late, as long
+    /// as the award's record has this version.
+    Leaving { lent: Lent, version: u64 },
+    /// The record says so.
+    Lent(Lent),
+    /// What came back is known; the mark is to be lifted.
+    Back(Lent),
+}
+
+impl Away {
+    pub fn loaded(lent: Option<Lent>) -> Self {
+        lent.map_or(Away::Here, Away::Lent)
+    }
+
+    pub fn is_here(&self) -> bool {
+        matches!(self, Away::Here | Away::Refused(_))
+    }
+
+    /// The mark is to be set or lifted.
+    pub fn moves(&self) -> bool {
+        matches!(self, Away::Leaving { .. } | Away::Back(_))
+    }
+
+    pub fn lent(&self) -> Option<&Lent> {
+        match self {
+            Away::Here | Away::Refused(_) => None,
+            Away::Leaving { lent, .. } | Away::Lent(lent) | Away::Back(lent) => Some(lent),
+        }
+    }
+
+    /// What any other write of the job's record must keep.
+    pub fn mark(&self) -> Option<Lent> {
+        match self {
+            Away::Here | Away::Refused(_) | Away::Leaving { .. } => None,
+            Away::Lent(lent) | Away::Back(lent) => Some(lent.clone()),
+        }
+    }
+
+    /// The mark is in the record.
+    pub fn marked(&mut self) {
+        if let Away::Leaving { lent, .. } = self {
+            *self = Away::Lent(lent.clone());
+        }
+    }
+
+    /// The mark is surely not in the record, and can't get there.
+    pub fn stays(&mut self) {
+        if let Away::Leaving { lent, .. } = self {
+            *self = Away::Refused(lent.award);
+        }
+    }
+
+    /// The mark is out of the record.
+    pub fn lifted(&mut self) {
+        if let Away::Back(_) = self {
+            *self = Away::Here;
+        }
+    }
+
+    /// The record was read again after a write that had no answer.
+    pub fn reread(&mut self, mark: Option<&Lent>) {
+        match (&*self, mark) {
+            (Away::Leaving { lent, .. }, Some(found)) if lent == found => self.marked(),
+            (Away::Back(_), None) => self.lifted(),
+            _ => {}
+        }
+    }
+}
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -2,6 +2,7 @@
 //! state service, and the rate budgets towards the outside.
 
 pub mod amounts;
+pub mod away;
 pub mod blame;
 pub mod budget;
 pub mod model;
--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -4,12 +4,14 @@
 use super::{
     Ms,
     amounts::Amounts,
+    away::Away,
     blame::{JobFile, MachineFile},
-    records::Bits,
+    records::{Bits, job_key},
 };
 use crate::protocol::{
     cloud::MachineType,
     settings::{Settings, Team},
+    state::Guard,
     status::Reason,
     users::{JobSpec, JobState, JobStatus, Kind},
     workers::Why,
@@ -72,6 +74,7 @@
     pub reason: Reason,
     /// What renting makes of it: room on its way, or none to be had.
     pub supply: Option<Reason>,
+    pub away: Away,
 }
 
 impl Job {
@@ -83,7 +86,19 @@
         }
     }
 
+    /// On the record as it was last known.
+    pub fn guard(&self) -> Guard {
+        Guard {
+            key: job_key(&self.id),
+            version: self.version,
+        }
+    }
+
+    /// Tasks to be started here.
     pub fn waiting(&self) -> u32 {
+        if !self.away.is_here() {
+            return 0;
+        }
         self.spec.tasks - self.done_n - self.live
     }
 
@@ -539,6 +554,7 @@
             has_run: false,
             reason: Reason::New,
             supply: None,
+            away: Away::Here,
             spec,
         };
         let ix = match self.free_jobs.pop() {
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -1,6 +1,10 @@
 //! What is kept in the state service, and under which keys.
 
-use crate::protocol::users::{JobSpec, JobState};
+use super::away::Lent;
+use crate::protocol::{
+    market::AWARDS,
+    users::{JobSpec, JobState},
+};
 use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD};
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +39,9 @@
 pub fn bar_key(node: &str) -> String {
     format!("{BARS}{node}")
 }
+pub fn award_key(id: &str) -> String {
+    format!("{AWARDS}{id}")
+}
 pub fn notice_key(id: &str) -> String {
     format!("{NOTICES}{id}")
 }
@@ -62,6 +69,10 @@
     /// Finished tasks of the first chunk.
     #[serde(rename = "b", default, skip_serializing_if = "String::is_empty")]
     pub done: String,
+    /// Nothing of it starts here while it is with a market. A program that
+    /// does not know this mark must not lead beside one that sets it.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub lent: Option<Lent>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader of one term: binds the model, placement, dispatch and
 //! provisioning. It is told of events and asked for what to do next.
 
+mod away;
 mod gather;
 mod machines;
 mod place;
@@ -24,6 +25,7 @@
     bookkeeping::{
         Ms,
         amounts::Amounts,
+        away::Away,
         blame::{JobFile, MachineFile},
         model::{Assignment, Job, Machine, Model, NONE, Phase, Place, Roster},
         records::{
@@ -92,6 +94,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Item {
     Cancel(u32, String),
+    Lend(u32, String),
+    Lift(u32, String),
     Final(u32, String, JobState),
     Progress(u32, String, Vec<usize>),
     Roster(u32, String),
@@ -176,6 +180,10 @@
     failed: VecDeque<status::Failed>,
     /// Jobs of which a task failed and none has run.
     accused: Vec<u32>,
+    /// Jobs whose mark as lent is to be set or lifted.
+    moving: Vec<u32>,
+    /// The last transaction set marks: other changes go first now.
+    marked_last: bool,
 }
 
 impl Leader {
@@ -229,6 +237,8 @@
             recovery: recovery::Recovery::begun(now),
             failed: VecDeque::new(),
             accused: Vec::new(),
+            moving: Vec::new(),
+            marked_last: false,
         }
     }
 
@@ -255,11 +265,16 @@
         self.learn_shape(&record.spec);
         self.changed = true;
         let (at_ms, suspected) = (record.at_ms, record.suspected);
+        let away = Away::loaded(record.lent);
         let ix = self
             .model
             .insert_job(record.spec, at_ms, version, done, record.cancelled, now);
         if let Some(j) = self.model.job_mut(ix) {
             j.fresh |= version > self.term;
+            if !away.is_here() && j.version == version {
+                j.away = away;
+                j.reason = Reason::Lent;
+            }
             if suspected && !j.file.proven && !j.file.suspected {
                 j.file = JobFile::suspected_before(now);
             }
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -87,7 +87,7 @@
     /// Whether all tasks of the job that are, or may be, on a machine are
     /// known: it is younger than the term, or no machine that has neither been
     /// heard nor lapsed is of a kind that the job allows.
-    fn job_settled(&self, job: &Job) -> bool {
+    pub(super) fn job_settled(&self, job: &Job) -> bool {
         self.settled
             || job.fresh
             || !self.model.each_machine().any(|m| {
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -2,6 +2,7 @@
 //! transaction had no answer.
 
 use super::*;
+use crate::{bookkeeping::away::Lent, protocol::market::AWARDS};
 
 impl Leader {
     pub(super) fn leader_guard(&self) -> Guard {
@@ -19,29 +20,39 @@
             cancelled: false,
             suspected: false,
             done: String::new(),
+            lent: None,
         };
         let mut txn = acceptance(&record);
         txn.guards.push(self.leader_guard());
         (txn, record)
     }
 
+    pub(super) fn empty_plan(&self) -> Plan {
+        Plan {
+            txn: Txn {
+                guards: vec![self.leader_guard()],
+                writes: Vec::new(),
+            },
+            items: Vec::new(),
+        }
+    }
+
     /// What is to be written next, at most `room` changes.
     pub fn plan_flush(&mut self, room: usize) -> Option<Plan> {
         if !self.loaded {
             return None;
         }
+        if !self.moving.is_empty()
+            && let Some(marks) = self.plan_marks(room)
+        {
+            return Some(marks);
+        }
         let limits = &self.settings.cluster.state;
         let spare = room as f64 > limits.write_rps / 2.0;
         let room = room.min(limits.txn_ops);
         let mut bytes = 0usize;
         let byte_limit = 48 * 1024;
-        let mut plan = Plan {
-            txn: Txn {
-                guards: vec![self.leader_guard()],
-                writes: Vec::new(),
-            },
-            items: Vec::new(),
-        };
+        let mut plan = self.empty_plan();
         let put = |plan: &mut Plan, bytes: &mut usize, key: String, value: serde_json::Value| {
             *bytes += key.len() + value.to_string().len() + 40;
             plan.txn.writes.push(Write::Put {
@@ -63,10 +74,7 @@
                 if j.writing {
                     continue;
                 }
-                let guard = Guard {
-                    key: job_key(&j.id),
-                    version: j.version,
-                };
+                let guard = j.guard();
                 let over = if j.complete() && !j.cancelled {
                     Some(JobState::Done)
                 } else if j.cancelled && j.live == 0 && self.settled {
@@ -77,7 +85,7 @@
                 match (pass, over) {
                     (0, None) if j.cancel_wanted && !j.cancelled => {
                         plan.txn.guards.push(guard);
-                        let record = job_record(j, true);
+                        let record = job_record(j, true, j.away.mark());
                         put(&mut plan, &mut bytes, job_key(&j.id), record);
                         plan.items.push(Item::Cancel(ix as u32, j.id.clone()));
                         j.writing = true;
@@ -114,7 +122,7 @@
                                 put(&mut plan, &mut bytes, chunk_key(&j.id, c), value);
                                 chunks.push(c);
                             } else {
-                                let record = job_record(j, false);
+                                let record = job_record(j, false, j.away.mark());
                                 put(&mut plan, &mut bytes, job_key(&j.id), record);
                                 chunks.push(c);
                             }
@@ -129,6 +137,9 @@
                     _ => {}
                 }
             }
+            if pass == 2 {
+                self.plan_lifts(&mut plan, room);
+            }
             if pass == 0 {
                 lapsed = self.plan_roster(&mut plan, room, spare);
             }
@@ -243,9 +254,21 @@
                         j.writing = false;
                         j.closing = false;
                         j.cancelled = true;
+                        // A mark that was on its way can't be set any more.
+                        j.away.stays();
                         log::info!("job {id} withdrawn");
                     }
                 }
+                Item::Lend(ix, id) | Item::Lift(ix, id) => {
+                    if let Some(j) = self.job_of(*ix, id) {
+                        j.version = revision;
+                        j.writing = false;
+                        match item {
+                            Item::Lend(..) => j.away.marked(),
+                            _ => j.away.lifted(),
+                        }
+                    }
+                }
                 Item::Final(ix, id, state) => self.ended(*ix, id, *state),
                 Item::Progress(ix, id, chunks) => {
                     if let Some(j) = self.job_of(*ix, id) {
@@ -297,7 +320,9 @@
     /// A key of such a transaction as it stands now. All keys must have been
     /// read before `reread_done`.
     pub fn reread(&mut self, key: &str, found: Option<(serde_json::Value, u64)>) {
-        if let Some(id) = key.strip_prefix(keys::FINALS) {
+        if let Some(id) = key.strip_prefix(AWARDS) {
+            self.award_seen(id, found.map_or(0, |f| f.1));
+        } else if let Some(id) = key.strip_prefix(keys::FINALS) {
             if let Some((value, _)) = found
                 && let Ok(record) = serde_json::from_value::<FinalRecord>(value)
                 && let Some(ix) = self.model.job_ix(id)
@@ -312,6 +337,7 @@
             {
                 j.version = version;
                 j.cancelled |= record.cancelled;
+                j.away.reread(record.lent.as_ref());
             }
         } else if let Some(name) = key.strip_prefix(keys::ROSTER) {
             if let Some(m) = self
@@ -350,6 +376,11 @@
                         j.closing = false;
                     }
                 }
+                Item::Lend(ix, id) | Item::Lift(ix, id) => {
+                    if let Some(j) = self.job_of(*ix, id) {
+                        j.writing = false;
+                    }
+                }
                 Item::Progress(ix, id, chunks) => {
                     let chunks = chunks.clone();
                     if let Some(j) = self.job_of(*ix, id) {
@@ -405,13 +436,14 @@
     }
 }
 
-fn job_record(j: &Job, cancelled: bool) -> serde_json::Value {
+pub(super) fn job_record(j: &Job, cancelled: bool, lent: Option<Lent>) -> serde_json::Value {
     serde_json::to_value(JobRecord {
         spec: j.spec.clone(),
         at_ms: j.at_ms,
         cancelled: cancelled || j.cancelled,
         suspected: j.file.suspected,
         done: j.done.chunk(0),
+        lent,
     })
     .unwrap_or_default()
 }
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -132,7 +132,11 @@
                 Some(Due::AtRisk) => g.at_risk_jobs += 1,
                 _ => {}
             }
-            let waiting = j.waiting();
+            // What is lent waits as well, for its market.
+            let waiting = match j.away.is_here() {
+                true => j.waiting(),
+                false => j.spec.tasks - j.done_n,
+            };
             if waiting == 0 || j.cancelled {
                 continue;
             }
@@ -214,6 +218,17 @@
         picture.fleet.truncate(MOST_ROWS);
     }
 
+    fn lent_to(&self, job: &Job) -> Option<String> {
+        let lent = job.away.lent()?;
+        let how = match job.away {
+            Away::Leaving { .. } => "about to be lent to",
+            Away::Back(_) => "coming back from",
+            _ => "lent to",
+        };
+        let market = clipped(&lent.market);
+        Some(format!("{how} market {market}, award {}", lent.award))
+    }
+
     fn verdict_on(&self, job: &Job, now: Ms) -> Option<String> {
         let machines = job.file.failures().len();
         let times = |n| if n == 1 { "machine" } else { "machines" };
@@ -258,8 +273,8 @@
             running: j.running,
             waiting,
             age_s: self.age_s(j),
-            reason: (waiting > 0 && !j.cancelled).then(|| self.reason_of(j)),
-            verdict: self.verdict_on(j, now),
+            reason: ((waiting > 0 || !j.away.is_here()) && !j.cancelled).then(|| self.reason_of(j)),
+            verdict: self.lent_to(j).or_else(|| self.verdict_on(j, now)),
             due: self.due_of(j),
             deadline_s: j.spec.deadline_s,
             places: places.take(MOST_ROWS).collect(),
--- /dev/null
+++ b/src/node/market.rs
@@ -0,0 +1,71 @@
+//! What a broker of markets asks: only the leader answers.
+
+use super::Node;
+use crate::{
+    bookkeeping::away::Lent,
+    protocol::{
+        market::{MOST_LENDABLE, Marked},
+        peers::Reply,
+    },
+};
+use async_io::Timer;
+use std::time::Duration;
+
+/// For how long a broker's question waits for a write.
+const WAIT: u64 = 1_500;
+const STEP: Duration = Duration::from_millis(15);
+
+impl Node {
+    pub(super) fn lendable(&self, lent: &[(String, u64)]) -> Reply {
+        self.acting(|l, _| {
+            l.loaded.then(|| Reply::Lendable {
+                jobs: l.lendable(MOST_LENDABLE),
+                recall: l.not_needed(lent),
+            })
+        })
+        .flatten()
+        .unwrap_or(Reply::NotLeader)
+    }
+
+    /// Asks until it is decided. `None`: not the leader.
+    async fn decided<T>(&self, ask: impl Fn() -> Option<(T, bool)>) -> Option<T> {
+        let began = self.now();
+        loop {
+            let (answer, decided) = ask()?;
+            if decided || self.now() > began + WAIT {
+                return Some(answer);
+            }
+            Timer::after(STEP).await;
+        }
+    }
+
+    pub(super) async fn lend(&self, id: &str, lent: Lent, version: u64) -> Reply {
+        let ask = || {
+            self.acting(|l, _| {
+                if !l.loaded {
+                    return None;
+                }
+                let marked = l.lend(id, lent.clone(), version);
+                Some((marked, marked != Marked::NotYet))
+            })
+            .flatten()
+        };
+        let marked = self.decided(ask).await;
+        marked.map_or(Reply::NotLeader, Reply::Lent)
+    }
+
+    pub(super) async fn take_back(&self, id: &str, award: u64, done: &[(u32, u32)]) -> Reply {
+        let ask = || {
+            self.acting(|l, _| {
+                if !l.loaded {
+                    return None;
+                }
+                let taken = l.take_back(id, award, done);
+                Some((taken, taken))
+            })
+            .flatten()
+        };
+        let taken = self.decided(ask).await;
+        taken.map_or(Reply::NotLeader, Reply::TakenBack)
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod cloud;
 mod engine;
 mod lead;
+mod market;
 mod metrics;
 mod peers;
 mod polls;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -4,6 +4,7 @@
 use super::{BEAT, Node};
 use crate::{
     bookkeeping::Ms,
+    bookkeeping::away::Lent,
     coordination::reach::{Contact, PATIENCE},
     protocol::peers::{Reply, Request},
     transport::client::CallError,
@@ -124,6 +125,14 @@
             Request::Explain { id, forwarded } => {
                 Reply::Explained(self.explain(&id, !forwarded).await)
             }
+            Request::Lendable { lent } => self.lendable(&lent),
+            Request::Lend {
+                id,
+                award,
+                market,
+                version,
+            } => self.lend(&id, Lent { award, market }, version).await,
+            Request::TakeBack { id, award, done } => self.take_back(&id, award, &done).await,
             Request::Resigned { term } => {
                 self.election.borrow_mut().resigned(term);
                 Reply::Ok
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -146,6 +146,7 @@
             cancelled: false,
             suspected: false,
             done: String::new(),
+            lent: None,
         };
         let txn = acceptance_with_notice(&record);
         match self.txn(&txn, Duration::from_millis(2000)).await {
--- /dev/null
+++ b/tests/lent.rs
@@ -0,0 +1,175 @@
+//! Jobs that are lent to neighbouring markets: while one is marked nothing of
+//! it starts here, and what comes back is kept once.
+
+mod world;
+
+use pathwinch::{
+    bookkeeping::{away::Lent, records::award_key},
+    coordination::leader::Leader,
+    protocol::{
+        market::Marked,
+        status::Reason,
+        users::{JobState, Kind},
+    },
+};
+use serde_json::json;
+use world::{World, job};
+
+const ID: &str = "j-000001";
+
+/// An installation whose team may run two tasks: a job holds them, and an
+/// array of four waits.
+fn waiting() -> World {
+    let mut w = World::led(5, 3, 8.0);
+    w.run_ms = 600_000;
+    w.submit(job(2, Kind::Array, 2));
+    w.until(30_000, "the limit is used up", |w| {
+        w.running("j-000002") == 2
+    });
+    w.submit(job(1, Kind::Array, 4));
+    w.run(3_000);
+    assert_eq!(w.running(ID), 0);
+    w
+}
+
+fn leader(w: &mut World) -> &mut Leader {
+    let i = w.leader().expect("a node leads");
+    w.nodes[i].leader.as_mut().expect("it leads")
+}
+
+/// A broker writes an award's record, or its end; returns the version.
+fn record(w: &mut World, end: bool) -> u64 {
+    w.store.revision += 1;
+    let version = w.store.revision;
+    let value = (json!({ "end": end }), version);
+    w.store.kv.insert(award_key(ID), value);
+    version
+}
+
+fn lent(award: u64) -> Lent {
+    Lent {
+        award,
+        market: "north".into(),
+    }
+}
+
+fn lend(w: &mut World, award: u64, version: u64) -> Marked {
+    for _ in 0..100 {
+        let marked = leader(w).lend(ID, lent(award), version);
+        if marked != Marked::NotYet {
+            return marked;
+        }
+        w.run(50);
+    }
+    Marked::NotYet
+}
+
+fn take_back(w: &mut World, award: u64, done: &[(u32, u32)]) {
+    w.until(5_000, "it is taken back", |w| {
+        leader(w).take_back(ID, award, done)
+    });
+}
+
+/// Room is made here for everything.
+fn make_room(w: &mut World) {
+    w.cancel("j-000002");
+    w.run(30_000);
+}
+
+#[test]
+fn a_marked_job_starts_nowhere_here_also_under_the_next_leader() {
+    let mut w = waiting();
+    let version = record(&mut w, false);
+    assert_eq!(lend(&mut w, 7, version), Marked::Yes);
+    assert_eq!(lend(&mut w, 7, version), Marked::Yes, "to be repeated");
+    assert_eq!(lend(&mut w, 8, version), Marked::No, "one award at a time");
+    let told = leader(&mut w).explain(ID, 0).unwrap();
+    assert_eq!(told.reason, Some(Reason::Lent));
+    assert!(told.verdict.unwrap().contains("north"));
+    make_room(&mut w);
+    assert_eq!(w.running(ID), 0);
+    let old = w.leader().unwrap();
+    w.crash(old, 3_000);
+    w.until(10_000, "another leads", |w| {
+        w.leader().is_some_and(|l| l != old)
+    });
+    w.run(30_000);
+    assert_eq!((w.running(ID), w.poll(0, ID)), (0, Some(JobState::Queued)));
+    // Two came back done; the others run here.
+    take_back(&mut w, 7, &[(1, 2)]);
+    w.until(30_000, "the rest runs", |w| w.running(ID) == 2);
+    take_back(&mut w, 7, &[(0, 3)]);
+    assert_eq!(w.running(ID), 2, "a second return says nothing new");
+    w.sound();
+}
+
+#[test]
+fn all_that_comes_back_done_is_the_final_answer() {
+    let mut w = waiting();
+    let version = record(&mut w, false);
+    assert_eq!(lend(&mut w, 7, version), Marked::Yes);
+    take_back(&mut w, 7, &[(0, 3)]);
+    w.until(5_000, "done", |w| w.poll(0, ID) == Some(JobState::Done));
+    take_back(&mut w, 7, &[]);
+    assert_eq!(w.poll(1, ID), Some(JobState::Done));
+}
+
+/// Guards against a request to mark that was held up until its award was over:
+/// nobody would ever lift that mark.
+#[test]
+fn a_mark_that_comes_after_the_awards_end_is_not_set() {
+    let mut w = waiting();
+    let version = record(&mut w, false);
+    record(&mut w, true);
+    assert_eq!(lend(&mut w, 7, version), Marked::No);
+    make_room(&mut w);
+    w.until(30_000, "it runs here", |w| w.running(ID) > 0);
+}
+
+/// The write of a mark has no answer and is applied seconds later, while its
+/// award is over meanwhile or not.
+#[test]
+fn a_mark_without_an_answer_keeps_the_job_until_it_is_known() {
+    for ends in [false, true] {
+        let mut w = waiting();
+        let version = record(&mut w, false);
+        w.store.late = vec![4_000];
+        leader(&mut w).lend(ID, lent(7), version);
+        if ends {
+            w.run(200);
+            record(&mut w, true);
+        }
+        make_room(&mut w);
+        if ends {
+            w.until(40_000, "it runs here", |w| w.running(ID) > 0);
+            assert!(leader(&mut w).take_back(ID, 7, &[]));
+        } else {
+            assert_eq!(lend(&mut w, 7, version), Marked::Yes);
+            assert_eq!(w.running(ID), 0);
+        }
+        w.sound();
+    }
+}
+
+#[test]
+fn what_runs_here_is_not_lent_and_a_withdrawn_job_is_called_back() {
+    let mut w = waiting();
+    let version = record(&mut w, false);
+    let i = w.leader().unwrap();
+    let l = w.nodes[i].leader.as_mut().unwrap();
+    assert_eq!(l.lend("j-000002", lent(9), version), Marked::No);
+    assert_eq!(l.lend("j-000009", lent(9), version), Marked::No);
+    let names: Vec<String> = l.lendable(10).into_iter().map(|j| j.spec.id).collect();
+    assert_eq!(names, [ID]);
+    assert_eq!(lend(&mut w, 7, version), Marked::Yes);
+    let out = [(ID.to_owned(), 7)];
+    assert!(leader(&mut w).lendable(10).is_empty());
+    assert!(leader(&mut w).not_needed(&out).is_empty());
+    w.cancel(ID);
+    w.run(2_000);
+    assert_eq!(leader(&mut w).not_needed(&out), [ID]);
+    assert_eq!(w.poll(0, ID), Some(JobState::Cancelled));
+    take_back(&mut w, 7, &[(0, 3)]);
+    assert_eq!(w.poll(0, ID), Some(JobState::Cancelled), "it stays so");
+    w.sound();
+}
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -35,6 +35,7 @@
         cancelled: false,
         suspected: false,
         done: String::new(),
+        lent: None,
     }
 }
 
