pathwinch-market serve, and stand-in markets over mutual TLS in the lab

Need: the broker's decisions are to act, and to be seen acting by a new user.

Change: pathwinch-market serve binds the broker to the state service (leadership under a lease and its own prefix, its own share of the limits), to whoever leads the controllers, and to markets over mutual TLS, whose answers are checked against the schema.

--- a/crates/lab/src/cloud.rs
+++ b/crates/lab/src/cloud.rs
@@ -1,10 +1,11 @@
 //! The cloud: rents machines by the second, lists them late.
 
-use crate::{Ms, Rate, millis, site::Site};
+use crate::{Ms, millis, site::Site};
 use fastrand::Rng;
 use pathwinch_protocol::cloud::{
     ListedMachine, ListedState, MAX_RENT, MachineList, MachineNames, MachineType, Rent,
 };
+use pathwinch_transport::rate::Rate;
 use std::collections::{BTreeMap, HashMap};
 
 #[derive(Debug, Clone)]
--- a/crates/lab/src/depot.rs
+++ b/crates/lab/src/depot.rs
@@ -44,6 +44,9 @@
     gangs: HashMap<(String, u64), Gang>,
     /// Which machine each task is on.
     on: HashMap<String, String>,
+    /// Which market each lent job is at.
+    lent: HashMap<String, String>,
+    lent_ever: usize,
     broken: Vec<String>,
     failing: f64,
     failed_once: HashSet<String>,
@@ -73,6 +76,8 @@
             saved: HashMap::new(),
             gangs: HashMap::new(),
             on: HashMap::new(),
+            lent: HashMap::new(),
+            lent_ever: 0,
             broken: Vec::new(),
             failing,
             failed_once: HashSet::new(),
@@ -128,6 +133,9 @@
             let what = format!("{task} started on {machine} while on {other}");
             self.wrong(what);
         }
+        if let Some(market) = self.lent.get(job_of(task)).cloned() {
+            self.wrong(format!("{task} started on {machine} while at {market}"));
+        }
         let late = self
             .jobs
             .get(job_of(task))
@@ -139,6 +147,31 @@
         self.on.insert(task.to_owned(), machine.to_owned());
     }
 
+    /// A market starts a job.
+    pub fn lent(&mut self, job: &str, market: &str) {
+        self.lent_ever += 1;
+        let prefix = format!("{job}/");
+        if let Some(other) = self.lent.get(job) {
+            let what = format!("{job} started at {market} while at {other}");
+            self.wrong(what);
+        } else if self.on.keys().any(|t| t.starts_with(&prefix)) {
+            self.wrong(format!("{job} started at {market} while on machines"));
+        }
+        self.lent.insert(job.to_owned(), market.to_owned());
+    }
+
+    /// Nothing of it runs at that market any more.
+    pub fn back(&mut self, job: &str, market: &str) {
+        if self.lent.get(job).is_some_and(|m| m == market) {
+            self.lent.remove(job);
+        }
+    }
+
+    /// Jobs at markets now, and how many there were in all.
+    pub fn at_markets(&self) -> (usize, usize) {
+        (self.lent.len(), self.lent_ever)
+    }
+
     /// A task has left its machine.
     pub fn leaves(&mut self, task: &str, machine: &str) {
         if self.on.get(task).is_some_and(|m| m == machine) {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 use clap::{Args, Parser, Subcommand};
 use futures_lite::StreamExt;
 use pathwinch_lab::{
+    markets,
     site::Site,
     up::{self, Addresses},
 };
@@ -39,6 +40,10 @@
     /// its own among the system's temporary files.
     #[arg(long, value_name = "DIR")]
     dir: Option<PathBuf>,
+    /// Also start so many stand-in markets, and two brokers that lend jobs of
+    /// class slice to them (see docs/markets.md).
+    #[arg(long, value_name = "COUNT", default_value_t = 0)]
+    markets: usize,
     /// Print the addresses as JSON.
     #[arg(long)]
     json: bool,
@@ -59,6 +64,9 @@
     }
     let _ = writeln!(out, "state service {}", addresses.state);
     let _ = writeln!(out, "cloud         {}", addresses.cloud);
+    for (name, addr) in &addresses.markets {
+        let _ = writeln!(out, "market {name:<6} {addr}");
+    }
     let _ = writeln!(out, "settings, logs {}", addresses.dir.display());
     let _ = writeln!(
         out,
@@ -88,7 +96,13 @@
     let over = async {
         signals.next().await;
     };
-    up::run(site, program, dir, |a| tell(a, asked.json), over)
+    anyhow::ensure!(
+        asked.markets <= markets::MOST,
+        "--markets: at most {}",
+        markets::MOST
+    );
+    let told = |a: &Addresses| tell(a, asked.json);
+    up::run(site, program, dir, asked.markets, told, over)
 }
 
 fn main() -> ExitCode {
--- a/crates/market/tests/world/market.rs
+++ b/crates/lab/src/market.rs
@@ -1,6 +1,6 @@
 //! A market as the protocol wants it, and ways in which it may fail.
 
-use super::Ms;
+use crate::Ms;
 use fastrand::Rng;
 use pathwinch_market::{
     ranges::Ranges,
--- a/crates/lab/src/state.rs
+++ b/crates/lab/src/state.rs
@@ -1,11 +1,12 @@
 //! The state service: keys with versions, leases, transactions and watches,
 //! within the limits of the settings.
 
-use crate::{Ms, Rate};
+use crate::Ms;
 use pathwinch_protocol::{
     settings::StateLimits,
     state::{Txn, Write},
 };
+use pathwinch_transport::rate::Rate;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/crates/lab/src/up.rs
+++ b/crates/lab/src/up.rs
@@ -2,7 +2,7 @@
 //! Users come in through a front door, which does the balancer's part and
 //! keeps what they upload for the workers.
 
-use crate::{Ms, cloud::Cloud, cloud::Refused, depot::Depot, millis, site::Site, state};
+use crate::{Ms, cloud::Cloud, cloud::Refused, depot::Depot, markets, millis, site::Site, state};
 use anyhow::{Context, Result};
 use async_io::Timer;
 use http_types::Method;
@@ -21,6 +21,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    ffi::OsString,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command},
@@ -55,6 +56,9 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 const WATCH_STEP: Duration = Duration::from_millis(20);
 const MOST_WATCH_MS: u64 = 60_000;
+/// Jobs of this class may be lent, by two brokers, of which one acts.
+const LENT_CLASSES: &str = "slice";
+const BROKERS: usize = 2;
 /// Connections that each stand-in takes.
 const CONNECTIONS: usize = 1024;
 
@@ -251,6 +255,8 @@
             "spent": cloud.spent(now),
             "tasks_finished": depot.finished(),
             "tasks_on_machines": depot.on_machines(),
+            "jobs_at_markets": depot.at_markets().0,
+            "jobs_lent_ever": depot.at_markets().1,
             "rules_broken": depot.broken(),
             "state_keys": state.keys(),
             "state_revision": state.revision(),
@@ -273,44 +279,44 @@
 
 /// Processes that end with this one.
 struct Children {
-    program: PathBuf,
     dir: PathBuf,
+    /// A name, for its log, and how it is started.
+    commands: Vec<(String, PathBuf, Vec<OsString>)>,
     running: RefCell<Vec<Option<Child>>>,
 }
 
 impl Children {
-    fn start(&self, controller: &Controller) -> Result<Child> {
-        let log = self.dir.join(format!("{}.log", controller.name));
+    fn start(&self, index: usize) -> Result<Child> {
+        let (name, program, args) = &self.commands[index];
+        let log = self.dir.join(format!("{name}.log"));
         let out = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(&log)
             .with_context(|| format!("cannot write {}", log.display()))?;
-        Command::new(&self.program)
-            .arg("serve")
-            .arg("--config")
-            .arg(&controller.settings)
+        Command::new(program)
+            .args(args)
             .stdin(std::process::Stdio::null())
             .stdout(out.try_clone()?)
             .stderr(out)
             .spawn()
-            .with_context(|| format!("cannot start {}", self.program.display()))
+            .with_context(|| format!("cannot start {}", program.display()))
     }
 
     /// Starts what isn't running, as a platform would.
-    async fn keep_up(&self, lab: Rc<Lab>) {
+    async fn keep_up(&self) {
         loop {
-            for (i, controller) in lab.controllers.iter().enumerate() {
+            for (i, (name, ..)) in self.commands.iter().enumerate() {
                 let ended = match &mut self.running.borrow_mut()[i] {
                     Some(child) => child.try_wait().ok().flatten(),
                     None => None,
                 };
                 if let Some(how) = ended {
-                    log::warn!("{} ended ({how}), starting it again", controller.name);
+                    log::warn!("{name} ended ({how}), starting it again");
                     self.running.borrow_mut()[i] = None;
                 }
                 if self.running.borrow()[i].is_none() {
-                    match self.start(controller) {
+                    match self.start(i) {
                         Ok(child) => self.running.borrow_mut()[i] = Some(child),
                         Err(e) => log::error!("{e:#}"),
                     }
@@ -400,6 +406,8 @@
     pub cloud: SocketAddr,
     /// Each controller's name, `listen` and `back`.
     pub controllers: Vec<(String, SocketAddr, SocketAddr)>,
+    /// Stand-in markets, by name.
+    pub markets: Vec<(String, SocketAddr)>,
     /// Settings and logs of the controllers.
     pub dir: PathBuf,
 }
@@ -409,6 +417,7 @@
     site: Site,
     program: PathBuf,
     dir: PathBuf,
+    markets: usize,
     told: impl FnOnce(&Addresses),
     over: impl Future<Output = ()>,
 ) -> Result<()> {
@@ -440,10 +449,41 @@
         start: Instant::now(),
         site,
     });
+    let mut commands: Vec<(String, PathBuf, Vec<OsString>)> = Vec::new();
+    for c in &lab.controllers {
+        let args = vec!["serve".into(), "--config".into(), c.settings.clone().into()];
+        commands.push((c.name.clone(), program.clone(), args));
+    }
+    let mut made = None;
+    if markets > 0 {
+        let teams: Vec<String> = lab
+            .site
+            .cluster
+            .teams
+            .iter()
+            .map(|t| t.name.clone())
+            .collect();
+        let m = markets::make(&dir, markets, LENT_CLASSES, &teams)?;
+        let broker = program.with_file_name("pathwinch-market");
+        anyhow::ensure!(broker.is_file(), "no {}: build it", broker.display());
+        for n in 1..=BROKERS {
+            let args = vec![
+                "serve".into(),
+                "--config".into(),
+                lab.controllers[0].settings.clone().into(),
+                "--options".into(),
+                m.options.clone().into(),
+                "--keys".into(),
+                m.home_keys.clone().into(),
+            ];
+            commands.push((format!("broker-{n}"), broker.clone(), args));
+        }
+        made = Some(m);
+    }
     let children = Children {
-        program,
         dir: dir.clone(),
-        running: RefCell::new(lab.controllers.iter().map(|_| None).collect()),
+        running: RefCell::new(commands.iter().map(|_| None).collect()),
+        commands,
     };
     let limits = || Limits {
         connections: CONNECTIONS,
@@ -467,6 +507,12 @@
         });
         lanes.spawn(serve).detach();
         lanes.spawn(crate::machines::run(lab.clone())).detach();
+        let mut named = Vec::new();
+        for (n, m) in made.into_iter().flat_map(|m| m.markets).enumerate() {
+            named.push((m.name.to_owned(), m.addr));
+            let run = markets::run(lab.clone(), m, n as u64);
+            lanes.spawn(run).detach();
+        }
         lanes.spawn(probe(lab.clone())).detach();
         let addresses = Addresses {
             users: front_addr,
@@ -477,6 +523,7 @@
                 .iter()
                 .map(|c| (c.name.clone(), c.listen, c.back))
                 .collect(),
+            markets: named,
             dir,
         };
         let stands = async {
@@ -486,7 +533,7 @@
             told(&addresses);
             std::future::pending::<()>().await
         };
-        let work = futures_lite::future::or(stands, children.keep_up(lab.clone()));
+        let work = futures_lite::future::or(stands, children.keep_up());
         futures_lite::future::or(over, work).await
     }));
     Ok(())
--- a/crates/market/src/lib.rs
+++ b/crates/market/src/lib.rs
@@ -1,6 +1,6 @@
-//! Borrowing spare capacity of neighbouring clusters. Everything here decides
-//! without clock or sockets: state, an event and the time go in, effects come
-//! out. `docs/markets.md` says why it is safe.
+//! Borrowing spare capacity of neighbouring clusters. Everything but `serve`
+//! decides without clock or sockets: state, an event and the time go in,
+//! effects come out. `docs/markets.md` says why it is safe.
 
 pub mod books;
 pub mod broker;
@@ -13,6 +13,7 @@
 pub mod records;
 pub mod reputation;
 pub mod schema;
+pub mod serve;
 pub mod wire;
 
 /// Milliseconds of the time of day, which all brokers of a home share within
--- a/crates/market/src/main.rs
+++ b/crates/market/src/main.rs
@@ -7,8 +7,9 @@
 use pathwinch_market::{
     clearing::{Effort, clear, drawn},
     options::Options,
-    schema,
+    schema, serve,
 };
+use pathwinch_protocol::settings::Settings;
 use std::{path::PathBuf, process::ExitCode, time::Instant};
 
 /// Borrow spare capacity of neighbouring clusters.
@@ -21,6 +22,18 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Run a broker until it is killed. Several may run; one acts.
+    Serve {
+        /// The platform's JSON settings file of any controller.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+        /// The broker's INI file.
+        #[arg(long, value_name = "FILE")]
+        options: PathBuf,
+        /// The home's keys (see `keys make`).
+        #[arg(long, value_name = "DIR")]
+        keys: PathBuf,
+    },
     /// Check the broker's INI file and say what is wrong with it.
     CheckConfig {
         /// The file.
@@ -106,6 +119,16 @@
 
 fn start(cli: Cli) -> Result<()> {
     match cli.command {
+        Command::Serve {
+            config,
+            options,
+            keys,
+        } => {
+            let text = std::fs::read_to_string(&config)
+                .with_context(|| format!("cannot read {}", config.display()))?;
+            let settings = Settings::parse(&text).with_context(|| config.display().to_string())?;
+            serve::run(settings, Options::load(&options)?, &keys)?;
+        }
         Command::CheckConfig { options } => {
             let o = Options::load(&options)?;
             println!("{}: {} markets, sound", options.display(), o.markets.len());
@@ -140,6 +163,13 @@
 }
 
 fn main() -> ExitCode {
+    let env = env_logger::Env::new().filter_or("LOG_LEVEL", "info");
+    env_logger::Builder::from_env(env)
+        .format(|out, record| {
+            use std::io::Write;
+            writeln!(out, "{} {}", record.level(), record.args())
+        })
+        .init();
     match start(Cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/market/src/options.rs
+++ b/crates/market/src/options.rs
@@ -4,7 +4,7 @@
 use crate::{Money, Ms, millis};
 use anyhow::{Context, Result, bail, ensure};
 use ini::Ini;
-use std::{collections::BTreeMap, path::Path};
+use std::{collections::BTreeMap, net::SocketAddr, path::Path};
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
@@ -26,6 +26,8 @@
     pub start_within_ms: Ms,
     /// How often each market is asked.
     pub every_ms: Ms,
+    /// Share of the state service's limits that brokers may use.
+    pub share: f64,
     /// Of each team, for a day, in millionths.
     pub budgets: BTreeMap<String, Money>,
     /// Markets by name: where they are asked.
@@ -44,6 +46,7 @@
             clock_bound_ms: 1_000,
             start_within_ms: 10_000,
             every_ms: 2_000,
+            share: 0.08,
             budgets: BTreeMap::new(),
             markets: BTreeMap::new(),
         }
@@ -109,13 +112,18 @@
             ("award", "clock_bound_s") => self.clock_bound_ms = seconds(name, value, 0.0, 60.0)?,
             ("award", "start_within_s") => self.start_within_ms = seconds(name, value, 1.0, 600.0)?,
             ("award", "every_s") => self.every_ms = seconds(name, value, 0.5, 60.0)?,
+            ("state", "share") => self.share = number(name, value, 0.001, 0.5)?,
             ("budget", team) => {
                 let most = number(name, value, 0.0, 1e9)?;
                 self.budgets
                     .insert(team.to_owned(), (most * 1e6).round() as Money);
             }
             ("market", market) => {
-                ensure!(!value.trim().is_empty(), "{name}: an address is missing");
+                let addr: Result<SocketAddr, _> = value.trim().parse();
+                ensure!(
+                    addr.is_ok(),
+                    "{name}: {value:?} is not an address like 10.9.0.1:8443"
+                );
                 self.markets
                     .insert(market.to_owned(), value.trim().to_owned());
             }
@@ -146,4 +154,11 @@
         assert_eq!(wrong("[lent]\nx = 1\n"), "lent.x: unknown section or key");
         assert!(wrong("[award]\ntenancy_s = 5\n").starts_with("award.start_within_s"));
     }
+
+    #[test]
+    fn the_file_under_deploy_is_sound_and_lends_nothing_as_it_is() {
+        let text = include_str!("../../../deploy/market.ini");
+        let o = Options::parse(text).unwrap();
+        assert_eq!(o, Options::default());
+    }
 }
--- a/crates/market/tests/world/mod.rs
+++ b/crates/market/tests/world/mod.rs
@@ -4,10 +4,8 @@
 // Each test program uses a part of it.
 #![allow(dead_code)]
 
-pub mod market;
-
 use fastrand::Rng;
-use market::{Did, MarketSim};
+use pathwinch_lab::market::{Did, MarketSim};
 use pathwinch_market::{
     books::{Change, Step, Wrote},
     broker::{Broker, Effect, Event, Missing},
--- a/crates/tls/src/lib.rs
+++ b/crates/tls/src/lib.rs
@@ -4,6 +4,7 @@
 //! the caller, in seconds since 1970.
 
 pub mod authority;
+pub mod http;
 pub mod keys;
 pub mod reload;
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod frames;
 pub mod lanes;
+pub mod rate;
 pub mod server;
 
 use async_io::{Async, Timer};
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -3,7 +3,7 @@
 use super::{Slot, Stream, lanes::Lanes, within};
 use async_h1::server::{Encoder, decode};
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, io};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, io};
 use http_types::{Method, Response, StatusCode, headers};
 use std::{
     cell::Cell,
@@ -152,7 +152,7 @@
     F: Fn(HttpRequest) -> Fut + 'static,
     Fut: Future<Output = HttpResponse> + 'static,
 {
-    let first = match receive(&mut stream).await {
+    let first = match receive(&mut stream, MAX_BODY).await {
         Ok(Some(first)) => first,
         Ok(None) => return,
         Err(e) => return log::debug!("connection: {e}"),
@@ -189,7 +189,7 @@
             Ok(false) => return,
             Err(e) => return log::debug!("connection: {e}"),
         }
-        next = match receive(&mut stream).await {
+        next = match receive(&mut stream, MAX_BODY).await {
             Ok(Some(next)) => next,
             Ok(None) => return,
             Err(e) => return log::debug!("connection: {e}"),
@@ -197,17 +197,22 @@
     }
 }
 
-struct Received {
-    request: HttpRequest,
+pub struct Received {
+    pub request: HttpRequest,
     /// The connection is closed after the answer.
-    close: bool,
+    pub close: bool,
 }
 
+/// What a connection runs over: plain or encrypted.
+pub trait Wire: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static {}
+
+impl<T: AsyncRead + AsyncWrite + Clone + Send + Sync + Unpin + 'static> Wire for T {}
+
 /// The next request; `None` when there will be none. async-h1's own loop
 /// can't be told to leave its headers timeout out, which would start the
 /// reactor thread of an older async-io; so its decoder and encoder are driven
 /// here.
-async fn receive(stream: &mut Stream) -> http_types::Result<Option<Received>> {
+pub async fn receive<S: Wire>(stream: &mut S, most: usize) -> http_types::Result<Option<Received>> {
     let (mut req, _rest) = match within(IDLE, decode(stream.clone())).await {
         None | Some(Ok(None)) => return Ok(None),
         Some(Ok(Some(got))) => got,
@@ -219,9 +224,9 @@
         }
     };
     let mut body = Vec::new();
-    let mut limited = (&mut req).take(MAX_BODY as u64 + 1);
+    let mut limited = (&mut req).take(most as u64 + 1);
     let read = within(BODY, limited.read_to_end(&mut body)).await;
-    let complete = matches!(read, Some(Ok(_))) && body.len() <= MAX_BODY;
+    let complete = matches!(read, Some(Ok(_))) && body.len() <= most;
     let close = !complete
         || req
             .header(headers::CONNECTION)
@@ -236,8 +241,8 @@
 }
 
 /// Returns whether the connection goes on.
-async fn respond(
-    stream: &mut Stream,
+pub async fn respond<S: Wire>(
+    stream: &mut S,
     answer: HttpResponse,
     method: Method,
     close: bool,
