--- a/src/coordination/leader/away.rs
+++ b/src/coordination/leader/away.rs
@@ -13,6 +13,10 @@
 impl Leader {
     /// Waiting jobs that a broker may choose from, longest waiting first.
     pub fn lendable(&self, most: usize) -> Vec<Lendable> {
+        // Only when it is settled, so that no job is held against each machine.
+        if !self.settled {
+            return Vec::new();
+        }
         let mut list: Vec<(u32, &Job)> = Vec::new();
         for (ix, j) in self.model.jobs.iter().enumerate() {
             if let Some(j) = j
@@ -22,7 +26,6 @@
                 && !j.cancelled
                 && !j.cancel_wanted
                 && !j.file.suspected
-                && self.job_settled(j)
                 && matches!(
                     j.reason,
                     Reason::NoRoom | Reason::TeamLimit | Reason::GangIncomplete
