Markets: what a market is worth outlasts the broker that found out

Need: a liar was trusted again by each successor.

Change: reputations are records of their own, written at most every 30 s a market and at once after a lie, and loaded by the next broker.

--- a/crates/market/src/broker/mod.rs
+++ b/crates/market/src/broker/mod.rs
@@ -18,8 +18,8 @@
     lending::{Stays, Waiting},
     options::Options,
     records::{
-        AWARDS, AwardRecord, End, HORIZONS, HorizonRecord, SPENT, SpentRecord, Why, award_key, day,
-        horizon_key, spent_key,
+        AWARDS, AwardRecord, End, HORIZONS, HorizonRecord, SPENT, STANDING, SpentRecord, Why,
+        award_key, day, horizon_key, spent_key, standing_key,
     },
     reputation::Reputation,
     wire,
@@ -138,6 +138,9 @@
     pub tenancy: Tenancy,
     pub gate: Gate,
     pub reputation: Reputation,
+    /// As it was last written, and when it may be written again.
+    recorded: Reputation,
+    next_record: Ms,
     offers: Vec<wire::Offer>,
     /// Until when the market has surely been let run things.
     granted: Option<wire::Until>,
@@ -199,6 +202,8 @@
 const COUNT_BITS: u32 = 20;
 /// Before the state service is asked again for what it refused.
 const BOOKS_PAUSE: Ms = 200;
+/// Reputations are written no more often than this; a lie at once.
+const RECORD: Ms = 30_000;
 /// The leader is asked again after this.
 const ASK_AGAIN: Ms = 2_000;
 
@@ -256,6 +261,8 @@
             tenancy: Tenancy::new(self.o.tenancy_ms, self.o.clock_bound_ms, 0),
             gate: Gate::new(Limits::default()),
             reputation: Reputation::default(),
+            recorded: Reputation::default(),
+            next_record: 0,
             offers: Vec::new(),
             granted: None,
             next_sync: 0,
@@ -280,6 +287,12 @@
                     let m = self.market(market, false);
                     self.markets[m].tenancy.written(r.until_ms);
                 }
+            } else if let Some(market) = key.strip_prefix(STANDING) {
+                if let Ok(r) = serde_json::from_value::<Reputation>(value.clone()) {
+                    let m = self.market(market, false);
+                    self.markets[m].recorded = r.clone();
+                    self.markets[m].reputation = r;
+                }
             } else if let Some(team) = key.strip_prefix(SPENT)
                 && let Ok(r) = serde_json::from_value::<SpentRecord>(value.clone())
             {
@@ -404,6 +417,7 @@
             return Vec::new();
         }
         self.expire(now);
+        self.record_standing(now);
         self.sync(now);
         self.clear(now);
         self.due(now);
@@ -428,6 +442,20 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Records what markets are worth, so that a successor knows a liar.
+    fn record_standing(&mut self, now: Ms) {
+        for m in &mut self.markets {
+            let lied = m.reputation.lies > m.recorded.lies;
+            if m.reputation == m.recorded || (now < m.next_record && !lied) {
+                continue;
+            }
+            m.next_record = now + RECORD;
+            m.recorded = m.reputation.clone();
+            let group = vec![(standing_key(&m.name), value(&m.recorded))];
+            self.books.want(group);
+        }
+    }
+
     fn pause(&mut self) -> Ms {
         BOOKS_PAUSE + self.rng.u64(0..BOOKS_PAUSE)
     }
--- a/crates/market/src/records.rs
+++ b/crates/market/src/records.rs
@@ -6,6 +6,8 @@
 pub const AWARDS: &str = "award/";
 pub const HORIZONS: &str = "horizon/";
 pub const SPENT: &str = "spent/";
+/// Reputations, which outlast a broker.
+pub const STANDING: &str = "standing/";
 
 pub fn award_key(job: &str) -> String {
     format!("{AWARDS}{job}")
@@ -15,6 +17,10 @@
     format!("{HORIZONS}{market}")
 }
 
+pub fn standing_key(market: &str) -> String {
+    format!("{STANDING}{market}")
+}
+
 pub fn spent_key(team: &str) -> String {
     format!("{SPENT}{team}")
 }
--- a/crates/market/tests/stories.rs
+++ b/crates/market/tests/stories.rs
@@ -115,6 +115,12 @@
     assert_eq!(w.check(), NONE);
     let north = w.broker().markets.iter().find(|m| m.name == "north");
     assert!(north.is_some_and(|m| !m.reputation.trusted()));
+    // The next broker need not find that out again.
+    w.run(1_000);
+    w.end_broker();
+    w.take_over();
+    let north = w.broker().markets.iter().find(|m| m.name == "north");
+    assert!(north.is_some_and(|m| !m.reputation.trusted()));
     let caps = 60 * 10_000_000;
     assert!(w.spent() < caps, "{}", w.spent());
 }
