--- a/crates/protocol/src/status.rs
+++ b/crates/protocol/src/status.rs
@@ -124,6 +124,9 @@
     pub fleet: Vec<Fleet>,
     pub troubles: Vec<Trouble>,
     pub failures: Vec<Failure>,
+    /// Jobs with each neighbouring market, or on their way.
+    #[serde(default)]
+    pub lent: Vec<(String, u32)>,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -253,6 +256,9 @@
                 f.leaving
             )
         });
+        rows(&mut out, &p.lent, "lent to markets", |(market, jobs)| {
+            format!("{market}: {jobs} jobs")
+        });
         rows(&mut out, &p.troubles, "not in order", |t| {
             format!("{}: {}", t.machine, t.why)
         });
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -4,6 +4,7 @@
 use crate::protocol::status::{
     Due, Explained, Failure, Fleet, Group, MOST_ROWS, Picture, Reason, TeamUse, Trouble,
 };
+use std::collections::BTreeMap;
 
 /// Failures that are remembered for operators.
 const FAILURES: usize = 20;
@@ -83,6 +84,7 @@
             settled: self.settled,
             jobs: self.model.live_jobs() as u32,
             groups: self.groups(),
+            lent: self.at_markets(),
             failures: self
                 .failed
                 .iter()
@@ -218,6 +220,21 @@
         picture.fleet.truncate(MOST_ROWS);
     }
 
+    fn at_markets(&self) -> Vec<(String, u32)> {
+        let mut list: BTreeMap<&str, u32> = BTreeMap::new();
+        for lent in self
+            .model
+            .jobs
+            .iter()
+            .flatten()
+            .filter_map(|j| j.away.lent())
+        {
+            *list.entry(&lent.market).or_default() += 1;
+        }
+        let rows = list.into_iter().take(MOST_ROWS);
+        rows.map(|(market, jobs)| (clipped(market), jobs)).collect()
+    }
+
     fn lent_to(&self, job: &Job) -> Option<String> {
         let lent = job.away.lent()?;
         let how = match job.away {
--- a/tests/lent.rs
+++ b/tests/lent.rs
@@ -86,6 +86,8 @@
     let told = leader(&mut w).explain(ID, 0).unwrap();
     assert_eq!(told.reason, Some(Reason::Lent));
     assert!(told.verdict.unwrap().contains("north"));
+    let now = w.now;
+    assert_eq!(leader(&mut w).picture(now).lent, [("north".to_owned(), 1)]);
     make_room(&mut w);
     assert_eq!(w.running(ID), 0);
     let old = w.leader().unwrap();
