--- a/crates/client/src/retry.rs
+++ b/crates/client/src/retry.rs
@@ -64,7 +64,6 @@
 pub struct Ladder {
     rules: Rules,
     began: Ms,
-    attempts: u32,
     unknown: bool,
 }
 
@@ -73,15 +72,10 @@
         Ladder {
             rules,
             began: now,
-            attempts: 0,
             unknown: false,
         }
     }
 
-    pub fn attempts(&self) -> u32 {
-        self.attempts
-    }
-
     /// How long the next attempt may wait for its answer.
     pub fn patience(&self, now: Ms) -> Ms {
         let left = (self.began + self.rules.total_ms).saturating_sub(now);
@@ -90,7 +84,6 @@
 
     /// `chance`: from 0 to 1, drawn by the caller.
     pub fn ended(&mut self, attempt: &Attempt, now: Ms, chance: f64) -> Next {
-        self.attempts = self.attempts.saturating_add(1);
         let wish = match attempt {
             Attempt::Answered { status, .. } if (200..300).contains(status) => return Next::Done,
             Attempt::Answered {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -106,13 +106,7 @@
 }
 
 fn main() -> ExitCode {
-    let env = env_logger::Env::new().filter_or("LOG_LEVEL", "warn");
-    env_logger::Builder::from_env(env)
-        .format(|out, record| {
-            use std::io::Write;
-            writeln!(out, "{} {}", record.level(), record.args())
-        })
-        .init();
+    pathwinch_cli::log("warn");
     match start(Cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/market/src/books.rs
+++ b/crates/market/src/books.rs
@@ -99,10 +99,6 @@
         self.queue.push_back(group);
     }
 
-    pub fn waiting(&self) -> usize {
-        self.queue.len()
-    }
-
     pub fn next_step(&mut self) -> Option<Step> {
         match std::mem::replace(&mut self.flight, Flight::Idle) {
             Flight::Idle => {
--- a/crates/market/src/broker/bids.rs
+++ b/crates/market/src/broker/bids.rs
@@ -144,19 +144,15 @@
         let out = self.jobs.len() + self.bidding.jobs.len();
         let (go, _) = lending::choose(&open, out, |team| self.money(team, now), &self.o);
         let teams: Vec<&String> = self.o.budgets.keys().collect();
+        let (go, jobs): (Vec<Waiting>, Vec<Bidder>) = go
+            .into_iter()
+            .filter_map(|w| Some((w.clone(), bidder(w, &teams, &self.o)?)))
+            .unzip();
         let problem = Problem {
-            jobs: go
-                .iter()
-                .filter_map(|w| bidder(w, &teams, &self.o))
-                .collect(),
+            jobs,
             offers,
             budgets: teams.iter().map(|t| self.money(t, now) as f64).collect(),
         };
-        let go: Vec<Waiting> = go
-            .into_iter()
-            .filter(|w| bidder(w, &teams, &self.o).is_some())
-            .cloned()
-            .collect();
         let plan = crate::clearing::clear(&problem, &self.effort);
         let mut rows: BTreeMap<usize, Vec<Bid>> = BTreeMap::new();
         for ((w, j), choice) in go.iter().zip(&problem.jobs).zip(&plan.choice) {
--- a/crates/market/src/broker/calls.rs
+++ b/crates/market/src/broker/calls.rs
@@ -56,7 +56,7 @@
                 .take(MAX_ROWS)
                 .collect();
             let market = &mut self.markets[m];
-            let needed = !here.is_empty() || self.jobs.values().any(|l| l.market == m);
+            let needed = self.jobs.values().any(|l| l.market == m);
             let until = match needed {
                 true => market.tenancy.renewal(&market.clock, now),
                 false => None,
--- a/crates/market/src/clock.rs
+++ b/crates/market/src/clock.rs
@@ -139,10 +139,6 @@
         }
     }
 
-    pub fn horizon(&self) -> Ms {
-        self.horizon
-    }
-
     /// When a renewal that is granted now has surely ended.
     fn ends(&self, now: Ms) -> Ms {
         now + (self.life_ms as f64 * (1.0 + UNNOTICED)) as Ms + 1
--- a/crates/market/src/main.rs
+++ b/crates/market/src/main.rs
@@ -163,13 +163,7 @@
 }
 
 fn main() -> ExitCode {
-    let env = env_logger::Env::new().filter_or("LOG_LEVEL", "info");
-    env_logger::Builder::from_env(env)
-        .format(|out, record| {
-            use std::io::Write;
-            writeln!(out, "{} {}", record.level(), record.args())
-        })
-        .init();
+    pathwinch_cli::log("info");
     match start(Cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/market/src/options.rs
+++ b/crates/market/src/options.rs
@@ -4,6 +4,7 @@
 use crate::{Money, Ms, millis};
 use anyhow::{Context, Result, bail, ensure};
 use ini::Ini;
+use pathwinch_cli::number;
 use std::{collections::BTreeMap, net::SocketAddr, path::Path};
 
 #[derive(Debug, Clone, PartialEq)]
@@ -55,18 +56,6 @@
 
 const MOST_MARKETS: usize = 100;
 
-fn number(key: &str, text: &str, low: f64, high: f64) -> Result<f64> {
-    let v: f64 = text
-        .trim()
-        .parse()
-        .with_context(|| format!("{key}: not a number: {text:?}"))?;
-    ensure!(
-        v >= low && v <= high,
-        "{key}: {v} is outside {low} to {high}"
-    );
-    Ok(v)
-}
-
 fn seconds(key: &str, text: &str, low: f64, high: f64) -> Result<Ms> {
     Ok(millis(number(key, text, low, high)?))
 }
--- a/src/options.rs
+++ b/src/options.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{Context, Result, bail, ensure};
 use ini::Ini;
+use pathwinch_cli::number;
 use std::path::Path;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,18 +49,6 @@
     }
 }
 
-fn number(key: &str, text: &str, low: f64, high: f64) -> Result<f64> {
-    let v: f64 = text
-        .trim()
-        .parse()
-        .with_context(|| format!("{key}: not a number: {text:?}"))?;
-    ensure!(
-        v >= low && v <= high,
-        "{key}: {v} is outside {low} to {high}"
-    );
-    Ok(v)
-}
-
 impl Options {
     pub fn load(path: &Path) -> Result<Self> {
         let text = std::fs::read_to_string(path)
