--- a/crates/lab/src/cloud.rs
+++ b/crates/lab/src/cloud.rs
@@ -5,7 +5,7 @@
 use pathwinch_protocol::cloud::{
     ListedMachine, ListedState, MAX_RENT, MachineList, MachineNames, MachineType, Rent,
 };
-use pathwinch_transport::rate::Rate;
+use pathwinch_transport::budget::Budget;
 use std::collections::{BTreeMap, HashMap};
 
 #[derive(Debug, Clone)]
@@ -28,7 +28,7 @@
     capacity: u32,
     stillborn: f64,
     lag: Ms,
-    requests: Rate,
+    requests: Budget,
     machines: BTreeMap<String, Rented>,
     /// What each request's name was answered with: it rents once.
     answered: HashMap<String, Vec<String>>,
@@ -57,7 +57,7 @@
             capacity: site.capacity,
             stillborn: site.stillborn,
             lag: millis(site.cluster.cloud.list_lag_s),
-            requests: Rate::new(site.cluster.cloud.rps, 2.0),
+            requests: Budget::new(site.cluster.cloud.rps, 2.0),
             machines: BTreeMap::new(),
             answered: HashMap::new(),
             last: 0,
@@ -67,7 +67,7 @@
     }
 
     pub fn admit(&mut self, now: Ms) -> bool {
-        self.requests.take(now, 1.0)
+        self.requests.take(now, 1.0, 0.0)
     }
 
     pub fn types(&self) -> &[MachineType] {
--- a/crates/lab/src/state.rs
+++ b/crates/lab/src/state.rs
@@ -6,7 +6,7 @@
     settings::StateLimits,
     state::{Txn, Write},
 };
-use pathwinch_transport::rate::Rate;
+use pathwinch_transport::budget::Budget;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -56,8 +56,8 @@
 #[derive(Debug)]
 pub struct StateService {
     limits: StateLimits,
-    requests: Rate,
-    changes: Rate,
+    requests: Budget,
+    changes: Budget,
     revision: u64,
     keys: BTreeMap<String, Stored>,
     leases: BTreeMap<u64, Lease>,
@@ -74,8 +74,8 @@
 impl StateService {
     pub fn new(limits: StateLimits) -> Self {
         StateService {
-            requests: Rate::new(limits.rps, 1.0),
-            changes: Rate::new(limits.write_rps, 1.0),
+            requests: Budget::new(limits.rps, 1.0),
+            changes: Budget::new(limits.write_rps, 1.0),
             limits,
             revision: 0,
             keys: BTreeMap::new(),
@@ -151,7 +151,7 @@
         if self.down {
             return Some(error(503, "outage"));
         }
-        if !self.requests.take(now, 1.0) {
+        if !self.requests.take(now, 1.0, 0.0) {
             return Some(error(429, "too many requests"));
         }
         None
@@ -224,7 +224,7 @@
         if let Some(why) = self.malformed(&txn, body.len()) {
             return error(400, why);
         }
-        if !self.changes.take(now, txn.writes.len() as f64) {
+        if !self.changes.take(now, txn.writes.len() as f64, 0.0) {
             return error(429, "too many changes");
         }
         let held = txn.writes.iter().filter_map(|w| match w {
--- a/crates/market/src/serve/state.rs
+++ b/crates/market/src/serve/state.rs
@@ -13,8 +13,8 @@
     state::{Guard, LeaseGranted, Page, Revision, Txn, Write},
 };
 use pathwinch_transport::{
+    budget::Budget,
     client::{Answer, CallError, Client},
-    rate::Rate,
 };
 use serde_json::{Value, json};
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, time::Duration, time::Instant};
@@ -29,8 +29,8 @@
 pub struct State {
     addr: SocketAddr,
     http: Client,
-    requests: RefCell<Rate>,
-    writes: RefCell<Rate>,
+    requests: RefCell<Budget>,
+    writes: RefCell<Budget>,
     start: Instant,
 }
 
@@ -61,8 +61,8 @@
         State {
             addr: settings.services.state,
             http: Client::new(4),
-            requests: RefCell::new(Rate::new(limits.rps * share, 1.0)),
-            writes: RefCell::new(Rate::new(limits.write_rps * share, 1.0)),
+            requests: RefCell::new(Budget::new(limits.rps * share, 1.0)),
+            writes: RefCell::new(Budget::new(limits.write_rps * share, 1.0)),
             start: Instant::now(),
         }
     }
