A standby is told what has completed, so that a new leader does not run it again

A warm leader decides before it has heard the machines, and ran again what had ended before the old leader could record it; a second run of a task that is done counted nowhere after the next takeover.

--- a/crates/protocol/src/peers.rs
+++ b/crates/protocol/src/peers.rs
@@ -104,10 +104,39 @@
     /// The leader's change that put it there: of two places the one with the
     /// later change holds, as nothing is placed again before it is gone.
     pub u64,
-    /// It was seen running.
-    pub bool,
+    /// How it was last seen.
+    pub Seen,
 );
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(into = "u8", try_from = "u8")]
+pub enum Seen {
+    /// It may be there, or come to be there.
+    Sent,
+    Running,
+    /// It has completed, which may not be recorded yet.
+    Done,
+}
+
+impl From<Seen> for u8 {
+    fn from(seen: Seen) -> u8 {
+        seen as u8
+    }
+}
+
+impl TryFrom<u8> for Seen {
+    type Error = String;
+
+    fn try_from(n: u8) -> Result<Self, String> {
+        match n {
+            0 => Ok(Seen::Sent),
+            1 => Ok(Seen::Running),
+            2 => Ok(Seen::Done),
+            _ => Err(format!("no such state of a task: {n}")),
+        }
+    }
+}
+
 impl Request {
     /// Asks nothing but an answer.
     pub fn greeting() -> Self {
--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -10,7 +10,7 @@
 };
 use crate::protocol::{
     cloud::MachineType,
-    peers::{MachineHolds, MayRun},
+    peers::{MachineHolds, MayRun, Seen},
     settings::{Settings, Team},
     state::Guard,
     status::Reason,
@@ -726,7 +726,13 @@
         let tasks = self.machine_ix(name).and_then(|ix| self.machine(ix));
         let mut of: Vec<u32> = Vec::new();
         for a in tasks.map_or(&[][..], |m| &m.tasks) {
-            let Some(job) = self.job(a.job).filter(|_| a.live()) else {
+            let seen = match a.phase {
+                Phase::Running => Seen::Running,
+                Phase::Ended(Why::Done) => Seen::Done,
+                Phase::Ended(_) => continue,
+                _ => Seen::Sent,
+            };
+            let Some(job) = self.job(a.job) else {
                 continue;
             };
             let at = of.iter().position(|j| *j == a.job).unwrap_or_else(|| {
@@ -734,10 +740,7 @@
                 jobs.push((job.id.clone(), Vec::new()));
                 of.len() - 1
             });
-            let running = a.phase == Phase::Running;
-            jobs[at]
-                .1
-                .push(MayRun(a.task, a.attempt, a.change, running));
+            jobs[at].1.push(MayRun(a.task, a.attempt, a.change, seen));
         }
         MachineHolds {
             machine: name.to_owned(),
@@ -747,7 +750,7 @@
 
     /// Machines on which something is, or may be.
     pub fn held_machines(&self) -> BTreeSet<String> {
-        let held = self.each_machine().filter(|m| m.live_tasks() > 0);
+        let held = self.each_machine().filter(|m| !m.tasks.is_empty());
         held.map(|m| m.name.clone()).collect()
     }
 
@@ -872,6 +875,32 @@
         }
     }
 
+    /// A task that may be on the machine though its job has it as done: it
+    /// counts there and for its team until it is gone.
+    pub fn assign_beside(
+        &mut self,
+        job_ix: u32,
+        machine: u32,
+        name: &str,
+        attempt: u64,
+        phase: Phase,
+        now: Ms,
+    ) {
+        let Some((team, need)) = self.job(job_ix).map(|j| (j.team, j.need)) else {
+            return;
+        };
+        self.assign_stray(machine, name, attempt, phase, now);
+        if let Some(u) = self.usage.get_mut(team) {
+            *u += need;
+        }
+        if let Some(m) = self.machine_mut(machine) {
+            m.used += need;
+            if let Some(a) = m.tasks.last_mut() {
+                (a.team, a.need) = (team, need);
+            }
+        }
+    }
+
     pub fn set_phase(&mut self, machine: u32, at: usize, phase: Phase) {
         let Some(m) = self.machine_mut(machine) else {
             return;
--- a/src/coordination/leader/takeover.rs
+++ b/src/coordination/leader/takeover.rs
@@ -9,7 +9,7 @@
         checks::{self, Claim},
         copy::Copy,
     },
-    protocol::peers::{Follow, MayRun},
+    protocol::peers::{Follow, MayRun, Seen},
 };
 
 /// What this node brought with it when it took the lead.
@@ -100,43 +100,65 @@
         }
     }
 
-    /// Puts into the picture what may be on machines that were not heard yet.
-    /// Those heard have said themselves what they hold. Returns how many tasks
-    /// on how many machines.
+    /// Puts into the picture what may be on machines that were not heard yet,
+    /// and what has completed. Those heard have said themselves what they hold.
+    /// Returns how many tasks on how many machines.
     fn go_by(&mut self, copy: &Copy, now: Ms) -> (usize, usize) {
-        let mut held = 0;
-        for (machine, job, MayRun(task, attempt, _, running)) in copy.latest_first() {
-            // What is not in the roster any more, or is noted to be empty, is
-            // surely gone, and so is all of a job that has no record.
-            let Some(ix) = self.model.machine_ix(machine) else {
-                continue;
-            };
-            let Some(job_ix) = self.model.job_ix(job) else {
-                continue;
-            };
-            let unheard = self.model.machine(ix).is_some_and(|m| m.unknown);
-            let Some(j) = self.model.job_mut(job_ix).filter(|_| unheard) else {
-                continue;
-            };
-            if task >= j.spec.tasks || j.place(task) != Place::Nowhere {
-                continue;
-            }
-            j.has_run = true;
-            let gone = j.cancelled || j.cancel_wanted;
-            let phase = match running {
-                true => Phase::Running,
-                false => Phase::Sent,
-            };
-            self.model.assign(job_ix, task, ix, attempt, phase, now);
-            if gone && let Some(a) = self.model.machine_mut(ix).and_then(|m| m.tasks.last_mut()) {
-                a.stop = Some(0.0);
+        let all = copy.latest_first();
+        // Guards against doing once more what ended before the old leader
+        // could record it.
+        for (_, job, MayRun(task, ..)) in all.iter().filter(|(.., t)| t.3 == Seen::Done) {
+            let job = self.model.job_ix(job).and_then(|ix| self.model.job_mut(ix));
+            if let Some(j) = job.filter(|j| *task < j.spec.tasks && !j.cancelled) {
+                j.mark_done(*task);
             }
-            held += 1;
+        }
+        let mut held = 0;
+        for (machine, job, may_run) in all.into_iter().filter(|(.., t)| t.3 != Seen::Done) {
+            held += usize::from(self.put_back(machine, job, may_run, now));
         }
         let unheard = self.model.each_machine().filter(|m| m.unknown);
         (held, unheard.count())
     }
 
+    /// What is not in the roster any more, or is noted to be empty, is surely
+    /// gone, and so is all of a job that has no record.
+    fn put_back(&mut self, machine: &str, job: &str, may_run: MayRun, now: Ms) -> bool {
+        let MayRun(task, attempt, _, seen) = may_run;
+        let (Some(ix), Some(job_ix)) = (self.model.machine_ix(machine), self.model.job_ix(job))
+        else {
+            return false;
+        };
+        let unheard = self.model.machine(ix).is_some_and(|m| m.unknown);
+        let Some(j) = self.model.job_mut(job_ix).filter(|_| unheard) else {
+            return false;
+        };
+        let phase = match seen {
+            Seen::Running => Phase::Running,
+            _ => Phase::Sent,
+        };
+        match j.place(task) {
+            _ if task >= j.spec.tasks => return false,
+            Place::Nowhere => {}
+            // It completed elsewhere while it was started again.
+            Place::Done => {
+                let name = format!("{job}/{task}");
+                self.model
+                    .assign_beside(job_ix, ix, &name, attempt, phase, now);
+                return true;
+            }
+            // Put there later than here: it was gone from here.
+            Place::On(_) => return false,
+        }
+        j.has_run = true;
+        let gone = j.cancelled || j.cancel_wanted;
+        self.model.assign(job_ix, task, ix, attempt, phase, now);
+        if gone && let Some(a) = self.model.machine_mut(ix).and_then(|m| m.tasks.last_mut()) {
+            a.stop = Some(0.0);
+        }
+        true
+    }
+
     /// Looks who is to be kept warm; returns the write that is due for that.
     pub fn keep_warm(&mut self, answers: impl Fn(usize) -> bool, now: Ms) -> Option<Txn> {
         let complete = self.loaded && self.knows_all();
--- a/src/coordination/standby/copy.rs
+++ b/src/coordination/standby/copy.rs
@@ -122,7 +122,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::protocol::peers::MachineHolds;
+    use crate::protocol::peers::{MachineHolds, Seen};
 
     fn part(stream: u64, part: u64, whole: bool, machine: &str, task: u32) -> Follow {
         Follow {
@@ -133,7 +133,7 @@
             named: true,
             machines: vec![MachineHolds {
                 machine: machine.into(),
-                jobs: vec![("j".into(), vec![MayRun(task, 1, 1, true)])],
+                jobs: vec![("j".into(), vec![MayRun(task, 1, 1, Seen::Running)])],
             }],
         }
     }
