--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -876,26 +876,31 @@
     }
 
     /// A task that may be on the machine though its job has it as done: it
-    /// counts there and for its team until it is gone.
+    /// counts there and for its team until it is gone, and is stopped.
     pub fn assign_beside(
         &mut self,
         job_ix: u32,
+        task: u32,
         machine: u32,
-        name: &str,
         attempt: u64,
         phase: Phase,
         now: Ms,
     ) {
-        let Some((team, need)) = self.job(job_ix).map(|j| (j.team, j.need)) else {
+        let Some(job) = self.job_mut(job_ix) else {
             return;
         };
-        self.assign_stray(machine, name, attempt, phase, now);
+        job.running += u32::from(phase == Phase::Running);
+        let (team, need, name) = (job.team, job.need, format!("{}/{task}", job.id));
         if let Some(u) = self.usage.get_mut(team) {
             *u += need;
         }
+        self.assign_stray(machine, &name, attempt, phase, now);
+        self.touch(machine);
+        let change = self.changes;
         if let Some(m) = self.machine_mut(machine) {
             m.used += need;
             if let Some(a) = m.tasks.last_mut() {
+                (a.job, a.task, a.change) = (job_ix, task, change);
                 (a.team, a.need) = (team, need);
             }
         }
--- a/src/coordination/leader/takeover.rs
+++ b/src/coordination/leader/takeover.rs
@@ -142,9 +142,8 @@
             Place::Nowhere => {}
             // It completed elsewhere while it was started again.
             Place::Done => {
-                let name = format!("{job}/{task}");
                 self.model
-                    .assign_beside(job_ix, ix, &name, attempt, phase, now);
+                    .assign_beside(job_ix, task, ix, attempt, phase, now);
                 return true;
             }
             // Put there later than here: it was gone from here.
