--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model.rs
@@ -696,17 +696,10 @@
         }
     }
 
-    /// From now on notes which machines change.
-    pub fn note_changes(&mut self) {
-        self.touched.get_or_insert_default();
-    }
-
-    /// Machines that changed since this was last called.
+    /// Machines that changed since this was last called. They are noted from
+    /// the first call on.
     pub fn take_touched(&mut self) -> BTreeSet<String> {
-        self.touched
-            .as_mut()
-            .map(std::mem::take)
-            .unwrap_or_default()
+        std::mem::take(self.touched.get_or_insert_default())
     }
 
     /// What is, or may be, on the machine has changed.
--- a/src/coordination/standby/feed.rs
+++ b/src/coordination/standby/feed.rs
@@ -1,8 +1,8 @@
 //! What one peer is told, and how far it has confirmed that.
 
-use super::{CONFIRM, LONGEST_REST, REST};
+use super::{CONFIRM, LONGEST_REST, Picture, REST};
 use crate::{
-    bookkeeping::{Ms, model::Model},
+    bookkeeping::Ms,
     protocol::{
         peers::{Follow, MAX_FRAME, MachineHolds},
         status::StandbyStatus,
@@ -140,14 +140,14 @@
 
     /// A stream from the beginning. What its copy holds it goes on to hold
     /// until the new one is whole.
-    pub(super) fn begin(&mut self, model: &Model) {
+    pub(super) fn begin(&mut self, picture: &impl Picture) {
         self.fed = true;
         self.stream += 1;
         self.part = 0;
         self.dirty.clear();
         self.round = Some(Round {
-            upto: model.changes,
-            left: model.held_machines(),
+            upto: picture.changes(),
+            left: picture.held_machines(),
         });
     }
 
@@ -169,7 +169,7 @@
         term: u64,
         named: bool,
         probes: bool,
-        model: &Model,
+        picture: &impl Picture,
         now: Ms,
     ) -> Option<Follow> {
         if self.in_flight.is_some() || now < self.retry_at {
@@ -185,7 +185,7 @@
                 return None;
             }
             self.round = Some(Round {
-                upto: model.changes,
+                upto: picture.changes(),
                 left: std::mem::take(&mut self.dirty),
             });
         }
@@ -195,7 +195,7 @@
         while bytes < PART_BYTES
             && let Some(name) = round.left.pop_first()
         {
-            let held = model.held_on(&name);
+            let held = picture.held_on(&name);
             bytes += size(&held);
             machines.push(held);
         }
@@ -228,7 +228,12 @@
         }
     }
 
-    pub(super) fn answered(&mut self, answer: Option<(u64, bool)>, model: &Model, now: Ms) {
+    pub(super) fn answered(
+        &mut self,
+        answer: Option<(u64, bool)>,
+        picture: &impl Picture,
+        now: Ms,
+    ) {
         self.knows |= answer.is_some();
         // One of a stream that was given up says nothing of the present one.
         if self.in_flight.take() != Some((self.stream, self.part)) || !self.fed {
@@ -252,7 +257,7 @@
             if answer.is_none() {
                 self.retry_at = now + RETRY;
             }
-            self.begin(model);
+            self.begin(picture);
             return;
         }
         self.part += 1;
--- a/src/coordination/standby/mod.rs
+++ b/src/coordination/standby/mod.rs
@@ -16,10 +16,15 @@
 
 use crate::{
     bookkeeping::{Ms, model::Model, records::StandbyRecord},
-    protocol::{peers::Follow, state::Txn, status::StandbyStatus},
+    protocol::{
+        peers::{Follow, MachineHolds},
+        state::Txn,
+        status::StandbyStatus,
+    },
 };
 use feed::Feed;
 use roll::Roll;
+use std::collections::BTreeSet;
 
 /// So many standbys are kept warm, of three controllers as of seven.
 pub const WANTED: usize = 2;
@@ -32,6 +37,37 @@
 const REST: Ms = 2_000;
 const LONGEST_REST: Ms = 32_000;
 
+/// What standbys are told of: what is, or may be, on machines.
+pub trait Picture {
+    /// Changes so far, and the latest of which a start was sent.
+    fn changes(&self) -> u64;
+    fn sent(&self) -> u64;
+    fn held_on(&self, machine: &str) -> MachineHolds;
+    /// Machines that hold anything.
+    fn held_machines(&self) -> BTreeSet<String>;
+    /// Machines that changed since this was last called; the first call begins
+    /// to note them.
+    fn take_touched(&mut self) -> BTreeSet<String>;
+}
+
+impl Picture for Model {
+    fn changes(&self) -> u64 {
+        self.changes
+    }
+    fn sent(&self) -> u64 {
+        self.sent
+    }
+    fn held_on(&self, machine: &str) -> MachineHolds {
+        Model::held_on(self, machine)
+    }
+    fn held_machines(&self) -> BTreeSet<String> {
+        Model::held_machines(self)
+    }
+    fn take_touched(&mut self) -> BTreeSet<String> {
+        Model::take_touched(self)
+    }
+}
+
 /// How a write of the record came out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Written {
@@ -99,13 +135,13 @@
     /// here on: nothing may be started between the look and the plan.
     pub fn step(
         &mut self,
-        model: &mut Model,
+        picture: &mut impl Picture,
         complete: bool,
         answers: impl Fn(usize) -> bool,
         now: Ms,
     ) -> Option<Txn> {
         let wanted = match complete && !self.feeds.is_empty() {
-            true => self.review(model, answers, now),
+            true => self.review(picture, answers, now),
             false => StandbyRecord {
                 term: self.term,
                 known_to_all: self.roll.known_to_all(),
@@ -126,15 +162,12 @@
 
     fn review(
         &mut self,
-        model: &mut Model,
+        picture: &mut impl Picture,
         answers: impl Fn(usize) -> bool,
         now: Ms,
     ) -> StandbyRecord {
-        if self.begun.is_none() {
-            model.note_changes();
-            self.begun = Some(now);
-        }
-        self.spread(model);
+        self.begun.get_or_insert(now);
+        self.spread(picture);
         let counted: Vec<(String, u64)> = self.roll.counted(self.term).cloned().collect();
         let named = |f: &Feed| counted.iter().find(|(n, _)| *n == f.name).map(|(_, i)| *i);
         let mut keep = Vec::new();
@@ -157,7 +190,7 @@
         keep.truncate(WANTED);
         for (p, f) in self.feeds.iter_mut().enumerate() {
             match keep.contains(&p) {
-                true if !f.is_fed() => f.begin(model),
+                true if !f.is_fed() => f.begin(picture),
                 false if f.is_fed() && named(f).is_none() => f.stop(),
                 _ => {}
             }
@@ -165,7 +198,7 @@
         let known = self.roll.known_to_all() || self.feeds.iter().all(|f| f.knows);
         let ready = |p: &&usize| {
             let f = &self.feeds[**p];
-            known && f.is_warm(model.sent) && f.lasts(named(f))
+            known && f.is_warm(picture.sent()) && f.lasts(named(f))
         };
         let names = keep.iter().filter(ready).map(|p| self.feeds[*p].identity());
         let mut named: Vec<(String, u64)> = names.flatten().collect();
@@ -178,8 +211,8 @@
     }
 
     /// Hands what changed to all that are kept warm.
-    fn spread(&mut self, model: &mut Model) {
-        let touched = model.take_touched();
+    fn spread(&mut self, picture: &mut impl Picture) {
+        let touched = picture.take_touched();
         if touched.is_empty() {
             return;
         }
@@ -194,13 +227,13 @@
 
     /// What is to be sent to a peer next, if anything. One part is on its way
     /// at a time.
-    pub fn next(&mut self, peer: usize, model: &mut Model, now: Ms) -> Option<Follow> {
+    pub fn next(&mut self, peer: usize, picture: &mut impl Picture, now: Ms) -> Option<Follow> {
         self.begun?;
-        self.spread(model);
+        self.spread(picture);
         let probes = !self.roll.known_to_all();
         let f = self.feeds.get_mut(peer)?;
         let named = self.roll.counted(self.term).any(|(n, _)| *n == f.name);
-        f.next(self.term, named, probes, model, now)
+        f.next(self.term, named, probes, picture, now)
     }
 
     /// How the part came out: who answered, and whether it was taken in.
@@ -209,12 +242,12 @@
         &mut self,
         peer: usize,
         answer: Option<(u64, bool)>,
-        model: &Model,
+        picture: &impl Picture,
         now: Ms,
     ) -> bool {
         let before = self.confirmed();
         if let Some(f) = self.feeds.get_mut(peer) {
-            f.answered(answer, model, now);
+            f.answered(answer, picture, now);
         }
         self.confirmed() > before
     }
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -10,7 +10,7 @@
     options::Options,
     protocol::{
         peers::{Follow, MachineHolds, MayRun, Seen},
-        users::{JobState, Kind, Priority},
+        users::{JobSpec, JobState, Kind, Priority},
     },
 };
 use std::{collections::BTreeSet, rc::Rc};
@@ -472,61 +472,127 @@
     assert!(!w.broken.is_empty());
 }
 
+/// A new leader that goes by what it was told of those machines, and has read
+/// the records.
+fn taking_over(machines: u32, holds: Vec<MachineHolds>, spec: JobSpec) -> Leader {
+    let mut follower = Follower::default();
+    let part = Follow {
+        term: 5,
+        stream: 1,
+        part: 0,
+        whole: true,
+        named: true,
+        machines: holds,
+    };
+    assert!(follower.take_in(part, 0));
+    let settings = Rc::new(world::settings(0.0));
+    let mut l = Leader::new(settings, Options::default(), world::types(), 9, 0);
+    l.inherit(7, follower.take_over(9));
+    let record = StandbyRecord {
+        term: 5,
+        named: vec![("n0".into(), 7)],
+        known_to_all: true,
+    };
+    l.load_standbys(Some((record, 6)));
+    for n in 0..machines {
+        let record = MachineRecord {
+            addr: "127.0.0.1:9".into(),
+            type_name: "m8".into(),
+            zone: "a".into(),
+            spot: false,
+            releasing: false,
+            lapsed: false,
+            quarantined: false,
+            images: Vec::new(),
+        };
+        l.load_machine(&machine(n), record, 3, 0);
+    }
+    let (_, record) = l.acceptance(&spec, 0);
+    l.load_job(record, 4, 0);
+    l.finish_loading(0);
+    l
+}
+
+fn machine(n: u32) -> String {
+    format!("i-{n:06}")
+}
+
+fn holds(n: u32, tasks: impl Iterator<Item = MayRun>) -> MachineHolds {
+    MachineHolds {
+        machine: machine(n),
+        jobs: vec![("j-000001".into(), tasks.collect())],
+    }
+}
+
+/// The machine reports that it has seen this term, and has no tasks.
+fn reports_empty(l: &mut Leader, n: u32, now: u64) {
+    let report = serde_json::json!({
+        "post": machine(n), "addr": "127.0.0.1:9", "rig": "m8", "hall": "a",
+        "lendback": false, "tenure": 1, "tick": 5, "baton": 9u64 << 20,
+        "reclaim_in_s": null, "pieces": []});
+    let report = serde_json::from_value(report).unwrap();
+    assert!(l.on_beat(&report, now).is_some());
+}
+
+fn tasks_on(l: &Leader, n: u32) -> Vec<(u32, u64)> {
+    let m = l.model.machine_ix(&machine(n));
+    let m = m.and_then(|ix| l.model.machine(ix)).unwrap();
+    m.tasks.iter().map(|a| (a.task, a.attempt)).collect()
+}
+
+/// A copy may hold a task twice, as it was told of the later place first.
+#[test]
+fn of_two_places_in_a_copy_the_later_holds() {
+    let at = |change| std::iter::once(MayRun(0, change, change, Seen::Sent));
+    let told = vec![holds(0, at(3)), holds(1, at(8)), holds(2, at(5))];
+    let mut l = taking_over(3, told, job(1, Kind::Service, 1));
+    l.tick(50, 50);
+    assert_eq!(tasks_on(&l, 1), [(0, 8)]);
+    assert!(tasks_on(&l, 0).is_empty() && tasks_on(&l, 2).is_empty());
+}
+
+/// What a machine says of itself in this term goes before any copy.
+#[test]
+fn a_machine_that_was_heard_is_taken_at_its_word() {
+    let told = vec![holds(0, (0..2).map(|t| MayRun(t, 1, 1, Seen::Running)))];
+    let mut l = taking_over(2, told.clone(), job(1, Kind::Service, 2));
+    reports_empty(&mut l, 0, 20);
+    l.tick(50, 50);
+    let of_then = |l: &Leader| tasks_on(l, 0).iter().any(|(_, attempt)| *attempt == 1);
+    assert!(l.is_warm() && !of_then(&l));
+    // The same where it is heard a moment later.
+    let mut l = taking_over(2, told, job(1, Kind::Service, 2));
+    l.tick(50, 50);
+    assert!(of_then(&l));
+    reports_empty(&mut l, 0, 60);
+    assert!(!of_then(&l));
+}
+
+/// Whether a gang has started is not known before all of it was heard: it is
+/// neither completed nor stopped until then.
+#[test]
+fn a_gang_that_lost_a_task_is_left_alone_until_the_rest_is_heard() {
+    let told = vec![holds(0, (0..2).map(|t| MayRun(t, 1, 1, Seen::Sent)))];
+    let mut l = taking_over(2, told, job(1, Kind::Gang, 3));
+    reports_empty(&mut l, 1, 20);
+    l.tick(50, 50);
+    l.tick(5_000, 5_000);
+    assert!(tasks_on(&l, 1).is_empty());
+    let ix = l.model.machine_ix(&machine(0)).unwrap();
+    let m = l.model.machine(ix).unwrap();
+    assert!(m.tasks.len() == 2 && m.tasks.iter().all(|a| a.stop.is_none()));
+}
+
 /// Guards against a takeover that looks at every machine for every task.
 #[test]
 fn taking_over_a_large_fleet_costs_each_machine_a_few_looks() {
     let looks = |machines: u32| {
-        let name = |n: u32| format!("i-{n:06}");
-        let mut follower = Follower::default();
-        let holds = |n: u32| MachineHolds {
-            machine: name(n),
-            jobs: vec![(
-                "j-000001".into(),
-                (0..8)
-                    .map(|t| MayRun(8 * n + t, 1, u64::from(8 * n + t) + 1, Seen::Running))
-                    .collect(),
-            )],
-        };
-        assert!(follower.take_in(
-            Follow {
-                term: 5,
-                stream: 1,
-                part: 0,
-                whole: true,
-                named: true,
-                machines: (0..machines).map(holds).collect(),
-            },
-            0
-        ));
-        let settings = Rc::new(world::settings(0.0));
-        let mut l = Leader::new(settings, Options::default(), world::types(), 9, 0);
-        l.inherit(7, follower.take_over(9));
-        l.load_standbys(Some((
-            StandbyRecord {
-                term: 5,
-                named: vec![("n0".into(), 7)],
-                known_to_all: true,
-            },
-            6,
-        )));
-        for n in 0..machines {
-            let record = MachineRecord {
-                addr: "127.0.0.1:9".into(),
-                type_name: "m8".into(),
-                zone: "a".into(),
-                spot: false,
-                releasing: false,
-                lapsed: false,
-                quarantined: false,
-                images: Vec::new(),
-            };
-            l.load_machine(&name(n), record, 3, 0);
-        }
+        let tasks =
+            |n: u32| (8 * n..8 * n + 8).map(|t| MayRun(t, 1, 1 + u64::from(t), Seen::Running));
+        let told = (0..machines).map(|n| holds(n, tasks(n))).collect();
         let mut spec = job(1, Kind::Service, 8 * machines);
         spec.priority = Priority::Production;
-        let (_, record) = l.acceptance(&spec, 0);
-        l.load_job(record, 4, 0);
-        l.finish_loading(0);
+        let mut l = taking_over(machines, told, spec);
         let before = l.model.looked_at();
         l.tick(50, 50);
         assert!(l.is_warm() && !l.settled());
