--- /dev/null
+++ b/src/bookkeeping/model/machine.rs
@@ -0,0 +1,164 @@
+//! A machine, and what is or may be on it.
+
+use crate::{
+    bookkeeping::{Ms, amounts::Amounts, blame::MachineFile},
+    protocol::workers::Why,
+};
+use std::net::SocketAddr;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Decided, no command given yet.
+    New,
+    /// A launch was given; whether it was carried out is open.
+    Sent,
+    Fetching,
+    /// Waits for its gang.
+    Waiting,
+    Running,
+    Saving,
+    Ended(Why),
+}
+
+/// A task that is, or may be, on a machine, or that ended there and has not
+/// been reaped.
+#[derive(Debug)]
+pub struct Assignment {
+    pub name: String,
+    /// `NONE` once its job is over.
+    pub job: u32,
+    pub task: u32,
+    pub attempt: u64,
+    pub team: usize,
+    pub need: Amounts,
+    pub phase: Phase,
+    /// Grace in seconds of the halt that is wanted.
+    pub stop: Option<f64>,
+    /// The halt was given at least once.
+    pub told: bool,
+    /// Token of a direct launch that had no answer: it may be carried out
+    /// until the machine has seen a higher one. 0: none.
+    pub doubt: u64,
+    /// The report whose response carried the launch.
+    pub sent_seq: u64,
+    pub since: Ms,
+    /// It was reported running more than once, or completed: it was counted
+    /// in favour of its job and its machine.
+    pub ran: bool,
+    /// The change of the picture that put it here. Standbys must have
+    /// confirmed that before it is started.
+    pub change: u64,
+}
+
+impl Assignment {
+    pub fn live(&self) -> bool {
+        !matches!(self.phase, Phase::Ended(_))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Roster {
+    Absent,
+    Present,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub name: String,
+    pub addr: Option<SocketAddr>,
+    pub type_ix: usize,
+    pub zone: usize,
+    pub spot: bool,
+    pub capacity: Amounts,
+    pub used: Amounts,
+    pub tasks: Vec<Assignment>,
+    pub session: u64,
+    pub seq: u64,
+    /// Reports of earlier sessions are no news.
+    pub min_session: u64,
+    pub seen_token: u64,
+    pub fence: u64,
+    /// Heard in this term, and not lapsed since.
+    pub up: bool,
+    /// Stood in the roster when this term began and has neither been heard
+    /// nor lapsed: anything may run on it.
+    pub unknown: bool,
+    /// When a report was last answered with 200.
+    pub answered: Ms,
+    pub heard: Ms,
+    pub roster: Roster,
+    pub version: u64,
+    pub writing: bool,
+    pub releasing: bool,
+    pub release_marked: bool,
+    /// The record says, or may come to say, that nothing runs here: nothing is
+    /// started before one without that is surely written.
+    pub noted_empty: bool,
+    pub release_sent: bool,
+    /// Steady-clock time at which it is to be taken away.
+    pub notice: Option<Ms>,
+    pub since: Ms,
+    pub idle_since: Ms,
+    pub listed: Ms,
+    pub file: MachineFile,
+    /// The record lacks the verdict on it.
+    pub verdict_new: bool,
+    /// A direct order is on its way.
+    pub ordering: bool,
+    pub order_retry: Ms,
+    pub images: Vec<u32>,
+    /// The record lacks some of them.
+    pub images_new: bool,
+    /// When a task other than a service's was last on it.
+    pub batch_until: Ms,
+    /// Services move here: batches keep off until then.
+    pub no_batch_until: Ms,
+    /// Up, but its reports are overdue, and since when.
+    pub suspect: bool,
+    pub suspect_since: Ms,
+    /// Its services are being moved off, then it is returned.
+    pub draining: bool,
+    /// Room is being made on it for this job, until then.
+    pub held_for: Option<(u32, Ms)>,
+}
+
+impl Machine {
+    pub fn free(&self) -> Amounts {
+        self.capacity.minus(self.used)
+    }
+    pub fn live_tasks(&self) -> usize {
+        self.tasks.iter().filter(|t| t.live()).count()
+    }
+    /// Room on it is held for this job.
+    pub fn is_held_for(&self, job: u32, now: Ms) -> bool {
+        self.held_for
+            .is_some_and(|(of, until)| of == job && now < until)
+    }
+    /// No room on it is held for another job.
+    pub fn open_to(&self, job: u32, now: Ms) -> bool {
+        self.held_for
+            .is_none_or(|(of, until)| of == job || now >= until)
+    }
+    /// Known to hold nothing: its lease has lapsed, and it was not heard since.
+    pub fn lapsed(&self) -> bool {
+        !self.up && !self.unknown && self.roster == Roster::Present
+    }
+    /// Heard, and to be written down before anything is started on it.
+    pub fn awaits_record(&self) -> bool {
+        self.up && !self.releasing && (self.roster == Roster::Absent || self.noted_empty)
+    }
+    /// May new tasks be placed here?
+    pub fn usable(&self) -> bool {
+        !self.suspect && self.lasting()
+    }
+    /// The same if its reports were not overdue.
+    pub fn lasting(&self) -> bool {
+        self.up
+            && !self.releasing
+            && !self.noted_empty
+            && !self.file.set_aside
+            && !self.draining
+            && self.notice.is_none()
+            && self.roster == Roster::Present
+    }
+}
--- a/src/bookkeeping/model.rs
+++ b/src/bookkeeping/model/mod.rs
@@ -1,26 +1,32 @@
 //! The leader's picture of jobs, machines and what runs where. Names are
 //! mapped to dense indices at the door; everything inside uses those.
 
+mod job;
+mod machine;
+mod names;
+mod told;
+
+pub use job::{Job, Place};
+pub use machine::{Assignment, Machine, Phase, Roster};
+pub use names::Names;
+
 use super::{
     Ms,
     amounts::Amounts,
     away::Away,
     blame::{JobFile, MachineFile},
-    records::{Bits, job_key},
+    records::Bits,
 };
 use crate::protocol::{
     cloud::MachineType,
-    peers::{MachineHolds, MayRun, Seen},
     settings::{Settings, Team},
-    state::Guard,
     status::Reason,
-    users::{JobSpec, JobState, JobStatus, Kind},
+    users::{JobSpec, Kind},
     workers::Why,
 };
 use std::{
     cell::Cell,
     collections::{BTreeSet, HashMap},
-    net::SocketAddr,
 };
 
 pub const NONE: u32 = u32::MAX;
@@ -28,351 +34,6 @@
 const MOST_IMAGES: usize = 32;
 const DONE: u32 = u32::MAX - 1;
 
-/// Where one task of a job is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Place {
-    Nowhere,
-    Done,
-    On(u32),
-}
-
-#[derive(Debug)]
-pub struct Job {
-    pub id: String,
-    pub spec: JobSpec,
-    pub team: usize,
-    pub image: u32,
-    /// Allowed machine types, by index.
-    pub types: Vec<bool>,
-    pub zone: Option<usize>,
-    pub need: Amounts,
-    pub at_ms: u64,
-    /// Accepted in this term: no earlier leader can have started it.
-    pub fresh: bool,
-    /// Steady-clock time at which this leader first knew of it.
-    pub known_ms: Ms,
-    pub done: Bits,
-    pub done_n: u32,
-    slots: Vec<u32>,
-    /// Tasks before this index are not waiting.
-    hint: u32,
-    /// Tasks that are, or may be, on a machine.
-    pub live: u32,
-    pub running: u32,
-    /// Withdrawn as the record says.
-    pub cancelled: bool,
-    /// A withdrawal that the record does not hold yet.
-    pub cancel_wanted: bool,
-    pub version: u64,
-    /// Chunks of `done` that the record lacks.
-    pub dirty: Vec<bool>,
-    pub writing: bool,
-    /// What is being written ends or withdraws it.
-    pub closing: bool,
-    /// Starts in a row that came to nothing for other reasons than errors.
-    pub refusals: u32,
-    pub backoff_until: Ms,
-    pub file: JobFile,
-    /// A task of it has run since this leader knows of it.
-    pub has_run: bool,
-    /// Why what waits does not run, as placement last decided.
-    pub reason: Reason,
-    /// What renting makes of it: room on its way, or none to be had.
-    pub supply: Option<Reason>,
-    pub away: Away,
-}
-
-impl Job {
-    pub fn place(&self, task: u32) -> Place {
-        match self.slots.get(task as usize) {
-            Some(&NONE) | None => Place::Nowhere,
-            Some(&DONE) => Place::Done,
-            Some(&m) => Place::On(m),
-        }
-    }
-
-    /// On the record as it was last known.
-    pub fn guard(&self) -> Guard {
-        Guard {
-            key: job_key(&self.id),
-            version: self.version,
-        }
-    }
-
-    /// Tasks to be started here.
-    pub fn waiting(&self) -> u32 {
-        if !self.away.is_here() {
-            return 0;
-        }
-        self.spec.tasks - self.done_n - self.live
-    }
-
-    /// Whether its tasks may be on such a machine at all.
-    pub fn allows(&self, m: &Machine) -> bool {
-        self.allows_kind(m.type_ix, m.zone, m.spot)
-    }
-
-    pub fn allows_kind(&self, type_ix: usize, zone: usize, spot: bool) -> bool {
-        self.types.get(type_ix).copied().unwrap_or(false)
-            && self.zone.is_none_or(|z| z == zone)
-            && (self.spec.spot || !spot)
-    }
-
-    pub fn complete(&self) -> bool {
-        self.done_n == self.spec.tasks
-    }
-
-    pub fn next_waiting(&mut self) -> Option<u32> {
-        while (self.hint as usize) < self.slots.len() {
-            if self.slots[self.hint as usize] == NONE {
-                return Some(self.hint);
-            }
-            self.hint += 1;
-        }
-        None
-    }
-
-    pub fn is_dirty(&self) -> bool {
-        self.dirty.iter().any(|d| *d)
-    }
-
-    /// A gang's tasks complete together: if one is done, all are.
-    pub fn mark_done(&mut self, task: u32) {
-        if self.spec.kind == Kind::Gang {
-            (0..self.spec.tasks).for_each(|t| self.mark_one(t));
-        } else {
-            self.mark_one(task);
-        }
-    }
-
-    fn mark_one(&mut self, task: u32) {
-        if self.done.set(task) {
-            self.done_n += 1;
-            self.dirty[(task / super::records::CHUNK_TASKS) as usize] = true;
-            if self.slots[task as usize] != NONE {
-                self.live -= 1;
-            }
-            self.slots[task as usize] = DONE;
-        }
-    }
-
-    fn occupy(&mut self, task: u32, machine: u32) {
-        debug_assert_eq!(self.slots[task as usize], NONE);
-        self.slots[task as usize] = machine;
-        self.live += 1;
-    }
-
-    fn vacate(&mut self, task: u32, machine: u32) {
-        if self.slots[task as usize] == machine {
-            self.slots[task as usize] = NONE;
-            self.live -= 1;
-            self.hint = self.hint.min(task);
-        }
-    }
-
-    pub fn status(&self) -> JobStatus {
-        JobStatus {
-            id: self.id.clone(),
-            state: if self.cancelled {
-                JobState::Cancelled
-            } else if self.running > 0 {
-                JobState::Running
-            } else {
-                JobState::Queued
-            },
-            done: self.done_n,
-            running: self.running,
-        }
-    }
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    /// Decided, no command given yet.
-    New,
-    /// A launch was given; whether it was carried out is open.
-    Sent,
-    Fetching,
-    /// Waits for its gang.
-    Waiting,
-    Running,
-    Saving,
-    Ended(Why),
-}
-
-/// A task that is, or may be, on a machine, or that ended there and has not
-/// been reaped.
-#[derive(Debug)]
-pub struct Assignment {
-    pub name: String,
-    /// `NONE` once its job is over.
-    pub job: u32,
-    pub task: u32,
-    pub attempt: u64,
-    pub team: usize,
-    pub need: Amounts,
-    pub phase: Phase,
-    /// Grace in seconds of the halt that is wanted.
-    pub stop: Option<f64>,
-    /// The halt was given at least once.
-    pub told: bool,
-    /// Token of a direct launch that had no answer: it may be carried out
-    /// until the machine has seen a higher one. 0: none.
-    pub doubt: u64,
-    /// The report whose response carried the launch.
-    pub sent_seq: u64,
-    pub since: Ms,
-    /// It was reported running more than once, or completed: it was counted
-    /// in favour of its job and its machine.
-    pub ran: bool,
-    /// The change of the picture that put it here. Standbys must have
-    /// confirmed that before it is started.
-    pub change: u64,
-}
-
-impl Assignment {
-    pub fn live(&self) -> bool {
-        !matches!(self.phase, Phase::Ended(_))
-    }
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Roster {
-    Absent,
-    Present,
-}
-
-#[derive(Debug)]
-pub struct Machine {
-    pub name: String,
-    pub addr: Option<SocketAddr>,
-    pub type_ix: usize,
-    pub zone: usize,
-    pub spot: bool,
-    pub capacity: Amounts,
-    pub used: Amounts,
-    pub tasks: Vec<Assignment>,
-    pub session: u64,
-    pub seq: u64,
-    /// Reports of earlier sessions are no news.
-    pub min_session: u64,
-    pub seen_token: u64,
-    pub fence: u64,
-    /// Heard in this term, and not lapsed since.
-    pub up: bool,
-    /// Stood in the roster when this term began and has neither been heard
-    /// nor lapsed: anything may run on it.
-    pub unknown: bool,
-    /// When a report was last answered with 200.
-    pub answered: Ms,
-    pub heard: Ms,
-    pub roster: Roster,
-    pub version: u64,
-    pub writing: bool,
-    pub releasing: bool,
-    pub release_marked: bool,
-    /// The record says, or may come to say, that nothing runs here: nothing is
-    /// started before one without that is surely written.
-    pub noted_empty: bool,
-    pub release_sent: bool,
-    /// Steady-clock time at which it is to be taken away.
-    pub notice: Option<Ms>,
-    pub since: Ms,
-    pub idle_since: Ms,
-    pub listed: Ms,
-    pub file: MachineFile,
-    /// The record lacks the verdict on it.
-    pub verdict_new: bool,
-    /// A direct order is on its way.
-    pub ordering: bool,
-    pub order_retry: Ms,
-    pub images: Vec<u32>,
-    /// The record lacks some of them.
-    pub images_new: bool,
-    /// When a task other than a service's was last on it.
-    pub batch_until: Ms,
-    /// Services move here: batches keep off until then.
-    pub no_batch_until: Ms,
-    /// Up, but its reports are overdue, and since when.
-    pub suspect: bool,
-    pub suspect_since: Ms,
-    /// Its services are being moved off, then it is returned.
-    pub draining: bool,
-    /// Room is being made on it for this job, until then.
-    pub held_for: Option<(u32, Ms)>,
-}
-
-impl Machine {
-    pub fn free(&self) -> Amounts {
-        self.capacity.minus(self.used)
-    }
-    pub fn live_tasks(&self) -> usize {
-        self.tasks.iter().filter(|t| t.live()).count()
-    }
-    /// Room on it is held for this job.
-    pub fn is_held_for(&self, job: u32, now: Ms) -> bool {
-        self.held_for
-            .is_some_and(|(of, until)| of == job && now < until)
-    }
-    /// No room on it is held for another job.
-    pub fn open_to(&self, job: u32, now: Ms) -> bool {
-        self.held_for
-            .is_none_or(|(of, until)| of == job || now >= until)
-    }
-    /// Known to hold nothing: its lease has lapsed, and it was not heard since.
-    pub fn lapsed(&self) -> bool {
-        !self.up && !self.unknown && self.roster == Roster::Present
-    }
-    /// Heard, and to be written down before anything is started on it.
-    pub fn awaits_record(&self) -> bool {
-        self.up && !self.releasing && (self.roster == Roster::Absent || self.noted_empty)
-    }
-    /// May new tasks be placed here?
-    pub fn usable(&self) -> bool {
-        !self.suspect && self.lasting()
-    }
-    /// The same if its reports were not overdue.
-    pub fn lasting(&self) -> bool {
-        self.up
-            && !self.releasing
-            && !self.noted_empty
-            && !self.file.set_aside
-            && !self.draining
-            && self.notice.is_none()
-            && self.roster == Roster::Present
-    }
-}
-
-#[derive(Debug, Default)]
-pub struct Names {
-    index: HashMap<String, u32>,
-    names: Vec<String>,
-}
-
-impl Names {
-    pub fn intern(&mut self, name: &str) -> u32 {
-        if let Some(i) = self.index.get(name) {
-            return *i;
-        }
-        let i = self.names.len() as u32;
-        self.index.insert(name.to_owned(), i);
-        self.names.push(name.to_owned());
-        i
-    }
-    pub fn find(&self, name: &str) -> Option<usize> {
-        self.index.get(name).map(|i| *i as usize)
-    }
-    pub fn name(&self, i: usize) -> &str {
-        &self.names[i]
-    }
-    pub fn len(&self) -> usize {
-        self.names.len()
-    }
-    pub fn is_empty(&self) -> bool {
-        self.names.is_empty()
-    }
-}
-
 #[derive(Debug, Default)]
 pub struct Model {
     pub zones: Names,
@@ -696,12 +357,6 @@
         }
     }
 
-    /// Machines that changed since this was last called. They are noted from
-    /// the first call on.
-    pub fn take_touched(&mut self) -> BTreeSet<String> {
-        std::mem::take(self.touched.get_or_insert_default())
-    }
-
     /// What is, or may be, on the machine has changed.
     fn touch(&mut self, ix: u32) {
         self.changes += 1;
@@ -713,40 +368,6 @@
         }
     }
 
-    /// What a standby is told of a machine.
-    pub fn held_on(&self, name: &str) -> MachineHolds {
-        let mut jobs: Vec<(String, Vec<MayRun>)> = Vec::new();
-        let tasks = self.machine_ix(name).and_then(|ix| self.machine(ix));
-        let mut of: Vec<u32> = Vec::new();
-        for a in tasks.map_or(&[][..], |m| &m.tasks) {
-            let seen = match a.phase {
-                Phase::Running => Seen::Running,
-                Phase::Ended(Why::Done) => Seen::Done,
-                Phase::Ended(_) => continue,
-                _ => Seen::Sent,
-            };
-            let Some(job) = self.job(a.job) else {
-                continue;
-            };
-            let at = of.iter().position(|j| *j == a.job).unwrap_or_else(|| {
-                of.push(a.job);
-                jobs.push((job.id.clone(), Vec::new()));
-                of.len() - 1
-            });
-            jobs[at].1.push(MayRun(a.task, a.attempt, a.change, seen));
-        }
-        MachineHolds {
-            machine: name.to_owned(),
-            jobs,
-        }
-    }
-
-    /// Machines on which something is, or may be.
-    pub fn held_machines(&self) -> BTreeSet<String> {
-        let held = self.each_machine().filter(|m| !m.tasks.is_empty());
-        held.map(|m| m.name.clone()).collect()
-    }
-
     fn release_resources(&mut self, machine: u32, a: &Assignment) {
         if let Some(m) = self.machine_mut(machine) {
             m.used -= a.need;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -202,7 +202,7 @@
         let zones = model.zones.len();
         let peers = settings.peers.iter();
         let peers = peers.map(|p| (p.name.clone(), p.zone != settings.zone));
-        let standbys = Standbys::new(term, peers);
+        let standbys = Standbys::new(term, options.warm, peers);
         let policy = Policy {
             threshold: options.threshold,
             load: options.load,
--- a/src/coordination/standby/mod.rs
+++ b/src/coordination/standby/mod.rs
@@ -26,8 +26,6 @@
 use roll::Roll;
 use std::collections::BTreeSet;
 
-/// So many standbys are kept warm, of three controllers as of seven.
-pub const WANTED: usize = 2;
 /// A standby that owes a confirmation for so long is struck.
 const CONFIRM: Ms = 400;
 /// How long a new leader leaves the record of the one before it as it is, so
@@ -82,6 +80,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Standbys {
     term: u64,
+    most: usize,
     feeds: Vec<Feed>,
     roll: Roll,
     /// Since when the picture holds all that may run, and its changes are noted.
@@ -93,10 +92,12 @@
 impl Standbys {
     /// `peers`: names of the other controllers, and whether each is in another
     /// zone than this one.
-    pub fn new(term: u64, peers: impl IntoIterator<Item = (String, bool)>) -> Self {
+    /// `most`: so many are kept warm.
+    pub fn new(term: u64, most: usize, peers: impl IntoIterator<Item = (String, bool)>) -> Self {
         let feeds = peers.into_iter().map(|(name, far)| Feed::new(name, far));
         Standbys {
             term,
+            most,
             feeds: feeds.collect(),
             roll: Roll::default(),
             begun: None,
@@ -140,7 +141,7 @@
         answers: impl Fn(usize) -> bool,
         now: Ms,
     ) -> Option<Txn> {
-        let wanted = match complete && !self.feeds.is_empty() {
+        let wanted = match complete && self.most > 0 && !self.feeds.is_empty() {
             true => self.review(picture, answers, now),
             false => StandbyRecord {
                 term: self.term,
@@ -187,7 +188,7 @@
             .collect();
         others.sort_by_key(|p| !self.feeds[*p].far);
         keep.extend(others);
-        keep.truncate(WANTED);
+        keep.truncate(self.most);
         for (p, f) in self.feeds.iter_mut().enumerate() {
             match keep.contains(&p) {
                 true if !f.is_fed() => f.begin(picture),
--- a/src/options.rs
+++ b/src/options.rs
@@ -35,6 +35,8 @@
     pub keep_s: f64,
     /// Seconds that an idle machine is kept.
     pub idle_s: f64,
+    /// So many standbys are kept warm.
+    pub warm: usize,
 }
 
 impl Default for Options {
@@ -45,6 +47,7 @@
             shapes: Vec::new(),
             keep_s: 0.0,
             idle_s: 20.0,
+            warm: 2,
         }
     }
 }
@@ -93,6 +96,7 @@
                     }
                     "placement.keep_s" => o.keep_s = number(&name, value, 0.0, 3600.0)?,
                     "provision.idle_s" => o.idle_s = number(&name, value, 0.0, 86_400.0)?,
+                    "standby.warm" => o.warm = number(&name, value, 0.0, 6.0)? as usize,
                     _ => bail!("{name}: unknown section or key"),
                 }
             }
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -132,7 +132,7 @@
     for delay in [1_000, 4_500, 6_000, 9_000, 15_000, 60_000] {
         let mut w = warm(50, 4, 3);
         let free = free(&w);
-        free.iter().for_each(|m| drop(w.slow_do.insert(*m, delay)));
+        w.slow_do.extend(free.iter().map(|m| (*m, delay)));
         w.submit(job(2, Kind::Array, 2));
         w.run(400);
         let old = w.leader().unwrap();
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -294,7 +294,7 @@
         self.key = Some((term, i));
         let node = &mut self.nodes[i];
         let peers = (0..NODES).filter(|j| *j != i);
-        let standbys = Standbys::new(term, peers.map(|j| (name(j), false)));
+        let standbys = Standbys::new(term, 2, peers.map(|j| (name(j), false)));
         node.lead = Some(Lead {
             term,
             copy: node.follower.take_over(term),
