--- a/src/coordination/leader/away.rs
+++ b/src/coordination/leader/away.rs
@@ -14,7 +14,7 @@
     /// Waiting jobs that a broker may choose from, longest waiting first.
     pub fn lendable(&self, most: usize) -> Vec<Lendable> {
         // Only when it is settled, so that no job is held against each machine.
-        if !self.settled {
+        if !self.recovery.settled {
             return Vec::new();
         }
         let mut list: Vec<(u32, &Job)> = Vec::new();
@@ -146,7 +146,7 @@
         if let Some(j) = self.model.job_mut(ix) {
             j.away = Away::Leaving { lent, version };
             j.reason = Reason::Lent;
-            self.moving.push(ix);
+            self.desk.moving.push(ix);
             self.changed = true;
         }
         Marked::NotYet
@@ -178,7 +178,7 @@
                 }
                 j.away = Away::Back(lent);
                 j.reason = Reason::New;
-                self.moving.push(ix);
+                self.desk.moving.push(ix);
                 self.changed = true;
                 false
             }
@@ -193,14 +193,14 @@
     /// has ended must not hold up anything else. Of those in one transaction,
     /// the ones that made it fail are known once its keys have been read.
     pub(super) fn plan_marks(&mut self, room: usize) -> Option<Plan> {
-        if std::mem::replace(&mut self.marked_last, false) {
+        if std::mem::replace(&mut self.desk.marked_last, false) {
             return None;
         }
         let mut plan = self.empty_plan();
         let room = room.min(self.settings.cluster.state.txn_ops);
         let mut bytes = 0;
-        for n in 0..self.moving.len() {
-            let ix = self.moving[n];
+        for n in 0..self.desk.moving.len() {
+            let ix = self.desk.moving[n];
             let Some(j) = self.model.job_mut(ix).filter(|j| !j.writing) else {
                 continue;
             };
@@ -229,16 +229,17 @@
             plan.items.push(Item::Lend(ix, j.id.clone()));
             j.writing = true;
         }
-        self.moving
+        self.desk
+            .moving
             .retain(|ix| self.model.job(*ix).is_some_and(|j| j.away.moves()));
-        self.marked_last = !plan.items.is_empty();
+        self.desk.marked_last = !plan.items.is_empty();
         (!plan.txn.writes.is_empty()).then_some(plan)
     }
 
     /// Marks to be lifted, once all that came back is recorded.
     pub(super) fn plan_lifts(&mut self, plan: &mut Plan, room: usize) {
-        for n in 0..self.moving.len() {
-            let ix = self.moving[n];
+        for n in 0..self.desk.moving.len() {
+            let ix = self.desk.moving[n];
             let Some(j) = self.model.job_mut(ix) else {
                 continue;
             };
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -5,12 +5,12 @@
 impl Leader {
     /// When the machine list is due, it is taken as asked for.
     pub fn list_due(&mut self, now: Ms) -> bool {
-        let due = self.loaded && now >= self.list_at;
+        let due = self.recovery.loaded && now >= self.renting.list_at;
         if due {
             let telling = self.list_tells_from();
-            self.list_at = now + 4000;
-            if !self.settled && now < telling {
-                self.list_at = self.list_at.min(telling);
+            self.renting.list_at = now + 4000;
+            if !self.recovery.settled && now < telling {
+                self.renting.list_at = self.renting.list_at.min(telling);
             }
         }
         due
@@ -20,7 +20,7 @@
     /// term began.
     fn list_tells_from(&self) -> Ms {
         let lag = millis(self.settings.cluster.cloud.list_lag_s);
-        self.acquired + 2 * lag + LIST_MARGIN
+        self.recovery.acquired + 2 * lag + LIST_MARGIN
     }
 
     /// The whole list was read, from `asked` on. What stood in the roster when
@@ -28,7 +28,7 @@
     /// gone: a list that describes a later time and lacks it shows that it is.
     /// Guards against a lease of waiting for machines that were taken away.
     pub fn listed_whole(&mut self, asked: Ms, now: Ms) {
-        if self.settled || asked < self.list_tells_from() {
+        if self.recovery.settled || asked < self.list_tells_from() {
             return;
         }
         let missing = |m: &Machine| m.unknown && m.listed < asked;
@@ -54,7 +54,7 @@
 
     pub fn listed(&mut self, list: &[ListedMachine], now: Ms) {
         for l in list {
-            if self.released.contains_key(&l.id) {
+            if self.renting.released.contains_key(&l.id) {
                 continue;
             }
             if l.state == ListedState::Failed {
@@ -100,10 +100,10 @@
 
     pub fn cloud_ops(&mut self, now: Ms, wall_ms: u64) -> Vec<CloudOp> {
         let mut ops = Vec::new();
-        if !self.loaded || now < self.provision_at {
+        if !self.recovery.loaded || now < self.renting.at {
             return ops;
         }
-        self.provision_at = now + 1000;
+        self.renting.at = now + 1000;
         let (machines, jobs) = self.model.machines_and_jobs();
         for m in machines {
             let batch = m.tasks.iter().any(|a| {
@@ -135,9 +135,12 @@
         if !names.is_empty() {
             ops.push(CloudOp::Release(names));
         }
-        if self.knows_enough_to_rent(now) && now >= self.deaf_until && self.renting == 0 {
+        if self.knows_enough_to_rent(now)
+            && now >= self.renting.deaf_until
+            && self.renting.open == 0
+        {
             for rent in self.purchases(now, wall_ms) {
-                self.renting += 1;
+                self.renting.open += 1;
                 ops.push(CloudOp::Rent(rent));
             }
         }
@@ -148,13 +151,13 @@
     /// Guards against a lease during which nothing is rented, as a few
     /// machines are silent when a new leader begins.
     fn knows_enough_to_rent(&self, now: Ms) -> bool {
-        self.settled || !self.may_find_it(now)
+        self.recovery.settled || !self.may_find_it(now)
     }
 
     /// Workers may still be on their way to this leader.
     pub(super) fn may_find_it(&self, now: Ms) -> bool {
         let report = millis(self.settings.cluster.workers.report_s * 1.25);
-        now < self.acquired + FOUND + report
+        now < self.recovery.acquired + FOUND + report
     }
 
     fn price(&self, m: &Machine) -> f64 {
@@ -194,7 +197,7 @@
                 Some("drained")
             } else if m.up
                 && empty
-                && self.settled
+                && self.recovery.settled
                 && now >= m.idle_since + self.idle_allowance(m, idle)
                 && !m.ordering
                 && held.iter().all(|r| {
@@ -240,10 +243,10 @@
     /// A machine that holds nothing but a few services, which find room on
     /// machines that are kept anyway, is emptied and returned.
     pub(super) fn drain(&mut self, now: Ms) {
-        if !self.settled || now < self.drain_at {
+        if !self.recovery.settled || now < self.planning.drain_at {
             return;
         }
-        self.drain_at = now + 2000;
+        self.planning.drain_at = now + 2000;
         let idle = millis(self.options.idle_s);
         let mut order: Vec<u32> = Vec::new();
         for (ix, m) in self.model.indexed_machines() {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -4,6 +4,7 @@
 mod away;
 mod gather;
 mod machines;
+mod parts;
 mod place;
 mod preempt;
 mod records;
@@ -135,59 +136,26 @@
 }
 
 pub use records::acceptance_with_notice;
-use reserves::{Class, Reserve};
+use reserves::Reserve;
 pub use status::Tally;
 
 pub struct Leader {
     settings: Rc<Settings>,
     options: Options,
+    /// The picture: jobs, machines, and what is or may be on them.
     pub model: Model,
     pub term: u64,
-    acquired: Ms,
-    /// Jobs and roster have been read.
-    pub loaded: bool,
-    settled: bool,
-    attempts: u64,
-    requests: u64,
     /// Final states told or learned; they outlast the term.
     pub finals: Finals,
-    policy: Policy,
-    shapes: Vec<(Amounts, u64)>,
     /// Something changed since placement was last tried.
     changed: bool,
-    provision_at: Ms,
-    list_at: Ms,
-    refused: HashMap<(usize, usize, bool), Ms>,
-    renting: u32,
-    /// Machines released or dropped; late reports of them mean nothing.
-    released: HashMap<String, Ms>,
-    orphans: Vec<String>,
-    drops: Vec<(String, u64)>,
-    order: Vec<u32>,
-    /// Recent arrivals: time, index into `classes`, tasks.
-    arrivals: VecDeque<(Ms, usize, u32)>,
-    classes: Vec<Class>,
-    drain_at: Ms,
-    place_at: Ms,
-    /// When this process last went on after it had stood still.
-    resumed: Ms,
-    /// Most machines were overdue at once: nothing is rented in their place.
-    deaf_until: Ms,
     wall_ms: u64,
-    /// By team, see `count_unseen`; empty once settled.
-    unseen: Vec<Amounts>,
-    zone_life: Vec<zones::ZoneLife>,
-    tally: Tally,
     recovery: recovery::Recovery,
-    failed: VecDeque<status::Failed>,
-    /// Jobs of which a task failed and none has run.
-    accused: Vec<u32>,
-    /// Jobs whose mark as lent is to be set or lifted.
-    moving: Vec<u32>,
-    /// The last transaction set marks: other changes go first now.
-    marked_last: bool,
+    planning: parts::Planning,
+    renting: parts::Renting,
+    desk: parts::Desk,
+    events: parts::Events,
     standbys: Standbys,
-    takeover: takeover::Takeover,
 }
 
 impl Leader {
@@ -213,41 +181,16 @@
             options,
             model,
             term,
-            acquired: now,
-            loaded: false,
-            settled: false,
-            attempts: 0,
-            requests: 0,
             finals: Finals::default(),
-            policy,
-            shapes: Vec::new(),
             changed: true,
-            provision_at: 0,
-            list_at: 0,
-            refused: HashMap::new(),
-            renting: 0,
-            released: HashMap::new(),
-            orphans: Vec::new(),
-            drops: Vec::new(),
-            order: Vec::new(),
-            arrivals: VecDeque::new(),
-            classes: Vec::new(),
-            drain_at: 0,
-            place_at: 0,
-            resumed: now,
-            deaf_until: 0,
             wall_ms: 0,
-            unseen: Vec::new(),
-            // Workers need some time to find a new leader.
-            zone_life: vec![zones::ZoneLife::since(now + FOUND); zones],
-            tally: Tally::default(),
             recovery: recovery::Recovery::begun(now),
-            failed: VecDeque::new(),
-            accused: Vec::new(),
-            moving: Vec::new(),
-            marked_last: false,
+            planning: parts::Planning::new(policy),
+            // Workers need some time to find a new leader.
+            renting: parts::Renting::new(vec![zones::ZoneLife::since(now + FOUND); zones]),
+            desk: parts::Desk::default(),
+            events: parts::Events::default(),
             standbys,
-            takeover: takeover::Takeover::default(),
         }
     }
 
@@ -264,8 +207,13 @@
         lease + lease / 500 + LAPSE_MARGIN
     }
 
+    /// Jobs and roster have been read.
+    pub fn loaded(&self) -> bool {
+        self.recovery.loaded
+    }
+
     pub fn settled(&self) -> bool {
-        self.settled
+        self.recovery.settled
     }
 
     pub fn load_job(&mut self, record: JobRecord, version: u64, now: Ms) -> u32 {
@@ -295,7 +243,7 @@
 
     pub fn load_chunk(&mut self, id: &str, chunk: usize, text: &str) {
         let Some(job) = self.model.job_ix(id).and_then(|ix| self.model.job_mut(ix)) else {
-            self.orphans.push(chunk_key(id, chunk));
+            self.desk.orphans.push(chunk_key(id, chunk));
             return;
         };
         let mut bits = Bits::with_len(job.spec.tasks);
@@ -331,7 +279,7 @@
             // Either mark is written only when nothing runs there, and stands
             // until something may be started: no lease need be waited for.
             m.unknown = !record.releasing;
-            m.answered = self.acquired;
+            m.answered = self.recovery.acquired;
         }
         if let Some(ix) = ix {
             let images: Vec<u32> = record
@@ -347,14 +295,14 @@
 
     /// `None`: not a machine to answer.
     pub fn on_beat(&mut self, report: &Report, now: Ms) -> Option<ReportReply> {
-        if !self.loaded {
+        if !self.recovery.loaded {
             // The lease must not lapse while the records are being read.
             return Some(ReportReply {
                 token: self.floor(),
                 commands: Vec::new(),
             });
         }
-        if self.released.contains_key(&report.machine) {
+        if self.renting.released.contains_key(&report.machine) {
             return None;
         }
         let ix = self.model.insert_machine(
@@ -394,7 +342,7 @@
             if let Some(j) = self.model.job_mut(job_ix).filter(|j| !j.has_run) {
                 j.has_run = true;
                 let waited = (now - j.known_ms) as f64 / 1000.0;
-                self.tally.waits.push((j.spec.class.clone(), waited));
+                self.events.tally.waits.push((j.spec.class.clone(), waited));
             }
         }
         for (job_ix, started) in news.ran {
@@ -407,7 +355,7 @@
 
     pub fn directs(&mut self, now: Ms) -> Vec<Direct> {
         let mut out = Vec::new();
-        if !self.loaded {
+        if !self.recovery.loaded {
             return out;
         }
         let confirmed = self.standbys.confirmed();
@@ -523,7 +471,7 @@
 
     /// A notice has been dealt with.
     pub fn drop_notice(&mut self, key: String) {
-        self.orphans.push(key);
+        self.desk.orphans.push(key);
     }
 
     /// Marks a known job for withdrawal. Its tasks stop only once that is
@@ -536,23 +484,23 @@
 
     /// Something happened that shouldn't wait for the next look.
     pub fn has_work(&self) -> bool {
-        self.changed || self.takeover.released
+        self.changed || self.recovery.takeover.released
     }
 
     pub fn tick(&mut self, now: Ms, wall_ms: u64) {
         self.wall_ms = wall_ms;
-        if !self.loaded {
+        if !self.recovery.loaded {
             return;
         }
         self.take_over(now);
         self.lapse(now);
-        if !self.settled {
-            self.settled = !self.model.each_machine().any(|m| m.unknown);
-            if self.settled {
+        if !self.recovery.settled {
+            self.recovery.settled = !self.model.each_machine().any(|m| m.unknown);
+            if self.recovery.settled {
                 log::info!(
                     "term {} settled after {} ms: {} jobs, {} machines",
                     self.term,
-                    now - self.acquired,
+                    now - self.recovery.acquired,
                     self.model.live_jobs(),
                     self.model.machine_count()
                 );
@@ -569,10 +517,10 @@
             .any(|j| j.backoff_until != 0 && j.backoff_until <= now);
         self.try_again(now);
         // Rates and holds change with time alone, so look now and then anyway.
-        let due = now >= self.place_at;
+        let due = now >= self.planning.place_at;
         if self.changed || backoff || due {
             self.changed = false;
-            self.place_at = now + 2000;
+            self.planning.place_at = now + 2000;
             self.place(now);
         }
         self.recover(now);
@@ -581,8 +529,8 @@
     /// All records have been read. Workers were answered meanwhile, so their
     /// leases count from now.
     pub fn finish_loading(&mut self, now: Ms) {
-        self.loaded = true;
-        self.arrivals.make_contiguous().sort_unstable();
+        self.recovery.loaded = true;
+        self.planning.arrivals.make_contiguous().sort_unstable();
         for m in self.model.each_machine_mut() {
             m.answered = now;
         }
--- /dev/null
+++ b/src/coordination/leader/parts.rs
@@ -0,0 +1,86 @@
+//! What the leader keeps beside its picture, by what each part is for.
+
+use super::{reserves::Class, status, zones::ZoneLife, *};
+
+/// Placement: the order of service, and when it is looked at again.
+pub(super) struct Planning {
+    pub(super) policy: Policy,
+    pub(super) shapes: Vec<(Amounts, u64)>,
+    pub(super) order: Vec<u32>,
+    /// Recent arrivals: time, index into `classes`, tasks.
+    pub(super) arrivals: VecDeque<(Ms, usize, u32)>,
+    pub(super) classes: Vec<Class>,
+    pub(super) drain_at: Ms,
+    pub(super) place_at: Ms,
+    /// Attempts given out in this term.
+    pub(super) attempts: u64,
+    /// By team, see `count_unseen`; empty once all that may run is known.
+    pub(super) unseen: Vec<Amounts>,
+}
+
+impl Planning {
+    pub(super) fn new(policy: Policy) -> Self {
+        Planning {
+            policy,
+            shapes: Vec::new(),
+            order: Vec::new(),
+            arrivals: VecDeque::new(),
+            classes: Vec::new(),
+            drain_at: 0,
+            place_at: 0,
+            attempts: 0,
+            unseen: Vec::new(),
+        }
+    }
+}
+
+/// Machines as the cloud gives and lists them.
+pub(super) struct Renting {
+    pub(super) at: Ms,
+    pub(super) list_at: Ms,
+    pub(super) refused: HashMap<(usize, usize, bool), Ms>,
+    /// Requests without an answer.
+    pub(super) open: u32,
+    /// Names given out in this term.
+    pub(super) requests: u64,
+    /// Machines released or dropped; late reports of them mean nothing.
+    pub(super) released: HashMap<String, Ms>,
+    pub(super) zone_life: Vec<ZoneLife>,
+    /// Most machines were overdue at once: nothing is rented in their place.
+    pub(super) deaf_until: Ms,
+}
+
+impl Renting {
+    pub(super) fn new(zone_life: Vec<ZoneLife>) -> Self {
+        Renting {
+            at: 0,
+            list_at: 0,
+            refused: HashMap::new(),
+            open: 0,
+            requests: 0,
+            released: HashMap::new(),
+            zone_life,
+            deaf_until: 0,
+        }
+    }
+}
+
+/// What is to be written that the picture does not show by itself.
+#[derive(Default)]
+pub(super) struct Desk {
+    pub(super) orphans: Vec<String>,
+    pub(super) drops: Vec<(String, u64)>,
+    /// Jobs whose mark as lent is to be set or lifted.
+    pub(super) moving: Vec<u32>,
+    /// The last transaction set marks: other changes go first now.
+    pub(super) marked_last: bool,
+}
+
+/// What happened, for operators and for verdicts.
+#[derive(Default)]
+pub(super) struct Events {
+    pub(super) tally: Tally,
+    pub(super) failed: VecDeque<status::Failed>,
+    /// Jobs of which a task failed and none has run.
+    pub(super) accused: Vec<u32>,
+}
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -8,7 +8,7 @@
 impl Leader {
     /// Waiting jobs in the order in which they are served.
     pub(super) fn queue(&mut self) -> Vec<u32> {
-        let mut order = std::mem::take(&mut self.order);
+        let mut order = std::mem::take(&mut self.planning.order);
         order.clear();
         for (ix, job) in self.model.jobs.iter().enumerate() {
             if let Some(j) = job
@@ -43,8 +43,8 @@
     }
 
     pub(super) fn attempt(&mut self) -> u64 {
-        self.attempts += 1;
-        (self.term << FENCE_BITS) | self.attempts
+        self.planning.attempts += 1;
+        (self.term << FENCE_BITS) | self.planning.attempts
     }
 
     pub(super) fn candidates(&self) -> Vec<Candidate> {
@@ -69,15 +69,16 @@
     /// What may run unseen counts against the team's limit until every machine
     /// has been heard: all that waits of jobs older than this term.
     fn count_unseen(&mut self) {
-        self.unseen.clear();
-        if self.knows_all() {
+        self.planning.unseen.clear();
+        if self.recovery.knows_all() {
             return;
         }
-        self.unseen
+        self.planning
+            .unseen
             .resize(self.model.teams.len(), Amounts::default());
         for j in self.model.jobs.iter().flatten() {
             if !self.job_settled(j)
-                && let Some(u) = self.unseen.get_mut(j.team)
+                && let Some(u) = self.planning.unseen.get_mut(j.team)
             {
                 *u += j.need.scaled(i64::from(j.waiting()));
             }
@@ -88,7 +89,7 @@
     /// known: it is younger than the term, or no machine that has neither been
     /// heard nor lapsed is of a kind that the job allows.
     pub(super) fn job_settled(&self, job: &Job) -> bool {
-        self.knows_all()
+        self.recovery.knows_all()
             || job.fresh
             || !self.model.each_machine().any(|m| {
                 m.unknown
@@ -99,7 +100,7 @@
     }
 
     pub(super) fn within_limit(&self, team: usize, need: &Amounts, n: i64) -> bool {
-        let unseen = self.unseen.get(team).copied().unwrap_or_default();
+        let unseen = self.planning.unseen.get(team).copied().unwrap_or_default();
         self.model.within_limit(team, need, n, unseen)
     }
 
@@ -111,7 +112,7 @@
         n: u32,
         mut planned: Amounts,
     ) -> i64 {
-        planned += self.unseen.get(team).copied().unwrap_or_default();
+        planned += self.planning.unseen.get(team).copied().unwrap_or_default();
         self.model.most_within_limit(team, need, n, planned)
     }
 
@@ -123,7 +124,7 @@
             for ix in &order {
                 self.set_reason(*ix, Reason::NoRoom);
             }
-            self.order = order;
+            self.planning.order = order;
             return;
         }
         let keep = millis(self.options.keep_s);
@@ -210,7 +211,7 @@
                 full.push(key);
             }
         }
-        self.order = order;
+        self.planning.order = order;
         self.make_room(&wanting, now);
     }
 
@@ -339,7 +340,7 @@
         zone_ok: impl Fn(usize) -> bool,
     ) -> Option<usize> {
         let job = self.model.job(job_ix)?;
-        let chosen = placement::choose(&self.policy, candidates, &job.need, |c| {
+        let chosen = placement::choose(&self.planning.policy, candidates, &job.need, |c| {
             zone_ok(c.zone)
                 && self.model.machine(c.machine).is_some_and(|m| {
                     (now >= m.no_batch_until || job.spec.kind != Kind::Array)
@@ -360,7 +361,7 @@
         if log::log_enabled!(log::Level::Debug)
             && let Some(c) = chosen.and_then(|at| candidates.get(at))
         {
-            let (load, after) = (self.policy.load, c.free.minus(job.need));
+            let (load, after) = (self.planning.policy.load, c.free.minus(job.need));
             log::debug!(
                 "choice for {}/{task}: {} of {} candidates, kind rank {}, load {:.2}, cost {:.3}",
                 job.id,
@@ -368,7 +369,7 @@
                 candidates.len(),
                 c.pool,
                 placement::load(&c.capacity, &c.free, load),
-                placement::fragmentation(&c.capacity, &after, &self.policy.shapes),
+                placement::fragmentation(&c.capacity, &after, &self.planning.policy.shapes),
             );
         }
         chosen
--- a/src/coordination/leader/preempt.rs
+++ b/src/coordination/leader/preempt.rs
@@ -219,7 +219,7 @@
     pub(super) fn preempt(&mut self, job_ix: u32, room: Room, now: Ms) {
         let id = self.model.job(job_ix).map(|j| j.id.clone());
         self.set_reason(job_ix, Reason::RoomBeingMade);
-        self.tally.preempted += room.victims.len() as u64;
+        self.events.tally.preempted += room.victims.len() as u64;
         let Some(m) = self.model.machine_mut(room.machine) else {
             return;
         };
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -39,10 +39,10 @@
 
     /// What is to be written next, at most `room` changes.
     pub fn plan_flush(&mut self, room: usize) -> Option<Plan> {
-        if !self.loaded {
+        if !self.recovery.loaded {
             return None;
         }
-        if !self.moving.is_empty()
+        if !self.desk.moving.is_empty()
             && let Some(marks) = self.plan_marks(room)
         {
             return Some(marks);
@@ -63,7 +63,7 @@
         };
         let mut lapsed = Vec::new();
         // Withdrawals, then endings, then progress.
-        let knows_all = self.knows_all();
+        let knows_all = self.recovery.knows_all();
         for pass in 0..3 {
             for ix in 0..self.model.jobs.len() {
                 if plan.txn.writes.len() + 2 > room || bytes > byte_limit {
@@ -151,7 +151,7 @@
             }
         }
         while plan.txn.writes.len() < room
-            && let Some(key) = self.orphans.pop()
+            && let Some(key) = self.desk.orphans.pop()
         {
             plan.txn.writes.push(Write::Delete { key });
         }
@@ -183,7 +183,7 @@
             }
         }
         while plan.txn.writes.len() < room
-            && let Some((name, version)) = self.drops.pop()
+            && let Some((name, version)) = self.desk.drops.pop()
         {
             let key = machine_key(&name);
             plan.txn.guards.push(Guard {
@@ -305,7 +305,7 @@
         };
         let chunks = j.dirty.len();
         for c in 1..chunks {
-            self.orphans.push(chunk_key(id, c));
+            self.desk.orphans.push(chunk_key(id, c));
         }
         self.model.remove_job(ix);
         self.remember_final(&status);
@@ -361,7 +361,7 @@
                     }
                 }
             } else if let Some((_, version)) = found {
-                self.drops.push((name.to_owned(), version));
+                self.desk.drops.push((name.to_owned(), version));
             }
         }
     }
--- a/src/coordination/leader/recovery.rs
+++ b/src/coordination/leader/recovery.rs
@@ -34,7 +34,17 @@
     }
 }
 
+/// How far this leader has come since it took the lead, and what it may go by
+/// until it has heard every machine.
 pub(super) struct Recovery {
+    pub(super) acquired: Ms,
+    /// Jobs and roster have been read.
+    pub(super) loaded: bool,
+    /// Every machine was heard, or its lease must have lapsed.
+    pub(super) settled: bool,
+    /// When this process last went on after it had stood still.
+    pub(super) resumed: Ms,
+    pub(super) takeover: super::takeover::Takeover,
     phase: Phase,
     since: Ms,
 }
@@ -42,10 +52,20 @@
 impl Recovery {
     pub(super) fn begun(now: Ms) -> Self {
         Recovery {
+            acquired: now,
+            loaded: false,
+            settled: false,
+            resumed: now,
+            takeover: Default::default(),
             phase: Phase::Loading,
             since: now,
         }
     }
+
+    /// All that may run is in the picture, heard or not.
+    pub(super) fn knows_all(&self) -> bool {
+        self.settled || self.takeover.warm
+    }
 }
 
 impl Leader {
@@ -56,7 +76,7 @@
 
     fn phase_took(&mut self, phase: &'static str, ms: Ms) {
         log::info!("term {}: {phase} took {ms} ms", self.term);
-        self.tally.phases.push((phase, ms as f64 / 1000.0));
+        self.events.tally.phases.push((phase, ms as f64 / 1000.0));
     }
 
     /// Notes which phases are over.
@@ -64,8 +84,8 @@
         loop {
             let phase = self.recovery.phase;
             let over = match phase {
-                Phase::Loading => self.loaded,
-                Phase::Settling => self.knows_all(),
+                Phase::Loading => self.recovery.loaded,
+                Phase::Settling => self.recovery.knows_all(),
                 Phase::Starting => !self.owes_starts(),
                 Phase::Whole => return,
             };
@@ -73,12 +93,9 @@
                 return;
             }
             self.phase_took(phase.name(), now - self.recovery.since);
-            self.recovery = Recovery {
-                phase: phase.next(),
-                since: now,
-            };
+            (self.recovery.phase, self.recovery.since) = (phase.next(), now);
             if self.recovery.phase == Phase::Whole {
-                let all = now - self.acquired;
+                let all = now - self.recovery.acquired;
                 log::info!("term {}: whole after {all} ms", self.term);
             }
         }
--- a/src/coordination/leader/rent.rs
+++ b/src/coordination/leader/rent.rs
@@ -89,8 +89,9 @@
             // what may run there still looks like waiting.
             // What runs there is known to a leader that took over warm: one
             // that stays silent counts for no more than it holds.
-            let unheard =
-                m.unknown && !m.releasing && (!self.takeover.warm || self.may_find_it(now));
+            let unheard = m.unknown
+                && !m.releasing
+                && (!self.recovery.takeover.warm || self.may_find_it(now));
             let there = m.usable() || late || m.awaits_record() || unheard;
             if coming || there {
                 if coming {
@@ -121,6 +122,7 @@
                         price: t.price_of(spot),
                         refused: self.is_dark(zone, now)
                             || self
+                                .renting
                                 .refused
                                 .get(&(type_ix, zone, spot))
                                 .is_some_and(|until| now < *until),
@@ -160,7 +162,7 @@
                 wanted.add(ix, j, count);
             }
         }
-        self.order = order;
+        self.planning.order = order;
         let demands = &mut wanted.demands;
         let mut bought = provision::plan(demands, &mut bins, &offers, provision::MAX_NEW);
         // Batches may use what high priority leaves.
@@ -226,9 +228,9 @@
             while left > 0 {
                 let count = left.min(MAX_RENT);
                 left -= count;
-                self.requests += 1;
+                self.renting.requests += 1;
                 rents.push(Rent {
-                    request: format!("r-{}-{}", self.term, self.requests),
+                    request: format!("r-{}-{}", self.term, self.renting.requests),
                     type_name: self.model.types[p.type_ix].name.clone(),
                     zone: self.model.zones.name(p.zone).to_owned(),
                     spot: p.spot,
@@ -241,12 +243,12 @@
 
     /// The request was not made after all.
     pub fn not_rented(&mut self) {
-        self.renting = self.renting.saturating_sub(1);
+        self.renting.open = self.renting.open.saturating_sub(1);
     }
 
     /// `None`: no answer; the machines, if any, show in the list.
     pub fn rented(&mut self, rent: &Rent, names: Option<&[String]>, now: Ms) {
-        self.renting = self.renting.saturating_sub(1);
+        self.renting.open = self.renting.open.saturating_sub(1);
         let names = names.unwrap_or(&[]);
         log::info!(
             "rented {} of {} {} in {}{}",
@@ -256,7 +258,7 @@
             rent.zone,
             if rent.spot { ", spot" } else { "" }
         );
-        self.tally.rented += names.len() as u64;
+        self.events.tally.rented += names.len() as u64;
         for name in names {
             self.model
                 .insert_machine(name, "", &rent.type_name, &rent.zone, rent.spot, now);
@@ -267,7 +269,9 @@
                 self.model.zones.find(&rent.zone),
             )
         {
-            self.refused.insert((t, z, rent.spot), now + REFUSED);
+            self.renting
+                .refused
+                .insert((t, z, rent.spot), now + REFUSED);
         }
     }
 
@@ -286,15 +290,15 @@
             if let Some(m) = self.model.machine(ix)
                 && m.roster == Roster::Present
             {
-                self.drops.push((name.clone(), m.version));
+                self.desk.drops.push((name.clone(), m.version));
             }
-            self.tally.released += 1;
+            self.events.tally.released += 1;
             self.model.remove_machine(ix);
-            self.released.insert(name.clone(), now);
+            self.renting.released.insert(name.clone(), now);
             self.changed = true;
         }
-        if self.released.len() > 5000 {
-            self.released.retain(|_, at| now < *at + 600_000);
+        if self.renting.released.len() > 5000 {
+            self.renting.released.retain(|_, at| now < *at + 600_000);
         }
     }
 }
--- a/src/coordination/leader/reserves.rs
+++ b/src/coordination/leader/reserves.rs
@@ -60,17 +60,17 @@
             spot: j.spec.spot,
         };
         let tasks = j.spec.tasks;
-        let at = match self.classes.iter().position(|c| *c == class) {
+        let at = match self.planning.classes.iter().position(|c| *c == class) {
             Some(at) => at,
-            None if self.classes.len() < 256 => {
-                self.classes.push(class);
-                self.classes.len() - 1
+            None if self.planning.classes.len() < 256 => {
+                self.planning.classes.push(class);
+                self.planning.classes.len() - 1
             }
             None => return,
         };
-        self.arrivals.push_back((now, at, tasks));
-        if self.arrivals.len() > 1000 {
-            self.arrivals.pop_front();
+        self.planning.arrivals.push_back((now, at, tasks));
+        if self.planning.arrivals.len() > 1000 {
+            self.planning.arrivals.pop_front();
         }
     }
 
@@ -78,7 +78,12 @@
     /// holds, so that it may be lost. Batches may use that room meanwhile.
     pub(super) fn spares(&self) -> Vec<Reserve> {
         let mut out = Vec::new();
-        for c in self.classes.iter().filter(|c| c.kind == Kind::Service) {
+        for c in self
+            .planning
+            .classes
+            .iter()
+            .filter(|c| c.kind == Kind::Service)
+        {
             let mut r = c.reserve(0);
             // Not at any price: on kinds that cost up to twice the cheapest.
             let price = |ix: usize| {
@@ -143,19 +148,21 @@
         now: Ms,
     ) -> Vec<Reserve> {
         while self
+            .planning
             .arrivals
             .front()
             .is_some_and(|(at, _, _)| at + RATE_WINDOW < now)
         {
-            self.arrivals.pop_front();
+            self.planning.arrivals.pop_front();
         }
-        let window = over.min(now - self.acquired).max(30_000);
+        let window = over.min(now - self.recovery.acquired).max(30_000);
         let mut out = Vec::new();
-        for (ix, c) in self.classes.iter().enumerate() {
+        for (ix, c) in self.planning.classes.iter().enumerate() {
             if c.priority < Priority::High {
                 continue;
             }
             let recent: u64 = self
+                .planning
                 .arrivals
                 .iter()
                 .filter(|(t, at, _)| *at == ix && *t + over >= now)
@@ -183,12 +190,20 @@
             return;
         }
         let need = Amounts::need(spec.cpus, spec.gpus, spec.memory_gb);
-        match self.shapes.iter().position(|(s, _)| *s == need) {
-            Some(at) => self.shapes[at].1 += 1,
-            None if self.shapes.len() < 64 => self.shapes.push((need, 1)),
+        match self.planning.shapes.iter().position(|(s, _)| *s == need) {
+            Some(at) => self.planning.shapes[at].1 += 1,
+            None if self.planning.shapes.len() < 64 => self.planning.shapes.push((need, 1)),
             None => {}
         }
-        self.shapes.sort_by_key(|(_, n)| std::cmp::Reverse(*n));
-        self.policy.shapes = self.shapes.iter().take(6).map(|(s, _)| *s).collect();
+        self.planning
+            .shapes
+            .sort_by_key(|(_, n)| std::cmp::Reverse(*n));
+        self.planning.policy.shapes = self
+            .planning
+            .shapes
+            .iter()
+            .take(6)
+            .map(|(s, _)| *s)
+            .collect();
     }
 }
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -46,15 +46,15 @@
     }
 
     pub(super) fn note_failure(&mut self, task: String, machine: String, why: Why, now: Ms) {
-        self.tally.failed += 1;
-        if self.failed.len() >= FAILURES {
-            self.failed.pop_front();
+        self.events.tally.failed += 1;
+        if self.events.failed.len() >= FAILURES {
+            self.events.failed.pop_front();
         }
-        self.failed.push_back((now, task, machine, why));
+        self.events.failed.push_back((now, task, machine, why));
     }
 
     pub fn take_tally(&mut self) -> Tally {
-        std::mem::take(&mut self.tally)
+        std::mem::take(&mut self.events.tally)
     }
 
     fn reason_of(&self, job: &Job) -> Reason {
@@ -82,14 +82,15 @@
     pub fn picture(&self, now: Ms) -> Picture {
         let mut picture = Picture {
             term: self.term,
-            since_s: (now - self.acquired) as f64 / 1000.0,
-            settled: self.settled,
+            since_s: (now - self.recovery.acquired) as f64 / 1000.0,
+            settled: self.recovery.settled,
             jobs: self.model.live_jobs() as u32,
             groups: self.groups(),
             lent: self.at_markets(),
             standbys: self.standbys.status(now),
-            took_over: self.takeover.text(),
+            took_over: self.recovery.takeover.text(),
             failures: self
+                .events
                 .failed
                 .iter()
                 .rev()
--- a/src/coordination/leader/takeover.rs
+++ b/src/coordination/leader/takeover.rs
@@ -39,29 +39,24 @@
 impl Leader {
     /// This node's process, and the copy that it kept as a standby.
     pub fn inherit(&mut self, incarnation: u64, copy: Option<Copy>) {
-        self.takeover.brought = Some((incarnation, copy));
+        self.recovery.takeover.brought = Some((incarnation, copy));
     }
 
     /// Who was named, as read in this term.
     pub fn load_standbys(&mut self, found: Option<(StandbyRecord, u64)>) {
-        self.takeover.record = found.as_ref().map(|(r, _)| r.clone());
+        self.recovery.takeover.record = found.as_ref().map(|(r, _)| r.clone());
         self.standbys.loaded(found);
     }
 
-    /// All that may run is in the picture, heard or not.
-    pub(super) fn knows_all(&self) -> bool {
-        self.settled || self.takeover.warm
-    }
-
     pub fn is_warm(&self) -> bool {
-        self.takeover.warm
+        self.recovery.takeover.warm
     }
 
     /// No task of the job is on a machine that has not been heard yet: what
     /// state it is in there is not known.
     pub(super) fn hears_all_of(&self, job_ix: u32) -> bool {
-        if self.settled || !self.takeover.warm {
-            return self.settled;
+        if self.recovery.settled || !self.recovery.takeover.warm {
+            return self.recovery.settled;
         }
         let mut on = self.model.live_of(job_ix);
         on.all(|(ix, _)| self.model.machine(ix).is_some_and(|m| !m.unknown))
@@ -69,22 +64,22 @@
 
     /// The first thing done with authority once the records are read.
     pub(super) fn take_over(&mut self, now: Ms) {
-        self.takeover.released = false;
-        let Some((incarnation, copy)) = self.takeover.brought.take() else {
+        self.recovery.takeover.released = false;
+        let Some((incarnation, copy)) = self.recovery.takeover.brought.take() else {
             return;
         };
         let claim = Claim {
             me: &self.settings.name,
             incarnation,
-            record: self.takeover.record.as_ref(),
+            record: self.recovery.takeover.record.as_ref(),
             copy: copy.as_ref(),
         };
         match (checks::judge(&claim), copy) {
             (Ok(()), Some(copy)) => {
                 let (held, machines) = self.go_by(&copy, now);
-                self.takeover.warm = true;
+                self.recovery.takeover.warm = true;
                 self.changed = true;
-                self.tally.took_over = Some("warm");
+                self.events.tally.took_over = Some("warm");
                 log::info!(
                     "term {} takes over warm from {}: {held} tasks on {machines} machines not heard",
                     self.term,
@@ -93,8 +88,8 @@
             }
             (Ok(()), None) => {}
             (Err(why), _) => {
-                self.takeover.cold = Some(why.text());
-                self.tally.took_over = Some(why.text());
+                self.recovery.takeover.cold = Some(why.text());
+                self.events.tally.took_over = Some(why.text());
                 log::info!("term {} takes over cold: {}", self.term, why.text());
             }
         }
@@ -160,8 +155,8 @@
 
     /// Looks who is to be kept warm; returns the write that is due for that.
     pub fn keep_warm(&mut self, answers: impl Fn(usize) -> bool, now: Ms) -> Option<Txn> {
-        let complete = self.loaded && self.knows_all();
-        if !self.loaded {
+        let complete = self.recovery.loaded && self.recovery.knows_all();
+        if !self.recovery.loaded {
             return None;
         }
         self.standbys.step(&mut self.model, complete, answers, now)
@@ -169,7 +164,7 @@
 
     /// How the write of the record of standbys came out.
     pub fn standbys_written(&mut self, how: Written, now: Ms) {
-        self.takeover.released |= self.standbys.written(how, now);
+        self.recovery.takeover.released |= self.standbys.written(how, now);
     }
 
     pub fn warm_standbys(&self, now: Ms) -> usize {
@@ -188,6 +183,6 @@
 
     /// Who answered, and whether it was taken in; `None`: no answer.
     pub fn told_standby(&mut self, peer: usize, answer: Option<(u64, bool)>, now: Ms) {
-        self.takeover.released |= self.standbys.answered(peer, answer, &self.model, now);
+        self.recovery.takeover.released |= self.standbys.answered(peer, answer, &self.model, now);
     }
 }
--- a/src/coordination/leader/upkeep.rs
+++ b/src/coordination/leader/upkeep.rs
@@ -15,7 +15,7 @@
     /// That a lease has lapsed is another matter: nothing was answered while
     /// the process stood still, so it has.
     pub fn stood_still(&mut self, now: Ms) {
-        self.resumed = now;
+        self.recovery.resumed = now;
     }
 
     /// Machines whose reports are overdue, and how many others there are.
@@ -24,7 +24,7 @@
         let mut heard = 0;
         let mut names = Vec::new();
         for m in self.model.each_machine().filter(|m| m.up) {
-            if now > m.heard.max(self.resumed) + report + report / 2 + 500 {
+            if now > m.heard.max(self.recovery.resumed) + report + report / 2 + 500 {
                 names.push(m.name.clone());
             } else {
                 heard += 1;
@@ -37,7 +37,7 @@
     pub(super) fn lapse(&mut self, now: Ms) {
         let after = self.lapse_after();
         let overdue = millis(self.settings.cluster.workers.report_s * 2.5) + 500;
-        let resumed = self.resumed;
+        let resumed = self.recovery.resumed;
         let mut silent = vec![0; self.model.zones.len()];
         let (mut up, mut overdue_now) = (0, 0);
         for ix in self.model.machine_range() {
@@ -72,7 +72,7 @@
             self.changed = true;
         }
         if overdue_now >= DEAF && 2 * overdue_now > up {
-            self.deaf_until = now + DEAF_FOR;
+            self.renting.deaf_until = now + DEAF_FOR;
         }
         self.judge_zones(&silent, overdue, now);
     }
--- a/src/coordination/leader/verdicts.rs
+++ b/src/coordination/leader/verdicts.rs
@@ -18,8 +18,8 @@
                 if let Some(m) = self.model.machine_mut(machine).filter(|_| !suspected) {
                     m.file.note(&id, proven, 1, now);
                 }
-                if !proven && !self.accused.contains(&job_ix) {
-                    self.accused.push(job_ix);
+                if !proven && !self.events.accused.contains(&job_ix) {
+                    self.events.accused.push(job_ix);
                 }
                 self.judge_machine(machine, now);
                 self.judge_job(job_ix, now);
@@ -58,7 +58,7 @@
             if was {
                 self.verdict(job_ix);
             }
-            self.accused.retain(|a| *a != job_ix);
+            self.events.accused.retain(|a| *a != job_ix);
             // It runs, so what failed it is the machine, unless one that was
             // started there later runs too.
             for f in accused {
@@ -77,7 +77,7 @@
 
     /// Judges again all jobs that failed on the machine.
     fn judge_accused(&mut self, machine: u32, now: Ms) {
-        let mut accused = std::mem::take(&mut self.accused);
+        let mut accused = std::mem::take(&mut self.events.accused);
         accused.retain(|j| {
             let job = self.model.job(*j);
             job.is_some_and(|j| !j.file.proven && !j.file.failures().is_empty())
@@ -88,7 +88,7 @@
                 self.judge_job(j, now);
             }
         }
-        self.accused = accused;
+        self.events.accused = accused;
     }
 
     fn judge_job(&mut self, job_ix: u32, now: Ms) {
@@ -147,7 +147,7 @@
         }
         // What failed there says nothing of the jobs, also once it is gone.
         if m.file.surely_at_fault() {
-            for j in self.accused.clone() {
+            for j in self.events.accused.clone() {
                 if let Some(j) = self.model.job_mut(j) {
                     j.file.forget(machine);
                 }
--- a/src/coordination/leader/zones.rs
+++ b/src/coordination/leader/zones.rs
@@ -30,10 +30,12 @@
 impl Leader {
     /// A worker or a controller in the zone was heard.
     pub(super) fn zone_heard(&mut self, zone: usize, now: Ms) {
-        if self.zone_life.len() <= zone {
-            self.zone_life.resize(zone + 1, ZoneLife::since(now));
+        if self.renting.zone_life.len() <= zone {
+            self.renting
+                .zone_life
+                .resize(zone + 1, ZoneLife::since(now));
         }
-        self.zone_life[zone] = ZoneLife::since(now);
+        self.renting.zone_life[zone] = ZoneLife::since(now);
     }
 
     /// Another controller answered.
@@ -48,10 +50,10 @@
     pub(super) fn judge_zones(&mut self, silent: &[u32], overdue: Ms, now: Ms) {
         let home = self.model.zones.find(&self.settings.zone);
         for (zone, n) in silent.iter().enumerate() {
-            let Some(life) = self.zone_life.get_mut(zone) else {
+            let Some(life) = self.renting.zone_life.get_mut(zone) else {
                 continue;
             };
-            let heard = life.heard.max(self.resumed);
+            let heard = life.heard.max(self.recovery.resumed);
             if *n < SILENT || Some(zone) == home || now <= heard + overdue {
                 continue;
             }
@@ -68,7 +70,8 @@
     /// reached: with one zone cut off its capacity is all that is left, and
     /// was rented whole.
     pub(super) fn is_dark(&self, zone: usize, now: Ms) -> bool {
-        self.zone_life
+        self.renting
+            .zone_life
             .get(zone)
             .is_some_and(|life| now < life.dark_until)
     }
--- a/src/node/bars.rs
+++ b/src/node/bars.rs
@@ -18,7 +18,7 @@
 pub async fn run(node: Rc<Node>) {
     loop {
         Timer::after(PAUSE).await;
-        while let Some(term) = node.acting(|l, _| l.loaded.then_some(l.term)).flatten() {
+        while let Some(term) = node.acting(|l, _| l.loaded().then_some(l.term)).flatten() {
             let now = node.now();
             let step = node.bars.borrow().next(&node.reach.borrow(), now);
             match step {
--- a/src/node/market.rs
+++ b/src/node/market.rs
@@ -18,7 +18,7 @@
 impl Node {
     pub(super) fn lendable(&self, lent: &[(String, u64)]) -> Reply {
         self.acting(|l, _| {
-            l.loaded.then(|| Reply::Lendable {
+            l.loaded().then(|| Reply::Lendable {
                 jobs: l.lendable(MOST_LENDABLE),
                 recall: l.not_needed(lent),
             })
@@ -42,7 +42,7 @@
     pub(super) async fn lend(&self, id: &str, lent: Lent, version: u64) -> Reply {
         let ask = || {
             self.acting(|l, _| {
-                if !l.loaded {
+                if !l.loaded() {
                     return None;
                 }
                 let marked = l.lend(id, lent.clone(), version);
@@ -57,7 +57,7 @@
     pub(super) async fn take_back(&self, id: &str, award: u64, done: &[(u32, u32)]) -> Reply {
         let ask = || {
             self.acting(|l, _| {
-                if !l.loaded {
+                if !l.loaded() {
                     return None;
                 }
                 let taken = l.take_back(id, award, done);
--- a/src/node/polls.rs
+++ b/src/node/polls.rs
@@ -179,7 +179,7 @@
         if let Some(status) = self.finals.borrow().get(id) {
             return Ok(Some(status));
         }
-        match self.acting(|l, _| l.loaded.then(|| l.told(id)).flatten()) {
+        match self.acting(|l, _| l.loaded().then(|| l.told(id)).flatten()) {
             Some(Some(status)) => Ok(Some(status)),
             // It leads, and only the records can tell.
             Some(None) => self.reads.ask(id).await,
@@ -190,7 +190,7 @@
     /// Polls at other nodes.
     pub(super) fn polled_here(&self, ids: &[String]) -> Reply {
         let answers = self.acting(|l, _| {
-            l.loaded.then(|| {
+            l.loaded().then(|| {
                 let known = |id: &String| l.told(id).map(|s| (s.state, s.done, s.running));
                 ids.iter().take(MOST).map(known).collect()
             })
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -21,7 +21,7 @@
 impl Node {
     pub(super) async fn status(&self) -> Status {
         let now = self.now();
-        if self.acting(|l, _| l.loaded) == Some(true) {
+        if self.acting(|l, _| l.loaded()) == Some(true) {
             let term = self.election.borrow().authority(now);
             let last = self
                 .last_picture
@@ -56,14 +56,14 @@
 
     /// What this node alone can say: asked by another that does not lead.
     pub(super) async fn leader_status(&self) -> Reply {
-        match self.acting(|l, _| l.loaded) {
+        match self.acting(|l, _| l.loaded()) {
             Some(true) => Reply::Status(Box::new(self.status().await)),
             _ => Reply::NotLeader,
         }
     }
 
     pub(super) async fn explain(self: &Rc<Self>, id: &str, forward: bool) -> Explanation {
-        if self.acting(|l, _| l.loaded) == Some(true) {
+        if self.acting(|l, _| l.loaded()) == Some(true) {
             if let Some(job) = self.acting(|l, now| l.explain(id, now)).flatten() {
                 return Explanation::Job(Box::new(job));
             }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -167,7 +167,7 @@
         path: &str,
         body: &[u8],
     ) -> Option<HttpResponse> {
-        if !self.acting(|l, _| l.loaded)? {
+        if !self.acting(|l, _| l.loaded())? {
             return Some(HttpResponse::later("a new leader is reading the records"));
         }
         match (method, target(path)) {
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -415,12 +415,12 @@
         w.crash(first, 20_000);
         let loading = |w: &World| {
             let mut others = (0..3).filter(|i| *i != first);
-            others.find(|i| w.nodes[*i].leader.as_ref().is_some_and(|l| !l.loaded))
+            others.find(|i| w.nodes[*i].leader.as_ref().is_some_and(|l| !l.loaded()))
         };
         w.until(8_000, "a second loads", |w| loading(w).is_some());
         let second = loading(&w).unwrap();
         w.run(1_500);
-        assert!(!w.nodes[second].leader.as_ref().unwrap().loaded);
+        assert!(!w.nodes[second].leader.as_ref().unwrap().loaded());
         w.crash(second, 20_000);
         w.until(8_000, "a third leads", |w| {
             w.leader().is_some_and(|l| l != first && l != second)
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -336,7 +336,7 @@
             let n = &self.nodes[*i];
             n.alive
                 && n.election.authority(now).is_some()
-                && n.leader.as_ref().is_some_and(|l| l.loaded)
+                && n.leader.as_ref().is_some_and(|l| l.loaded())
         })
     }
 
@@ -417,7 +417,7 @@
     fn told_by(&self, leader: usize, id: &str) -> Option<JobState> {
         let node = &self.nodes[leader];
         node.election.authority(self.now)?;
-        let l = node.leader.as_ref().filter(|l| l.loaded)?;
+        let l = node.leader.as_ref().filter(|l| l.loaded())?;
         l.told(id).map(|s| s.state)
     }
 
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -36,7 +36,7 @@
         let Some(l) = node.leader.as_mut() else {
             return;
         };
-        let loads = !l.loaded && reaches_state && !stalled && now >= node.loads_at;
+        let loads = !l.loaded() && reaches_state && !stalled && now >= node.loads_at;
         if loads {
             let standbys = self.store.kv.get(records::STANDBYS);
             l.load_standbys(
--- a/tests/world/standbys.rs
+++ b/tests/world/standbys.rs
@@ -198,7 +198,7 @@
             }
         }
         for n in &self.nodes {
-            let led = n.leader.as_ref().filter(|l| l.loaded && l.is_warm());
+            let led = n.leader.as_ref().filter(|l| l.loaded() && l.is_warm());
             let Some(l) = led.filter(|_| n.election.authority(self.now).is_some()) else {
                 continue;
             };
