A new leader stops nothing for room before most machines were heard

A warm leader places from its first second, when few machines have reported: what found no room on those had tasks stopped for it, though there was room on a machine heard a second later. Nine of ten machines, or the time of a report and 1.5 s, go before. The record of standbys is read once while nobody leads.

--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -170,6 +170,7 @@
         let zones = model.zones.len();
         let peers = settings.peers.iter();
         let peers = peers.map(|p| (p.name.clone(), p.zone != settings.zone));
+        let report = millis(settings.cluster.workers.report_s);
         let standbys = Standbys::new(term, options.warm, peers);
         let policy = Policy {
             threshold: options.threshold,
@@ -184,7 +185,7 @@
             finals: Finals::default(),
             changed: true,
             wall_ms: 0,
-            recovery: recovery::Recovery::begun(now),
+            recovery: recovery::Recovery::begun(now, report),
             planning: parts::Planning::new(policy),
             // Workers need some time to find a new leader.
             renting: parts::Renting::new(vec![zones::ZoneLife::since(now + FOUND); zones]),
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -212,7 +212,9 @@
             }
         }
         self.planning.order = order;
-        self.make_room(&wanting, now);
+        if self.recovery.heard_most(now) {
+            self.make_room(&wanting, now);
+        }
     }
 
     /// The most of each resource that is free on one machine, by kind and
--- a/src/coordination/leader/recovery.rs
+++ b/src/coordination/leader/recovery.rs
@@ -3,6 +3,10 @@
 
 use super::*;
 
+/// How long workers that report take to find a new leader at most, where no
+/// node hangs.
+const FIRST: Ms = 1_500;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
     /// Reads jobs and roster.
@@ -45,13 +49,21 @@
     /// When this process last went on after it had stood still.
     pub(super) resumed: Ms,
     pub(super) takeover: super::takeover::Takeover,
+    /// Machines that were heard, and those that were not yet.
+    pub(super) heard: usize,
+    pub(super) unheard: usize,
+    /// By when a worker that can report has reported.
+    pub(super) reported_by: Ms,
     phase: Phase,
     since: Ms,
 }
 
 impl Recovery {
-    pub(super) fn begun(now: Ms) -> Self {
+    pub(super) fn begun(now: Ms, report: Ms) -> Self {
         Recovery {
+            heard: 0,
+            unheard: 0,
+            reported_by: now + report + report / 4 + FIRST,
             acquired: now,
             loaded: false,
             settled: false,
@@ -62,6 +74,13 @@
         }
     }
 
+    /// Enough machines were heard to judge that there is no room. Guards
+    /// against stopping tasks for work that has room on a machine which is
+    /// heard a second later.
+    pub(super) fn heard_most(&self, now: Ms) -> bool {
+        self.settled || 10 * self.unheard <= self.heard || now >= self.reported_by
+    }
+
     /// All that may run is in the picture, heard or not.
     pub(super) fn knows_all(&self) -> bool {
         self.settled || self.takeover.warm
--- a/src/coordination/leader/upkeep.rs
+++ b/src/coordination/leader/upkeep.rs
@@ -39,7 +39,7 @@
         let overdue = millis(self.settings.cluster.workers.report_s * 2.5) + 500;
         let resumed = self.recovery.resumed;
         let mut silent = vec![0; self.model.zones.len()];
-        let (mut up, mut overdue_now) = (0, 0);
+        let (mut up, mut overdue_now, mut unheard) = (0, 0, 0);
         for ix in self.model.machine_range() {
             let Some(m) = self.model.machine_mut(ix) else {
                 continue;
@@ -49,6 +49,7 @@
                 silent[m.zone] += 1;
             }
             up += usize::from(m.up);
+            unheard += usize::from(m.unknown);
             overdue_now += usize::from(suspect);
             if m.suspect != suspect {
                 m.suspect = suspect;
@@ -71,6 +72,7 @@
             self.model.clear_machine(ix);
             self.changed = true;
         }
+        (self.recovery.heard, self.recovery.unheard) = (up, unheard);
         if overdue_now >= DEAF && 2 * overdue_now > up {
             self.renting.deaf_until = now + DEAF_FOR;
         }
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -63,6 +63,9 @@
         });
         let changed = seen != self.election.borrow().seen;
         self.election.borrow_mut().saw(seen, self.now());
+        if self.election.borrow().seen.is_some() {
+            self.last_record.take();
+        }
         if changed {
             self.relays.borrow_mut().clear();
             self.set_shares();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -23,6 +23,7 @@
             Budget,
             share::{self, Role},
         },
+        records::StandbyRecord,
     },
     coordination::{
         bars::Bars, election::Election, leader::Leader, polls::Finals, reach::Reach, relay::Relays,
@@ -62,6 +63,8 @@
     leader: RefCell<Option<Leader>>,
     /// What this node keeps as a standby.
     follower: RefCell<Follower>,
+    /// The record of standbys, as read since nobody leads.
+    last_record: RefCell<Option<StandbyRecord>>,
     requests: RefCell<Budget>,
     writes: RefCell<Budget>,
     cloud_requests: RefCell<Budget>,
@@ -109,6 +112,7 @@
         bars: RefCell::default(),
         leader: RefCell::new(None),
         follower: RefCell::default(),
+        last_record: RefCell::default(),
         requests: RefCell::new(Budget::new(
             limits.state.rps * share::of_requests(Role::Leaderless, nodes),
             BURST_S,
--- a/src/node/standby.rs
+++ b/src/node/standby.rs
@@ -102,9 +102,15 @@
     /// Somebody else is named to take over, and may be there to do it: this
     /// node leaves them a moment. Only a courtesy, so what was read may be old.
     pub(super) async fn others_are_named(&self) -> bool {
-        let Ok(Some((record, _))) = self.read_standbys().await else {
-            return false;
-        };
+        // Read once while nobody leads: the budget is scarce just then.
+        if self.last_record.borrow().is_none() {
+            let Ok(found) = self.read_standbys().await else {
+                return false;
+            };
+            let record = found.map(|(record, _)| record).unwrap_or_default();
+            self.last_record.replace(Some(record));
+        }
+        let record = self.last_record.borrow().clone().unwrap_or_default();
         let (me, incarnation) = {
             let e = self.election.borrow();
             (e.me.clone(), e.incarnation)
