A leader in a poor place hands over to a standby that is warm

It now waits up to 5 s for a standby to be warm. The examples count what telling a standby and taking over cost.

--- a/examples/limits.rs
+++ b/examples/limits.rs
@@ -3,18 +3,25 @@
 //!     limits reports MACHINES N   N reports without news, parsed and answered
 //!     limits polls MACHINES N     N polls of live jobs
 //!     limits memory JOBS N        N finished jobs beside JOBS live ones
+//!     limits told MACHINES N      N changes of a machine, told and taken in
+//!     limits takeover MACHINES N  N takeovers of what MACHINES hold
 
 use anyhow::{Context, Result, bail};
 use pathwinch::{
-    bookkeeping::records::{JobRecord, MachineRecord},
-    coordination::leader::Leader,
+    bookkeeping::records::{JobRecord, MachineRecord, StandbyRecord},
+    coordination::{
+        leader::Leader,
+        standby::copy::{Copy, Follower},
+    },
     options::Options,
     protocol::{
         cloud::MachineType,
+        peers::{Follow, Request},
         settings::Settings,
         users::{JobSpec, JobState, JobStatus},
         workers::Report,
     },
+    transport::frames,
 };
 use std::rc::Rc;
 
@@ -55,11 +62,23 @@
     })
 }
 
-/// A leader with so many machines of 16 tasks each, all reported.
-fn leader(machines: usize, jobs: usize) -> Result<(Leader, Vec<String>)> {
-    let term = 1;
+/// What a standby is told of these machines, as part `part` of its stream.
+fn tell(l: &Leader, part: u64, machines: impl Iterator<Item = usize>) -> Follow {
+    let held = machines.map(|n| l.model.held_on(&format!("i-{n:06}")));
+    Follow {
+        term: 1,
+        stream: 1,
+        part,
+        whole: true,
+        named: true,
+        machines: held.collect(),
+    }
+}
+
+/// A leader that has read records of so many machines and jobs.
+fn unheard(machines: usize, jobs: usize) -> Result<Leader> {
     let types = vec![machine_type()?];
-    let mut l = Leader::new(Rc::new(settings()?), Options::default(), types, term, 0);
+    let mut l = Leader::new(Rc::new(settings()?), Options::default(), types, 1, 0);
     for n in 0..machines {
         let record = MachineRecord {
             addr: "127.0.0.1:9".into(),
@@ -77,6 +96,13 @@
         l.load_job(job(n)?, 1, 0);
     }
     l.finish_loading(0);
+    Ok(l)
+}
+
+/// A leader with so many machines of 16 tasks each, all reported.
+fn leader(machines: usize, jobs: usize) -> Result<(Leader, Vec<String>)> {
+    let mut l = unheard(machines, jobs)?;
+    let term = 1u64;
     let token = term << 20;
     let mut bodies = Vec::new();
     for n in 0..machines {
@@ -104,7 +130,7 @@
 fn main() -> Result<()> {
     let args: Vec<String> = std::env::args().collect();
     let [_, what, size, count] = args.as_slice() else {
-        bail!("usage: limits reports|polls|memory SIZE N");
+        bail!("usage: limits reports|polls|memory|told|takeover SIZE N");
     };
     let size: usize = size.parse().context("SIZE")?;
     let count: usize = count.parse().context("N")?;
@@ -144,7 +170,47 @@
                 line.unwrap_or("VmRSS unknown")
             );
         }
-        other => bail!("{other}: neither reports, polls nor memory"),
+        "told" => {
+            let (l, _) = leader(size, size / 5 + 1)?;
+            let (mut follower, mut bytes) = (Follower::default(), 0);
+            for n in 0..count {
+                let part = tell(&l, n as u64, std::iter::once(n % size));
+                let frame = frames::encode(Request::Follow(part))?;
+                bytes += frame.len();
+                let Request::Follow(part) = frames::decode(&frame[4..])? else {
+                    bail!("not what was sent");
+                };
+                anyhow::ensure!(follower.take_in(part, 0), "not taken in");
+            }
+            println!("{} bytes a change of one machine", bytes / count);
+        }
+        "takeover" => {
+            let (told, _) = leader(size, size / 5 + 1)?;
+            let mut follower = Follower::default();
+            let all = tell(&told, 0, 0..size);
+            println!(
+                "{} bytes",
+                frames::encode(Request::Follow(all.clone())).map_or(0, |f| f.len())
+            );
+            anyhow::ensure!(follower.take_in(all, 0), "not taken in");
+            let copy: Copy = follower.take_over(2).context("no copy")?;
+            for _ in 0..count {
+                std::hint::black_box(copy.latest_first());
+                let mut l = unheard(size, size / 5 + 1)?;
+                l.inherit(7, Some(copy.clone()));
+                l.load_standbys(Some((
+                    StandbyRecord {
+                        term: 1,
+                        named: vec![("n0".into(), 7)],
+                        known_to_all: true,
+                    },
+                    1,
+                )));
+                l.tick(1_000, 1_000);
+                anyhow::ensure!(l.is_warm(), "cold");
+            }
+        }
+        other => bail!("{other}: neither reports, polls, memory, told nor takeover"),
     }
     Ok(())
 }
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -14,6 +14,8 @@
 /// The same for one that gives up the lead for its place.
 const STAND_BACK: Ms = 1500;
 const ONCE_IN: Ms = 120_000;
+/// How long it waits for a standby to be warm first.
+const AWAIT_WARM: Ms = 5_000;
 /// How long a promise not to seek leadership holds.
 pub const PROMISE: Ms = 1300;
 
@@ -50,6 +52,8 @@
     open_since: Option<Ms>,
     /// When it last gave up the lead for its place alone.
     stood_back: Option<Ms>,
+    /// Since when it leads in a poor place.
+    poor_since: Option<Ms>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -78,6 +82,7 @@
             abstain_until: 0,
             open_since: None,
             stood_back: None,
+            poor_since: None,
         }
     }
 
@@ -158,8 +163,17 @@
     }
 
     /// A leader that is placed poorly lets another try, once in a while: if
-    /// none does, leadership must not go to and fro for it.
-    pub fn stands_back(&mut self, now: Ms) -> bool {
+    /// none does, leadership must not go to and fro for it. It waits a little
+    /// for one that is `warm`, as any other would have to hear all machines.
+    pub fn stands_back(&mut self, poor: bool, warm: bool, now: Ms) -> bool {
+        if !poor {
+            self.poor_since = None;
+            return false;
+        }
+        let since = *self.poor_since.get_or_insert(now);
+        if !warm && now < since + AWAIT_WARM {
+            return false;
+        }
         if self.stood_back.is_some_and(|at| now < at + ONCE_IN) {
             return false;
         }
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -217,7 +217,9 @@
                 }
                 let now = self.now();
                 let poor = self.reach.borrow().poor_place(now);
-                if poor && self.election.borrow_mut().stands_back(now) {
+                let warm = self.of_term(lead.term, |l, now| l.warm_standbys(now) > 0);
+                let warm = warm.unwrap_or(false);
+                if self.election.borrow_mut().stands_back(poor, warm, now) {
                     let why = "the node that workers try after this one is silent";
                     self.resign(why, true).await;
                     return Duration::from_millis(500);
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -350,6 +350,25 @@
     w.sound();
 }
 
+/// A leader whose place is poor, as the node that workers try next hangs, gives
+/// the lead to one that came back only once that is warm.
+#[test]
+fn a_leader_in_a_poor_place_waits_for_a_warm_one_to_hand_over_to() {
+    let mut w = warm(155, 6, 3);
+    let (old, terms) = (w.leader().unwrap(), w.terms);
+    let (next, hangs) = ((old + 1) % 3, (old + 2) % 3);
+    w.stand_still(hangs, 40_000);
+    w.workers[0].net = Net::Hold;
+    w.crash(old, 6_000);
+    assert_eq!(another_leads(&mut w, old), next);
+    w.until(12_000, "it is back and leads", |w| w.leader() == Some(old));
+    assert_eq!((w.terms, w.warm), (terms + 2, 2));
+    w.heal(0);
+    w.run(LEASE);
+    assert_eq!(w.running("j-000001"), 10);
+    w.sound();
+}
+
 /// A task that completed before its leader could record it is not run again by
 /// a leader that decides before it hears the machine.
 #[test]
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -211,7 +211,10 @@
                     false => self.resign(i, false),
                 }
                 let node = &mut self.nodes[i];
-                if node.reach.poor_place(now) && node.election.stands_back(now) {
+                let poor = node.reach.poor_place(now);
+                let led = node.leader.as_ref();
+                let warm = led.is_some_and(|l| l.warm_standbys(now) > 0);
+                if node.election.stands_back(poor, warm, now) {
                     self.resign(i, true);
                 }
                 return;
