--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -360,7 +360,12 @@
     w.stand_still(hangs, 40_000);
     w.workers[0].net = Net::Hold;
     w.crash(old, 6_000);
+    // Back, it can't be told anything for a while.
+    w.old.insert(old);
     assert_eq!(another_leads(&mut w, old), next);
+    w.run(3_000);
+    assert_eq!(w.leader(), Some(next));
+    w.old.clear();
     w.until(12_000, "it is back and leads", |w| w.leader() == Some(old));
     assert_eq!((w.terms, w.warm), (terms + 2, 2));
     w.heal(0);
