Reasons to strike a standby are a type; a machine without tasks is not compared

Re-read: a pause was chosen by comparing a reason's text, a set of a report's tasks was built for machines that hold nothing, a closure and a check stood where one word did, and two tests wrote the same roster record.

--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -1,8 +1,6 @@
 //! Wanted tasks against reported tasks, for one machine at a time: what a
 //! report changes in the model, and which commands follow.
 
-use std::collections::HashSet;
-
 use crate::{
     bookkeeping::{
         Ms,
@@ -13,6 +11,7 @@
         workers::{Command, Report, TaskState, Why, split_task},
     },
 };
+use std::collections::HashSet;
 
 /// Commands in one message; a response line must stay under 64 KiB.
 const MAX_COMMANDS: usize = 300;
@@ -200,7 +199,9 @@
 /// term's token: of what an earlier leader had there, or had sent there, only
 /// what it lists is there or will ever be.
 fn drop_what_was_taken_over(model: &mut Model, ix: u32, report: &Report) {
-    let Some(m) = model.machine(ix) else { return };
+    let Some(m) = model.machine(ix).filter(|m| !m.tasks.is_empty()) else {
+        return;
+    };
     let listed: HashSet<(&str, u64)> = report
         .tasks
         .iter()
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -31,10 +31,9 @@
         if self.recovery.settled || asked < self.list_tells_from() {
             return;
         }
-        let missing = |m: &Machine| m.unknown && m.listed < asked;
         let machines = self.model.indexed_machines();
         let gone: Vec<u32> = machines
-            .filter(|(_, m)| missing(m))
+            .filter(|(_, m)| m.unknown && m.listed < asked)
             .map(|(ix, _)| ix)
             .collect();
         for ix in &gone {
--- a/src/coordination/leader/takeover.rs
+++ b/src/coordination/leader/takeover.rs
@@ -155,10 +155,10 @@
 
     /// Looks who is to be kept warm; returns the write that is due for that.
     pub fn keep_warm(&mut self, answers: impl Fn(usize) -> bool, now: Ms) -> Option<Txn> {
-        let complete = self.recovery.loaded && self.recovery.knows_all();
         if !self.recovery.loaded {
             return None;
         }
+        let complete = self.recovery.knows_all();
         self.standbys.step(&mut self.model, complete, answers, now)
     }
 
--- a/src/coordination/standby/feed.rs
+++ b/src/coordination/standby/feed.rs
@@ -20,6 +20,24 @@
 /// After a part that had no answer.
 const RETRY: Ms = 200;
 
+/// Why a standby is struck.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) enum Strike {
+    Silent,
+    BeganAnew,
+    Late,
+}
+
+impl Strike {
+    fn text(self) -> &'static str {
+        match self {
+            Strike::Silent => "does not answer",
+            Strike::BeganAnew => "began anew",
+            Strike::Late => "confirms too late",
+        }
+    }
+}
+
 /// All that changed up to some moment, told in one or more parts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Round {
@@ -52,7 +70,7 @@
     rest_until: Ms,
     strikes: u32,
     /// Why it was last struck.
-    why: Option<&'static str>,
+    why: Option<Strike>,
 }
 
 impl Feed {
@@ -109,27 +127,27 @@
     }
 
     /// Why the peer, named in that incarnation, is to be struck, if it is.
-    pub(super) fn fails(&self, named: u64, answers: bool, now: Ms) -> Option<&'static str> {
+    pub(super) fn fails(&self, named: u64, answers: bool, now: Ms) -> Option<Strike> {
         if !answers {
-            return Some("does not answer");
+            return Some(Strike::Silent);
         }
         if self.incarnation.is_some_and(|i| i != named) {
-            return Some("began anew");
+            return Some(Strike::BeganAnew);
         }
         let late = self.owes_since.is_some_and(|at| now >= at + CONFIRM);
-        late.then_some("confirms too late")
+        late.then_some(Strike::Late)
     }
 
     /// It is to be struck, and left alone for a while.
-    pub(super) fn rest(&mut self, why: &'static str, now: Ms) {
+    pub(super) fn rest(&mut self, why: Strike, now: Ms) {
         if self.rests(now) {
             return;
         }
-        log::info!("standby {} is struck: it {why}", self.name);
+        log::info!("standby {} is struck: it {}", self.name, why.text());
         // One that began anew is as good as any other.
-        let pause = match self.incarnation {
-            _ if why == "began anew" => 0,
-            _ => (REST << self.strikes.min(4)).min(LONGEST_REST),
+        let pause = match why {
+            Strike::BeganAnew => 0,
+            Strike::Silent | Strike::Late => (REST << self.strikes.min(4)).min(LONGEST_REST),
         };
         self.strikes += 1;
         self.rest_until = now + pause;
@@ -280,7 +298,7 @@
             owes_s: self.owes_since.map_or(0.0, s),
             why_not: match (named, self.acked) {
                 (true, Some(_)) => None,
-                _ if self.rests(now) => self.why.map(str::to_owned),
+                _ if self.rests(now) => self.why.map(|why| why.text().to_owned()),
                 (_, None) => Some("is being told what runs".into()),
                 (false, Some(_)) => Some("is not recorded yet".into()),
             },
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -3,10 +3,7 @@
 mod world;
 
 use pathwinch::{
-    bookkeeping::{
-        Ms,
-        records::{JobRecord, MachineRecord},
-    },
+    bookkeeping::{Ms, records::JobRecord},
     coordination::leader::{CloudOp, Leader},
     options::Options,
     protocol::{
@@ -41,17 +38,7 @@
 
 fn load_machines(l: &mut Leader, machines: u32) {
     for n in 0..machines {
-        let record = MachineRecord {
-            addr: "127.0.0.1:9".into(),
-            type_name: "m8".into(),
-            zone: "a".into(),
-            spot: false,
-            releasing: false,
-            lapsed: false,
-            quarantined: false,
-            images: Vec::new(),
-        };
-        l.load_machine(&format!("i-{n:06}"), record, 3, 0);
+        l.load_machine(&format!("i-{n:06}"), world::roster_record(), 3, 0);
     }
 }
 
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use pathwinch::{
-    bookkeeping::records::{MachineRecord, StandbyRecord},
+    bookkeeping::records::StandbyRecord,
     coordination::{leader::Leader, standby::copy::Follower},
     options::Options,
     protocol::{
@@ -519,17 +519,7 @@
     };
     l.load_standbys(Some((record, 6)));
     for n in 0..machines {
-        let record = MachineRecord {
-            addr: "127.0.0.1:9".into(),
-            type_name: "m8".into(),
-            zone: "a".into(),
-            spot: false,
-            releasing: false,
-            lapsed: false,
-            quarantined: false,
-            images: Vec::new(),
-        };
-        l.load_machine(&machine(n), record, 3, 0);
+        l.load_machine(&machine(n), world::roster_record(), 3, 0);
     }
     let (_, record) = l.acceptance(&spec, 0);
     l.load_job(record, 4, 0);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -85,6 +85,20 @@
     }]
 }
 
+/// A machine of the roster on which something may run.
+pub fn roster_record() -> MachineRecord {
+    MachineRecord {
+        addr: "127.0.0.1:9".into(),
+        type_name: "m8".into(),
+        zone: "a".into(),
+        spot: false,
+        releasing: false,
+        lapsed: false,
+        quarantined: false,
+        images: Vec::new(),
+    }
+}
+
 pub fn job(n: u32, kind: Kind, tasks: u32) -> JobSpec {
     JobSpec {
         id: format!("j-{n:06}"),
