--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -76,6 +76,7 @@
                     write_rps: 60.0,
                     value_kb: 8.0,
                     txn_ops: 12,
+                    next: None,
                 },
                 cloud: CloudLimits {
                     rps: 5.0,
--- a/crates/lab/src/state.rs
+++ b/crates/lab/src/state.rs
@@ -355,6 +355,7 @@
             write_rps: 50.0,
             value_kb: 1.0,
             txn_ops: 4,
+            next: None,
         })
     }
 
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -431,6 +431,7 @@
             checkpoint_s: 2.0,
             save_s: 1.0,
             deadline_s: None,
+            needs: Vec::new(),
         }
     }
 
--- a/crates/protocol/src/settings.rs
+++ b/crates/protocol/src/settings.rs
@@ -4,6 +4,11 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, path::Path};
 
+/// What a value must be allowed to hold: a job's marks and 1 KiB of bits.
+pub const LEAST_VALUE_KB: f64 = 2.0;
+/// A job's end is two changes, and an acceptance with its notice.
+pub const LEAST_TXN_OPS: usize = 2;
+
 #[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct Settings {
     #[serde(rename = "host_name")]
@@ -93,6 +98,38 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What some of them will be from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits to come; one that is absent stays.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize, Serialize)]
+pub struct NextLimits {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The lesser of each limit and what it will be: what keeps to these fits
+    /// before and after, so that nobody need know the moment.
+    pub fn always(&self) -> StateLimits {
+        let next = self.next.unwrap_or_default();
+        let least = |now: f64, next: Option<f64>| next.map_or(now, |n| n.min(now));
+        StateLimits {
+            rps: least(self.rps, next.rps),
+            write_rps: least(self.write_rps, next.write_rps),
+            value_kb: least(self.value_kb, next.value_kb),
+            txn_ops: next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops)),
+            next: None,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Deserialize, Serialize)]
@@ -166,6 +203,22 @@
             c.state.txn_ops >= 4,
             "cluster.state.txn_ops: must be at least 4"
         );
+        let next = c.state.next.unwrap_or_default();
+        for (field, v, least) in [
+            ("rps", next.rps, 1.0),
+            ("write_rps", next.write_rps, 1.0),
+            ("value_kb", next.value_kb, LEAST_VALUE_KB),
+            (
+                "txn_ops",
+                next.txn_ops.map(|n| n as f64),
+                LEAST_TXN_OPS as f64,
+            ),
+        ] {
+            ensure!(
+                v.is_none_or(|v| v.is_finite() && v >= least),
+                "cluster.state.next.{field}: must be at least {least}"
+            );
+        }
         ensure!(
             c.quota.max_connections >= 32,
             "cluster.quota.max_sockets: must be at least 32"
--- a/crates/protocol/src/status.rs
+++ b/crates/protocol/src/status.rs
@@ -32,6 +32,9 @@
     FailsEverywhere,
     /// With a neighbouring market, or on its way there.
     Lent,
+    /// Other jobs have to be done first. Only seen where every controller
+    /// knows of that.
+    NeedsOthers,
 }
 
 impl Reason {
@@ -48,6 +51,7 @@
             Reason::Settling => "controller settling",
             Reason::FailsEverywhere => "job fails everywhere",
             Reason::Lent => "lent to a neighbouring market",
+            Reason::NeedsOthers => "other jobs to be done first",
         }
     }
 }
@@ -158,6 +162,13 @@
     /// How old the picture is.
     pub age_s: f64,
     pub picture: Option<Picture>,
+    /// Controllers with the versions that they were seen to run; none: from
+    /// before versions were told.
+    #[serde(default)]
+    pub versions: Vec<(String, Option<String>)>,
+    /// All run this version, so that what only it can read may be written.
+    #[serde(default)]
+    pub upgraded: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -179,6 +190,12 @@
     pub deadline_s: Option<f64>,
     /// Its tasks on machines: task, machine, phase.
     pub places: Vec<(u32, String, String)>,
+    /// Jobs that have to be done first, with how each stands; of many, some.
+    #[serde(default)]
+    pub needs: Vec<(String, String)>,
+    /// How many they are.
+    #[serde(default)]
+    pub needs_all: u32,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -219,11 +236,28 @@
 }
 
 impl Status {
+    /// Nothing while all run the same, as on most days.
+    fn put_versions(&self, out: &mut String) {
+        let same = self.versions.windows(2).all(|w| w[0].1 == w[1].1);
+        if self.upgraded && same {
+            return;
+        }
+        let use_of = match self.upgraded {
+            true => "versions",
+            false => "versions; records and fields of the newest are not in use yet",
+        };
+        rows(out, &self.versions, use_of, |(node, version)| {
+            let version = version.as_deref().unwrap_or("older, or not seen yet");
+            format!("{node}: {version}")
+        });
+    }
+
     pub fn text(&self) -> String {
         let leader = self.leader.as_deref().unwrap_or("nobody");
         let mut out = format!("asked {}; {leader} leads", self.node);
         let Some(p) = &self.picture else {
             out.push_str("; nothing more is known here\n");
+            self.put_versions(&mut out);
             return out;
         };
         let settled = if p.settled { "settled" } else { "settling" };
@@ -231,6 +265,7 @@
             ", term {} for {:.0} s, {settled}; picture {:.1} s old; {} jobs\n",
             p.term, p.since_s, self.age_s, p.jobs
         ));
+        self.put_versions(&mut out);
         if !p.took_over.is_empty() {
             out.push_str(&format!("took over {}\n", p.took_over));
         }
@@ -336,6 +371,10 @@
             };
             out.push_str(&format!("deadline {at:.0} s after submission: {due}\n"));
         }
+        let needs = format!("waits for {} jobs", self.needs_all);
+        rows(&mut out, &self.needs, &needs, |(id, state)| {
+            format!("{id}: {state}")
+        });
         rows(&mut out, &self.places, "on machines", |(task, m, phase)| {
             format!("{task} on {m}: {phase}")
         });
--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -68,6 +68,38 @@
     pub save_s: f64,
     #[serde(rename = "due_s", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts, each
+    /// named once. No record names any before every controller knows this field.
+    #[serde(
+        rename = "waits_on",
+        default,
+        skip_serializing_if = "Vec::is_empty",
+        deserialize_with = "ids"
+    )]
+    pub needs: Vec<String>,
+}
+
+/// Null, or a list of ids; of doubled ones the first counts.
+fn ids<'de, D: serde::Deserializer<'de>>(d: D) -> Result<Vec<String>, D::Error> {
+    let wrong = || serde::de::Error::custom("waits_on: must be a list of ids like j-000412");
+    let list = match serde_json::Value::deserialize(d)? {
+        serde_json::Value::Null => return Ok(Vec::new()),
+        serde_json::Value::Array(list) => list,
+        _ => return Err(wrong()),
+    };
+    let mut seen = std::collections::HashSet::new();
+    let mut ids = Vec::with_capacity(list.len());
+    for id in list {
+        match id {
+            serde_json::Value::String(id) if valid_ref(&id) => {
+                if seen.insert(id.clone()) {
+                    ids.push(id);
+                }
+            }
+            _ => return Err(wrong()),
+        }
+    }
+    Ok(ids)
 }
 
 /// `j-` and 6 to 18 digits.
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -5,6 +5,7 @@
 pub mod away;
 pub mod blame;
 pub mod budget;
+pub mod chains;
 pub mod model;
 pub mod records;
 
--- a/src/bookkeeping/model/job.rs
+++ b/src/bookkeeping/model/job.rs
@@ -7,12 +7,13 @@
         amounts::Amounts,
         away::Away,
         blame::JobFile,
+        chains::Gate,
         records::{Bits, CHUNK_TASKS, job_key},
     },
     protocol::{
         state::Guard,
         status::Reason,
-        users::{JobSpec, JobState, JobStatus, Kind},
+        users::{JobSpec, JobState, JobStatus, Kind, Priority},
     },
 };
 
@@ -68,6 +69,12 @@
     /// What renting makes of it: room on its way, or none to be had.
     pub supply: Option<Reason>,
     pub away: Away,
+    /// Whether it waits for other jobs.
+    pub gate: Gate,
+    /// Its priority, or that of a job that needs it.
+    pub rank: Priority,
+    /// Since when it is in line, by the time of day.
+    pub turn_ms: u64,
 }
 
 impl Job {
@@ -89,10 +96,19 @@
 
     /// Tasks to be started here.
     pub fn waiting(&self) -> u32 {
-        if !self.away.is_here() {
-            return 0;
+        match self.gate {
+            Gate::Open => self.may_run(),
+            _ => 0,
+        }
+    }
+
+    /// Tasks that may be on machines which have not been heard yet: what waits
+    /// to be started, and what an earlier leader may have started.
+    pub fn may_run(&self) -> u32 {
+        match self.away.is_here() && self.gate != Gate::Shut {
+            true => self.spec.tasks - self.done_n - self.live,
+            false => 0,
         }
-        self.spec.tasks - self.done_n - self.live
     }
 
     /// Whether its tasks may be on such a machine at all.
--- a/src/bookkeeping/model/mod.rs
+++ b/src/bookkeeping/model/mod.rs
@@ -15,6 +15,7 @@
     amounts::Amounts,
     away::Away,
     blame::{JobFile, MachineFile},
+    chains::Gate,
     records::Bits,
 };
 use crate::protocol::{
@@ -230,6 +231,13 @@
             reason: Reason::New,
             supply: None,
             away: Away::Here,
+            // Until somebody has looked how the others stand.
+            gate: match spec.needs.is_empty() {
+                true => Gate::Open,
+                false => Gate::Unsure,
+            },
+            rank: spec.priority,
+            turn_ms: at_ms,
             spec,
         };
         let ix = match self.free_jobs.pop() {
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -27,6 +27,12 @@
 /// 100,000 tasks fits any sensible value limit.
 pub const CHUNK_TASKS: u32 = 8192;
 
+/// Controllers that have run this version, or a later one.
+pub const VERSIONS: &str = "v/";
+
+pub fn version_key(node: &str) -> String {
+    format!("{VERSIONS}{node}")
+}
 pub fn job_key(id: &str) -> String {
     format!("{JOBS}{id}")
 }
@@ -88,6 +94,20 @@
     }
 }
 
+/// What a controller's records and messages may hold: 1 knows of jobs that
+/// need others. A version from before this mark writes none.
+pub const FORMAT: u32 = 1;
+
+/// Left by each controller of this version once it can reach the store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    #[serde(rename = "f")]
+    pub format: u32,
+    /// For operators.
+    #[serde(rename = "p", default)]
+    pub program: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
     #[serde(rename = "d")]
--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -15,6 +15,9 @@
     let Some(team) = cluster.teams.iter().find(|t| t.name == spec.team) else {
         return Some(format!("owner_crew: unknown team {:?}", spec.team));
     };
+    if spec.needs.contains(&spec.id) {
+        return Some("waits_on: the job itself".into());
+    }
     let need = Amounts::need(spec.cpus, spec.gpus, spec.memory_gb);
     let fits = types.iter().any(|t| {
         spec.types
--- a/src/coordination/leader/away.rs
+++ b/src/coordination/leader/away.rs
@@ -61,7 +61,11 @@
             rent: self.rent_for(j),
             kept: self.guaranteed(j),
             done: ranges(j),
-            spec: j.spec.clone(),
+            // All that it needs is done.
+            spec: JobSpec {
+                needs: Vec::new(),
+                ..j.spec.clone()
+            },
         }
     }
 
@@ -197,7 +201,7 @@
             return None;
         }
         let mut plan = self.empty_plan();
-        let room = room.min(self.settings.cluster.state.txn_ops);
+        let room = room.min(self.settings.cluster.state.always().txn_ops);
         let mut bytes = 0;
         for n in 0..self.desk.moving.len() {
             let ix = self.desk.moving[n];
--- /dev/null
+++ b/src/coordination/leader/chains.rs
@@ -0,0 +1,143 @@
+//! Chains of jobs: what durable ends of jobs mean for those that need them.
+
+use super::*;
+use crate::bookkeeping::chains::{Gate, Need};
+
+/// Needs that are looked up at a time.
+const SOUGHT: usize = 200;
+
+impl Leader {
+    /// How a job stands that another names.
+    fn standing(&self, id: &str) -> Need {
+        let Some(ix) = self.model.job_ix(id) else {
+            return match self.finals.get(id).map(|s| s.state) {
+                Some(JobState::Done) => Need::Done,
+                Some(_) => Need::Withdrawn,
+                None => Need::Unknown,
+            };
+        };
+        self.standing_of(ix)
+    }
+
+    fn standing_of(&self, ix: u32) -> Need {
+        match self.model.job(ix) {
+            Some(j) if !j.cancelled => Need::Live(ix, j.spec.priority),
+            _ => Need::Withdrawn,
+        }
+    }
+
+    /// A job came to be known.
+    pub(super) fn link(&mut self, ix: u32) {
+        let Some(j) = self.model.job(ix) else { return };
+        let (id, own) = (j.id.clone(), j.spec.priority);
+        let needs = j.spec.needs.iter();
+        let needs: Vec<(&str, Need)> = needs.map(|n| (n.as_str(), self.standing(n))).collect();
+        if !needs.is_empty() {
+            self.chains.add(ix, own, needs);
+        }
+        if self.chains.seeks(&id) {
+            let need = self.standing_of(ix);
+            self.chains.found(&id, need);
+        }
+        let gate = self.chains.gate(ix);
+        if let Some(j) = self.model.job_mut(ix) {
+            j.gate = gate;
+        }
+    }
+
+    /// Lets go what became ready and withdraws what can't become so any more.
+    pub(super) fn follow_chains(&mut self, now: Ms) {
+        let (changed, lost) = self.chains.take();
+        for ix in changed {
+            let gate = self.chains.gate(ix);
+            let rank = self.chains.priority(ix);
+            let wall = self.wall_ms;
+            let Some(j) = self.model.job_mut(ix) else {
+                continue;
+            };
+            if let Some(rank) = rank {
+                j.rank = rank;
+            }
+            let was = std::mem::replace(&mut j.gate, gate);
+            if gate != Gate::Open || was == gate {
+                continue;
+            }
+            self.changed = true;
+            if was == Gate::Shut {
+                // Its last need ended in this term, so that nobody can have
+                // started it before. Other times count from now.
+                j.fresh = true;
+                j.turn_ms = wall;
+            }
+            j.known_ms = now;
+            j.reason = Reason::New;
+            log::debug!("job {} has all that it needs", j.id);
+            self.note_arrival(ix, now);
+        }
+        for ix in lost.into_iter().filter(|ix| self.chains.is_lost(*ix)) {
+            if let Some(j) = self.model.job_mut(ix).filter(|j| !j.cancelled) {
+                log::info!("job {} goes with a job that it needs", j.id);
+                j.cancel_wanted = true;
+            }
+        }
+    }
+
+    /// Jobs named by others of which the records are to be asked.
+    pub fn sought(&mut self) -> Vec<String> {
+        match self.recovery.loaded {
+            true => self.chains.seek(SOUGHT),
+            false => Vec::new(),
+        }
+    }
+
+    /// They could not be read.
+    pub fn not_found(&mut self, ids: Vec<String>) {
+        self.chains.seek_again(ids);
+    }
+
+    /// A job that was sought has this final state.
+    pub fn need_ended(&mut self, status: &JobStatus) {
+        self.remember_final(status);
+        let need = match status.state {
+            JobState::Done => Need::Done,
+            _ => Need::Withdrawn,
+        };
+        self.chains.found(&status.id, need);
+        self.changed = true;
+    }
+
+    /// Of the jobs that a submission names, those of which only the records
+    /// can tell whether they were accepted. `Err`: one is a service.
+    pub fn needs_unknown(&self, spec: &JobSpec) -> Result<Vec<String>, String> {
+        let mut unknown = Vec::new();
+        for id in &spec.needs {
+            match self.model.job_ix(id).and_then(|ix| self.model.job(ix)) {
+                Some(j) if j.spec.kind == Kind::Service => return Err(id.clone()),
+                Some(_) => {}
+                None if self.finals.get(id).is_some() => {}
+                None => unknown.push(id.clone()),
+            }
+        }
+        Ok(unknown)
+    }
+
+    /// Jobs that it waits for, with how each stands.
+    pub(super) fn open_needs(&self, ix: u32, most: usize) -> (Vec<(String, String)>, usize) {
+        let (live, sought) = self.chains.open(ix);
+        let mut live: Vec<&Job> = live.filter_map(|b| self.model.job(b)).collect();
+        live.sort_by(|a, b| a.id.cmp(&b.id));
+        let all = live.len() + sought;
+        let rows = live.into_iter().take(most).map(|j| {
+            let state = match (j.complete(), j.gate) {
+                (true, _) => "done, not recorded yet".to_owned(),
+                (_, Gate::Shut) => "waits for others itself".to_owned(),
+                _ => format!(
+                    "{} of {} done, {} running",
+                    j.done_n, j.spec.tasks, j.running
+                ),
+            };
+            (j.id.clone(), state)
+        });
+        (rows.collect(), all)
+    }
+}
--- a/src/coordination/leader/gather.rs
+++ b/src/coordination/leader/gather.rs
@@ -95,7 +95,7 @@
         there: impl Fn(&Machine) -> bool,
     ) -> Option<(i64, Vec<Room>)> {
         let j = self.model.job(job_ix).filter(|j| !j.spec.spread)?;
-        let (missing, priority, need) = (i64::from(j.waiting()), j.spec.priority, j.need);
+        let (missing, priority, need) = (i64::from(j.waiting()), j.rank, j.need);
         let guaranteed = self.within_guarantee(j, now);
         let mut best: Option<(i64, Vec<Room>)> = None;
         for zone in self.gang_zones(job_ix) {
@@ -145,7 +145,7 @@
         let Some(j) = self.model.job(job_ix) else {
             return false;
         };
-        let high = j.spec.priority >= Priority::High && !j.file.suspected;
+        let high = j.rank >= Priority::High && !j.file.suspected;
         let image = j.image;
         if !high
             || chosen
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -2,6 +2,7 @@
 //! provisioning. It is told of events and asked for what to do next.
 
 mod away;
+mod chains;
 mod gather;
 mod machines;
 mod parts;
@@ -30,6 +31,7 @@
         amounts::Amounts,
         away::Away,
         blame::{JobFile, MachineFile},
+        chains::{Chains, Gate},
         model::{Assignment, Job, Machine, Model, NONE, Phase, Place, Roster},
         records::{
             self as keys, Bits, FinalRecord, JobRecord, LEADER, MachineRecord, chunk_key,
@@ -147,6 +149,8 @@
     pub term: u64,
     /// Final states told or learned; they outlast the term.
     pub finals: Finals,
+    /// Which jobs wait for which.
+    chains: Chains,
     /// Something changed since placement was last tried.
     changed: bool,
     wall_ms: u64,
@@ -183,6 +187,7 @@
             model,
             term,
             finals: Finals::default(),
+            chains: Chains::default(),
             changed: true,
             wall_ms: 0,
             recovery: recovery::Recovery::begun(now, report),
@@ -237,8 +242,11 @@
                 j.file = JobFile::suspected_before(now);
             }
         }
+        self.link(ix);
         let age = self.wall_ms.saturating_sub(at_ms);
-        self.note_arrival(ix, now.saturating_sub(age));
+        if self.model.job(ix).is_some_and(|j| j.gate == Gate::Open) {
+            self.note_arrival(ix, now.saturating_sub(age));
+        }
         ix
     }
 
@@ -508,6 +516,7 @@
                 self.changed = true;
             }
         }
+        self.follow_chains(now);
         self.stop_what_must();
         self.save_before_notice();
         let backoff = self
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -25,8 +25,8 @@
         order.sort_by_cached_key(|ix| {
             jobs[*ix as usize].as_ref().map(|j| {
                 let band = deadline_band(&j.spec, objectives, wall.saturating_sub(j.at_ms));
-                let rank = std::cmp::Reverse(j.spec.priority);
-                let turn = j.at_ms.saturating_add(yields_for(j, &fleet));
+                let rank = std::cmp::Reverse(j.rank);
+                let turn = j.turn_ms.saturating_add(yields_for(j, &fleet));
                 (j.file.suspected, rank, band, turn, *ix)
             })
         });
@@ -80,7 +80,7 @@
             if !self.job_settled(j)
                 && let Some(u) = self.planning.unseen.get_mut(j.team)
             {
-                *u += j.need.scaled(i64::from(j.waiting()));
+                *u += j.need.scaled(i64::from(j.may_run()));
             }
         }
     }
@@ -159,7 +159,7 @@
                 self.set_reason(job_ix, Reason::Settling);
                 continue;
             }
-            if job.spec.priority < gathering.1 {
+            if job.rank < gathering.1 {
                 for gang in gathering.0.drain(..) {
                     self.gather(gang, &mut candidates, now);
                 }
@@ -172,7 +172,7 @@
                 continue;
             }
             let bound = job.spec.one_zone || job.spec.spread || job.spec.kind == Kind::Gang;
-            let (team, priority) = (job.team, job.spec.priority);
+            let (team, priority) = (job.team, job.rank);
             let gang = job.spec.kind == Kind::Gang;
             if suspected {
                 // Into room that is free; nothing is made or kept for it.
@@ -348,7 +348,7 @@
                     (now >= m.no_batch_until || job.spec.kind != Kind::Array)
                         && m.open_to(job_ix, now)
                         && reserves.iter().all(|r| {
-                            r.priority <= job.spec.priority
+                            r.priority <= job.rank
                                 || !r.covers(m.type_ix, m.spot)
                                 || match r.loss(&c.free, &job.need) {
                                     0 => true,
--- a/src/coordination/leader/preempt.rs
+++ b/src/coordination/leader/preempt.rs
@@ -37,11 +37,11 @@
                 continue;
             };
             if j.live > 0 && j.spec.kind == Kind::Gang && self.gang_to_complete(job_ix).is_none()
-                || j.spec.priority < Priority::High && !self.within_guarantee(j, now)
+                || j.rank < Priority::High && !self.within_guarantee(j, now)
             {
                 continue;
             }
-            let (need, team, priority) = (j.need, j.team, j.spec.priority);
+            let (need, team, priority) = (j.need, j.team, j.rank);
             if j.spec.kind == Kind::Gang && j.spec.tasks > 1 {
                 if begun < 3 {
                     begun += self.make_room_for_gang(job_ix, now);
@@ -127,7 +127,7 @@
             if !a.live() || a.stop.is_some() || v.spec.kind == Kind::Service {
                 continue;
             }
-            let lower = v.spec.priority < priority && v.spec.kind == Kind::Array;
+            let lower = v.rank < priority && v.spec.kind == Kind::Array;
             // Room without the image can't meet the aim any more.
             let beyond = guaranteed
                 && (!fetch || now >= job.known_ms + millis(GUARANTEE_S))
@@ -184,7 +184,7 @@
         let Some(job) = self.model.job(job_ix) else {
             return false;
         };
-        let priority = job.spec.priority;
+        let priority = job.rank;
         if priority < Priority::High || job.file.suspected {
             return false;
         }
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -47,7 +47,7 @@
         {
             return Some(marks);
         }
-        let limits = &self.settings.cluster.state;
+        let limits = self.settings.cluster.state.always();
         let spare = room as f64 > limits.write_rps / 2.0;
         let room = room.min(limits.txn_ops);
         let mut bytes = 0usize;
@@ -258,6 +258,7 @@
                         // A mark that was on its way can't be set any more.
                         j.away.stays();
                         log::info!("job {id} withdrawn");
+                        self.chains.withdrawn(*ix);
                     }
                 }
                 Item::Lend(ix, id) | Item::Lift(ix, id) => {
@@ -309,6 +310,8 @@
         }
         self.model.remove_job(ix);
         self.remember_final(&status);
+        self.chains.over(ix, state == JobState::Done);
+        self.changed = true;
     }
 
     /// Keys to read again after a transaction that had no answer or failed.
@@ -339,6 +342,9 @@
                 j.version = version;
                 j.cancelled |= record.cancelled;
                 j.away.reread(record.lent.as_ref());
+                if j.cancelled {
+                    self.chains.withdrawn(ix);
+                }
             }
         } else if let Some(name) = key.strip_prefix(keys::ROSTER) {
             if let Some(m) = self
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -8,6 +8,8 @@
 
 /// Failures that are remembered for operators.
 const FAILURES: usize = 20;
+/// Jobs that one waits for which are named one by one.
+const NEEDS: usize = 20;
 /// A machine that boots for so many times the usual is named.
 const SLOW_BOOT: u64 = 3;
 
@@ -58,6 +60,9 @@
     }
 
     fn reason_of(&self, job: &Job) -> Reason {
+        if job.gate != Gate::Open {
+            return Reason::NeedsOthers;
+        }
         match (job.reason, job.supply) {
             (Reason::NoRoom, Some(supply)) => supply,
             (reason, _) => reason,
@@ -139,8 +144,9 @@
                 Some(Due::AtRisk) => g.at_risk_jobs += 1,
                 _ => {}
             }
-            // What is lent waits as well, for its market.
-            let waiting = match j.away.is_here() {
+            // What is lent waits as well, for its market, and what needs
+            // others for those.
+            let waiting = match j.away.is_here() && j.gate == Gate::Open {
                 true => j.waiting(),
                 false => j.spec.tasks - j.done_n,
             };
@@ -277,6 +283,8 @@
         let ix = self.model.job_ix(id)?;
         let j = self.model.job(ix)?;
         let waiting = j.waiting();
+        let (needs, needs_all) = self.open_needs(ix, NEEDS);
+        let held = !j.away.is_here() || j.gate != Gate::Open;
         let places = self.model.each_machine().flat_map(|m| {
             let own = m.tasks.iter().filter(|a| a.job == ix);
             own.map(|a| {
@@ -295,11 +303,13 @@
             running: j.running,
             waiting,
             age_s: self.age_s(j),
-            reason: ((waiting > 0 || !j.away.is_here()) && !j.cancelled).then(|| self.reason_of(j)),
+            reason: ((waiting > 0 || held) && !j.cancelled).then(|| self.reason_of(j)),
             verdict: self.lent_to(j).or_else(|| self.verdict_on(j, now)),
             due: self.due_of(j),
             deadline_s: j.spec.deadline_s,
             places: places.take(MOST_ROWS).collect(),
+            needs,
+            needs_all: needs_all as u32,
         })
     }
 }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -1,6 +1,10 @@
 //! The leader's loop: time passes, and what it wants done is begun.
 
-use super::{Node, store::TxnResult, store::USUAL};
+use super::{
+    Node,
+    store::{Found, TxnResult, USUAL},
+    users::final_status,
+};
 use crate::{
     bookkeeping::records::LEADER,
     coordination::leader::{Direct, DirectOutcome, Leader, Plan},
@@ -62,6 +66,15 @@
         if list && !node.listing.replace(true) {
             node.lanes.spawn(node.clone().list_machines(term)).detach();
         }
+        if !node.seeking.get() {
+            let ids = node.acting(|l, _| l.sought()).unwrap_or_default();
+            if !ids.is_empty() {
+                node.seeking.set(true);
+                node.lanes
+                    .spawn(node.clone().seek_needs(term, ids))
+                    .detach();
+            }
+        }
         if !node.flushing.get() {
             let now = node.now();
             let room = node.writes.borrow_mut().level(now).max(0.0) as usize;
@@ -111,6 +124,33 @@
         });
     }
 
+    /// Looks up jobs that others wait for.
+    async fn seek_needs(self: Rc<Self>, term: u64, ids: Vec<String>) {
+        let read = self.lookup_all(&ids).await;
+        let failed = read.is_err();
+        if let Err(e) = &read {
+            log::debug!("looking up jobs that others need: {e}");
+        }
+        self.of_term(term, |l, now| {
+            let mut missing = Vec::new();
+            let mut found = read.unwrap_or_default();
+            for id in ids {
+                match found.remove(&id) {
+                    Some(Found::Live(record, version)) => l.accepted(*record, version, now),
+                    Some(Found::Final(record)) => l.need_ended(&final_status(&id, &record)),
+                    Some(Found::Nothing) | None => missing.push(id),
+                }
+            }
+            if !failed && !missing.is_empty() {
+                log::error!("jobs that others need have no record: {missing:?}");
+            }
+            l.not_found(missing);
+        });
+        let pause = if failed { 300 } else { 0 };
+        Timer::after(Duration::from_millis(pause)).await;
+        self.seeking.set(false);
+    }
+
     async fn flush(self: Rc<Self>, term: u64, plan: Plan) {
         let now = self.now();
         self.requests.borrow_mut().force(now, 1.0);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod standby;
 mod status;
 mod store;
+mod upgrade;
 mod users;
 mod workers;
 
@@ -72,6 +73,8 @@
     /// When the state service last answered.
     state_ok: Cell<Option<Ms>>,
     flushing: Cell<bool>,
+    seeking: Cell<bool>,
+    upgrade: upgrade::Upgrade,
     listing: Cell<bool>,
     /// Polls that wait for the leader, and those that wait for the records.
     polls: polls::Waiting,
@@ -88,7 +91,8 @@
 
 pub fn run(settings: Settings, options: Options) -> Result<()> {
     let lanes = Rc::new(Lanes::default());
-    let limits = settings.cluster.clone();
+    let mut limits = settings.cluster.clone();
+    limits.state = limits.state.always();
     let sockets = limits.quota.max_connections;
     let nodes = settings.peers.len() + 1;
     let users = sockets / 4;
@@ -125,6 +129,8 @@
         types: RefCell::new(Vec::new()),
         state_ok: Cell::new(None),
         flushing: Cell::new(false),
+        seeking: Cell::new(false),
+        upgrade: upgrade::Upgrade::default(),
         listing: Cell::new(false),
         polls: polls::Waiting::new(users),
         reads: polls::Waiting::new(2 * users),
@@ -141,6 +147,7 @@
         lanes.spawn(cloud::types(node.clone())).detach();
         lanes.spawn(peers::watch(node.clone())).detach();
         lanes.spawn(bars::run(node.clone())).detach();
+        lanes.spawn(upgrade::run(node.clone())).detach();
         lanes.spawn_second(polls::ask_leader(node.clone())).detach();
         lanes
             .spawn_second(polls::ask_records(node.clone()))
@@ -204,7 +211,7 @@
                 (None, None) => Role::Leaderless,
             }
         };
-        let (now, limits) = (self.now(), &self.settings.cluster.state);
+        let (now, limits) = (self.now(), self.settings.cluster.state.always());
         let nodes = self.settings.peers.len() + 1;
         let rate = limits.rps * share::of_requests(role, nodes);
         self.requests.borrow_mut().set_rate(now, rate, BURST_S);
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -51,6 +51,8 @@
                 .as_ref()
                 .map_or(0.0, |(at, _)| now.saturating_sub(*at) as f64 / 1000.0),
             picture: last.as_ref().map(|(_, p)| p.clone()),
+            versions: self.versions(),
+            upgraded: self.upgrade.is_complete(),
         }
     }
 
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -2,15 +2,20 @@
 
 use super::Node;
 use crate::{
-    bookkeeping::records::{FinalRecord, JobRecord, final_key, job_key},
+    bookkeeping::records::{FINALS, FinalRecord, JOBS, JobRecord, final_key, job_key},
     protocol::state::{Item, Page, Revision, Txn},
     transport::client::{Answer, CallError},
 };
 use http_types::Method;
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 pub const USUAL: Duration = Duration::from_millis(1500);
 
+/// Up to so many records are read one by one; of more, pages of at most so
+/// many.
+const ONE_BY_ONE: usize = 4;
+const PAGE: usize = 500;
+
 /// All nodes together ask more than the state service answers.
 pub const OVER_LIMIT: &str = "over its request limit";
 
@@ -109,6 +114,77 @@
         }
     }
 
+    /// How these jobs stand in the records; those that are not in the answer
+    /// were never accepted. Live records are read first: a job that ends
+    /// meanwhile is found among the final ones.
+    pub(super) async fn lookup_all(
+        &self,
+        ids: &[String],
+    ) -> Result<HashMap<String, Found>, String> {
+        let mut all = HashMap::new();
+        let mut left: Vec<&str> = ids.iter().map(String::as_str).collect();
+        left.sort_unstable();
+        for prefix in [JOBS, FINALS] {
+            for (id, item) in self.read_some(prefix, &left).await? {
+                let found = match prefix {
+                    JOBS => serde_json::from_value(item.value)
+                        .map(|r| Found::Live(Box::new(r), item.version)),
+                    _ => serde_json::from_value(item.value).map(Found::Final),
+                };
+                all.insert(id, found.map_err(|e| format!("record {}: {e}", item.key))?);
+            }
+            left.retain(|id| !all.contains_key(*id));
+        }
+        Ok(all)
+    }
+
+    /// Those of the sorted names that stand under the prefix: one by one if
+    /// they are few, else by pages that begin at the next name.
+    async fn read_some(&self, prefix: &str, ids: &[&str]) -> Result<Vec<(String, Item)>, String> {
+        let mut found = Vec::new();
+        let mut next = 0;
+        let mut after = String::new();
+        let limit = Duration::from_millis(900);
+        while next < ids.len() {
+            if !self.may_request(3.0) {
+                return Err("over the request budget".into());
+            }
+            let key = format!("{prefix}{}", ids[next]);
+            if ids.len() <= ONE_BY_ONE {
+                if let Some(item) = self.get(&key, limit).await? {
+                    found.push((ids[next].to_owned(), item));
+                }
+                next += 1;
+                continue;
+            }
+            // The key without its last character comes before it.
+            after = after.max(key[..key.len() - 1].to_owned());
+            let most = (2 * (ids.len() - next) + 10).min(PAGE);
+            let path = format!("/kv?under={prefix}&from={after}&most={most}");
+            let answer = self.state(Method::Get, &path, None, limit).await;
+            let answer = answer.map_err(|e| e.to_string())?;
+            if answer.status != 200 {
+                return Err(format!("status {}", answer.status));
+            }
+            let page: Page = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+            let Some(last) = page.items.last().map(|i| i.key.clone()) else {
+                break;
+            };
+            for item in page.items {
+                let id = item.key[prefix.len()..].to_owned();
+                if ids[next..].binary_search(&id.as_str()).is_ok() {
+                    found.push((id, item));
+                }
+            }
+            if !page.more {
+                break;
+            }
+            next += ids[next..].partition_point(|id| *id <= &last[prefix.len()..]);
+            after = last;
+        }
+        Ok(found)
+    }
+
     pub(super) async fn txn(&self, txn: &Txn, limit: Duration) -> TxnResult {
         let changes = txn.writes.len() as u64;
         self.figures.borrow().state_changes.inc_by(changes);
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -12,7 +12,7 @@
     },
     protocol::{
         peers::{Reply, Request},
-        users::{JobSpec, JobState, JobStatus, valid_ref},
+        users::{JobSpec, JobState, JobStatus, Kind, valid_ref},
     },
     transport::server::{HttpResponse, JSON},
 };
@@ -64,6 +64,15 @@
     }
 }
 
+const NOT_UPGRADED: &str = "waits_on: not every controller runs a version that knows it yet";
+
+/// Whether a submission names jobs that it waits for.
+fn names_needs(body: &[u8]) -> bool {
+    let field: &[u8] = b"\"waits_on\"";
+    body.windows(field.len()).any(|w| w == field)
+        && JobSpec::parse(body).is_ok_and(|spec| !spec.needs.is_empty())
+}
+
 /// The job's id in a path, and whether it is to be withdrawn.
 fn target(path: &str) -> Option<(&str, bool)> {
     let rest = path.strip_prefix("/v1/jobs/")?;
@@ -86,6 +95,10 @@
         if let Some(answer) = self.user_here(method, path, &body).await {
             return answer;
         }
+        // An older leader would take the job and start it at once.
+        if target(path).is_none() && names_needs(&body) && !self.upgraded().await {
+            return HttpResponse::later(NOT_UPGRADED);
+        }
         if let Some(leader) = self.answering_leader() {
             let request = Request::Forward {
                 method: method.to_owned(),
@@ -136,6 +149,20 @@
         let Ok(spec) = parsed else {
             return HttpResponse::error(400, "malformed");
         };
+        if !spec.needs.is_empty() {
+            match self.needs_alone(&spec).await {
+                Ok(None) => {}
+                Ok(Some(why)) => {
+                    return match self.lookup(&spec.id).await {
+                        Ok(Found::Live(record, _)) => ok(&stored_status(&record)),
+                        Ok(Found::Final(record)) => ok(&final_status(&spec.id, &record)),
+                        Ok(Found::Nothing) => HttpResponse::error(422, &why),
+                        Err(e) => HttpResponse::later(&format!("records can't be read: {e}")),
+                    };
+                }
+                Err(e) => return HttpResponse::later(&format!("records can't be read: {e}")),
+            }
+        }
         let now = self.now();
         if !self.writes.borrow_mut().take(now, 2.0, 0.0) || !self.may_request(1.0) {
             return HttpResponse::later("too many submissions at once");
@@ -160,6 +187,57 @@
         }
     }
 
+    /// What is wrong with the jobs that a submission names, by the records.
+    async fn needs_alone(&self, spec: &JobSpec) -> Result<Option<String>, String> {
+        let found = self.lookup_all(&spec.needs).await?;
+        for id in &spec.needs {
+            match found.get(id) {
+                Some(Found::Live(r, _)) if r.spec.kind == Kind::Service => {
+                    return Ok(Some(format!("waits_on: {id} is a service")));
+                }
+                Some(Found::Live(..) | Found::Final(_)) => {}
+                Some(Found::Nothing) | None => {
+                    return Ok(Some(format!("waits_on: {id} was never accepted")));
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// The same where this node leads. `Err`: it can't be said now.
+    async fn needs_led(&self, spec: &JobSpec) -> Result<Option<String>, HttpResponse> {
+        let lost = || HttpResponse::later("leadership is changing");
+        let unknown = self.acting(|l, _| l.needs_unknown(spec)).ok_or_else(lost)?;
+        let unknown = match unknown {
+            Ok(unknown) => unknown,
+            Err(id) => return Ok(Some(format!("waits_on: {id} is a service"))),
+        };
+        if unknown.is_empty() {
+            return Ok(None);
+        }
+        let mut found = (self.lookup_all(&unknown).await)
+            .map_err(|e| HttpResponse::later(&format!("records can't be read: {e}")))?;
+        for id in unknown {
+            match found.remove(&id) {
+                Some(Found::Live(record, version)) => {
+                    let learn = |l: &mut Leader, now| l.accepted(*record, version, now);
+                    self.acting(learn).ok_or_else(lost)?;
+                }
+                Some(Found::Final(record)) => {
+                    self.acting(|l, _| l.remember_final(&final_status(&id, &record)));
+                }
+                Some(Found::Nothing) | None => {
+                    return Ok(Some(format!("waits_on: {id} was never accepted")));
+                }
+            }
+        }
+        // Among what was learned just now there may be services.
+        match self.acting(|l, _| l.needs_unknown(spec)).ok_or_else(lost)? {
+            Ok(_) => Ok(None),
+            Err(id) => Ok(Some(format!("waits_on: {id} is a service"))),
+        }
+    }
+
     /// `None`: this node doesn't lead.
     pub(super) async fn user_here(
         self: &Rc<Self>,
@@ -236,6 +314,22 @@
         if let Some(Some(status)) = self.acting(|l, _| l.told(&spec.id)) {
             return ok(&status);
         }
+        if !spec.needs.is_empty() {
+            if !self.upgraded().await {
+                return HttpResponse::later(NOT_UPGRADED);
+            }
+            match self.needs_led(&spec).await {
+                Ok(None) => {}
+                Ok(Some(why)) => {
+                    return match self.known(&spec.id).await {
+                        Ok(Some(status)) => ok(&status),
+                        Ok(None) => HttpResponse::error(422, &why),
+                        Err(answer) => answer,
+                    };
+                }
+                Err(answer) => return answer,
+            }
+        }
         self.accept(spec).await
     }
 
--- /dev/null
+++ b/tests/chains.rs
@@ -0,0 +1,290 @@
+//! Short stories about jobs that need others.
+
+mod world;
+
+use pathwinch::{
+    bookkeeping::records,
+    protocol::users::{JobSpec, JobState, Kind, Priority},
+};
+use world::{Net, World, job};
+
+/// One that needs these.
+fn after(n: u32, tasks: u32, needs: &[u32]) -> JobSpec {
+    let mut spec = job(n, Kind::Array, tasks);
+    spec.needs = needs.iter().map(|n| format!("j-{n:06}")).collect();
+    spec
+}
+
+fn id(n: u32) -> String {
+    format!("j-{n:06}")
+}
+
+fn state(w: &mut World, n: u32) -> Option<JobState> {
+    let leader = w.leader()?;
+    w.poll(leader, &id(n))
+}
+
+#[test]
+fn the_jobs_of_a_chain_run_one_after_the_other() {
+    let mut w = World::led(1, 3, 0.0);
+    w.submit(job(1, Kind::Array, 4));
+    w.submit(after(2, 2, &[1]));
+    w.submit(after(3, 2, &[1, 2, 2]));
+    w.run(3_000);
+    assert_eq!(state(&mut w, 2), Some(JobState::Queued));
+    assert_eq!((w.running(&id(1)), w.running(&id(2))), (4, 0));
+    w.until(60_000, "all done", |w| w.done(&id(3)));
+    // Also one that is submitted when all is over.
+    w.submit(after(4, 1, &[1, 3]));
+    w.until(30_000, "done", |w| w.done(&id(4)));
+    w.sound();
+}
+
+#[test]
+fn a_chain_goes_on_under_a_new_leader_that_has_to_look_up_what_is_over() {
+    let mut w = World::led(2, 3, 0.0);
+    w.standbys = false;
+    w.submit(job(1, Kind::Array, 2));
+    w.submit(after(2, 40, &[1]));
+    w.submit(after(3, 2, &[1, 2]));
+    w.until(60_000, "the first done", |w| {
+        w.done(&id(1)) && w.running(&id(2)) > 2
+    });
+    let leader = w.leader().unwrap();
+    w.crash(leader, 3_000);
+    w.until(30_000, "a leader again", |w| w.leader().is_some());
+    w.until(120_000, "all done", |w| w.done(&id(3)));
+    assert_eq!(w.starts, 44, "nothing ran twice");
+    w.sound();
+}
+
+/// Guards against starting what a report alone says is due: the report's end
+/// may be lost with the leader, and the need runs again, or is withdrawn.
+#[test]
+fn a_job_starts_only_once_the_end_of_its_need_is_recorded() {
+    let mut w = World::led(3, 3, 0.0);
+    w.submit(job(1, Kind::Array, 1));
+    w.submit(after(2, 1, &[1]));
+    w.until(20_000, "running", |w| w.running(&id(1)) == 1);
+    // What is written from now on gets no answer, and comes late.
+    w.store.late = vec![4_000; 3];
+    w.until(20_000, "ended", |w| w.running(&id(1)) == 0);
+    w.run(1_000);
+    assert!(!w.done(&id(1)));
+    assert_eq!(w.running(&id(2)), 0);
+    w.store.late.clear();
+    w.until(60_000, "done", |w| w.done(&id(2)));
+    w.sound();
+}
+
+#[test]
+fn a_withdrawal_takes_all_that_follow_along_and_no_others() {
+    let mut w = World::led(4, 2, 0.0);
+    w.submit(job(1, Kind::Array, 40));
+    w.submit(job(2, Kind::Array, 1));
+    w.submit(after(3, 1, &[1, 2]));
+    w.submit(after(4, 1, &[3]));
+    w.submit(after(5, 1, &[2]));
+    w.run(2_000);
+    w.cancel(&id(1));
+    // Long before the time is over.
+    w.run(2_000);
+    for n in [1, 3, 4] {
+        assert_eq!(state(&mut w, n), Some(JobState::Cancelled), "{n}");
+    }
+    // One that names them later is accepted all the same.
+    w.submit(after(6, 1, &[4]));
+    w.run(2_000);
+    assert_eq!(state(&mut w, 6), Some(JobState::Cancelled));
+    w.until(60_000, "the other done", |w| w.done(&id(5)));
+    assert_eq!(state(&mut w, 5), Some(JobState::Done));
+    w.sound();
+}
+
+#[test]
+fn a_withdrawal_is_carried_on_by_each_later_leader_from_the_records_alone() {
+    let mut w = World::led(5, 2, 0.0);
+    w.submit(job(1, Kind::Array, 40));
+    for n in 2..120 {
+        // A tree: each needs one that came before.
+        w.submit(after(n, 1, &[n / 2]));
+    }
+    w.run(2_000);
+    w.cancel(&id(1));
+    let ended = w.now;
+    // Whoever leads ends after each few transactions.
+    while w.now < ended + 25_000 {
+        w.run(300);
+        if let Some(leader) = w.leader() {
+            w.crash(leader, 500);
+        }
+    }
+    w.run(9_000);
+    for n in 2..120 {
+        assert_eq!(state(&mut w, n), Some(JobState::Cancelled), "{n}");
+    }
+    w.sound();
+}
+
+/// The last task's end is under way as the user cancels: one answer holds for
+/// the job and for what follows it.
+#[test]
+fn a_withdrawal_that_crosses_the_end_decides_what_follows() {
+    let (mut went_on, mut went_with) = (0, 0);
+    for seed in 0..12 {
+        let mut w = World::led(100 + seed, 2, 0.0);
+        w.submit(job(1, Kind::Array, 1));
+        w.submit(after(2, 1, &[1]));
+        w.until(20_000, "running", |w| w.running(&id(1)) == 1);
+        w.run(5_500 + 50 * seed);
+        w.cancel(&id(1));
+        let withdrawn = w.told.get(&id(1)).map(|t| t.0) == Some(JobState::Cancelled);
+        w.run(30_000);
+        let follows = state(&mut w, 2);
+        match withdrawn {
+            true => went_with += 1,
+            false => went_on += 1,
+        }
+        let expected = match withdrawn {
+            true => JobState::Cancelled,
+            false => JobState::Done,
+        };
+        assert_eq!(follows, Some(expected), "seed {seed}");
+        w.sound();
+    }
+    assert!(went_on > 0 && went_with > 0, "{went_on} {went_with}");
+}
+
+#[test]
+fn what_waits_for_others_holds_no_part_of_its_teams_limit() {
+    // Room for two tasks of the team at once.
+    let mut w = World::led(6, 3, 8.0);
+    w.run_ms = 20_000;
+    w.submit(job(1, Kind::Array, 1));
+    w.submit(after(2, 8, &[1]));
+    w.submit(job(3, Kind::Array, 1));
+    w.until(8_000, "both run", |w| {
+        w.running(&id(1)) == 1 && w.running(&id(3)) == 1
+    });
+    w.sound();
+}
+
+/// As the leader ends, nobody can say at once whether what a chain's job needs
+/// was done; what may run of it on a machine that is silent counts all the same.
+#[test]
+fn a_new_leader_counts_what_may_run_of_a_chain_before_it_knows_its_needs() {
+    let mut w = World::led(7, 2, 16.0);
+    w.standbys = false;
+    w.run_ms = 60_000;
+    w.submit(job(1, Kind::Gang, 1));
+    w.until(90_000, "the first done", |w| w.done(&id(1)));
+    w.submit(after(2, 4, &[1]));
+    w.until(20_000, "running", |w| w.running(&id(2)) == 4);
+    let silent = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
+    w.workers[silent].net = Net::Lose;
+    let leader = w.leader().unwrap();
+    w.crash(leader, 3_000);
+    w.until(20_000, "a leader again", |w| w.leader().is_some());
+    w.submit(job(3, Kind::Array, 4));
+    w.run(20_000);
+    w.heal(silent);
+    w.run(5_000);
+    w.sound();
+}
+
+#[test]
+fn a_need_is_as_urgent_as_what_waits_for_it() {
+    let mut w = World::led(8, 1, 0.0);
+    w.run_ms = 10_000;
+    // Two fill the machine; of what waits, the chain's goes first.
+    w.submit(job(1, Kind::Array, 2));
+    w.submit(job(2, Kind::Array, 2));
+    let mut first = job(3, Kind::Array, 2);
+    first.priority = Priority::Low;
+    w.submit(first);
+    let mut last = after(4, 1, &[3]);
+    last.priority = Priority::High;
+    w.submit(last);
+    w.until(60_000, "the chain's first", |w| w.running(&id(3)) > 0);
+    assert!(!w.done(&id(2)) && w.running(&id(2)) == 0);
+    w.sound();
+}
+
+/// Jobs with needs drawn at random, cancelled and not, on days on which
+/// controllers crash, the store is out and answers are late.
+#[test]
+fn days_of_chains_and_trouble_break_no_rule() {
+    let (mut starts, mut gone) = (0, 0);
+    for seed in 0..std::env::var("SEEDS").map_or(15, |n| n.parse().unwrap()) {
+        let mut w = World::led(7000 + seed, 6, 48.0);
+        w.rents = true;
+        w.standbys = seed % 3 != 0;
+        let mut n = 0;
+        for _ in 0..60 {
+            n += 1;
+            let kind = [Kind::Array, Kind::Array, Kind::Gang][w.rng.usize(..3)];
+            let mut j = job(n, kind, w.rng.u32(1..6));
+            if n > 1 {
+                let count = w.rng.usize(..4);
+                let mut needs: Vec<String> = (0..count)
+                    .map(|_| id(w.rng.u32(n.saturating_sub(9).max(1)..n)))
+                    .collect();
+                needs.sort();
+                needs.dedup();
+                j.needs = needs;
+            }
+            w.submit(j);
+            match w.rng.u8(..9) {
+                0 | 1 => {
+                    let i = w.leader().unwrap_or(0);
+                    let back = [300, 3_000][w.rng.usize(..2)];
+                    w.crash(i, back);
+                }
+                2 => (0..3).for_each(|i| w.crash(i, 3_000)),
+                3 => {
+                    let i = w.rng.usize(..w.workers.len());
+                    w.workers[i].net = if w.rng.bool() { Net::Hold } else { Net::Lose };
+                }
+                4 => (0..w.workers.len()).for_each(|i| w.heal(i)),
+                5 => {
+                    let late = w.rng.u64(100..20_000);
+                    w.store.late.push(late);
+                }
+                6 => {
+                    w.store.down = true;
+                    let ms = w.rng.u64(1_000..9_000);
+                    w.run(ms);
+                    w.store.down = false;
+                }
+                _ => {
+                    let which = id(w.rng.u32(1..=n));
+                    w.cancel(&which);
+                }
+            }
+            let ms = w.rng.u64(200..5_000);
+            w.run(ms);
+            for i in 0..3 {
+                let which = id(w.rng.u32(1..=n));
+                w.poll(i, &which);
+            }
+        }
+        (0..w.workers.len()).for_each(|i| w.heal(i));
+        w.run(50_000);
+        for m in 1..=n {
+            for i in 0..3 {
+                w.poll(i, &id(m));
+            }
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+        let finals = w.store.under(records::FINALS);
+        gone += finals
+            .iter()
+            .filter(|(_, v, _)| v["s"] == "withdrawn")
+            .count();
+        starts += w.starts;
+    }
+    assert!(
+        gone > 100 && starts > 500,
+        "{gone} withdrawn, {starts} started"
+    );
+}
--- a/tests/world/check.rs
+++ b/tests/world/check.rs
@@ -34,9 +34,68 @@
         if self.workers[w].spot && !spec.spot {
             found.push(format!("wrong_place: {name} on a spot machine"));
         }
+        for need in &spec.needs {
+            // A report is not enough: whoever leads next must know of it.
+            let done = self.store.kv.get(&records::final_key(need));
+            if done.is_none_or(|(v, _)| v["s"] != "done") {
+                found.push(format!(
+                    "too_early: {name} before {need} is recorded as done"
+                ));
+            }
+        }
         self.broken.extend(found);
     }
 
+    /// When a user was first told that the job, or one that it needs directly
+    /// or not, is cancelled.
+    pub(super) fn cancelled_before(&self, id: &str) -> Option<Ms> {
+        let mut first = self.told.get(&format!("{id}!")).map(|t| t.1);
+        let (mut all, mut seen) = (vec![id.to_owned()], BTreeSet::new());
+        while let Some(id) = all.pop() {
+            for need in self.specs.get(&id).map_or(&[][..], |s| &s.needs) {
+                if seen.insert(need.clone()) {
+                    let at = self.told.get(&format!("{need}!")).map(|t| t.1);
+                    first = first.into_iter().chain(at).min();
+                    all.push(need.clone());
+                }
+            }
+        }
+        first
+    }
+
+    pub(super) fn check_told(&mut self, id: &str, state: JobState) {
+        // Of one that was submitted later, the time counts from then.
+        let since = self.submitted.get(id).copied().unwrap_or(0);
+        let (now, cancelled) = (self.now, self.cancelled_before(id).map(|at| at.max(since)));
+        match (state, cancelled) {
+            (JobState::Queued | JobState::Running, Some(at)) if now > at + CANCEL => {
+                self.broken
+                    .push(format!("orphaned: {id} is called {state:?}"));
+            }
+            (JobState::Cancelled, None) if !self.asked_to_cancel(id) => {
+                self.broken
+                    .push(format!("went_back: nobody cancelled {id}"));
+            }
+            _ => {}
+        }
+    }
+
+    fn asked_to_cancel(&self, id: &str) -> bool {
+        let mut all = vec![id.to_owned()];
+        let mut seen = BTreeSet::new();
+        while let Some(id) = all.pop() {
+            if self.cancelling.contains(&id) {
+                return true;
+            }
+            if seen.insert(id.clone())
+                && let Some(s) = self.specs.get(&id)
+            {
+                all.extend(s.needs.iter().cloned());
+            }
+        }
+        false
+    }
+
     pub(super) fn check(&mut self) {
         let now = self.now;
         let mut found = Vec::new();
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -121,6 +121,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        needs: Vec::new(),
     }
 }
 
@@ -191,6 +192,10 @@
     pub nodes: Vec<Node>,
     pub workers: Vec<Worker>,
     pub specs: HashMap<String, JobSpec>,
+    /// Jobs whose users asked to cancel them.
+    cancelling: BTreeSet<String>,
+    /// When jobs were accepted.
+    submitted: HashMap<String, Ms>,
     pub told: HashMap<String, (JobState, Ms)>,
     wire: Vec<(Ms, Msg)>,
     held: Vec<Msg>,
@@ -255,6 +260,8 @@
             nodes: Vec::new(),
             workers: Vec::new(),
             specs: HashMap::new(),
+            cancelling: BTreeSet::new(),
+            submitted: HashMap::new(),
             told: HashMap::new(),
             wire: Vec::new(),
             held: Vec::new(),
@@ -374,6 +381,7 @@
                 let (txn, record) = l.acceptance(&spec, now);
                 if let Ok(version) = self.store.apply(&txn) {
                     l.accepted(record, version, now);
+                    self.submitted.insert(spec.id, now);
                     return;
                 }
             }
@@ -447,6 +455,7 @@
     }
 
     fn tell(&mut self, id: &str, state: JobState) {
+        self.check_told(id, state);
         if let Some((before, _)) = self.told.get(id)
             && matches!(before, JobState::Done | JobState::Cancelled)
             && *before != state
@@ -474,6 +483,7 @@
     }
 
     pub fn cancel(&mut self, id: &str) {
+        self.cancelling.insert(id.to_owned());
         for _ in 0..600 {
             if let Some(i) = self.leader().filter(|i| self.reaches(*i)) {
                 if self.done(id) {
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -61,6 +61,27 @@
             }
         }
         l.tick(now, now);
+        if reaches_state && !stalled {
+            for id in l.sought() {
+                let live = self.store.kv.get(&records::job_key(&id));
+                let over = self.store.kv.get(&records::final_key(&id));
+                match (live, over) {
+                    (Some((v, r)), _) => {
+                        l.accepted(serde_json::from_value(v.clone()).unwrap(), *r, now);
+                    }
+                    (None, Some((v, _))) => {
+                        let record: FinalRecord = serde_json::from_value(v.clone()).unwrap();
+                        l.need_ended(&JobStatus {
+                            id,
+                            state: record.state,
+                            done: record.done,
+                            running: 0,
+                        });
+                    }
+                    (None, None) => l.not_found(vec![id]),
+                }
+            }
+        }
         let term = l.term;
         self.warm += u32::from(loads && l.is_warm());
         let directs = l.directs(now);
