Machines that hear nothing, late copies of reports, machines back at once; fair polls

What counts of a machine is what it shows to have received. One whose orders are lost, or whose lease ends although it was answered, gets nothing new until it shows a token raised for it; a new leader stops answering one that never shows its token, so that the lease surely ends. A report that is older than the latest renews nothing and is not answered, unless two in order may be of a machine that began anew, which a raised token shows; what was counted before is then no news. Names that are gone are not taken in again. Final states are read by pages, and a job whose question was shed goes first the next time.

--- a/src/bookkeeping/model/machine.rs
+++ b/src/bookkeeping/model/machine.rs
@@ -78,6 +78,23 @@
     pub min_session: u64,
     pub seen_token: u64,
     pub fence: u64,
+    /// Reports arrive, but answers don't seem to: until one shows this token,
+    /// nothing new is placed here. 0: no doubt.
+    pub proof: u64,
+    /// A report that is older by its count may be of a machine that started
+    /// anew: one that shows this token is, and nothing runs there. 0: none.
+    pub reborn_at: u64,
+    /// It has started anew in this term: reports that have not seen this token
+    /// are from before, whatever they count.
+    pub least_token: u64,
+    /// The latest report in this term, whether it was news or not: session,
+    /// count.
+    pub latest: (u64, u64),
+    /// The last report that was older than that, and when it came.
+    pub older: ((u64, u64), Ms),
+    /// Reports in a row that show no token of this term, although those before
+    /// them were answered.
+    pub unproven: u32,
     /// Heard in this term, and not lapsed since.
     pub up: bool,
     /// Stood in the roster when this term began and has neither been heard
@@ -143,6 +160,10 @@
     pub fn lapsed(&self) -> bool {
         !self.up && !self.unknown && self.roster == Roster::Present
     }
+    /// It reports, but was not seen to receive anything for a while.
+    pub fn is_deaf(&self) -> bool {
+        self.seen_token < self.proof
+    }
     /// Heard, and to be written down before anything is started on it.
     pub fn awaits_record(&self) -> bool {
         self.up && !self.releasing && (self.roster == Roster::Absent || self.noted_empty)
@@ -158,6 +179,7 @@
             && !self.noted_empty
             && !self.file.set_aside
             && !self.draining
+            && !self.is_deaf()
             && self.notice.is_none()
             && self.roster == Roster::Present
     }
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -28,6 +28,10 @@
     /// Jobs of tasks that are seen to run or have completed, and when those
     /// were started.
     pub ran: Vec<(u32, Ms)>,
+    /// Starts given in an answer that the machine did not get.
+    pub lost_orders: u32,
+    /// The machine's lease has ended since it was last heard.
+    pub new_session: bool,
 }
 
 fn phase_of(state: TaskState, why: Option<Why>) -> Phase {
@@ -58,13 +62,31 @@
     let Some(m) = model.machine_mut(ix) else {
         return news;
     };
-    if report.token < term_floor
-        || report.session < m.min_session
-        || (m.up && (report.session, report.seq) <= (m.session, m.seq))
-    {
+    let older = report.session < m.min_session
+        || (m.up && (report.session, report.seq) <= (m.session, m.seq));
+    // It has seen a token that was raised after all that is known of it: what
+    // it says is newer, so it counts from the start again, and holds nothing
+    // but what it lists.
+    let reborn = older && m.reborn_at != 0 && report.token >= m.reborn_at;
+    if report.token < term_floor.max(m.least_token) || older && !reborn {
         return news;
     }
-    if report.session > m.session && !m.tasks.is_empty() && m.up {
+    if reborn {
+        log::info!("machine {} has started anew", m.name);
+        m.least_token = m.reborn_at;
+        m.latest = (report.session, report.seq);
+        m.answered = now;
+        drop_what_was_before(model, ix, report.token);
+        news.changed = true;
+    }
+    let Some(m) = model.machine_mut(ix) else {
+        return news;
+    };
+    if report.token >= m.reborn_at {
+        m.reborn_at = 0;
+    }
+    news.new_session = m.up && report.session > m.session;
+    if news.new_session && !m.tasks.is_empty() {
         // A new session: everything of the old one is gone, including
         // commands still on their way, which name the old session.
         model.clear_machine(ix);
@@ -174,8 +196,10 @@
                     model.unassign(ix, at);
                     news.changed = true;
                 } else if let Some(m) = model.machine_mut(ix) {
-                    m.tasks[at].doubt = 0;
-                    m.tasks[at].phase = Phase::New;
+                    let a = &mut m.tasks[at];
+                    news.lost_orders += u32::from(a.phase == Phase::Sent && a.doubt == 0);
+                    a.doubt = 0;
+                    a.phase = Phase::New;
                 }
             }
             // It was there and is not any more, in the same session. Nothing
@@ -195,6 +219,21 @@
     news
 }
 
+/// The machine has started anew, and has seen this token: all that is known of
+/// it is gone, but for starts sent directly that it may still carry out, as
+/// sessions count from one again as well.
+fn drop_what_was_before(model: &mut Model, ix: u32, token: u64) {
+    let Some(m) = model.machine(ix) else { return };
+    let open = |at: &usize| {
+        let a = &m.tasks[*at];
+        a.phase == Phase::Sent && a.doubt != 0 && (m.ordering || token <= a.doubt)
+    };
+    let gone: Vec<usize> = (0..m.tasks.len()).filter(|at| !open(at)).collect();
+    for at in gone.into_iter().rev() {
+        model.unassign(ix, at);
+    }
+}
+
 /// The machine is heard for the first time in this term, so it has seen this
 /// term's token: of what an earlier leader had there, or had sent there, only
 /// what it lists is there or will ever be.
--- /dev/null
+++ b/src/coordination/leader/deaf.rs
@@ -0,0 +1,94 @@
+//! Machines whose reports arrive while answers and orders don't reach them, and
+//! reports that come late or from a machine that began anew. What counts is
+//! what a machine shows to have received: a token, raised for it alone.
+
+use super::*;
+
+/// So many reports in a row without a token of this term, each sent after the
+/// one before it was answered, show that it does not get the answers.
+const UNPROVEN: u32 = 2;
+
+/// Reports of one that began anew come at least as often, sent back once.
+const IN_ORDER: Ms = 8_000;
+
+impl Leader {
+    /// Looks at a report before anything is made of it. `false`: it gets no
+    /// answer, so that the machine's lease surely ends and a new leader need
+    /// not wait for ever to hear of it.
+    pub(super) fn may_be_answered(&mut self, ix: u32, report: &Report, now: Ms) -> bool {
+        let (floor, token) = (self.floor(), self.token(ix));
+        let Some(m) = self.model.machine_mut(ix) else {
+            return false;
+        };
+        let this = (report.session, report.seq);
+        if this <= m.latest || report.token < m.least_token {
+            // A late copy changes nothing, and an answer to it would be counted
+            // as a lease. Two in order may be of a machine that began anew and
+            // counts from one again: that shows by a token raised for it.
+            let in_order = this > m.older.0 && now < m.older.1 + IN_ORDER;
+            m.older = (this, now);
+            if !in_order {
+                return false;
+            }
+            if m.reborn_at == 0 {
+                m.fence += 1;
+                m.reborn_at = token + 1;
+            }
+            m.answered = now;
+            return true;
+        }
+        m.latest = this;
+        m.unproven = match m.unknown && report.token < floor {
+            true => m.unproven + 1,
+            false => 0,
+        };
+        if m.unproven > UNPROVEN {
+            if m.unproven == UNPROVEN + 1 {
+                log::info!("machine {} reports, but gets no answers", m.name);
+            }
+            return false;
+        }
+        m.answered = now;
+        true
+    }
+
+    /// Nothing new is placed there before it shows a token that is newer than
+    /// all it can have seen.
+    pub(super) fn ask_for_proof(&mut self, ix: u32) {
+        let token = self.token(ix);
+        if let Some(m) = self.model.machine_mut(ix) {
+            m.proof = token;
+        }
+    }
+
+    /// After a report was taken in.
+    pub(super) fn judge_hearing(&mut self, ix: u32, news: &dispatch::News, now: Ms) {
+        let lease = millis(self.settings.cluster.workers.lease_s);
+        let Some(m) = self.model.machine_mut(ix) else {
+            return;
+        };
+        let answered = now < m.answered + lease;
+        let lost = news.lost_orders > 0 || news.new_session && answered;
+        if !lost || m.is_deaf() {
+            return;
+        }
+        log::info!("machine {} may not get answers: nothing new there", m.name);
+        m.fence += 1;
+        self.ask_for_proof(ix);
+        self.changed = true;
+        // What was ordered in an answer that it did not get never runs there.
+        for at in self.never_there(ix) {
+            self.model.unassign(ix, at);
+        }
+    }
+
+    /// Orders that were given and are surely not carried out, last first.
+    fn never_there(&self, ix: u32) -> Vec<usize> {
+        let tasks = self.model.machine(ix).map_or(&[][..], |m| &m.tasks);
+        let new = tasks.iter().enumerate();
+        let new = new.filter(|(_, a)| a.phase == Phase::New && a.doubt == 0);
+        let mut at: Vec<usize> = new.map(|(at, _)| at).collect();
+        at.reverse();
+        at
+    }
+}
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -198,6 +198,8 @@
                 && empty
                 && self.recovery.settled
                 && now >= m.idle_since + self.idle_allowance(m, idle)
+                // Where most don't get answers, the fault is here.
+                && !(m.is_deaf() && now < self.renting.deaf_until)
                 && !m.ordering
                 && held.iter().all(|r| {
                     !r.covers(m.type_ix, m.spot)
@@ -235,6 +237,10 @@
             }
         }
         for ix in gone {
+            // Names don't recur: what still comes of one that ran is late.
+            if let Some(m) = self.model.machine(ix).filter(|m| m.latest.0 > 0) {
+                self.renting.released.insert(m.name.clone(), now);
+            }
             self.model.remove_machine(ix);
         }
     }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -3,6 +3,7 @@
 
 mod away;
 mod chains;
+mod deaf;
 mod gather;
 mod machines;
 mod parts;
@@ -332,9 +333,11 @@
             report.spot,
             now,
         )?;
+        if !self.may_be_answered(ix, report, now) {
+            return None;
+        }
         self.take_in(ix, report, true, now);
         let m = self.model.machine_mut(ix)?;
-        m.answered = now;
         let fresh = m.up && (report.session, report.seq) == (m.session, m.seq);
         let commands = if fresh {
             let confirmed = self.standbys.confirmed();
@@ -352,6 +355,7 @@
         let floor = self.floor();
         let news = dispatch::take_in(&mut self.model, ix, report, floor, beat, now);
         self.changed |= news.changed;
+        self.judge_hearing(ix, &news, now);
         if let Some(m) = self.model.machine(ix)
             && m.heard == now
         {
@@ -441,6 +445,7 @@
                     m.fence += 1;
                     m.order_retry = now + retry;
                 }
+                self.ask_for_proof(ix);
             }
         }
         self.changed = true;
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -201,6 +201,8 @@
                 "set aside: jobs that run elsewhere, or several, fail on it"
             } else if m.unknown {
                 "not heard in this term"
+            } else if m.up && m.is_deaf() {
+                "reports, but does not get answers or orders"
             } else if m.suspect {
                 "its reports are overdue"
             } else if m.notice.is_some() {
--- a/src/coordination/leader/upkeep.rs
+++ b/src/coordination/leader/upkeep.rs
@@ -50,7 +50,7 @@
             }
             up += usize::from(m.up);
             unheard += usize::from(m.unknown);
-            overdue_now += usize::from(suspect);
+            overdue_now += usize::from(suspect || m.up && m.is_deaf());
             if m.suspect != suspect {
                 m.suspect = suspect;
                 m.suspect_since = now;
@@ -67,7 +67,8 @@
             );
             m.up = false;
             m.unknown = false;
-            m.min_session = m.session + 1;
+            // Also one of which only reports came that were no news.
+            m.min_session = m.session.max(m.latest.0) + 1;
             m.since = now;
             self.model.clear_machine(ix);
             self.changed = true;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod election;
 pub mod leader;
 pub mod notices;
+pub mod pages;
 pub mod placement;
 pub mod polls;
 pub mod provision;
--- a/src/coordination/polls.rs
+++ b/src/coordination/polls.rs
@@ -13,8 +13,15 @@
     order: VecDeque<String>,
     waiting: usize,
     most: usize,
+    /// Jobs whose last question was shed, and since when, by a count: they go
+    /// first.
+    owed: HashMap<String, u64>,
+    shed: u64,
 }
 
+/// Jobs that are noted as owed an answer.
+const MOST_OWED: usize = 10_000;
+
 impl<T> Batch<T> {
     pub fn new(most: usize) -> Self {
         Batch {
@@ -22,9 +29,25 @@
             order: VecDeque::new(),
             waiting: 0,
             most,
+            owed: HashMap::new(),
+            shed: 0,
+        }
+    }
+
+    /// Questions about this job got no answer. Guards against one that is
+    /// asked about at unlucky moments and waits behind others for ever.
+    pub fn owe(&mut self, id: &str) {
+        if self.owed.len() < MOST_OWED && !self.owed.contains_key(id) {
+            self.shed += 1;
+            self.owed.insert(id.to_owned(), self.shed);
         }
     }
 
+    /// One did.
+    pub fn paid(&mut self, id: &str) {
+        self.owed.remove(id);
+    }
+
     /// `false`: too many wait already.
     pub fn add(&mut self, id: &str, who: T) -> bool {
         if self.waiting >= self.most {
@@ -45,10 +68,16 @@
         self.order.is_empty()
     }
 
-    /// The next round: at most so many jobs, those asked about first.
+    /// The next round: at most so many jobs, those that are owed an answer
+    /// and then those asked about first.
     pub fn begin(&mut self, most: usize) -> Vec<(String, Vec<T>)> {
         let n = most.min(self.order.len());
         let mut round = Vec::with_capacity(n);
+        if !self.owed.is_empty() {
+            // Stable: of those that are owed nothing, the first to ask.
+            let owed = |id: &String| self.owed.get(id).copied().unwrap_or(u64::MAX);
+            self.order.make_contiguous().sort_by_key(owed);
+        }
         for id in self.order.drain(..n) {
             if let Some(who) = self.asking.remove(&id) {
                 self.waiting -= who.len();
@@ -114,6 +143,32 @@
         assert!(b.add("j-000004", 'x'));
     }
 
+    /// Guards against a job about which no question is ever answered, as each
+    /// comes when the budget has just gone to others.
+    #[test]
+    fn a_job_whose_question_was_shed_goes_first_the_next_time() {
+        let mut b = Batch::new(1000);
+        let (mut silent, mut longest) = (vec![0; 90], 0);
+        for _ in 0..40 {
+            // All ask in the same order, and ten get an answer in a round.
+            for n in 0..90 {
+                b.add(&format!("j-{n:06}"), ());
+            }
+            for (at, (id, _)) in b.begin(500).into_iter().enumerate() {
+                let n: usize = id[2..].parse().unwrap();
+                if at < 10 {
+                    b.paid(&id);
+                    silent[n] = 0;
+                } else {
+                    b.owe(&id);
+                    silent[n] += 1;
+                    longest = longest.max(silent[n]);
+                }
+            }
+        }
+        assert!(longest <= 10, "{longest} rounds without an answer");
+    }
+
     #[test]
     fn only_final_states_are_remembered_and_not_without_bound() {
         let mut f = Finals::default();
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -140,13 +140,7 @@
 
     /// Looks up jobs that others wait for.
     async fn seek_needs(self: Rc<Self>, term: u64, ids: Vec<String>) {
-        let read = self.lookup_all(&ids).await;
-        let mut pause = 0;
-        let mut found = read.unwrap_or_else(|e| {
-            log::debug!("looking up jobs that others need: {e}");
-            pause = 300;
-            Default::default()
-        });
+        let mut found = self.lookup_all(&ids).await;
         let again = self.of_term(term, |l, now| {
             let mut again = Vec::new();
             for id in ids {
@@ -160,14 +154,11 @@
         });
         let again = again.unwrap_or_default();
         if !again.is_empty() {
-            if pause == 0 {
-                // They hold up their own jobs only.
-                log::error!("jobs that others need can't be read: {again:?}");
-                pause = 3_000;
-            }
+            // They hold up their own jobs only.
+            log::info!("jobs that others need could not be read: {again:?}");
             let node = self.clone();
             let later = async move {
-                Timer::after(Duration::from_millis(pause)).await;
+                Timer::after(Duration::from_millis(500)).await;
                 node.of_term(term, |l, _| l.not_found(again));
             };
             self.lanes.spawn(later).detach();
--- a/src/node/polls.rs
+++ b/src/node/polls.rs
@@ -7,7 +7,7 @@
     users::{final_status, ok},
 };
 use crate::{
-    bookkeeping::records::{JOBS, StoredJob, final_key, job_key},
+    bookkeeping::records::{FINALS, JOBS, StoredJob, job_key},
     coordination::polls::Batch,
     protocol::{
         peers::{Reply, Request},
@@ -17,6 +17,7 @@
 };
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use serde_json::Value;
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 const FORWARD: Duration = Duration::from_millis(500);
@@ -56,6 +57,15 @@
         answer.unwrap_or_else(|_| Err("too many polls at once".into()))
     }
 
+    /// No answer could be given about it.
+    fn owe(&self, id: &str) {
+        self.batch.borrow_mut().owe(id);
+    }
+
+    fn paid(&self, id: &str) {
+        self.batch.borrow_mut().paid(id);
+    }
+
     /// Waits until something is asked.
     async fn asked(&self) {
         while self.batch.borrow().is_empty() {
@@ -134,18 +144,37 @@
                 }
                 Err(e) => {
                     let why = Err(format!("records can't be read: {e}"));
-                    round.into_iter().for_each(|(_, who)| tell(who, &why));
+                    for (id, who) in round {
+                        node.reads.owe(&id);
+                        tell(who, &why);
+                    }
                     continue;
                 }
             }
         }
+        let mut finals = HashMap::new();
+        if list {
+            let over = round.iter().map(|(id, _)| id.as_str());
+            let over = over.filter(|id| !live.contains_key(&job_key(id)));
+            let (items, unread) = node.read_some(FINALS, over.collect()).await;
+            for i in items {
+                finals.insert(i.key[FINALS.len()..].to_owned(), Ok(i.value));
+            }
+            finals.extend(unread.into_iter().map(|(id, e)| (id, Err(e))));
+        }
         for (id, who) in round {
-            let found = match live.remove(&job_key(&id)) {
-                Some(value) => serde_json::from_value::<StoredJob>(value)
+            let found = match (live.remove(&job_key(&id)), finals.remove(&id)) {
+                (Some(value), _) => serde_json::from_value::<StoredJob>(value)
                     .map(|r| Some(r.status(&id)))
                     .map_err(|e| e.to_string()),
-                None if list => node.read_final(&id).await,
-                None => node.lookup(&id).await.map(|found| match found {
+                // A key that was read one by one and is not there.
+                (None, Some(Ok(Value::Null))) => Ok(None),
+                (None, Some(Ok(value))) => serde_json::from_value(value)
+                    .map(|r| Some(final_status(&id, &r)))
+                    .map_err(|e| e.to_string()),
+                (None, Some(Err(e))) => Err(e),
+                (None, None) if list => Ok(None),
+                (None, None) => node.lookup(&id).await.map(|found| match found {
                     Found::Live(record, _) => Some(record.status()),
                     Found::Final(record) => Some(final_status(&id, &record)),
                     Found::Nothing => None,
@@ -154,6 +183,10 @@
             if let Ok(Some(status)) = &found {
                 node.finals.borrow_mut().remember(status);
             }
+            match &found {
+                Ok(_) => node.reads.paid(&id),
+                Err(_) => node.reads.owe(&id),
+            }
             let found = found.map_err(|e| format!("records can't be read: {e}"));
             tell(who, &found);
         }
@@ -212,17 +245,4 @@
         }
         room()
     }
-
-    /// The final state of a job that is not live, read after that was seen.
-    async fn read_final(&self, id: &str) -> Answer {
-        if !self.may_request(3.0) {
-            return Err("over the request budget".into());
-        }
-        match self.get(&final_key(id), Duration::from_millis(900)).await? {
-            Some(item) => serde_json::from_value(item.value)
-                .map(|r| Some(final_status(id, &r)))
-                .map_err(|e| e.to_string()),
-            None => Ok(None),
-        }
-    }
 }
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -6,6 +6,7 @@
         pieces,
         records::{FINALS, FinalRecord, JOBS, JobRecord, StoredJob, final_key, job_key},
     },
+    coordination::pages::Pages,
     protocol::state::{Item, Page, Revision, Txn},
     transport::client::{Answer, CallError},
 };
@@ -14,10 +15,9 @@
 
 pub const USUAL: Duration = Duration::from_millis(1500);
 
-/// Up to so many records are read one by one; of more, pages of at most so
-/// many.
+/// Up to so many records are read one by one; of more, pages.
 const ONE_BY_ONE: usize = 4;
-const PAGE: usize = 500;
+const LOOK: Duration = Duration::from_millis(900);
 
 /// All nodes together ask more than the state service answers.
 pub const OVER_LIMIT: &str = "over its request limit";
@@ -29,6 +29,8 @@
     Nothing,
 }
 
+/// Names that could not be asked about, and why.
+pub type Unread = Vec<(String, String)>;
 pub type Looked = HashMap<String, Result<Found, String>>;
 
 pub enum TxnResult {
@@ -126,12 +128,16 @@
     /// were never accepted. Live records are read first: a job that ends
     /// meanwhile is found among the final ones. `Err` for one alone: its record
     /// can't be read, which must not hold up the others.
-    pub(super) async fn lookup_all(&self, ids: &[String]) -> Result<Looked, String> {
-        let mut all = HashMap::new();
-        let mut left: Vec<&str> = ids.iter().map(String::as_str).collect();
-        left.sort_unstable();
+    pub(super) async fn lookup_all(&self, ids: &[String]) -> Looked {
+        let mut all = Looked::new();
         for prefix in [JOBS, FINALS] {
-            for (id, item) in self.read_some(prefix, &left).await? {
+            let left = ids.iter().filter(|id| !all.contains_key(*id));
+            let left: Vec<&str> = left.map(String::as_str).collect();
+            let (items, unread) = self.read_some(prefix, left).await;
+            all.extend(unread.into_iter().map(|(id, e)| (id, Err(e))));
+            // A key that is not there has no version.
+            for item in items.into_iter().filter(|i| i.version > 0) {
+                let id = item.key[prefix.len()..].to_owned();
                 let found = match prefix {
                     JOBS => (self.whole(&id, item.value).await)
                         .map(|r| Found::Live(Box::new(r), item.version)),
@@ -144,56 +150,62 @@
                 }
                 all.insert(id, found);
             }
-            left.retain(|id| !all.contains_key(*id));
         }
-        Ok(all)
+        all
     }
 
-    /// Those of the sorted names that stand under the prefix: one by one if
-    /// they are few, else by pages that begin at the next name.
-    async fn read_some(&self, prefix: &str, ids: &[&str]) -> Result<Vec<(String, Item)>, String> {
+    /// Those of the names that stand under the prefix: one by one if they are
+    /// few, else by pages. Beside them those that could not be asked about,
+    /// with the reason.
+    pub(super) async fn read_some(&self, prefix: &str, names: Vec<&str>) -> (Vec<Item>, Unread) {
         let mut found = Vec::new();
-        let mut next = 0;
-        let mut after = String::new();
-        let limit = Duration::from_millis(900);
-        while next < ids.len() {
-            if !self.may_request(3.0) {
-                return Err("over the request budget".into());
-            }
-            let key = format!("{prefix}{}", ids[next]);
-            if ids.len() <= ONE_BY_ONE {
-                if let Some(item) = self.get(&key, limit).await? {
-                    found.push((ids[next].to_owned(), item));
-                }
-                next += 1;
-                continue;
-            }
-            // The key without its last character comes before it.
-            after = after.max(key[..key.len() - 1].to_owned());
-            let most = (2 * (ids.len() - next) + 10).min(PAGE);
-            let path = format!("/kv?under={prefix}&from={after}&most={most}");
-            let answer = self.state(Method::Get, &path, None, limit).await;
-            let answer = answer.map_err(|e| e.to_string())?;
-            if answer.status != 200 {
-                return Err(format!("status {}", answer.status));
-            }
-            let page: Page = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
-            let Some(last) = page.items.last().map(|i| i.key.clone()) else {
-                break;
+        let one_by_one = names.len() <= ONE_BY_ONE;
+        let mut pages = Pages::new(prefix, names);
+        while let Some((after, most)) = pages.ask() {
+            let read = match pages.open().first() {
+                _ if !self.may_request(3.0) => Err("over the request budget".into()),
+                Some(name) if one_by_one => self.one(&format!("{prefix}{name}")).await,
+                _ => self.page(prefix, &after, most).await,
             };
-            for item in page.items {
-                let id = item.key[prefix.len()..].to_owned();
-                if ids[next..].binary_search(&id.as_str()).is_ok() {
-                    found.push((id, item));
+            match read {
+                Ok(page) => {
+                    let last = page.items.last().map(|i| i.key.clone());
+                    found.extend(page.items.into_iter().filter(|i| pages.wants(&i.key)));
+                    pages.read(last.as_deref(), page.more);
+                }
+                Err(e) => {
+                    let unread = pages.open().iter().map(|n| (n.to_string(), e.clone()));
+                    return (found, unread.collect());
                 }
             }
-            if !page.more {
-                break;
-            }
-            next += ids[next..].partition_point(|id| *id <= &last[prefix.len()..]);
-            after = last;
         }
-        Ok(found)
+        (found, Unread::new())
+    }
+
+    /// One key, as a page that ends with it.
+    async fn one(&self, key: &str) -> Result<Page, String> {
+        let item = self.get(key, LOOK).await?;
+        let item = item.unwrap_or_else(|| Item {
+            key: key.to_owned(),
+            value: serde_json::Value::Null,
+            version: 0,
+        });
+        Ok(Page {
+            items: vec![item],
+            more: true,
+            revision: 0,
+        })
+    }
+
+    async fn page(&self, prefix: &str, after: &str, most: usize) -> Result<Page, String> {
+        let path = format!("/kv?under={prefix}&from={after}&most={most}");
+        let answer = self.state(Method::Get, &path, None, LOOK).await;
+        let answer = answer.map_err(|e| e.to_string())?;
+        match answer.status {
+            200 => serde_json::from_slice(&answer.body).map_err(|e| e.to_string()),
+            429 => Err(OVER_LIMIT.into()),
+            s => Err(format!("status {s}")),
+        }
     }
 
     pub(super) async fn txn(&self, txn: &Txn, limit: Duration) -> TxnResult {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -175,7 +175,7 @@
 
     /// What is wrong with the jobs that a submission names, by the records.
     async fn needs_alone(&self, spec: &JobSpec) -> Result<Option<String>, String> {
-        let found = self.lookup_all(&spec.needs).await?;
+        let found = self.lookup_all(&spec.needs).await;
         for id in &spec.needs {
             match found.get(id) {
                 Some(Ok(Found::Live(r, _))) if r.spec.kind == Kind::Service => {
@@ -202,8 +202,7 @@
         if unknown.is_empty() {
             return Ok(None);
         }
-        let mut found = (self.lookup_all(&unknown).await)
-            .map_err(|e| HttpResponse::later(&format!("records can't be read: {e}")))?;
+        let mut found = self.lookup_all(&unknown).await;
         for id in unknown {
             match found.remove(&id) {
                 Some(Ok(Found::Live(record, version))) => {
@@ -213,7 +212,9 @@
                 Some(Ok(Found::Final(record))) => {
                     self.acting(|l, _| l.remember_final(&final_status(&id, &record)));
                 }
-                Some(Err(e)) => return Err(HttpResponse::later(&e)),
+                Some(Err(e)) => {
+                    return Err(HttpResponse::later(&format!("records can't be read: {e}")));
+                }
                 Some(Ok(Found::Nothing)) | None => {
                     return Ok(Some(format!("waits_on: {id} was never accepted")));
                 }
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -15,6 +15,14 @@
     spec
 }
 
+/// An installation whose leaders have no standbys.
+fn cold(seed: u64, machines: usize, limit: f64) -> World {
+    let mut w = World::new(seed, machines, limit);
+    w.standbys = false;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w
+}
+
 fn id(n: u32) -> String {
     format!("j-{n:06}")
 }
@@ -42,8 +50,7 @@
 
 #[test]
 fn a_chain_goes_on_under_a_new_leader_that_has_to_look_up_what_is_over() {
-    let mut w = World::led(2, 3, 0.0);
-    w.standbys = false;
+    let mut w = cold(2, 3, 0.0);
     w.submit(job(1, Kind::Array, 2));
     w.submit(after(2, 40, &[1]));
     w.submit(after(3, 2, &[1, 2]));
@@ -173,8 +180,7 @@
 /// was done; what may run of it on a machine that is silent counts all the same.
 #[test]
 fn a_new_leader_counts_what_may_run_of_a_chain_before_it_knows_its_needs() {
-    let mut w = World::led(7, 2, 16.0);
-    w.standbys = false;
+    let mut w = cold(7, 2, 16.0);
     w.run_ms = 60_000;
     w.submit(job(1, Kind::Gang, 1));
     w.until(90_000, "the first done", |w| w.done(&id(1)));
@@ -220,9 +226,9 @@
         if seed % 2 == 0 {
             w.warn();
         }
+        w.standbys = seed % 3 != 0;
         w.until(10_000, "a leader", |w| w.leader().is_some());
         w.rents = true;
-        w.standbys = seed % 3 != 0;
         let mut n = 0;
         for _ in 0..60 {
             n += 1;
--- /dev/null
+++ b/tests/known.rs
@@ -0,0 +1,284 @@
+//! Every job stays known: stories of machines that hear nothing, of reports
+//! that come again, of controllers that hear only workers, and of whatever is
+//! back at once.
+
+mod world;
+
+use pathwinch::protocol::users::Kind;
+use world::{Cut, LEASE, Net, Side, World, job};
+
+fn id(n: u32) -> String {
+    format!("j-{n:06}")
+}
+
+/// A service of so many replicas runs on the machines.
+fn serving(seed: u64, machines: usize, replicas: u32) -> World {
+    with_service(World::new(seed, machines, 0.0), replicas)
+}
+
+/// The same without standbys.
+fn cold(seed: u64, machines: usize, replicas: u32) -> World {
+    let mut w = World::new(seed, machines, 0.0);
+    w.standbys = false;
+    with_service(w, replicas)
+}
+
+fn with_service(mut w: World, replicas: u32) -> World {
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.submit(job(1, Kind::Service, replicas));
+    w.until(20_000, "running", |w| {
+        w.running(&id(1)) == replicas as usize
+    });
+    w
+}
+
+fn busy(w: &World) -> usize {
+    w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap()
+}
+
+/// Guards against a machine that reports on and on, and is given work that
+/// never starts there, as each report looks like one that could take orders.
+#[test]
+fn what_was_on_a_machine_that_hears_nothing_runs_elsewhere_once_its_lease_is_over() {
+    let mut w = serving(1, 3, 3);
+    let deaf = busy(&w);
+    w.workers[deaf].net = Net::Deaf;
+    w.until(LEASE + 6_000, "its lease over", |w| {
+        w.workers[deaf].session > 1
+    });
+    w.until(8_000, "all elsewhere", |w| w.running(&id(1)) == 3);
+    // Nor is it given anything that comes later.
+    w.submit(job(2, Kind::Array, 3));
+    w.until(30_000, "done", |w| w.done(&id(2)));
+    assert!(w.workers[deaf].tasks.is_empty());
+    w.heal(deaf);
+    w.run(4_000);
+    // Of use again: only it has room for the third.
+    w.submit(job(3, Kind::Service, 3));
+    w.until(10_000, "running", |w| w.running(&id(3)) == 3);
+    w.sound();
+}
+
+/// Guards against a new leader that waits for ever: each report was answered,
+/// so that the machine's lease seemed never to end.
+#[test]
+fn a_new_leader_does_not_wait_for_ever_for_a_machine_that_hears_nothing() {
+    let mut w = cold(2, 3, 4);
+    let deaf = busy(&w);
+    w.workers[deaf].net = Net::Deaf;
+    let old = w.leader().unwrap();
+    w.crash(old, 3_000);
+    w.until(15_000, "a leader", |w| w.leader().is_some());
+    w.until(40_000, "settled", |w| {
+        w.leader()
+            .is_some_and(|i| w.nodes[i].leader.as_ref().unwrap().settled())
+    });
+    w.until(10_000, "all elsewhere", |w| w.running(&id(1)) == 4);
+    w.sound();
+}
+
+#[test]
+fn a_fleet_that_hears_nothing_for_a_while_is_neither_returned_nor_rented_again() {
+    let mut w = serving(3, 6, 6);
+    w.rents = true;
+    let (asked, returned) = (w.asked_for, w.returned.len());
+    (0..6).for_each(|m| w.workers[m].net = Net::Deaf);
+    w.run(25_000);
+    (0..w.workers.len()).for_each(|m| w.heal(m));
+    w.until(15_000, "all again", |w| w.running(&id(1)) == 6);
+    assert_eq!(w.returned.len(), returned);
+    assert!(w.asked_for - asked <= 3, "{} rented", w.asked_for - asked);
+    w.sound();
+}
+
+/// A copy of a report comes after the lease that it tells of is over.
+#[test]
+fn a_late_copy_brings_no_machine_back() {
+    let mut w = serving(4, 3, 3);
+    let m = busy(&w);
+    let copy = w.report_of(m);
+    let name = copy.machine.clone();
+    w.workers[m].net = Net::Lose;
+    let up = |w: &mut World| {
+        let leader = w.leader().unwrap();
+        let l = w.nodes[leader].leader.as_ref().unwrap();
+        let ix = l.model.machine_ix(&name);
+        ix.and_then(|ix| l.model.machine(ix)).is_some_and(|m| m.up)
+    };
+    w.run(3_000);
+    // In between it renews nothing.
+    let late = |w: &mut World| {
+        let leader = w.leader().unwrap();
+        let now = w.now;
+        let l = w.nodes[leader].leader.as_mut().unwrap();
+        l.on_beat(&copy, now);
+    };
+    late(&mut w);
+    w.until(LEASE + 2_000, "lapsed", |w| !up(w));
+    late(&mut w);
+    assert!(!up(&mut w));
+    w.until(8_000, "all elsewhere", |w| w.running(&id(1)) == 3);
+    w.sound();
+}
+
+/// A leader hears a machine only through reports that are no news, until its
+/// lease must be over; a copy of one that was news comes after that.
+#[test]
+fn a_late_copy_of_a_report_that_was_lost_misleads_no_new_leader() {
+    let mut w = cold(5, 2, 3);
+    let m = busy(&w);
+    let first = w.report_of(m);
+    let old = w.leader().unwrap();
+    w.crash(old, 3_000);
+    w.workers[m].net = Net::Lose;
+    w.until(15_000, "a leader", |w| w.leader().is_some());
+    let i = w.leader().unwrap();
+    let now = w.now;
+    let l = w.nodes[i].leader.as_mut().unwrap();
+    let answer = l.on_beat(&first, now).expect("the first is answered");
+    // The worker got that answer and said so, but this report comes late.
+    w.workers[m].token = answer.token;
+    let lost = w.report_of(m);
+    w.until(LEASE + 4_000, "settled", |w| {
+        w.leader()
+            .is_some_and(|i| w.nodes[i].leader.as_ref().unwrap().settled())
+    });
+    let i = w.leader().unwrap();
+    let now = w.now;
+    let l = w.nodes[i].leader.as_mut().unwrap();
+    l.on_beat(&lost, now);
+    let ix = l.model.machine_ix(&lost.machine).unwrap();
+    assert!(
+        l.model
+            .machine(ix)
+            .is_some_and(|m| !m.up && m.tasks.is_empty())
+    );
+    w.sound();
+}
+
+/// Guards against reports that count as old for ever, as a machine that
+/// started anew counts from one again.
+#[test]
+fn a_machine_that_is_back_at_once_is_used_again_and_what_ran_there_starts_anew() {
+    for twice in [false, true] {
+        let mut w = serving(6, 2, 4);
+        w.run(8_000);
+        let m = busy(&w);
+        w.restart_machine(m);
+        if twice {
+            w.run(700);
+            w.restart_machine(m);
+        }
+        w.until(7_000, "all again", |w| w.running(&id(1)) == 4);
+        w.sound();
+    }
+}
+
+/// The leader hears and answers workers, and nobody else.
+#[test]
+fn a_leader_that_only_workers_reach_gives_way_and_disturbs_nobody_when_it_is_back() {
+    for how in [Cut::Hold, Cut::Reset] {
+        let mut w = serving(7, 3, 4);
+        let old = w.leader().unwrap();
+        w.cut(old, Side::State, how);
+        for j in (0..3).filter(|j| *j != old) {
+            w.cut(old, Side::Node(j), how);
+        }
+        w.until(9_000, "another leads", |w| {
+            w.leader().is_some_and(|i| i != old)
+        });
+        w.run(30_000);
+        assert_eq!((w.lapsed, w.running(&id(1))), (0, 4), "{how:?}");
+        let (new, terms) = (w.leader().unwrap(), w.terms);
+        w.join(old);
+        w.run(10_000);
+        assert_eq!((w.leader(), w.terms), (Some(new), terms), "{how:?}");
+        w.sound();
+    }
+}
+
+/// All of it at once: whatever happened, each accepted job is known at each
+/// node soon after the last trouble, and nothing is started twice.
+#[test]
+fn days_of_all_these_troubles_forget_no_job() {
+    let mut longest = 0;
+    let (mut starts, mut lapsed) = (0, 0);
+    for seed in 0..std::env::var("SEEDS").map_or(12, |n| n.parse().unwrap()) {
+        let nodes = [3, 7][(seed % 2) as usize];
+        let mut w = World::sized(9_000 + seed, 6, 48.0, nodes);
+        w.standbys = seed % 3 != 0;
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        (w.rents, w.copies) = (true, 8);
+        let mut n = 0;
+        for _ in 0..40 {
+            n += 1;
+            let kind = [Kind::Array, Kind::Service, Kind::Gang][w.rng.usize(..3)];
+            let mut j = job(n, kind, 1 + n % 5);
+            if n > 4 && w.rng.u8(..3) == 0 && kind != Kind::Service {
+                let need = w.specs[&id(n - 3)].kind;
+                j.needs = (need != Kind::Service)
+                    .then(|| id(n - 3))
+                    .into_iter()
+                    .collect();
+            }
+            w.submit(j);
+            let i = match w.leader() {
+                Some(leader) if w.rng.bool() => leader,
+                _ => w.rng.usize(..nodes),
+            };
+            let m = w.rng.usize(..w.workers.len());
+            match w.rng.u8(..10) {
+                0 | 1 => w.workers[m].net = Net::Deaf,
+                2 => w.restart_machine(m),
+                3 => {
+                    w.cut(i, Side::State, Cut::Hold);
+                    (0..nodes).for_each(|j| w.cut(i, Side::Node(j), Cut::Reset));
+                }
+                4 | 5 => {
+                    w.crash(i, 100);
+                    w.run(400);
+                    w.crash(i, 150);
+                }
+                6 => (0..nodes).for_each(|i| w.crash(i, 200)),
+                7 => w.workers[m].net = Net::Hold,
+                8 => w.stand_still(i, 6_000),
+                _ => w.cancel(&id(n.saturating_sub(4).max(1))),
+            }
+            let ms = w.rng.u64(200..6_000);
+            w.run(ms);
+            // Never so many at once that nobody is left to accept a job.
+            let able = |i: &usize| w.reaches(*i) && w.reaches_state(*i);
+            let none_left = (0..nodes).filter(able).count() < 2;
+            if none_left || w.rng.bool() {
+                (0..nodes).for_each(|i| w.join(i));
+                (0..w.workers.len()).for_each(|m| w.heal(m));
+            }
+        }
+        (0..nodes).for_each(|i| w.join(i));
+        (0..w.workers.len()).for_each(|m| w.heal(m));
+        let healed = w.now;
+        for m in 1..=n {
+            for i in 0..nodes {
+                while w.poll(i, &id(m)).is_none() {
+                    w.step();
+                    assert!(w.now < healed + 20_000, "seed {seed}: {m} at {i}");
+                }
+            }
+        }
+        longest = longest.max(w.now - healed);
+        // And all ends once the services make room.
+        for m in 1..=n {
+            if w.specs[&id(m)].kind == Kind::Service {
+                w.cancel(&id(m));
+            }
+        }
+        for m in 1..=n {
+            w.until(200_000, &id(m), |w| w.done(&id(m)));
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+        starts += w.starts;
+        lapsed += w.lapsed;
+    }
+    assert!(longest < 15_000, "{longest} ms without an answer");
+    assert!(starts > 500 && lapsed > 10, "{starts} {lapsed}");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -215,6 +215,10 @@
     /// Workers, and their reports, that a node passed on.
     relaying: BTreeSet<(usize, u64)>,
     late_ops: Vec<(Ms, usize, u64, CloudOp)>,
+    /// Of a hundred reports so many come again, seconds to half a minute late.
+    pub copies: u32,
+    /// Direct orders that are open: node, term, machine, token.
+    directs: BTreeSet<(usize, u64, String, u64)>,
     /// Extra delay of direct orders to a worker.
     pub slow_do: HashMap<usize, Ms>,
     pub broken: Vec<String>,
@@ -279,6 +283,8 @@
             load_ms: 0,
             relaying: BTreeSet::new(),
             late_ops: Vec::new(),
+            copies: 0,
+            directs: BTreeSet::new(),
             slow_do: HashMap::new(),
             broken: Vec::new(),
             starts: 0,
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -10,6 +10,8 @@
     Hold,
     /// Nothing arrives, ever.
     Lose,
+    /// Its reports arrive; answers and orders don't.
+    Deaf,
 }
 
 /// How a controller is cut off: packets are held, or refused.
@@ -46,6 +48,8 @@
 #[derive(Clone)]
 pub(super) enum Msg {
     Beat(usize, usize, Report, Ms),
+    /// A report that comes once more: nobody waits for the answer.
+    Copy(usize, usize, Report),
     /// Passed on by the first node to the second.
     Relay(usize, usize, usize, Report, Ms),
     Reply(usize, usize, Option<ReportReply>, u64, u64, Ms),
@@ -61,7 +65,10 @@
 impl Msg {
     fn ends(&self) -> Option<(usize, usize)> {
         match self {
-            Msg::Beat(i, w, ..) | Msg::Reply(w, i, ..) | Msg::Do(i, w, ..) => Some((*i, *w)),
+            Msg::Beat(i, w, ..)
+            | Msg::Copy(i, w, ..)
+            | Msg::Reply(w, i, ..)
+            | Msg::Do(i, w, ..) => Some((*i, *w)),
             Msg::Relay(..) | Msg::Done(..) | Msg::Tell(..) | Msg::Told(..) => None,
         }
     }
@@ -113,6 +120,29 @@
         self.nodes[i].still_until = until;
     }
 
+    /// A machine is back at once under its name, with nothing on it.
+    pub fn restart_machine(&mut self, w: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[w];
+        worker.tasks.clear();
+        (worker.session, worker.seq, worker.token) = (1, 0, 0);
+        (worker.flight, worker.last_ok, worker.next) = (None, now, now + 200);
+    }
+
+    /// So late that it says nothing any more, a copy of a report comes to some
+    /// node.
+    pub(super) fn copy(&mut self, w: usize, report: &Report) {
+        if self.copies == 0 || self.rng.u32(..100) >= self.copies {
+            return;
+        }
+        let (i, late) = (
+            self.rng.usize(..self.nodes.len()),
+            self.rng.u64(500..30_000),
+        );
+        let copy = Msg::Copy(i, w, report.clone());
+        self.wire.push((self.now + late, copy));
+    }
+
     pub fn heal(&mut self, w: usize) {
         self.workers[w].net = Net::Up;
         self.release_held();
@@ -183,7 +213,8 @@
         let at = stalled.map_or(self.now, |(_, until)| until) + delay;
         match (self.workers[w].net, self.link(i, End::Worker(w))) {
             (Net::Up, Link::Up) => self.wire.push((at, msg)),
-            (Net::Lose, _) | (_, Link::Reset) => {}
+            (Net::Deaf, Link::Up) if !from_node => self.wire.push((at, msg)),
+            (Net::Lose | Net::Deaf, _) | (_, Link::Reset) => {}
             _ => self.held.push(msg),
         }
     }
@@ -193,6 +224,8 @@
             return;
         };
         // No answer within two seconds, unless one comes.
+        self.directs
+            .insert((i, term, d.machine.clone(), d.order.token));
         let lost = Msg::Done(i, term, d.machine.clone(), d.order.token, None);
         self.wire.push((self.now + 2000, lost));
         let delay = self.slow_do.get(&w).copied().unwrap_or(5);
@@ -203,7 +236,9 @@
         let now = self.now;
         // What comes to a node that stands still waits at its door.
         let to = match &msg {
-            Msg::Beat(i, ..) | Msg::Relay(_, i, ..) | Msg::Done(i, ..) => Some(*i),
+            Msg::Beat(i, ..) | Msg::Copy(i, ..) | Msg::Relay(_, i, ..) | Msg::Done(i, ..) => {
+                Some(*i)
+            }
             Msg::Tell(_, j, _) => Some(*j),
             Msg::Told(i, ..) => Some(*i),
             Msg::Reply(..) | Msg::Do(..) => None,
@@ -218,6 +253,9 @@
             Msg::Tell(i, j, part) => self.told(i, j, part),
             Msg::Told(i, j, term, part, answer) => self.confirmed(i, j, term, part, answer),
             Msg::Beat(i, w, report, sent) => self.beat(i, w, report, sent),
+            Msg::Copy(i, _, report) => {
+                self.answer(i, &report);
+            }
             Msg::Relay(via, i, w, report, sent) => {
                 let reply = self.answer(i, &report);
                 if reply.is_some() && self.link(via, End::Node(i)) == Link::Up {
@@ -283,17 +321,13 @@
                 }
             }
             Msg::Done(i, term, name, token, answer) => {
+                // Answered, or given up, only once.
+                if !self.directs.remove(&(i, term, name.clone(), token)) {
+                    return;
+                }
                 let Some(l) = self.nodes[i].leader.as_mut().filter(|l| l.term == term) else {
                     return;
                 };
-                let open = l
-                    .model
-                    .machine_ix(&name)
-                    .and_then(|ix| l.model.machine(ix))
-                    .is_some_and(|m| m.ordering && m.fence | (term << 20) == token);
-                if !open {
-                    return;
-                }
                 let outcome = match answer {
                     Some((true, r)) => DirectOutcome::Executed(r),
                     Some((false, r)) => DirectOutcome::Refused(Some(r)),
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -193,6 +193,7 @@
             if self.nodes[target].alive && !refused {
                 let report = self.report(w);
                 self.workers[w].flight = Some((report.seq, now));
+                self.copy(w, &report);
                 self.send(target, w, 5, Msg::Beat(target, w, report, now));
             } else {
                 self.workers[w].target = (target + 1) % nodes;
