The largest jobs begin in time; restarts, copies and cuts of descriptions made tighter

Need: the largest of a class, too, begin within four minutes. A job of which nothing has run for placement.begin_s (180 s) goes first until something does; its first task is not stopped for what it passed.

--- a/src/command.rs
+++ b/src/command.rs
@@ -10,6 +10,7 @@
         settings::Settings,
         users::{JobSpec, JobState, JobStatus},
     },
+    upgraded,
 };
 use pathwinch_client::{Client, Failure, retry::Rules};
 use std::{
@@ -71,6 +72,15 @@
         #[command(flatten)]
         users: Users,
     },
+    /// Say that a controller which is down will not run an older version again,
+    /// so that what only this version knows may be used without its own word.
+    Upgraded {
+        /// Its name in the settings.
+        node: String,
+        /// The platform's JSON settings file of any controller.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
     /// Any other command NAME is the program pathwinch-NAME beside this one.
     #[command(external_subcommand)]
     Other(Vec<OsString>),
@@ -258,6 +268,10 @@
             let (settings, _) = files.load()?;
             Ok(format!("{}: settings are sound\n", settings.name))
         }
+        Command::Upgraded { node, config } => {
+            let settings = Settings::load(config)?;
+            Ok(async_io::block_on(upgraded::declare(&settings, node))?)
+        }
         Command::Other(words) => match other(words) {
             Ok(code) => return Ok(code),
             Err(stop) => Err(stop),
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -74,6 +74,7 @@
     if reborn {
         log::info!("machine {} has started anew", m.name);
         m.least_token = m.reborn_at;
+        m.older = ((0, 0), 0);
         m.latest = (report.session, report.seq);
         m.answered = now;
         drop_what_was_before(model, ix, report.token);
--- a/src/coordination/leader/deaf.rs
+++ b/src/coordination/leader/deaf.rs
@@ -21,11 +21,13 @@
             return false;
         };
         let this = (report.session, report.seq);
-        if this <= m.latest || report.token < m.least_token {
+        // Of one that was heard, what has not seen this term is of before it.
+        let least = if m.up { floor } else { 0 };
+        if this <= m.latest || report.token < least.max(m.least_token) {
             // A late copy changes nothing, and an answer to it would be counted
             // as a lease. Two in order may be of a machine that began anew and
             // counts from one again: that shows by a token raised for it.
-            let in_order = this > m.older.0 && now < m.older.1 + IN_ORDER;
+            let in_order = m.older.0 != (0, 0) && this > m.older.0 && now < m.older.1 + IN_ORDER;
             m.older = (this, now);
             if !in_order {
                 return false;
--- a/src/coordination/leader/pieces.rs
+++ b/src/coordination/leader/pieces.rs
@@ -118,6 +118,18 @@
         Ok(Some((pieces, txns.collect())))
     }
 
+    /// Guards against clearing away, as left over, what is being written again
+    /// under the same key, or was since.
+    pub(super) fn piece_in_use(&self, key: &str) -> bool {
+        let Some(ix) = Pieces::job_of(key).and_then(|id| self.model.job_ix(id)) else {
+            return false;
+        };
+        let cut = self.cuts.open.get(&ix);
+        let cut = cut.is_some_and(|c| c.values.iter().any(|(k, _)| k == key));
+        let job = self.model.job(ix);
+        cut || job.is_some_and(|j| j.pieces.as_ref().is_some_and(|p| p.names(&j.id, key)))
+    }
+
     /// Pieces as they were found in this term: those that no record names are
     /// left from a submission that was given up, or from a job that is over.
     pub fn load_pieces(&mut self, found: Vec<(String, u64)>) {
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -24,15 +24,48 @@
         let fleet = self.fleet_offers();
         order.sort_by_cached_key(|ix| {
             jobs[*ix as usize].as_ref().map(|j| {
+                let begun = !self.begins_late(j);
                 let band = deadline_band(&j.spec, objectives, wall.saturating_sub(j.at_ms));
                 let rank = std::cmp::Reverse(j.rank);
                 let turn = j.turn_ms.saturating_add(yields_for(j, &fleet));
-                (j.file.suspected, rank, band, turn, *ix)
+                (j.file.suspected, begun, rank, band, turn, *ix)
             })
         });
         order
     }
 
+    /// Nothing of the job has run for so long that it goes ahead of all others
+    /// now. Guards against large jobs that whatever is smaller, later or of
+    /// higher priority passes for as long as that keeps coming.
+    pub(super) fn begins_late(&self, j: &Job) -> bool {
+        if !self.waited_long(j) || j.has_run || j.done_n > 0 || j.live > 0 {
+            return false;
+        }
+        // Guests begin where one room is enough: more would cost others theirs.
+        j.spec.kind != Kind::Gang || j.spec.tasks == 1 || !self.is_guest(j)
+    }
+
+    fn waited_long(&self, j: &Job) -> bool {
+        let waited = self.wall_ms.saturating_sub(j.turn_ms);
+        let bound = millis(self.options.begin_s);
+        bound > 0 && waited >= bound
+    }
+
+    /// All that runs of the job is what it began with. Guards against a
+    /// beginning that is stopped at once for what it went ahead of.
+    pub(super) fn only_begins(&self, j: &Job) -> bool {
+        j.live <= 1 && j.done_n == 0 && self.waited_long(j)
+    }
+
+    /// Neither its team nor its class is promised anything.
+    fn is_guest(&self, j: &Job) -> bool {
+        let promised = |t: &crate::protocol::settings::Team| t.cpus > 0.0 || t.gpus > 0.0;
+        let class = Some(j.spec.class.as_str());
+        let aims = &self.settings.cluster.objectives;
+        !self.model.teams.get(j.team).is_some_and(promised)
+            && !aims.iter().any(|o| o.class.as_deref() == class)
+    }
+
     /// All that machines which are up offer.
     fn fleet_offers(&self) -> Amounts {
         let mut all = Amounts::default();
@@ -173,6 +206,7 @@
             }
             let bound = job.spec.one_zone || job.spec.spread || job.spec.kind == Kind::Gang;
             let (team, priority) = (job.team, job.rank);
+            let late = self.begins_late(job);
             let gang = job.spec.kind == Kind::Gang;
             if suspected {
                 // Into room that is free; nothing is made or kept for it.
@@ -189,6 +223,13 @@
             }
             let one = self.within_limit(team, &key.0, 1);
             self.mark_candidates(job_ix, &mut candidates, now);
+            if late && !gang {
+                // One task is a beginning; the rest takes its turn.
+                self.place_some(job_ix, 1, &mut candidates, &mut reserves, now);
+                self.changed = true;
+                most = self.most_free(&candidates);
+                continue;
+            }
             let placed = if gang {
                 self.place_gang(job_ix, &mut candidates, &mut reserves, now)
             } else {
@@ -200,7 +241,7 @@
                 wanting.push(job_ix);
             }
             if !placed && gang {
-                if self.out_of_patience(job_ix, now) {
+                if late || self.out_of_patience(job_ix, now) {
                     self.gather(job_ix, &mut candidates, now);
                 } else {
                     gathering.0.push(job_ix);
--- a/src/coordination/leader/preempt.rs
+++ b/src/coordination/leader/preempt.rs
@@ -127,7 +127,7 @@
             if !a.live() || a.stop.is_some() || v.spec.kind == Kind::Service {
                 continue;
             }
-            let lower = v.rank < priority && v.spec.kind == Kind::Array;
+            let lower = v.rank < priority && v.spec.kind == Kind::Array && !self.only_begins(v);
             // Room without the image can't meet the aim any more.
             let beyond = guaranteed
                 && (!fetch || now >= job.known_ms + millis(GUARANTEE_S))
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -199,6 +199,9 @@
         while plan.txn.writes.len() < room
             && let Some((key, version)) = self.desk.drops.pop()
         {
+            if self.piece_in_use(&key) {
+                continue;
+            }
             plan.txn.guards.push(Guard {
                 key: key.clone(),
                 version,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod coordination;
 pub mod node;
 pub mod options;
+pub mod upgraded;
 
 pub use pathwinch_client::operator;
 pub use pathwinch_protocol as protocol;
--- a/src/options.rs
+++ b/src/options.rs
@@ -33,6 +33,9 @@
     /// For how many seconds of expected arrivals of high priority batches
     /// leave places free. Room is made by preemption too, so by default none.
     pub keep_s: f64,
+    /// After so many seconds in line a job of which nothing has run goes first,
+    /// until something does; 0: never.
+    pub begin_s: f64,
     /// Seconds that an idle machine is kept.
     pub idle_s: f64,
     /// So many standbys are kept warm.
@@ -46,6 +49,7 @@
             load: LoadResource::Scarcest,
             shapes: Vec::new(),
             keep_s: 0.0,
+            begin_s: 180.0,
             idle_s: 20.0,
             warm: 2,
         }
@@ -95,6 +99,7 @@
                         ensure!(o.shapes.len() <= 16, "{name}: at most 16 shapes");
                     }
                     "placement.keep_s" => o.keep_s = number(&name, value, 0.0, 3600.0)?,
+                    "placement.begin_s" => o.begin_s = number(&name, value, 0.0, 86_400.0)?,
                     "provision.idle_s" => o.idle_s = number(&name, value, 0.0, 86_400.0)?,
                     "standby.warm" => o.warm = number(&name, value, 0.0, 6.0)? as usize,
                     _ => bail!("{name}: unknown section or key"),
--- a/tests/known.rs
+++ b/tests/known.rs
@@ -4,7 +4,7 @@
 
 mod world;
 
-use pathwinch::protocol::users::Kind;
+use pathwinch::protocol::users::{JobSpec, Kind, Priority};
 use world::{Cut, LEASE, Net, Side, World, job};
 
 fn id(n: u32) -> String {
@@ -63,13 +63,15 @@
 /// so that the machine's lease seemed never to end.
 #[test]
 fn a_new_leader_does_not_wait_for_ever_for_a_machine_that_hears_nothing() {
-    let mut w = cold(2, 3, 4);
+    // One controller, to which each of its reports comes.
+    let mut w = World::sized(2, 3, 0.0, 1);
+    w.standbys = false;
+    let mut w = with_service(w, 4);
     let deaf = busy(&w);
     w.workers[deaf].net = Net::Deaf;
-    let old = w.leader().unwrap();
-    w.crash(old, 3_000);
+    w.crash(0, 3_000);
     w.until(15_000, "a leader", |w| w.leader().is_some());
-    w.until(40_000, "settled", |w| {
+    w.until(30_000, "settled", |w| {
         w.leader()
             .is_some_and(|i| w.nodes[i].leader.as_ref().unwrap().settled())
     });
@@ -98,6 +100,8 @@
     let m = busy(&w);
     let copy = w.report_of(m);
     let name = copy.machine.clone();
+    // Later ones have come before it is there.
+    w.run(2_500);
     w.workers[m].net = Net::Lose;
     let up = |w: &mut World| {
         let leader = w.leader().unwrap();
@@ -105,7 +109,7 @@
         let ix = l.model.machine_ix(&name);
         ix.and_then(|ix| l.model.machine(ix)).is_some_and(|m| m.up)
     };
-    w.run(3_000);
+    w.run(6_000);
     // In between it renews nothing.
     let late = |w: &mut World| {
         let leader = w.leader().unwrap();
@@ -114,7 +118,7 @@
         l.on_beat(&copy, now);
     };
     late(&mut w);
-    w.until(LEASE + 2_000, "lapsed", |w| !up(w));
+    w.until(LEASE - 4_000, "lapsed", |w| !up(w));
     late(&mut w);
     assert!(!up(&mut w));
     w.until(8_000, "all elsewhere", |w| w.running(&id(1)) == 3);
@@ -174,6 +178,36 @@
     }
 }
 
+/// Guards against copies from before a machine began anew, which count further
+/// than anything that it says since.
+#[test]
+fn a_copy_from_before_a_machine_began_anew_is_no_news() {
+    let mut w = serving(15, 2, 4);
+    let m = busy(&w);
+    w.workers[m].net = Net::Deaf;
+    w.run(LEASE + 2_000);
+    w.heal(m);
+    w.until(20_000, "all again", |w| w.running(&id(1)) == 4);
+    assert!(w.workers[m].session > 1);
+    w.run(3_000);
+    let copy = w.report_of(m);
+    w.restart_machine(m);
+    w.until(7_000, "all again", |w| w.running(&id(1)) == 4);
+    w.run(2_000);
+    let i = w.leader().unwrap();
+    let now = w.now;
+    let l = w.nodes[i].leader.as_mut().unwrap();
+    assert!(l.on_beat(&copy, now).is_none());
+    let machine = |l: &pathwinch::coordination::leader::Leader| {
+        let ix = l.model.machine_ix(&copy.machine).unwrap();
+        l.model.machine(ix).map(|m| (m.up, m.session))
+    };
+    assert_eq!(machine(l), Some((true, 1)));
+    w.run(5_000);
+    assert_eq!(w.running(&id(1)), 4);
+    w.sound();
+}
+
 /// The leader hears and answers workers, and nobody else.
 #[test]
 fn a_leader_that_only_workers_reach_gives_way_and_disturbs_nobody_when_it_is_back() {
@@ -197,6 +231,80 @@
     }
 }
 
+/// When the first task of a job ran.
+fn begun(w: &World, n: u32) -> Option<u64> {
+    let name = format!("{}/", id(n));
+    let first = w.story.iter().find(|(_, _, task)| task.starts_with(&name));
+    first.map(|(at, ..)| *at)
+}
+
+/// Small work keeps coming, more than there is room for, while a large job waits.
+fn passed_over(seed: u64, begin_s: f64, large: &dyn Fn(u32) -> JobSpec, small: Priority) -> u64 {
+    let mut w = World::new(seed, 4, 0.0);
+    w.begin_s = begin_s;
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    let flood = |n: u32| {
+        let mut j = job(n, Kind::Array, 4);
+        (j.priority, j.deadline_s) = (small, Some(1_000.0));
+        j
+    };
+    (1..=4).for_each(|n| w.submit(flood(n)));
+    let from = w.now;
+    w.submit(large(500));
+    for n in 5..160 {
+        w.submit(flood(n));
+        w.run(2_500);
+        if begun(&w, 500).is_some() {
+            break;
+        }
+    }
+    w.sound();
+    begun(&w, 500).map_or(u64::MAX, |at| at - from)
+}
+
+#[test]
+fn the_largest_jobs_begin_within_four_minutes_whatever_keeps_coming() {
+    let batch = |n: u32| {
+        let mut j = job(n, Kind::Array, 500);
+        j.deadline_s = Some(1_000.0);
+        j
+    };
+    let gang = |n: u32| job(n, Kind::Gang, 8);
+    let bound = pathwinch::options::Options::default().begin_s;
+    for (seed, small) in [(11, Priority::Normal), (12, Priority::High)] {
+        let waited = passed_over(seed, bound, &batch, small);
+        assert!(waited < 240_000, "a batch began after {waited} ms");
+        let waited = passed_over(seed, bound, &gang, small);
+        assert!(waited < 240_000, "a gang began after {waited} ms");
+    }
+    // What the bound is for.
+    let waited = passed_over(13, 0.0, &batch, Priority::High);
+    assert!(waited > 300_000, "{waited}");
+}
+
+#[test]
+fn on_a_calm_day_the_bound_for_beginning_changes_nothing() {
+    let day = |begin_s: f64| {
+        let mut w = World::new(14, 5, 48.0);
+        (w.begin_s, w.rents) = (begin_s, true);
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        for n in 1..60 {
+            let kind = [Kind::Array, Kind::Gang, Kind::Array][n as usize % 3];
+            let mut j = job(n, kind, 1 + n % 6);
+            j.deadline_s = (n % 2 == 0).then_some(120.0);
+            w.submit(j);
+            w.run(3_000);
+        }
+        w.run(60_000);
+        w.sound();
+        w.story
+    };
+    let bound = pathwinch::options::Options::default().begin_s;
+    let story = day(bound);
+    assert!(story.len() > 150);
+    assert_eq!(story, day(0.0));
+}
+
 /// All of it at once: whatever happened, each accepted job is known at each
 /// node soon after the last trouble, and nothing is started twice.
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -86,9 +86,9 @@
     }]
 }
 
-/// Allowed types of a description that is over 2 KiB.
+/// Allowed types of a description that is over 6 KiB, and under 8.
 pub fn many_types() -> Vec<String> {
-    let names = (0..40).map(|k| format!("kind-{k:02}-{}", "x".repeat(60)));
+    let names = (0..40).map(|k| format!("kind-{k:02}-{}", "x".repeat(150)));
     names.chain(["m8".to_owned()]).collect()
 }
 
@@ -242,6 +242,10 @@
     /// for.
     pub sabotage: bool,
     pub rents: bool,
+    /// The option.
+    pub begin_s: f64,
+    /// What started, where and when.
+    pub story: Vec<(Ms, usize, String)>,
     /// Not every node is known to run this version.
     pub mixed: bool,
     /// Nodes keep standbys warm.
@@ -299,6 +303,8 @@
             fetch_ms: 300,
             sabotage: false,
             rents: false,
+            begin_s: Options::default().begin_s,
+            story: Vec::new(),
             mixed: false,
             standbys: true,
             lossy: 0,
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -120,9 +120,16 @@
         self.nodes[i].still_until = until;
     }
 
-    /// A machine is back at once under its name, with nothing on it.
+    /// A machine is back at once under its name, with nothing on it. What was
+    /// on its way to it came over connections that are gone.
     pub fn restart_machine(&mut self, w: usize) {
         let now = self.now;
+        let to_it = |m: &Msg| match m {
+            Msg::Do(_, to, ..) | Msg::Reply(to, ..) => *to == w,
+            _ => false,
+        };
+        self.wire.retain(|(_, m)| !to_it(m));
+        self.held.retain(|m| !to_it(m));
         let worker = &mut self.workers[w];
         worker.tasks.clear();
         (worker.session, worker.seq, worker.token) = (1, 0, 0);
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -343,6 +343,7 @@
                 Options {
                     // Where nothing can be rented, nothing is returned.
                     idle_s: if self.rents { 20.0 } else { 36_000.0 },
+                    begin_s: self.begin_s,
                     ..Options::default()
                 },
                 types(),
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -201,6 +201,7 @@
         }
         for name in started {
             self.starts += 1;
+            self.story.push((now, w, name.clone()));
             self.check_start(w, &name);
         }
     }
