pathwinch-lab rolls controllers to another program; a deaf machine is given up later

Need: an upgrade that a new user can try on one machine, with limits that fall after it. A machine whose reports show no token of the term is given up only once its lease would be over anyway, so that a leader which is slow for a while gives up none that hears it.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,9 +7,9 @@
 use pathwinch_lab::{
     markets,
     site::Site,
-    up::{self, Addresses},
+    up::{self, Addresses, Roll},
 };
-use std::{path::PathBuf, process::ExitCode};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 /// A whole installation on this machine: stand-ins of the state service, the
 /// cloud and workers, and real controllers.
@@ -44,6 +44,17 @@
     /// class slice to them (see docs/markets.md).
     #[arg(long, value_name = "COUNT", default_value_t = 0)]
     markets: usize,
+    /// After a while the controllers are killed one by one and come back with
+    /// this program; then the state service has the limits that the site's
+    /// `state.next` names (see docs/upgrade.md).
+    #[arg(long, value_name = "FILE")]
+    upgrade_to: Option<PathBuf>,
+    /// Seconds from the start to the first of them.
+    #[arg(long, value_name = "S", default_value_t = 20, requires = "upgrade_to")]
+    after: u64,
+    /// Seconds from one to the next.
+    #[arg(long, value_name = "S", default_value_t = 8, requires = "upgrade_to")]
+    every: u64,
     /// Print the addresses as JSON.
     #[arg(long)]
     json: bool,
@@ -102,7 +113,12 @@
         markets::MOST
     );
     let told = |a: &Addresses| tell(a, asked.json);
-    up::run(site, program, dir, asked.markets, told, over)
+    let roll = asked.upgrade_to.map(|program| Roll {
+        program,
+        after: Duration::from_secs(asked.after),
+        every: Duration::from_secs(asked.every),
+    });
+    up::run(site, program, dir, asked.markets, roll, told, over)
 }
 
 fn main() -> ExitCode {
--- a/crates/lab/src/state.rs
+++ b/crates/lab/src/state.rs
@@ -94,6 +94,13 @@
         self.keys.len()
     }
 
+    /// The limits to come, if any, are there.
+    pub fn lower(&mut self, now: Ms) {
+        self.limits = self.limits.always();
+        self.requests.set_rate(now, self.limits.rps, 1.0);
+        self.changes.set_rate(now, self.limits.write_rps, 1.0);
+    }
+
     /// Begins or ends an outage; afterwards all leases have their full time.
     pub fn set_down(&mut self, down: bool, now: Ms) {
         if self.down && !down {
--- a/crates/lab/src/up.rs
+++ b/crates/lab/src/up.rs
@@ -277,17 +277,26 @@
     }
 }
 
+/// A roll of the controllers to another program while they serve.
+#[derive(Debug, Clone)]
+pub struct Roll {
+    pub program: PathBuf,
+    /// From the start to the first, and from one to the next.
+    pub after: Duration,
+    pub every: Duration,
+}
+
 /// Processes that end with this one.
 struct Children {
     dir: PathBuf,
     /// A name, for its log, and how it is started.
-    commands: Vec<(String, PathBuf, Vec<OsString>)>,
+    commands: RefCell<Vec<(String, PathBuf, Vec<OsString>)>>,
     running: RefCell<Vec<Option<Child>>>,
 }
 
 impl Children {
     fn start(&self, index: usize) -> Result<Child> {
-        let (name, program, args) = &self.commands[index];
+        let (name, program, args) = &self.commands.borrow()[index];
         let log = self.dir.join(format!("{name}.log"));
         let out = std::fs::OpenOptions::new()
             .create(true)
@@ -306,7 +315,8 @@
     /// Starts what isn't running, as a platform would.
     async fn keep_up(&self) {
         loop {
-            for (i, (name, ..)) in self.commands.iter().enumerate() {
+            let names: Vec<String> = self.commands.borrow().iter().map(|c| c.0.clone()).collect();
+            for (i, name) in names.iter().enumerate() {
                 let ended = match &mut self.running.borrow_mut()[i] {
                     Some(child) => child.try_wait().ok().flatten(),
                     None => None,
@@ -327,6 +337,24 @@
     }
 }
 
+impl Children {
+    /// Kills the controllers one after the other; each comes back with the new
+    /// program. Then the state service has its new limits.
+    async fn roll(&self, lab: &Lab, roll: &Roll) {
+        Timer::after(roll.after).await;
+        for i in 0..lab.controllers.len() {
+            self.commands.borrow_mut()[i].1 = roll.program.clone();
+            if let Some(child) = &mut self.running.borrow_mut()[i] {
+                let _ = child.kill();
+            }
+            log::warn!("{} is upgraded", lab.controllers[i].name);
+            Timer::after(roll.every).await;
+        }
+        lab.state.borrow_mut().lower(lab.now());
+        log::warn!("the state service has its limits to come, if the site names any");
+    }
+}
+
 impl Drop for Children {
     fn drop(&mut self) {
         for child in self.running.borrow_mut().iter_mut().flatten() {
@@ -418,6 +446,7 @@
     program: PathBuf,
     dir: PathBuf,
     markets: usize,
+    roll: Option<Roll>,
     told: impl FnOnce(&Addresses),
     over: impl Future<Output = ()>,
 ) -> Result<()> {
@@ -483,7 +512,7 @@
     let children = Children {
         dir: dir.clone(),
         running: RefCell::new(commands.iter().map(|_| None).collect()),
-        commands,
+        commands: RefCell::new(commands),
     };
     let limits = || Limits {
         connections: CONNECTIONS,
@@ -533,7 +562,14 @@
             told(&addresses);
             std::future::pending::<()>().await
         };
+        let rolled = async {
+            if let Some(roll) = &roll {
+                children.roll(&lab, roll).await;
+            }
+            std::future::pending::<()>().await
+        };
         let work = futures_lite::future::or(stands, children.keep_up());
+        let work = futures_lite::future::or(work, rolled);
         futures_lite::future::or(over, work).await
     }));
     Ok(())
--- a/src/coordination/leader/deaf.rs
+++ b/src/coordination/leader/deaf.rs
@@ -17,6 +17,10 @@
     /// not wait for ever to hear of it.
     pub(super) fn may_be_answered(&mut self, ix: u32, report: &Report, now: Ms) -> bool {
         let (floor, token) = (self.floor(), self.token(ix));
+        // By then the lease of one that got no answer in this term is over, so
+        // nothing is lost. Guards against a leader that is too slow for a
+        // while, and would give up machines that hear it well.
+        let over = self.recovery.acquired + self.lapse_after();
         let Some(m) = self.model.machine_mut(ix) else {
             return false;
         };
@@ -44,10 +48,8 @@
             true => m.unproven + 1,
             false => 0,
         };
-        if m.unproven > UNPROVEN {
-            if m.unproven == UNPROVEN + 1 {
-                log::info!("machine {} reports, but gets no answers", m.name);
-            }
+        if m.unproven > UNPROVEN && now > over {
+            log::debug!("machine {} reports, but gets no answers", m.name);
             return false;
         }
         m.answered = now;
