Operators see at a chain's first job that its last will be late; cuts tied to their term

Need: nobody saw the plate that will miss the courier. Due times are inherited along the longest path by the estimates and shown by status and explain. A long description is accepted only in the term in which its pieces were written, and what a cut left behind goes with its job.

--- a/crates/protocol/src/status.rs
+++ b/crates/protocol/src/status.rs
@@ -190,6 +190,10 @@
     pub deadline_s: Option<f64>,
     /// Its tasks on machines: task, machine, phase.
     pub places: Vec<(u32, String, String)>,
+    /// Seconds until it has to be done, for its own deadline or for that of a
+    /// job that needs it.
+    #[serde(default)]
+    pub left_s: Option<f64>,
     /// Jobs that have to be done first, with how each stands; of many, some.
     #[serde(default)]
     pub needs: Vec<(String, String)>,
@@ -363,13 +367,17 @@
             out.push_str(verdict);
             out.push('\n');
         }
-        if let (Some(due), Some(at)) = (self.due, self.deadline_s) {
+        if let Some(due) = self.due {
             let due = match due {
                 Due::InTime => "in time so far",
                 Due::AtRisk => "at risk",
                 Due::Late => "late",
             };
-            out.push_str(&format!("deadline {at:.0} s after submission: {due}\n"));
+            if let Some(at) = self.deadline_s {
+                out.push_str(&format!("deadline {at:.0} s after submission\n"));
+            }
+            let left = self.left_s.unwrap_or_default();
+            out.push_str(&format!("has to be done in {left:.0} s: {due}\n"));
         }
         let needs = format!("waits for {} jobs", self.needs_all);
         rows(&mut out, &self.needs, &needs, |(id, state)| {
--- a/src/bookkeeping/chains.rs
+++ b/src/bookkeeping/chains.rs
@@ -252,6 +252,32 @@
         self.links.get(&job)?.rank
     }
 
+    /// Until when each job that others need has to be done, as far as any of
+    /// those is due: along the longest path, by the estimates. `own`: a job's
+    /// due time, if any, and how long it takes.
+    pub fn due_by(&self, own: impl Fn(u32) -> (Option<u64>, u64)) -> HashMap<u32, u64> {
+        let mut due: HashMap<u32, Option<u64>> = HashMap::new();
+        let mut all: Vec<(u32, bool)> = self.links.keys().map(|j| (*j, false)).collect();
+        while let Some((job, after_known)) = all.pop() {
+            if due.contains_key(&job) {
+                continue;
+            }
+            let after = self.links.get(&job).map(|l| &l.after);
+            if !after_known {
+                all.push((job, true));
+                all.extend(after.into_iter().flatten().map(|a| (*a, false)));
+                continue;
+            }
+            let of_after = after.into_iter().flatten().filter_map(|a| {
+                let end = due.get(a).copied().flatten()?;
+                Some(end.saturating_sub(own(*a).1))
+            });
+            let end = of_after.chain(own(job).0).min();
+            due.insert(job, end);
+        }
+        due.into_iter().filter_map(|(j, d)| Some((j, d?))).collect()
+    }
+
     /// It is to be withdrawn, as a job that it needs was.
     pub fn is_lost(&self, job: u32) -> bool {
         self.links.get(&job).is_some_and(|l| l.lost)
@@ -332,6 +358,31 @@
         assert_eq!(c.priority(0), Some(High));
     }
 
+    #[test]
+    fn a_need_is_due_before_the_longest_way_to_whatever_is_due_after_it() {
+        let mut c = Chains::default();
+        c.add(1, Low, [("j-000000", Need::Live(0, Low))]);
+        c.add(2, Low, [("j-000000", Need::Live(0, Low))]);
+        let last = [
+            ("j-000001", Need::Live(1, Low)),
+            ("j-000002", Need::Live(2, Low)),
+        ];
+        c.add(3, High, last);
+        let own = |job| match job {
+            1 => (None, 40),
+            2 => (Some(70), 10),
+            3 => (Some(100), 20),
+            _ => (None, 5),
+        };
+        let due = c.due_by(own);
+        assert_eq!((due[&3], due[&1], due[&2]), (100, 80, 70));
+        assert_eq!(due[&0], 40);
+        // With the last one gone nothing but the other's own time counts.
+        c.over(3, false);
+        let due = c.due_by(own);
+        assert_eq!((due.get(&1), due[&2], due[&0]), (None, 70, 60));
+    }
+
     #[test]
     fn a_withdrawal_reaches_all_that_follow_in_whatever_order_they_are_learned() {
         let mut c = Chains::default();
--- a/src/coordination/leader/chains.rs
+++ b/src/coordination/leader/chains.rs
@@ -121,6 +121,16 @@
         Ok(unknown)
     }
 
+    /// Until when jobs of chains have to be done, by the time of day.
+    pub(super) fn due_in_chains(&self) -> HashMap<u32, u64> {
+        self.chains.due_by(|ix| {
+            self.model.job(ix).map_or((None, 0), |j| {
+                let due = j.spec.deadline_s.map(|d| j.at_ms + millis(d));
+                (due, millis(j.spec.estimate_s))
+            })
+        })
+    }
+
     /// Jobs that it waits for, with how each stands.
     pub(super) fn open_needs(&self, ix: u32, most: usize) -> (Vec<(String, String)>, usize) {
         let (live, sought) = self.chains.open(ix);
--- a/src/coordination/leader/deaf.rs
+++ b/src/coordination/leader/deaf.rs
@@ -66,13 +66,12 @@
     }
 
     /// After a report was taken in.
-    pub(super) fn judge_hearing(&mut self, ix: u32, news: &dispatch::News, now: Ms) {
-        let lease = millis(self.settings.cluster.workers.lease_s);
+    pub(super) fn judge_hearing(&mut self, ix: u32, news: &dispatch::News) {
+        // Had its lease ended for lack of reports, it would not count as up.
+        let lost = news.lost_orders > 0 || news.new_session;
         let Some(m) = self.model.machine_mut(ix) else {
             return;
         };
-        let answered = now < m.answered + lease;
-        let lost = news.lost_orders > 0 || news.new_session && answered;
         if !lost || m.is_deaf() {
             return;
         }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -355,7 +355,7 @@
         let floor = self.floor();
         let news = dispatch::take_in(&mut self.model, ix, report, floor, beat, now);
         self.changed |= news.changed;
-        self.judge_hearing(ix, &news, now);
+        self.judge_hearing(ix, &news);
         if let Some(m) = self.model.machine(ix)
             && m.heard == now
         {
--- a/src/coordination/leader/pieces.rs
+++ b/src/coordination/leader/pieces.rs
@@ -93,6 +93,14 @@
         }
     }
 
+    /// The job is over: what was written of a cut that is not complete goes.
+    pub(super) fn drop_cut(&mut self, ix: u32) {
+        if let Some(cut) = self.cuts.open.remove(&ix) {
+            let keys = cut.values.into_iter().map(|(key, _)| key);
+            self.desk.orphans.extend(keys.take(cut.written));
+        }
+    }
+
     /// What is written before a long description is accepted. Each transaction
     /// is guarded by this term, so that none can undo what a later leader
     /// clears away.
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -343,6 +343,7 @@
         if let Some(pieces) = pieces {
             self.desk.orphans.extend(pieces.keys(id));
         }
+        self.drop_cut(ix);
         self.model.remove_job(ix);
         self.remember_final(&status);
         self.chains.over(ix, state == JobState::Done);
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -69,11 +69,21 @@
         }
     }
 
-    fn due_of(&self, job: &Job) -> Option<Due> {
-        let left = job.spec.deadline_s? - self.age_s(job);
+    /// Seconds until it has to be done: for its own deadline, or for that of a
+    /// job that needs it, whichever is sooner.
+    fn left_s(&self, ix: u32, job: &Job, in_chains: &HashMap<u32, u64>) -> Option<f64> {
+        let own = job.spec.deadline_s.map(|d| d - self.age_s(job));
+        let chain = in_chains.get(&ix);
+        let chain = chain.map(|due| (*due as f64 - self.wall_ms as f64) / 1000.0);
+        own.into_iter().chain(chain).min_by(f64::total_cmp)
+    }
+
+    fn due_of(&self, job: &Job, left_s: Option<f64>) -> Option<Due> {
+        let left = left_s?;
+        let starts = job.waiting() > 0 || job.gate != Gate::Open;
         Some(if left < 0.0 {
             Due::Late
-        } else if job.waiting() > 0 && left < job.spec.estimate_s {
+        } else if starts && left < job.spec.estimate_s {
             Due::AtRisk
         } else {
             Due::InTime
@@ -131,7 +141,9 @@
 
     fn groups(&self) -> Vec<Group> {
         let mut groups: HashMap<(&str, &str), Group> = HashMap::new();
-        for j in self.model.jobs.iter().flatten() {
+        let in_chains = self.due_in_chains();
+        let jobs = self.model.jobs.iter().enumerate();
+        for (ix, j) in jobs.filter_map(|(ix, j)| Some((ix as u32, j.as_ref()?))) {
             let key = (j.spec.class.as_str(), j.spec.team.as_str());
             let g = groups.entry(key).or_insert_with(|| Group {
                 class: clipped(&j.spec.class),
@@ -139,7 +151,7 @@
                 ..Group::default()
             });
             g.running += j.running;
-            match self.due_of(j) {
+            match self.due_of(j, self.left_s(ix, j, &in_chains)) {
                 Some(Due::Late) => g.late_jobs += 1,
                 Some(Due::AtRisk) => g.at_risk_jobs += 1,
                 _ => {}
@@ -286,6 +298,7 @@
         let j = self.model.job(ix)?;
         let waiting = j.waiting();
         let (needs, needs_all) = self.open_needs(ix, NEEDS);
+        let left_s = self.left_s(ix, j, &self.due_in_chains());
         let held = !j.away.is_here() || j.gate != Gate::Open;
         let places = self.model.each_machine().flat_map(|m| {
             let own = m.tasks.iter().filter(|a| a.job == ix);
@@ -307,7 +320,8 @@
             age_s: self.age_s(j),
             reason: ((waiting > 0 || held) && !j.cancelled).then(|| self.reason_of(j)),
             verdict: self.lent_to(j).or_else(|| self.verdict_on(j, now)),
-            due: self.due_of(j),
+            due: self.due_of(j, left_s),
+            left_s,
             deadline_s: j.spec.deadline_s,
             places: places.take(MOST_ROWS).collect(),
             needs,
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -332,8 +332,11 @@
             Err(why) => return HttpResponse::later(why),
         };
         let wall = self.wall_ms();
+        // Of another term the pieces may just be cleared away as left over.
+        let (of, pieces) = pieces.unzip();
         let begun = self.acting(|l, _| (l.term, l.acceptance(&spec, pieces, wall)));
-        let Some((term, (txn, record))) = begun else {
+        let Some((term, (txn, record))) = begun.filter(|(t, _)| of.is_none_or(|of| of == *t))
+        else {
             return HttpResponse::later("leadership is changing");
         };
         match self.txn(&txn, Duration::from_millis(2000)).await {
@@ -356,7 +359,8 @@
     }
 
     /// Writes what the record of a job with a long description is to name.
-    async fn write_pieces(&self, spec: &JobSpec) -> Result<Option<Pieces>, &'static str> {
+    /// In which term, and what to name.
+    async fn write_pieces(&self, spec: &JobSpec) -> Result<Option<(u64, Pieces)>, &'static str> {
         let lost = "leadership is changing";
         let complete = self.upgrade.is_complete();
         let state = &self.settings.cluster.state;
@@ -365,9 +369,10 @@
         }
         let first = self.acting(|l, _| {
             l.upgraded(complete);
-            l.pieces_first(spec)
+            (l.term, l.pieces_first(spec))
         });
-        let Some((pieces, txns)) = first.ok_or(lost)?.map_err(|_| "it can't be kept")? else {
+        let (term, first) = first.ok_or(lost)?;
+        let Some((pieces, txns)) = first.map_err(|_| "it can't be kept")? else {
             return Ok(None);
         };
         for txn in txns {
@@ -387,7 +392,7 @@
                 _ => return Err("the job could not be recorded"),
             }
         }
-        Ok(Some(pieces))
+        Ok(Some((term, pieces)))
     }
 
     async fn abort(&self, id: &str) -> HttpResponse {
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -216,6 +216,38 @@
     w.sound();
 }
 
+/// Guards against a chain of which nobody sees that its end will be late, as
+/// its first job has no deadline.
+#[test]
+fn operators_see_at_the_first_job_that_the_last_will_be_late() {
+    use pathwinch::protocol::status::{Due, Reason};
+    let mut w = World::led(9, 1, 0.0);
+    w.run_ms = 40_000;
+    w.submit(job(1, Kind::Array, 2));
+    w.submit(after(2, 1, &[1]));
+    let mut last = after(3, 1, &[2]);
+    last.deadline_s = Some(25.0);
+    w.submit(last);
+    let explain = |w: &mut World, n: u32| {
+        let (i, now) = (w.leader().unwrap(), w.now);
+        let l = w.nodes[i].leader.as_ref().unwrap();
+        l.explain(&id(n), now).unwrap()
+    };
+    w.run(1_000);
+    let first = explain(&mut w, 1);
+    // Ten seconds each are left for the two after it.
+    assert!(first.left_s.is_some_and(|s| (3.0..5.0).contains(&s)));
+    let second = explain(&mut w, 2);
+    assert_eq!(second.reason, Some(Reason::NeedsOthers));
+    assert_eq!(
+        (second.needs_all, second.needs[0].0.as_str()),
+        (1, "j-000001")
+    );
+    w.run(6_000);
+    assert_eq!(explain(&mut w, 1).due, Some(Due::Late));
+    w.sound();
+}
+
 /// Jobs with needs drawn at random, cancelled and not, on days on which
 /// controllers crash, the store is out and answers are late.
 #[test]
