--- a/tests/known.rs
+++ b/tests/known.rs
@@ -311,9 +311,14 @@
 fn days_of_all_these_troubles_forget_no_job() {
     let mut longest = 0;
     let (mut starts, mut lapsed) = (0, 0);
-    for seed in 0..std::env::var("SEEDS").map_or(12, |n| n.parse().unwrap()) {
+    let number = |name: &str, otherwise: u64| -> u64 {
+        std::env::var(name).map_or(otherwise, |n| n.parse().unwrap())
+    };
+    let first = number("FIRST", 0);
+    for seed in first..first + number("SEEDS", 12) {
         let nodes = [3, 7][(seed % 2) as usize];
-        let mut w = World::sized(9_000 + seed, 6, 48.0, nodes);
+        let machines = number("MACHINES", 6) as usize;
+        let mut w = World::sized(9_000 + seed, machines, 48.0, nodes);
         w.standbys = seed % 3 != 0;
         w.until(10_000, "a leader", |w| w.leader().is_some());
         (w.rents, w.copies) = (true, 8);
