A late job without room asks for no pass at every event; two unused methods go

Cause: in placing a job that begins late, the picture counted as changed whether or not a task was placed, so that one at its team's limit had the queue looked at again at every event; and it was left out of those that room is made for. It counts now only if a task was placed, and goes the usual way otherwise. Chains::is_needed and Pieces::of_job had no users.

--- a/src/bookkeeping/chains.rs
+++ b/src/bookkeeping/chains.rs
@@ -290,11 +290,6 @@
         (before, links.map_or(0, |l| l.sought))
     }
 
-    /// Others wait for it.
-    pub fn is_needed(&self, job: u32) -> bool {
-        self.links.get(&job).is_some_and(|l| !l.after.is_empty())
-    }
-
     /// Jobs to look at again, and jobs that are to be withdrawn if they are
     /// still the same (`is_lost`): indices are used again.
     pub fn take(&mut self) -> (Vec<u32>, Vec<u32>) {
--- a/src/bookkeeping/pieces.rs
+++ b/src/bookkeeping/pieces.rs
@@ -24,11 +24,6 @@
 }
 
 impl Pieces {
-    /// Under which all of a job's pieces are, whoever's.
-    pub fn of_job(id: &str) -> String {
-        format!("{PIECES}{id}/")
-    }
-
     pub fn prefix(&self, id: &str) -> String {
         format!("{PIECES}{id}/{}/", self.hash)
     }
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -223,15 +223,18 @@
             }
             let one = self.within_limit(team, &key.0, 1);
             self.mark_candidates(job_ix, &mut candidates, now);
-            if late && !gang {
-                // One task is a beginning; the rest takes its turn.
-                self.place_some(job_ix, 1, &mut candidates, &mut reserves, now);
-                self.changed = true;
-                most = self.most_free(&candidates);
-                continue;
-            }
             let placed = if gang {
                 self.place_gang(job_ix, &mut candidates, &mut reserves, now)
+            } else if late {
+                // One task is a beginning; the rest takes its turn.
+                self.place_some(job_ix, 1, &mut candidates, &mut reserves, now);
+                // Guards against a pass at every event while it finds no room.
+                if self.model.job(job_ix).is_some_and(|j| j.live > 0) {
+                    self.changed = true;
+                    most = self.most_free(&candidates);
+                    continue;
+                }
+                false
             } else {
                 self.place_each(job_ix, &mut candidates, &mut reserves, now)
             };
