--- a/crates/protocol/src/status.rs
+++ b/crates/protocol/src/status.rs
@@ -169,6 +169,9 @@
     /// All run this version, so that what only it can read may be written.
     #[serde(default)]
     pub upgraded: bool,
+    /// Why the answering node last gave up the lead, and how long ago.
+    #[serde(default)]
+    pub stopped: Option<(String, f64)>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -240,6 +243,13 @@
 }
 
 impl Status {
+    fn put_stopped(&self, out: &mut String) {
+        if let Some((why, ago)) = &self.stopped {
+            let node = &self.node;
+            out.push_str(&format!("{node} gave up the lead {ago:.0} s ago: {why}\n"));
+        }
+    }
+
     /// Nothing while all run the same, as on most days.
     fn put_versions(&self, out: &mut String) {
         let same = self.versions.windows(2).all(|w| w[0].1 == w[1].1);
@@ -261,6 +271,7 @@
         let mut out = format!("asked {}; {leader} leads", self.node);
         let Some(p) = &self.picture else {
             out.push_str("; nothing more is known here\n");
+            self.put_stopped(&mut out);
             self.put_versions(&mut out);
             return out;
         };
@@ -269,6 +280,7 @@
             ", term {} for {:.0} s, {settled}; picture {:.1} s old; {} jobs\n",
             p.term, p.since_s, self.age_s, p.jobs
         ));
+        self.put_stopped(&mut out);
         self.put_versions(&mut out);
         if !p.took_over.is_empty() {
             out.push_str(&format!("took over {}\n", p.took_over));
--- a/src/bookkeeping/model/job.rs
+++ b/src/bookkeeping/model/job.rs
@@ -56,6 +56,8 @@
     /// That withdrawal was sent and had no answer: a user may read it in the
     /// record, and be told of it, before this leader learns that it stands.
     pub cancel_open: bool,
+    /// The same of its end, whichever that is.
+    pub end_open: bool,
     pub version: u64,
     /// Chunks of `done` that the record lacks.
     pub dirty: Vec<bool>,
@@ -182,6 +184,12 @@
         }
     }
 
+    /// What ends it is being recorded, or may be recorded yet by a write that
+    /// had no answer.
+    pub fn is_closing(&self) -> bool {
+        self.closing || self.end_open && !self.cancelled
+    }
+
     pub fn status(&self) -> JobStatus {
         JobStatus {
             id: self.id.clone(),
--- a/src/bookkeeping/model/mod.rs
+++ b/src/bookkeeping/model/mod.rs
@@ -222,6 +222,7 @@
             cancelled,
             cancel_wanted: false,
             cancel_open: false,
+            end_open: false,
             version,
             writing: false,
             closing: false,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -496,7 +496,7 @@
     /// Its end is being recorded.
     pub fn is_closing(&self, id: &str) -> bool {
         let job = self.model.job_ix(id).and_then(|ix| self.model.job(ix));
-        job.is_some_and(|j| j.closing)
+        job.is_some_and(Job::is_closing)
     }
 
     pub fn remember_final(&mut self, status: &JobStatus) {
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -80,7 +80,7 @@
                 }
                 // Its record can't be written as it is: first the pieces.
                 let rewrites = j.cancel_wanted && !j.cancelled
-                    || j.dirty.first() == Some(&true) && !j.complete()
+                    || j.is_dirty() && !j.complete()
                     || j.away.moves();
                 if rewrites && self.cuts.is_due(j, value_limits) {
                     if pass == 0 {
@@ -128,8 +128,11 @@
                     (2, None) if j.is_dirty() && !j.cancelled => {
                         let mut chunks = Vec::new();
                         plan.txn.guards.push(guard);
+                        // With each chunk goes the record, so that its version
+                        // moves on. Guards against an older state of a chunk
+                        // that is carried out late, over a newer one.
                         for c in 0..j.dirty.len() {
-                            if !j.dirty[c] || plan.txn.writes.len() + 1 > room {
+                            if c > 0 && (!j.dirty[c] || plan.txn.writes.len() + 1 > room) {
                                 continue;
                             }
                             if c > 0 {
@@ -351,14 +354,17 @@
     }
 
     /// The transaction had no answer, and it may take long until its keys can
-    /// be read. Guards against tasks that run on through an outage after a user
-    /// read that their job is withdrawn.
+    /// be read; nor does that settle it, as it may be carried out later. Guards
+    /// against tasks that run on through an outage after a user read that their
+    /// job is withdrawn, and against calling a job unfinished from memory after
+    /// a user read its end.
     pub fn in_doubt(&mut self, plan: &Plan) {
         for item in &plan.items {
-            if let Item::Cancel(ix, id) = item
+            if let Item::Cancel(ix, id) | Item::Final(ix, id, _) = item
                 && let Some(j) = self.job_of(*ix, id)
             {
-                j.cancel_open = true;
+                j.end_open = true;
+                j.cancel_open |= matches!(item, Item::Cancel(..));
             }
         }
         self.changed = true;
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -476,6 +476,7 @@
         self.renewals_fail.set(false);
         self.set_shares();
         log::info!("term {} given up: {}", lead.term, why.text());
+        self.stopped.set(Some((self.now(), why)));
         self.figures.borrow().stopped(why.text());
         // Nothing is done under it any more, so the key may go at once.
         let node = self.clone();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -74,6 +74,8 @@
     state_ok: Cell<Option<Ms>>,
     /// While it leads: the last renewal failed.
     renewals_fail: Cell<bool>,
+    /// When and why it last gave up the lead.
+    stopped: Cell<Option<(Ms, lead::Stop)>>,
     flushing: Cell<bool>,
     seeking: Cell<bool>,
     /// Changes that a transaction may hold, since one was rejected.
@@ -134,6 +136,7 @@
         types: RefCell::new(Vec::new()),
         state_ok: Cell::new(None),
         renewals_fail: Cell::new(false),
+        stopped: Cell::new(None),
         flushing: Cell::new(false),
         seeking: Cell::new(false),
         narrow: Cell::new(usize::MAX),
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -53,6 +53,10 @@
             picture: last.as_ref().map(|(_, p)| p.clone()),
             versions: self.versions(),
             upgraded: self.upgrade.is_complete(),
+            stopped: self.stopped.get().map(|(at, why)| {
+                let ago = now.saturating_sub(at) as f64 / 1000.0;
+                (why.text().to_owned(), ago)
+            }),
         }
     }
 
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -25,6 +25,14 @@
 /// For a submission or a withdrawal to be answered by the leader.
 const FORWARD: Duration = Duration::from_millis(800);
 
+/// Pauses before each look at an acceptance that had no answer.
+const SETTLE: [Duration; 4] = [
+    Duration::from_secs(2),
+    Duration::from_secs(4),
+    Duration::from_secs(8),
+    Duration::from_secs(16),
+];
+
 pub(super) fn final_status(id: &str, record: &FinalRecord) -> JobStatus {
     JobStatus {
         id: id.to_owned(),
@@ -286,7 +294,7 @@
         }
     }
 
-    async fn submit(&self, body: &[u8]) -> HttpResponse {
+    async fn submit(self: &Rc<Self>, body: &[u8]) -> HttpResponse {
         let parsed = JobSpec::parse(body);
         // A known job is answered with its state, whatever the repeated body
         // or the settings now say.
@@ -327,7 +335,7 @@
         self.accept(spec).await
     }
 
-    async fn accept(&self, spec: JobSpec) -> HttpResponse {
+    async fn accept(self: &Rc<Self>, spec: JobSpec) -> HttpResponse {
         let now = self.now();
         if !self.writes.borrow_mut().take(now, 1.0, 0.0) || !self.may_request(1.0) {
             return HttpResponse::later("too many submissions at once");
@@ -359,10 +367,33 @@
                     Err(answer) => answer,
                 }
             }
+            TxnResult::Unknown => {
+                let settle = self.clone().settle_acceptance(term, spec.id.clone());
+                self.lanes.spawn(settle).detach();
+                HttpResponse::later("the job could not be recorded")
+            }
             _ => HttpResponse::later("the job could not be recorded"),
         }
     }
 
+    /// An acceptance of this term had no answer, and may be carried out yet.
+    /// Guards against a job that stands in the records, and is called queued
+    /// from there, while the leader does not know of it.
+    async fn settle_acceptance(self: Rc<Self>, term: u64, id: String) {
+        for wait in SETTLE {
+            Timer::after(wait).await;
+            let known = self.of_term(term, |l, _| l.status(&id).is_some());
+            if known != Some(false) {
+                return;
+            }
+            if let Ok(Found::Live(record, version)) = self.lookup(&id).await {
+                log::info!("job {id} was accepted late");
+                self.of_term(term, |l, now| l.accepted(*record, version, now));
+                return;
+            }
+        }
+    }
+
     /// Writes what the record of a job with a long description is to name.
     /// In which term, and what to name.
     async fn write_pieces(&self, spec: &JobSpec) -> Result<Option<(u64, Pieces)>, &'static str> {
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -294,6 +294,67 @@
     assert!(w.lapsed == 0 && w.now > LEASE);
 }
 
+/// What ends a job had no answer, the record does not show it when it is read,
+/// and it is carried out later: another node reads it, and tells a user.
+/// Guards against the leader calling the job unfinished from memory after that.
+#[test]
+fn a_job_whose_end_may_be_recorded_yet_is_not_called_unfinished_from_memory() {
+    for withdrawn in [true, false] {
+        let (mut w, leader) = long_tasks(100, 3);
+        let other = others(&w, leader)[0];
+        if withdrawn {
+            w.asks_to_cancel(&id(1));
+        } else {
+            let l = w.nodes[leader].leader.as_mut().unwrap();
+            let ix = l.model.job_ix(&id(1)).unwrap();
+            (0..4).for_each(|t| l.model.job_mut(ix).unwrap().mark_done(t));
+            w.finished.extend((0..4).map(|t| format!("{}/{t}", id(1))));
+        }
+        let l = w.nodes[leader].leader.as_mut().unwrap();
+        let plan = l.plan_flush(12).expect("its end is to be written");
+        l.in_doubt(&plan);
+        for key in pathwinch::coordination::leader::Leader::keys_of(&plan) {
+            l.reread(&key, w.store.kv.get(&key).cloned());
+        }
+        l.reread_done(&plan);
+        w.store.apply(&plan.txn).expect("carried out late");
+        let told = w.poll(other, &id(1)).expect("read in the record");
+        assert!(matches!(told, JobState::Cancelled | JobState::Done));
+        assert_eq!(w.poll(leader, &id(1)), Some(told));
+        w.until(10_000, "over", |w| w.done(&id(1)));
+        assert_eq!(w.poll(leader, &id(1)), Some(told));
+        w.sound();
+    }
+}
+
+/// Two writes of the same further chunk of finished tasks; the older had no
+/// answer and is carried out after the newer. Guards against ends that are
+/// lost from the records, so that a new leader runs those tasks again.
+#[test]
+fn an_older_chunk_of_finished_tasks_never_replaces_a_newer_one() {
+    let (mut w, leader) = long_tasks(110, 3);
+    w.submit(job(3, Kind::Array, 9_000));
+    w.run(2_000);
+    let done = |w: &mut World, task: u32| {
+        let l = w.nodes[leader].leader.as_mut().unwrap();
+        let ix = l.model.job_ix(&id(3)).unwrap();
+        l.model.job_mut(ix).unwrap().mark_done(task);
+        l.plan_flush(12).expect("progress is to be written")
+    };
+    let older = done(&mut w, 8_500);
+    let l = w.nodes[leader].leader.as_mut().unwrap();
+    l.in_doubt(&older);
+    for key in pathwinch::coordination::leader::Leader::keys_of(&older) {
+        l.reread(&key, w.store.kv.get(&key).cloned());
+    }
+    l.reread_done(&older);
+    let newer = done(&mut w, 8_501);
+    let revision = w.store.apply(&newer.txn).expect("the newer one");
+    let l = w.nodes[leader].leader.as_mut().unwrap();
+    l.flushed(&newer, revision);
+    assert!(w.store.apply(&older.txn).is_err(), "carried out late");
+}
+
 /// A machine is back at once and counts its sessions from one; a direct order
 /// reaches it before its first report, and then it is cut off. Its lease runs
 /// from its own beginning, later than the last answer. Guards against starting
