The end of an outage is not taken for a refusal of the leader alone

Cause: a renewal failed, the outage ended, and the others, asked at the same moment, were served: the leader resigned.

Change: another node's word counts once a renewal that was begun after it fails too (election).

Tests: in election, fails without the fix.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -41,7 +41,8 @@
     Yes,
     /// A promise is missing, or they came when authority had ended.
     No,
-    /// The state service refuses this node alone.
+    /// Another node is served: if a renewal that begins now fails, this one is
+    /// refused alone.
     Alone,
     /// It may have missed withdrawals for as long as it may.
     Blind,
@@ -88,6 +89,8 @@
     /// Up to then no later term had begun, so that this leader knows of every
     /// withdrawal: only leaders write any, under the guard of their key.
     knows: Ms,
+    /// When another node said, since the last renewal, that it is served.
+    others_served: Option<Ms>,
 }
 
 impl Election {
@@ -219,6 +222,7 @@
             lease,
             until: lease_asked + at_least(LIFE),
             knows: lease_asked,
+            others_served: None,
         });
     }
 
@@ -230,9 +234,18 @@
             self.led_at = self.led_at.max(sent);
             l.until = l.until.max(sent + at_least(LIFE));
             l.knows = l.knows.max(sent);
+            l.others_served = None;
         }
     }
 
+    /// Whether a failed renewal, begun then, shows that this node is refused
+    /// alone. Guards against taking the end of an outage for that, which came
+    /// after the renewal and before the others looked.
+    pub fn is_refused_alone(&self, begun: Ms) -> bool {
+        let served = self.lead.and_then(|l| l.others_served);
+        served.is_some_and(|at| begun >= at)
+    }
+
     /// What all other nodes answered, asked at `sent` for a promise.
     ///
     /// Promises prolong an authority that is unbroken: one that has ended may
@@ -257,7 +270,10 @@
                     evident = false;
                     most = most.min(until);
                 }
-                Promised::StateAnswers => return Extended::Alone,
+                Promised::StateAnswers => {
+                    l.others_served.get_or_insert(now);
+                    return Extended::Alone;
+                }
                 Promised::No => all = false,
             }
         }
@@ -268,10 +284,13 @@
             let promised = (sent + at_least(PROMISE)).min(most);
             l.until = l.until.max(promised.min(l.knows + blind));
         }
-        match () {
-            () if now < l.until && all => Extended::Yes,
-            () if now >= l.until && now >= l.knows + blind => Extended::Blind,
-            () => Extended::No,
+        let acts = now < l.until;
+        if acts && all {
+            Extended::Yes
+        } else if !acts && now >= l.knows + blind {
+            Extended::Blind
+        } else {
+            Extended::No
         }
     }
 
@@ -418,6 +437,12 @@
         let mut e = led(35.0);
         let answers = [OLD, Promised::StateAnswers];
         assert_eq!(e.extend(13_500, answers, 13_510), Extended::Alone);
+        // The renewal of that round may have come before the end of an outage.
+        assert!(!e.is_refused_alone(13_500) && e.is_refused_alone(13_510));
+        let mut over = led(35.0);
+        over.extend(13_500, answers, 13_510);
+        over.renewed(1, 13_520);
+        assert!(!over.is_refused_alone(13_600));
         assert_eq!(e.authority(13_900), None);
     }
 
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -385,7 +385,7 @@
     /// asked again meanwhile, as one answer may just be late.
     async fn ask_promises(self: &Rc<Self>, lead: Lead) -> Duration {
         let sent = self.now();
-        let mut again = self.renew(lead);
+        let again = self.renew(lead);
         let request = Request::Promise {
             term: lead.term,
             leader: self.settings.name.clone(),
@@ -424,16 +424,23 @@
                 self.resign(Stop::Blind);
                 return Duration::from_millis(500);
             }
-            Extended::Alone => match within(SECOND_TRY, &mut again).await {
-                Some(Touch::Renewed | Touch::Lost | Touch::Busy) => {}
-                failed @ (Some(Touch::Failed) | None) => {
-                    if failed.is_none() {
-                        again.detach();
+            Extended::Alone => {
+                again.detach();
+                let begun = self.now();
+                let mut last = self.renew(lead);
+                match within(SECOND_TRY, &mut last).await {
+                    Some(Touch::Renewed | Touch::Lost | Touch::Busy) => {}
+                    failed @ (Some(Touch::Failed) | None) => {
+                        if failed.is_none() {
+                            last.detach();
+                        }
+                        if self.election.borrow().is_refused_alone(begun) {
+                            self.resign(Stop::RefusedAlone);
+                            return Duration::from_millis(500);
+                        }
                     }
-                    self.resign(Stop::RefusedAlone);
-                    return Duration::from_millis(500);
                 }
-            },
+            }
         }
         Duration::from_millis(100)
     }
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -266,7 +266,11 @@
                 .map(|(p, j)| self.ask_promise(i, p, j, lead.term))
                 .collect();
             match self.nodes[i].election.extend(now, answers, now) {
-                Extended::Alone => self.resign(i, true),
+                Extended::Alone => {
+                    if self.nodes[i].election.is_refused_alone(now) {
+                        self.resign(i, true);
+                    }
+                }
                 Extended::Blind => {
                     self.blind += 1;
                     self.resign(i, true);
