--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -20,6 +20,14 @@
 /// How long a promise not to seek leadership holds.
 pub const PROMISE: Ms = 1300;
 
+/// How long the answer to a renewal is waited for: where the state service is
+/// slow, others are asked meanwhile, and it counts from when it was sent.
+pub const RENEWAL: Ms = 2_500;
+/// How long a step of seeking the lead may take.
+pub const SEEK: Ms = 1_200;
+/// How long a node that is asked for a promise waits for the state service.
+pub const LOOK: Ms = 400;
+
 /// How another node answered, asked by a leader that can't reach the state
 /// service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -10,7 +10,7 @@
         records::{self, LEADER, LeaderRecord, MachineRecord, StoredJob},
     },
     coordination::{
-        election::{Election, Extended, LIFE, Lead, PROMISE, Promised},
+        election::{Election, Extended, LIFE, LOOK, Lead, PROMISE, Promised, RENEWAL, SEEK},
         leader::Leader,
         notices::{Next, Notices},
     },
@@ -34,13 +34,9 @@
 /// How long a barred node waits before it tries again.
 const BARRED: u64 = 1_000;
 const PROBE: Duration = Duration::from_millis(700);
-/// What a renewal may take altogether: where the state service is slow, others
-/// are asked meanwhile, and it counts from when it was sent all the same.
-const SLOW: Duration = Duration::from_millis(2_500);
 /// What one may take beyond the others' answers that this node is refused alone.
 const SECOND_TRY: Duration = Duration::from_millis(300);
-/// For steps of seeking the lead, which a slow state service must not prevent.
-const STEP: Duration = Duration::from_millis(1_200);
+const STEP: Duration = Duration::from_millis(SEEK);
 /// A watch waits for 20 s.
 const WATCH: Duration = Duration::from_secs(25);
 
@@ -366,7 +362,8 @@
         let now = self.now();
         self.requests.borrow_mut().force(now, 1.0);
         let path = format!("/leases/{lease}/touch");
-        match self.state(Method::Post, &path, None, SLOW).await {
+        let limit = Duration::from_millis(RENEWAL);
+        match self.state(Method::Post, &path, None, limit).await {
             Ok(a) if a.status == 200 => Touch::Renewed,
             Ok(a) if a.status == 404 => Touch::Lost,
             Ok(a) if a.status == 429 => Touch::Busy,
@@ -450,7 +447,7 @@
         let state_ok = {
             let now = self.now();
             self.requests.borrow_mut().force(now, 1.0);
-            let limit = Duration::from_millis(400);
+            let limit = Duration::from_millis(LOOK);
             match self.get(LEADER, limit).await {
                 Ok(_) => true,
                 Err(e) => {
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -195,6 +195,31 @@
     }
 }
 
+/// The state service answers late, and nobody gives evidence. Guards against
+/// renewals that don't count although they were carried out: promises would
+/// prolong authority up to the horizon, and all leases run out.
+#[test]
+fn a_slow_state_service_ends_no_leadership_and_prevents_none() {
+    for slow in [300, 900, 2_000] {
+        let (mut w, leader) = long_tasks(45, 3);
+        w.old.extend(others(&w, leader));
+        w.store.slow = slow;
+        w.run(60_000);
+        assert_eq!((w.lapsed, w.blind, w.terms), (0, 0, 1), "{slow}");
+        // Refused alone besides, it gives way, and is followed, if the others
+        // can still tell that they are served.
+        if slow <= 300 {
+            w.store.refuses.insert(leader);
+            w.until(9_000, "another leads", |w| {
+                w.leader().is_some_and(|i| i != leader)
+            });
+            w.run(15_000);
+            assert_eq!(w.running(&id(2)), 2, "{slow}");
+        }
+        w.sound();
+    }
+}
+
 /// An outage that ends a little before the horizon, and one that ends after it.
 #[test]
 fn at_the_horizon_a_leader_goes_on_if_it_is_renewed_in_time_and_else_another_follows() {
@@ -425,6 +450,7 @@
     RefusedAlone,
     Outage,
     LongOutage,
+    SlowState,
     LateWrites,
     LateBars,
     Copies,
@@ -442,10 +468,11 @@
 }
 use Trouble::*;
 
-const TROUBLES: [Trouble; 17] = [
+const TROUBLES: [Trouble; 18] = [
     RefusedAlone,
     Outage,
     LongOutage,
+    SlowState,
     LateWrites,
     LateBars,
     Copies,
@@ -484,6 +511,7 @@
             w.store.refuses.insert(i);
         }
         Outage | LongOutage => w.store.down = true,
+        SlowState => w.store.slow = w.rng.u64(200..3_000),
         LateWrites => (0..6).for_each(|_| {
             let ms = w.rng.u64(2_000..12_000);
             w.store.late.push(ms);
@@ -525,6 +553,7 @@
 
 fn heal_all(w: &mut World) {
     w.store.down = false;
+    w.store.slow = 0;
     w.store.refuses.clear();
     w.store.late.clear();
     w.store.late_bars.clear();
@@ -576,7 +605,7 @@
     let first = number("FIRST", 0);
     let mut met = vec![0; PAIRS];
     let (mut starts, mut lapsed, mut blind, mut withdrawn) = (0, 0, 0, 0);
-    let seeds = number("SEEDS", 34);
+    let seeds = number("SEEDS", 39);
     for seed in first..first + seeds {
         let nodes = [3, 7][(seed % 2) as usize];
         let machines = number("MACHINES", 6) as usize;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -26,7 +26,7 @@
     coordination::{
         bars::{self, Bars, Step, bar_txn, lift_txn},
         bounds::Bounds,
-        election::{Election, Extended, LIFE, PROMISE, Promised},
+        election::{Election, Extended, LIFE, LOOK, PROMISE, Promised, RENEWAL, SEEK},
         leader::{CloudOp, Direct, DirectOutcome, Leader, Plan},
         polls::Finals,
         reach::{Contact, Foreman, Reach},
@@ -255,6 +255,9 @@
     /// Of a hundred parts told to standbys so many are lost, and as many
     /// arrive twice.
     pub lossy: u32,
+    /// Answers to renewals that are on their way: when, to whom, of which
+    /// lease, sent when.
+    renewals: Vec<(Ms, usize, u64, Ms)>,
     /// Leaders that stopped as they could not show that they know of all
     /// withdrawals.
     pub blind: u32,
@@ -314,6 +317,7 @@
             mixed: false,
             standbys: true,
             lossy: 0,
+            renewals: Vec::new(),
             blind: 0,
             old: BTreeSet::new(),
             warm: 0,
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -21,6 +21,13 @@
                 l.stood_still(now);
             }
         }
+        let (due, later) = std::mem::take(&mut self.renewals)
+            .into_iter()
+            .partition(|(at, of, ..)| *of == i && *at <= now);
+        self.renewals = later;
+        for (_, _, lease, sent) in due {
+            self.nodes[i].election.renewed(lease, sent);
+        }
         self.ping(i);
         if now >= self.nodes[i].next {
             self.elect(i);
@@ -246,10 +253,17 @@
             if stalled.is_some() {
                 return;
             }
-            if reaches {
-                match self.store.touch(lead.lease, now) {
-                    true => self.nodes[i].election.renewed(lead.lease, now),
-                    false => self.resign(i, false),
+            let slow = self.store.slow;
+            if reaches && !self.store.touch(lead.lease, now) {
+                self.resign(i, false);
+                return;
+            }
+            if reaches && slow <= RENEWAL {
+                self.renewals.push((now + slow, i, lead.lease, now));
+            }
+            if reaches && slow <= LOOK {
+                if slow == 0 {
+                    self.nodes[i].election.renewed(lead.lease, now);
                 }
                 let node = &mut self.nodes[i];
                 let poor = node.reach.poor_place(now);
@@ -279,7 +293,7 @@
             }
             return;
         }
-        if !reaches {
+        if !reaches || self.store.slow > SEEK {
             return;
         }
         if let Some(lease) = self.nodes[i].election.doubt {
@@ -386,7 +400,7 @@
             let until = bars.until();
             return Promised::Barred { until };
         }
-        let fails = !self.reaches_state(j);
+        let fails = !self.reaches_state(j) || self.store.slow > LOOK;
         if self.contact(i, j) != Some(Contact::Answers) {
             return Promised::No;
         }
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -17,6 +17,8 @@
     pub revision: u64,
     pub kv: BTreeMap<String, (Value, u64)>,
     pub down: bool,
+    /// It answers so much later.
+    pub slow: Ms,
     /// Nodes that alone are refused.
     pub refuses: BTreeSet<usize>,
     lease: u64,
@@ -43,6 +45,7 @@
             revision: 0,
             kv: BTreeMap::new(),
             down: false,
+            slow: 0,
             refuses: BTreeSet::new(),
             lease: 0,
             leases: BTreeMap::new(),
