--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -666,6 +666,9 @@
         for m in 1..=n {
             w.until(400_000, &format!("seed {seed}: {m}"), |w| w.done(&id(m)));
         }
+        // So each class and the largest are served, and begin in four minutes.
+        let took = w.now - healed;
+        assert!(took < 240_000, "seed {seed}: {took} ms until all ended");
         assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
         let told = |m: &u32| matches!(w.told.get(&id(*m)), Some((JobState::Cancelled, _)));
         withdrawn += (1..=n).filter(told).count();
