Ending a lease is one function; beginning a bar says whether an earlier try is open

Change: end_lease, used by the election's doubt, the bars and resigning; begun returns what is_open told. No behaviour changes, the tests keep their assertions.

Conclusion: nothing else was found worth changing now.

--- a/src/coordination/bars.rs
+++ b/src/coordination/bars.rs
@@ -87,8 +87,8 @@
 }
 
 impl Bars {
-    /// `found`: bars of earlier terms, with their versions. They keep a node from seeking, but end
-    /// this leader doesn't know when, so they don't count.
+    /// `found`: bars of earlier terms, with their versions. They keep a node
+    /// from seeking, but end this leader doesn't know when, so they don't count.
     pub fn new(found: impl IntoIterator<Item = (usize, u64)>) -> Self {
         Bars {
             written: found.into_iter().collect(),
@@ -149,9 +149,10 @@
     }
 
     /// A bar is about to be written: from now on it may be there or not.
-    pub fn begun(&mut self, peer: usize) {
+    /// Returns whether an earlier try is open.
+    pub fn begun(&mut self, peer: usize) -> bool {
         self.standing.remove(&peer);
-        self.open.insert(peer);
+        !self.open.insert(peer)
     }
 
     /// One is about to be lifted, or its lease ended.
@@ -173,11 +174,6 @@
         }
     }
 
-    /// One of an earlier try is open.
-    pub fn is_open(&self, peer: usize) -> bool {
-        self.open.contains(&peer)
-    }
-
     /// The write was surely not carried out.
     pub fn not_barred(&mut self, peer: usize, again: bool) {
         if !again {
@@ -257,9 +253,8 @@
         bars.leased(7, 9000);
         bars.begun(1);
         // Written again, and this time it is known to stand.
-        let again = bars.is_open(1);
+        let again = bars.begun(1);
         assert!(again);
-        bars.begun(1);
         bars.barred(1, 41, again);
         assert!(bars.stands(1, 9500));
         reach.asked(1, 10_000);
--- a/src/node/bars.rs
+++ b/src/node/bars.rs
@@ -80,8 +80,7 @@
             }
             Step::Bar { peer, lease } => {
                 let name = &self.settings.peers[peer].name;
-                let again = self.bars.borrow().is_open(peer);
-                self.bars.borrow_mut().begun(peer);
+                let again = self.bars.borrow_mut().begun(peer);
                 let done = self.change_bar(bar_txn(term, name, lease)).await;
                 let mut bars = self.bars.borrow_mut();
                 match done {
@@ -110,14 +109,11 @@
             }
             Step::End(lease) => {
                 self.bars.borrow_mut().ending();
-                let path = format!("/leases/{lease}");
-                match self.state(Method::Delete, &path, None, USUAL).await {
-                    Ok(a) if a.status == 404 || (200..300).contains(&a.status) => {
-                        self.bars.borrow_mut().lost();
-                        true
-                    }
-                    _ => false,
+                let ended = self.end_lease(lease, USUAL).await;
+                if ended {
+                    self.bars.borrow_mut().lost();
                 }
+                ended
             }
         }
     }
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -34,8 +34,9 @@
 /// How long a barred node waits before it tries again.
 const BARRED: u64 = 1_000;
 const PROBE: Duration = Duration::from_millis(700);
-/// What one may take beyond the others' answers that this node is refused alone.
+/// What the renewal may take that is tried last, once another node is served.
 const SECOND_TRY: Duration = Duration::from_millis(300);
+/// A step of seeking the lead.
 const STEP: Duration = Duration::from_millis(SEEK);
 /// A watch waits for 20 s.
 const WATCH: Duration = Duration::from_secs(25);
@@ -116,10 +117,7 @@
         let doubt = self.election.borrow().doubt;
         if let Some(lease) = doubt {
             // End the lease of the attempt, so that it can't succeed late.
-            let path = format!("/leases/{lease}");
-            if let Ok(a) = self.state(Method::Delete, &path, None, PROBE).await
-                && (a.status == 404 || (200..300).contains(&a.status))
-            {
+            if self.end_lease(lease, PROBE).await {
                 self.election.borrow_mut().doubt = None;
             }
             return soon;
@@ -486,8 +484,7 @@
         let node = self.clone();
         self.lanes
             .spawn(async move {
-                let path = format!("/leases/{}", lead.lease);
-                let _ = node.state(Method::Delete, &path, None, PROBE).await;
+                node.end_lease(lead.lease, PROBE).await;
             })
             .detach();
         if why.is_told() {
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -70,6 +70,13 @@
         Ok(answer)
     }
 
+    /// Ends a lease; whether it is surely over.
+    pub(super) async fn end_lease(&self, lease: u64, limit: Duration) -> bool {
+        let path = format!("/leases/{lease}");
+        let answer = self.state(Method::Delete, &path, None, limit).await;
+        answer.is_ok_and(|a| a.status == 404 || (200..300).contains(&a.status))
+    }
+
     /// `Err` when the read did not succeed.
     pub(super) async fn get(&self, key: &str, limit: Duration) -> Result<Option<Item>, String> {
         let answer = self
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -459,10 +459,9 @@
             }
         };
         let bars = &mut self.nodes[i].bars;
-        let again = bars.is_open(peer);
-        match bar {
-            true => bars.begun(peer),
-            false => bars.lifting(peer),
+        let again = bar && bars.begun(peer);
+        if !bar {
+            bars.lifting(peer);
         }
         // No answer, and it is carried out late.
         let late = match link {
