--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -114,7 +114,17 @@
         if body.trim_ascii_start().first() != Some(&b'{') {
             return Err("not a JSON object".into());
         }
-        let spec: JobSpec = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        let mut json = serde_json::Deserializer::from_slice(body);
+        let parsed: Result<JobSpec, _> = serde_path_to_error::deserialize(&mut json);
+        let spec = parsed.map_err(|e| {
+            // A field that is missing or there twice is named by the message.
+            let field = e.path().to_string();
+            match field.as_str() {
+                "." => e.inner().to_string(),
+                _ => format!("{field}: {}", e.inner()),
+            }
+        })?;
+        json.end().map_err(|e| e.to_string())?;
         spec.check()?;
         Ok(spec)
     }
--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -36,18 +36,16 @@
         }
     }
 
-    #[cfg(test)]
-    mod tests {
-        use super::*;
+    /// For how many seconds' worth of changes users come first, and at most.
+    const KEPT_S: f64 = 0.25;
+    const MOST_KEPT: f64 = 8.0;
 
-        #[test]
-        fn what_all_nodes_ask_together_stays_under_the_limit() {
-            for n in 1..9 {
-                let all = of_requests(Leads, n) + (n - 1) as f64 * of_requests(Follows, n);
-                assert!(all <= 0.9 + 1e-9, "{n} nodes: {all}");
-                let leaderless = n as f64 * of_requests(Leaderless, n);
-                assert!(leaderless <= 0.9 + 1e-9, "{n} nodes: {leaderless}");
-            }
-        }
+    /// Changes that bookkeeping leaves for acceptances. Guards against
+    /// submissions that were refused as progress had just used up the budget.
+    pub fn kept_for_users(rate: f64) -> f64 {
+        (rate * KEPT_S).clamp(1.0, MOST_KEPT)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -19,15 +19,21 @@
         return Some("waits_on: the job itself".into());
     }
     let need = Amounts::need(spec.cpus, spec.gpus, spec.memory_gb);
-    let fits = types.iter().any(|t| {
-        spec.types
-            .as_ref()
-            .is_none_or(|names| names.contains(&t.name))
-            && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
-            && need.fits(&Amounts::offer(t.cpus, t.gpus, t.memory_gb))
-    });
-    if !fits {
-        return Some("a task fits no allowed machine type".into());
+    let named = |t: &&MachineType| spec.types.as_ref().is_none_or(|n| n.contains(&t.name));
+    let there = |t: &&MachineType| spec.zone.as_ref().is_none_or(|z| t.zones.contains(z));
+    let offers = |t: &MachineType| need.fits(&Amounts::offer(t.cpus, t.gpus, t.memory_gb));
+    let allowed = || types.iter().filter(named).filter(there);
+    if !allowed().any(offers) {
+        let field = if !types.iter().any(|t| named(&t)) {
+            "rigs"
+        } else if !types.iter().any(|t| there(&t)) {
+            "hall"
+        } else if allowed().next().is_none() {
+            "rigs, hall"
+        } else {
+            "cores, accelerators, memory_gb"
+        };
+        return Some(format!("{field}: a task fits no allowed machine type"));
     }
     let tasks = match spec.kind {
         Kind::Array => 1,
--- /dev/null
+++ b/src/coordination/answers/poll.rs
@@ -0,0 +1,38 @@
+//! Polls.
+
+use super::*;
+
+pub(super) fn step(id: &str, event: Event, here: &mut Here) -> Next {
+    match event {
+        Event::Begin if id.is_empty() => Next::Answer(Answer::Refused(404, NO_SUCH.into())),
+        Event::Begin => begin(id, here),
+        Event::Told(Some(status)) => Next::Answer(Answer::known(status)),
+        Event::Told(None) => Next::ReadState,
+        Event::Read(Ok(Some(status))) => Next::Answer(Answer::known(status)),
+        Event::Read(Ok(None)) => Next::Answer(Answer::Refused(404, NO_SUCH.into())),
+        Event::Read(Err(e)) => Next::Answer(Answer::Later(e)),
+        other => out_of_place(&other),
+    }
+}
+
+fn begin(id: &str, here: &mut Here) -> Next {
+    if let Some(status) = here.end_of(id) {
+        return Next::Answer(Answer::known(status));
+    }
+    let Some(l) = here.acting() else {
+        return Next::AskLeader;
+    };
+    match l.loaded().then(|| l.told(id)).flatten() {
+        Some(status) => Next::Answer(Answer::known(status)),
+        None if l.is_withheld(id) => Next::Answer(Answer::later(WITHHELD)),
+        // It leads, and only the records can tell.
+        None => Next::ReadState,
+    }
+}
+
+/// Polls at other nodes, as the leader answers them; `None`: it does not lead.
+pub fn polled(here: &mut Here, ids: &[String]) -> Option<Vec<Option<(JobState, u32, u32)>>> {
+    let l = here.acting().filter(|l| l.loaded())?;
+    let known = |id: &String| l.told(id).map(|s| (s.state, s.done, s.running));
+    Some(ids.iter().map(known).collect())
+}
--- /dev/null
+++ b/src/coordination/answers/withdraw.rs
@@ -0,0 +1,75 @@
+//! Withdrawals. They are recorded by leaders alone.
+
+use super::*;
+
+/// How long the record is waited for, less than users wait.
+const PATIENCE: Ms = 1_500;
+/// About as long as a write takes.
+const PAUSE: Ms = 15;
+
+#[derive(Debug, Default)]
+pub(super) struct Withdraw {
+    began: Option<Ms>,
+}
+
+impl Withdraw {
+    pub(super) fn step(
+        &mut self,
+        id: &str,
+        forwarded: bool,
+        event: Event,
+        here: &mut Here,
+    ) -> Next {
+        match event {
+            Event::Begin if id.is_empty() => Next::Answer(Answer::Refused(404, NO_SUCH.into())),
+            Event::Begin => match (here.end_of(id), here.acting()) {
+                (Some(status), _) => Next::Answer(Answer::known(status)),
+                (None, Some(l)) if !l.loaded() => Next::Answer(Answer::later(UNREAD)),
+                (None, Some(_)) => self.look(id, here),
+                (None, None) if forwarded => Next::NotLeading,
+                (None, None) => Next::Forward,
+            },
+            Event::Forwarded(Some(answer)) => Next::Answer(answer),
+            Event::Forwarded(None) => Next::Answer(Answer::later(NO_LEADER)),
+            Event::Looked(found) => match (looked(id, found, here), here.acts) {
+                (_, false) => Next::Answer(Answer::later(LOST)),
+                (Ok(Some(status)), _) if status.state.is_final() => {
+                    Next::Answer(Answer::known(status))
+                }
+                (Ok(Some(_)), _) => self.mark(id, here),
+                (Ok(None), _) => Next::Answer(Answer::Refused(404, NO_SUCH.into())),
+                (Err(answer), _) => Next::Answer(answer),
+            },
+            Event::Waited => self.look(id, here),
+            other => out_of_place(&other),
+        }
+    }
+
+    fn look(&mut self, id: &str, here: &mut Here) -> Next {
+        let Some(l) = here.acting() else {
+            return Next::Answer(Answer::later(LOST));
+        };
+        // Its end is on its way to the record: that is waited for.
+        if l.is_closing(id) {
+            return self.mark(id, here);
+        }
+        match l.told(id) {
+            Some(status) if status.state.is_final() => Next::Answer(Answer::known(status)),
+            Some(_) => self.mark(id, here),
+            None if l.is_withheld(id) => Next::Answer(Answer::later(WITHHELD)),
+            None => Next::Look(vec![id.to_owned()]),
+        }
+    }
+
+    fn mark(&mut self, id: &str, here: &mut Here) -> Next {
+        let began = *self.began.get_or_insert(here.now);
+        let late = here.now > began + PATIENCE;
+        match here.acting() {
+            Some(l) if !late => {
+                l.cancel(id);
+                Next::Wait(PAUSE)
+            }
+            _ => Next::Answer(Answer::later("the withdrawal could not be recorded yet")),
+        }
+    }
+}
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -78,10 +78,25 @@
                 if j.writing {
                     continue;
                 }
+                let gone = j.live == 0 && knows_all;
+                // Of one that is to be withdrawn and has nothing anywhere the
+                // end is recorded at once, without a mark before it.
+                let marked = j.cancelled || j.cancel_wanted && j.away.is_here();
+                let over = if j.complete() && !j.cancelled {
+                    Some(JobState::Done)
+                } else if marked && gone {
+                    Some(JobState::Cancelled)
+                } else {
+                    None
+                };
+                let awaited = j.cancel_wanted && !j.cancelled && over != Some(JobState::Done);
+                let due = match (awaited, over) {
+                    (true, _) => 0,
+                    (false, Some(_)) => 1,
+                    (false, None) => 2,
+                };
                 // Its record can't be written as it is: first the pieces.
-                let rewrites = j.cancel_wanted && !j.cancelled
-                    || j.is_dirty() && !j.complete()
-                    || j.away.moves();
+                let rewrites = over.is_none() && (awaited || j.is_dirty() || j.away.moves());
                 if rewrites && self.cuts.is_due(j, value_limits) {
                     if pass == 0 {
                         let most = room.saturating_sub(plan.txn.writes.len());
@@ -90,15 +105,9 @@
                     continue;
                 }
                 let guard = j.guard();
-                let over = if j.complete() && !j.cancelled {
-                    Some(JobState::Done)
-                } else if j.cancelled && j.live == 0 && knows_all {
-                    Some(JobState::Cancelled)
-                } else {
-                    None
-                };
                 match (pass, over) {
-                    (0, None) if j.cancel_wanted && !j.cancelled => {
+                    _ if pass != due => {}
+                    (0, None) => {
                         plan.txn.guards.push(guard);
                         let record = job_record(j, true, j.away.mark());
                         put(&mut plan, &mut bytes, job_key(&j.id), record);
@@ -106,7 +115,7 @@
                         j.writing = true;
                         j.closing = true;
                     }
-                    (1, Some(state)) => {
+                    (_, Some(state)) => {
                         plan.txn.guards.push(guard);
                         plan.txn.guards.push(Guard {
                             key: final_key(&j.id),
@@ -338,6 +347,9 @@
             done: j.done_n,
             running: 0,
         };
+        if state == JobState::Cancelled && !j.cancelled {
+            log::info!("job {id} withdrawn");
+        }
         let chunks = j.dirty.len();
         let pieces = j.pieces.clone();
         for c in 1..chunks {
@@ -364,7 +376,8 @@
                 && let Some(j) = self.job_of(*ix, id)
             {
                 j.end_open = true;
-                j.cancel_open |= matches!(item, Item::Cancel(..));
+                let withdrawn = matches!(item, Item::Final(_, _, JobState::Cancelled));
+                j.cancel_open |= withdrawn || matches!(item, Item::Cancel(..));
             }
         }
         self.changed = true;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! time go in, what is to be done comes out.
 
 pub mod admission;
+pub mod answers;
 pub mod bars;
 pub mod bounds;
 pub mod dispatch;
--- a/src/node/bars.rs
+++ b/src/node/bars.rs
@@ -1,12 +1,12 @@
 //! Writes and lifts the bars of nodes that hang, while this node leads.
 
-use super::{
-    Node,
-    store::{TxnResult, USUAL},
-};
+use super::{Node, store::USUAL};
 use crate::{
     bookkeeping::records::{BARS, LEADER},
-    coordination::bars::{Bars, LIFE, Step, bar_txn, lift_txn},
+    coordination::{
+        answers::TxnResult,
+        bars::{Bars, LIFE, Step, bar_txn, lift_txn},
+    },
     protocol::state::{LeaseGranted, Txn},
 };
 use async_io::Timer;
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -1,13 +1,9 @@
 //! The leader's loop: time passes, and what it wants done is begun.
 
-use super::{
-    Node,
-    lead::Stop,
-    store::{Found, TxnResult, USUAL},
-    users::final_status,
-};
+use super::{Node, lead::Stop, store::USUAL};
 use crate::{
-    bookkeeping::{model::ORDER, records::LEADER},
+    bookkeeping::{budget::share, model::ORDER, records::LEADER},
+    coordination::answers::{Found, TxnResult, final_status},
     coordination::leader::{Direct, DirectOutcome, Leader, Plan},
     protocol::workers::Report,
     transport::{client::CallError, within},
@@ -21,10 +17,6 @@
 const STEP: Duration = Duration::from_millis(200);
 const LEAST: Duration = Duration::from_millis(15);
 
-/// For how many seconds' worth of changes users come first, and at most.
-const KEPT_S: f64 = 0.25;
-const MOST_KEPT: f64 = 8.0;
-
 /// A round that takes so much longer than it should shows that this process
 /// stood still, or had no processor.
 const STOOD_STILL: u64 = 700;
@@ -84,7 +76,8 @@
         }
         if !node.flushing.get() {
             let now = node.now();
-            let level = node.writes.borrow_mut().level(now) - node.kept_for_users();
+            let kept = share::kept_for_users(node.settings.cluster.state.always().write_rps);
+            let level = node.writes.borrow_mut().level(now) - kept;
             let room = (level.max(0.0) as usize).min(node.narrow.get());
             if room >= 2 && node.requests.borrow_mut().level(now) >= 2.0 {
                 let plan = node.acting(|l, _| l.plan_flush(room)).flatten();
@@ -98,13 +91,6 @@
 }
 
 impl Node {
-    /// Changes that bookkeeping leaves for acceptances. Guards against
-    /// submissions that were refused as progress had just used up the budget.
-    fn kept_for_users(&self) -> f64 {
-        let rate = self.settings.cluster.state.always().write_rps;
-        (rate * KEPT_S).clamp(1.0, MOST_KEPT)
-    }
-
     async fn direct(self: Rc<Self>, term: u64, d: Direct) {
         let body = serde_json::to_vec(&d.order).unwrap_or_default();
         let limit = Duration::from_millis(ORDER);
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -1,15 +1,13 @@
 //! Seeking, keeping and giving up leadership.
 
-use super::{
-    Node,
-    store::{Found, OVER_LIMIT},
-};
+use super::{Node, store::OVER_LIMIT};
 use crate::{
     bookkeeping::{
         pieces,
         records::{self, LEADER, LeaderRecord, MachineRecord, StoredJob},
     },
     coordination::{
+        answers::{Found, TxnResult},
         election::{Election, Extended, LIFE, LOOK, Lead, PROMISE, Promised, RENEWAL, SEEK},
         leader::Leader,
         notices::{Next, Notices},
@@ -192,8 +190,8 @@
             }],
         };
         let term = match self.txn(&txn, STEP).await {
-            super::store::TxnResult::Done(revision) => Some(revision),
-            super::store::TxnResult::Unknown => match self.get(LEADER, STEP).await {
+            TxnResult::Done(revision) => Some(revision),
+            TxnResult::Unknown => match self.get(LEADER, STEP).await {
                 Ok(Some(i))
                     if serde_json::from_value::<LeaderRecord>(i.value.clone())
                         .is_ok_and(|r| r == record) =>
@@ -205,7 +203,7 @@
             other => {
                 let mut election = self.election.borrow_mut();
                 election.doubt = None;
-                if matches!(&other, super::store::TxnResult::Conflict(f) if f.contains(&bar)) {
+                if matches!(&other, TxnResult::Conflict(f) if f.contains(&bar)) {
                     log::info!("barred from leading, as this node hung");
                     election.abstain(self.now() + BARRED);
                 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -109,7 +109,7 @@
                 }
             }
             Request::Forward { method, path, body } => {
-                match self.user_here(&method, &path, &body).await {
+                match self.user_here(&method, &path, body).await {
                     Some(r) => Reply::Forwarded {
                         status: r.status,
                         retry_after_s: r.retry_after_s,
--- a/src/node/polls.rs
+++ b/src/node/polls.rs
@@ -1,19 +1,16 @@
-//! Polls: answered from memory where that can't be older than any answer
-//! given, else by the leader or from the records, many at a time.
+//! Polls that go to the leader or to the records, many at a time.
 
-use super::{
-    Node,
-    store::Found,
-    users::{WITHHELD, final_status, ok},
-};
+use super::Node;
 use crate::{
     bookkeeping::records::{FINALS, JOBS, StoredJob, job_key},
-    coordination::polls::Batch,
+    coordination::{
+        answers::{Found, final_status, polled},
+        polls::Batch,
+    },
     protocol::{
         peers::{Reply, Request},
-        users::{JobStatus, valid_ref},
+        users::JobStatus,
     },
-    transport::server::HttpResponse,
 };
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -26,7 +23,8 @@
 /// Up to so many jobs are read one by one; of more, all live ones are listed.
 const FEW: usize = 4;
 
-/// What a poll comes to: `Ok(None)` is a job that nobody submitted.
+/// What a poll comes to. `Ok(None)`: the leader can't say, or the records show
+/// that nobody submitted it.
 pub(super) type Answer = Result<Option<JobStatus>, String>;
 
 pub(super) struct Waiting {
@@ -50,7 +48,7 @@
         let _ = self.wake.0.try_send(());
     }
 
-    async fn ask(&self, id: &str) -> Answer {
+    pub(super) async fn ask(&self, id: &str) -> Answer {
         let (tx, rx) = async_channel::bounded(1);
         self.add(id, tx);
         let answer = rx.recv().await;
@@ -84,8 +82,7 @@
     }
 }
 
-/// Asks the leader, for all who wait at once; what it can't say is read from
-/// the records.
+/// Asks the leader, for all who wait at once.
 pub async fn ask_leader(node: Rc<Node>) {
     loop {
         node.polls.asked().await;
@@ -101,23 +98,13 @@
         }
         known.resize(round.len(), None);
         for ((id, who), known) in round.into_iter().zip(known) {
-            match known {
-                Some((state, done, running)) => {
-                    let status = JobStatus {
-                        id,
-                        state,
-                        done,
-                        running,
-                    };
-                    node.finals.borrow_mut().remember(&status);
-                    tell(who, &Ok(Some(status)));
-                }
-                None => {
-                    for w in who {
-                        node.reads.add(&id, w);
-                    }
-                }
-            }
+            let told = known.map(|(state, done, running)| JobStatus {
+                id,
+                state,
+                done,
+                running,
+            });
+            tell(who, &Ok(told));
         }
     }
 }
@@ -180,9 +167,6 @@
                     Found::Nothing => None,
                 }),
             };
-            if let Ok(Some(status)) = &found {
-                node.finals.borrow_mut().remember(status);
-            }
             match &found {
                 Ok(_) => node.reads.paid(&id),
                 Err(_) => node.reads.owe(&id),
@@ -194,44 +178,10 @@
 }
 
 impl Node {
-    pub(super) async fn poll(&self, id: &str) -> HttpResponse {
-        match self.state_of(id).await {
-            Ok(Some(status)) => ok(&status),
-            Ok(None) => HttpResponse::error(404, "no such job"),
-            Err(why) => {
-                log::debug!("poll of {id} shed: {why}");
-                HttpResponse::later(&why)
-            }
-        }
-    }
-
-    async fn state_of(&self, id: &str) -> Answer {
-        if !valid_ref(id) {
-            return Ok(None);
-        }
-        if let Some(status) = self.finals.borrow().get(id) {
-            return Ok(Some(status));
-        }
-        match self.acting(|l, _| l.loaded().then(|| l.told(id)).flatten()) {
-            Some(Some(status)) => Ok(Some(status)),
-            Some(None) if self.acting(|l, _| l.is_withheld(id)) == Some(true) => {
-                Err(WITHHELD.into())
-            }
-            // It leads, and only the records can tell.
-            Some(None) => self.reads.ask(id).await,
-            None => self.polls.ask(id).await,
-        }
-    }
-
     /// Polls at other nodes.
     pub(super) fn polled_here(&self, ids: &[String]) -> Reply {
-        let answers = self.acting(|l, _| {
-            l.loaded().then(|| {
-                let known = |id: &String| l.told(id).map(|s| (s.state, s.done, s.running));
-                ids.iter().take(MOST).map(known).collect()
-            })
-        });
-        match answers.flatten() {
+        let ids = &ids[..ids.len().min(MOST)];
+        match self.here(|here| polled(here, ids)) {
             Some(answers) => Reply::Polled(answers),
             None => Reply::NotLeader,
         }
--- a/src/node/standby.rs
+++ b/src/node/standby.rs
@@ -1,12 +1,9 @@
 //! Keeps standbys warm while this node leads, and a copy while another does.
 
-use super::{
-    Node,
-    store::{TxnResult, USUAL},
-};
+use super::{Node, store::USUAL};
 use crate::{
     bookkeeping::records::{LEADER, STANDBYS, StandbyRecord},
-    coordination::{reach::Contact, standby::Written},
+    coordination::{answers::TxnResult, reach::Contact, standby::Written},
     protocol::{
         peers::{Follow, Reply, Request},
         state::Txn,
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -1,9 +1,10 @@
 //! Operators' questions: answered by the leader, and by the others as it last
 //! answered them, with the age of that.
 
-use super::{Node, store::Found};
+use super::Node;
 use crate::{
     bookkeeping::Ms,
+    coordination::answers::Found,
     protocol::{
         peers::{Reply, Request},
         status::{Explanation, Picture, Status},
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -4,14 +4,17 @@
 use crate::{
     bookkeeping::{
         pieces,
-        records::{FINALS, FinalRecord, JOBS, JobRecord, StoredJob, final_key, job_key},
+        records::{FINALS, JOBS, JobRecord, StoredJob, final_key, job_key},
+    },
+    coordination::{
+        answers::{Found, Looked, TxnResult},
+        pages::Pages,
     },
-    coordination::pages::Pages,
     protocol::state::{Item, Page, Revision, Txn},
     transport::client::{Answer, CallError},
 };
 use http_types::Method;
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 pub const USUAL: Duration = Duration::from_millis(1500);
 
@@ -22,29 +25,8 @@
 /// All nodes together ask more than the state service answers.
 pub const OVER_LIMIT: &str = "over its request limit";
 
-/// What stands in the store about a job.
-pub enum Found {
-    Live(Box<JobRecord>, u64),
-    Final(FinalRecord),
-    Nothing,
-}
-
 /// Names that could not be asked about, and why.
 pub type Unread = Vec<(String, String)>;
-pub type Looked = HashMap<String, Result<Found, String>>;
-
-pub enum TxnResult {
-    Done(u64),
-    /// Keys whose versions differ.
-    Conflict(Vec<String>),
-    /// Not executed: refused, or not sent.
-    Refused,
-    /// Not executed, and would not be if it came again: over a limit that has
-    /// fallen, or malformed.
-    Rejected,
-    /// May have been executed, or may be yet.
-    Unknown,
-}
 
 impl Node {
     /// Whether an ordinary request may be made now; some are kept back for
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,537 @@
+//! What users are told, at every node: questions in flight, by the steps that
+//! the nodes take, and a history of which no answer may be older than one that
+//! came before its question was sent.
+
+mod world;
+
+use pathwinch::{
+    coordination::answers::Answer,
+    protocol::users::{JobSpec, JobState, Kind},
+};
+use world::{Ask, Cut, Side, World, job};
+
+fn id(n: u32) -> String {
+    format!("j-{n:06}")
+}
+
+/// In flight everywhere: relays, reads and writes take a drawn time.
+fn in_flight(seed: u64, machines: usize, nodes: usize) -> World {
+    let mut w = World::sized(seed, machines, 0.0, nodes);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    (w.desk.way, w.write_ms, w.run_ms, w.fetch_ms) = (20, 150, 1_500, 100);
+    w
+}
+
+/// A user's dealings with one job, and how they stand.
+struct Client {
+    spec: JobSpec,
+    /// The question whose answer it waits for.
+    open: Option<usize>,
+    next: u64,
+    accepted: bool,
+    withdraws: bool,
+    over: Option<JobState>,
+}
+
+#[derive(Default)]
+struct Clients {
+    all: Vec<Client>,
+    /// Questions asked right after something was told.
+    looks: Vec<usize>,
+    /// None are.
+    quiet: bool,
+}
+
+impl Clients {
+    fn add(&mut self, spec: JobSpec, withdraws: bool) {
+        self.all.push(Client {
+            spec,
+            open: None,
+            next: 0,
+            accepted: false,
+            withdraws,
+            over: None,
+        });
+    }
+
+    fn are_done(&self) -> bool {
+        self.all.iter().all(|c| c.over.is_some())
+    }
+
+    /// Asks at all nodes, within milliseconds.
+    fn look(&mut self, w: &mut World, spec: &JobSpec) {
+        for i in 0..w.nodes.len() {
+            for ask in [
+                Ask::Poll(spec.id.clone()),
+                Ask::submit(spec),
+                Ask::Poll(spec.id.clone()),
+            ] {
+                let after = w.rng.u64(0..60);
+                self.looks.push(w.ask(after, i, ask));
+            }
+        }
+    }
+
+    fn pass(&mut self, w: &mut World) {
+        for n in 0..self.all.len() {
+            let c = &mut self.all[n];
+            if c.over.is_some() {
+                continue;
+            }
+            let Some(open) = c.open else {
+                if w.now >= c.next {
+                    let id = c.spec.id.clone();
+                    let ask = match (c.accepted, c.withdraws) {
+                        (false, _) => Ask::submit(&c.spec),
+                        (true, true) => Ask::Withdraw(id),
+                        (true, false) => Ask::Poll(id),
+                    };
+                    let i = w.rng.usize(..w.nodes.len());
+                    c.open = Some(w.ask(0, i, ask));
+                }
+                continue;
+            };
+            let asked = &w.desk.history[open];
+            let told = match &asked.answer {
+                Some((_, Answer::State(_, s))) => Some(s.state),
+                None if w.now < asked.sent + 5_000 => continue,
+                _ => None,
+            };
+            c.open = None;
+            c.next = w.now + w.rng.u64(200..1_000);
+            let Some(state) = told else { continue };
+            // Some withdraw at once.
+            if !std::mem::replace(&mut c.accepted, true) && c.withdraws {
+                c.next = w.now;
+            }
+            c.over = state.is_final().then_some(state);
+            let first = matches!(w.desk.history[open].ask, Ask::Submit(_));
+            if !self.quiet && (first || state.is_final()) {
+                let spec = c.spec.clone();
+                self.look(w, &spec);
+            }
+        }
+    }
+
+    /// So long, with a new job now and then.
+    fn run(&mut self, w: &mut World, ms: u64, jobs: u32) {
+        let (begun, first) = (w.now, self.all.len() as u32);
+        while w.now < begun + ms {
+            let due = (w.now - begun) * u64::from(jobs) / ms;
+            while u64::from(self.all.len() as u32 - first) < due {
+                let n = self.all.len() as u32 + 1;
+                let kind = [Kind::Array, Kind::Gang, Kind::Array, Kind::Service][n as usize % 4];
+                let withdraws = kind == Kind::Service || w.rng.u8(..4) == 0;
+                self.add(job(n, kind, 1 + n % 3), withdraws);
+            }
+            self.pass(w);
+            w.step();
+        }
+    }
+
+    /// Until each has heard how its job ended, and each node says the same.
+    fn see_out(&mut self, w: &mut World, what: &str) {
+        let end = w.now + 180_000;
+        while !self.are_done() {
+            self.pass(w);
+            w.step();
+            if w.now >= end {
+                let left = self.all.iter().filter(|c| c.over.is_none());
+                let last = |c: &Client| c.open.map(|n| w.desk.history[n].answer.clone());
+                let left: Vec<_> = left
+                    .map(|c| (&c.spec.id, c.spec.kind, c.accepted, c.withdraws, last(c)))
+                    .collect();
+                panic!("{what}: {left:?} are not over; {:?}", w.broken);
+            }
+        }
+        w.run(6_000);
+        for c in &self.all {
+            for i in 0..w.nodes.len() {
+                assert_eq!(
+                    w.poll(i, &c.spec.id),
+                    c.over,
+                    "{what}: {} at {i}",
+                    c.spec.id
+                );
+            }
+        }
+        assert!(w.broken.is_empty(), "{what}: {:?}", w.broken);
+    }
+
+    fn answered(&self, w: &World) -> usize {
+        let given = |n: &&usize| matches!(w.desk.history[**n].answer, Some((_, Answer::State(..))));
+        self.looks.iter().filter(given).count()
+    }
+}
+
+/// What befalls the controllers, in turn.
+fn befall(w: &mut World, k: u32) {
+    let Some(leader) = w.leader() else { return };
+    match k % 5 {
+        0 => w.hand_over(leader),
+        1 => w.crash(leader, 150),
+        2 => w.stand_still(leader, 2_500),
+        3 => w.cut(leader, Side::State, Cut::Reset),
+        _ => w.crash(leader, 6_000),
+    }
+}
+
+/// Right after an acceptance, an end and a confirmed withdrawal everybody asks
+/// everywhere, and some withdraw at once. Guards against a node that answers
+/// from what it, or the leader, knew before.
+#[test]
+fn no_node_says_what_is_older_than_what_was_told() {
+    let mut close = 0;
+    for (seed, nodes) in (0..6).flat_map(|s| [(s, 3), (s, 7)]) {
+        let mut w = in_flight(200 + seed, 6, nodes);
+        let mut users = Clients::default();
+        for k in 0..4 {
+            users.run(&mut w, 3_000, 6);
+            if seed > 1 {
+                befall(&mut w, k + seed as u32);
+                users.run(&mut w, 8_000, 6);
+                (0..nodes).for_each(|i| w.join(i));
+            }
+        }
+        users.see_out(&mut w, &format!("seed {seed}, {nodes} nodes"));
+        close += users.answered(&w);
+    }
+    // The meeting: thousands of questions right after something was told.
+    assert!(close > 4_000, "{close}");
+}
+
+/// Transactions are carried out at once and only their answers are lost, while
+/// all nodes read what was written. Guards against a writer that goes on as if
+/// nothing had been: each kind of write, and a writer that leads on, has lost
+/// the lead, ends, or is back at once.
+#[test]
+fn what_was_written_without_an_answer_holds_for_all_who_may_have_read_it() {
+    let mut met = std::collections::BTreeMap::new();
+    for (seed, nodes) in (0..8).flat_map(|s| [(s, 3), (s, 7)]) {
+        let mut w = in_flight(300 + seed, 6, nodes);
+        let mut users = Clients::default();
+        w.store.lost_answers = 35;
+        for k in 0..4 {
+            users.run(&mut w, 5_000, 6);
+            befall(&mut w, k + seed as u32);
+            users.run(&mut w, 8_000, 4);
+            (0..nodes).for_each(|i| w.join(i));
+        }
+        w.store.lost_answers = 0;
+        users.see_out(&mut w, &format!("seed {seed}, {nodes} nodes"));
+        for (kind, n) in &w.store.unanswered {
+            *met.entry(kind.clone()).or_insert(0) += n;
+        }
+    }
+    for kind in ["j", "f", "leader", "standbys", "m"] {
+        assert!(met.get(kind).is_some_and(|n| *n >= 5), "{kind}: {met:?}");
+    }
+}
+
+/// When the last task of the job that still runs will end.
+fn last_end(w: &World, id: &str) -> Option<u64> {
+    let prefix = format!("{id}/");
+    let tasks = w.workers.iter().flat_map(|m| &m.tasks);
+    let of = tasks.filter(|t| t.name.starts_with(&prefix) && t.until > w.now);
+    of.map(|t| t.until).max()
+}
+
+/// A withdrawal, polls and repeated submissions meet the end of the last task,
+/// with no other trouble. Guards against an end that is told and then undone,
+/// either way, and against dependents that go with a job which was done.
+#[test]
+fn what_meets_the_end_of_the_last_task_is_answered_one_way() {
+    let (mut done, mut withdrawn) = (0, 0);
+    for seed in 0..60 {
+        let mut w = in_flight(400 + seed, 4, 3);
+        let kind = [Kind::Array, Kind::Gang][seed as usize % 2];
+        let first = job(1, kind, 1 + seed as u32 % 3);
+        w.submit(first.clone());
+        let mut after = job(2, Kind::Array, 1);
+        after.needs = vec![id(1)];
+        w.submit(after);
+        w.until(20_000, "near its end", |w| {
+            w.running(&id(1)) > 0 && last_end(w, &id(1)).is_some_and(|at| at < w.now + 150)
+        });
+        let by = last_end(&w, &id(1)).unwrap() - w.now;
+        let asked = w.rng.u64(by.saturating_sub(60)..by + 250);
+        let node = w.rng.usize(..3);
+        let ticket = w.ask(asked, node, Ask::Withdraw(id(1)));
+        for i in 0..3 {
+            for _ in 0..8 {
+                let at = w.rng.u64(0..by + 600);
+                w.ask(at, i, Ask::Poll(id(1)));
+                let at = w.rng.u64(0..by + 600);
+                w.ask(at, i, Ask::submit(&first));
+                let at = w.rng.u64(0..by + 600);
+                w.ask(at, i, Ask::Poll(id(2)));
+            }
+        }
+        w.run(3_000);
+        w.until(20_000, "over", |w| w.done(&id(1)) && w.done(&id(2)));
+        w.run(1_000);
+        let told = match &w.desk.history[ticket].answer {
+            Some((_, Answer::State(200, status))) => status.state,
+            other => panic!("seed {seed}: {other:?}"),
+        };
+        for i in 0..3 {
+            assert_eq!(w.poll(i, &id(1)), Some(told), "seed {seed}");
+            // What needs it ends as it did.
+            assert_eq!(w.poll(i, &id(2)), Some(told), "seed {seed}");
+        }
+        done += u32::from(told == JobState::Done);
+        withdrawn += u32::from(told == JobState::Cancelled);
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+    // The meeting: it went either way, so they crossed.
+    assert!(
+        done > 5 && withdrawn > 5,
+        "{done} done, {withdrawn} withdrawn"
+    );
+}
+
+/// Bodies that can't be accepted, each with the field at fault.
+fn odd_bodies(n: u32) -> Vec<(String, Vec<u8>, u16)> {
+    let good = serde_json::to_value(job(n, Kind::Array, 2)).unwrap();
+    let mut odd = Vec::new();
+    let mut add = |field: &str, v: &serde_json::Value, status| {
+        odd.push((field.to_owned(), v.to_string().into_bytes(), status));
+    };
+    let fields: Vec<String> = good.as_object().unwrap().keys().cloned().collect();
+    for field in &fields {
+        let mut v = good.clone();
+        v.as_object_mut().unwrap().remove(field);
+        add(field, &v, 400);
+        for wrong in [serde_json::json!(null), serde_json::json!({"a": 1})] {
+            v[field] = wrong;
+            add(field, &v, 400);
+        }
+        v[field] = match good[field].is_string() {
+            true => serde_json::json!(7),
+            false => serde_json::json!("seven"),
+        };
+        add(field, &v, 400);
+    }
+    for (field, wrong) in [
+        ("rigs", serde_json::json!("m8")),
+        ("rigs", serde_json::json!([7])),
+        ("hall", serde_json::json!(7)),
+        ("due_s", serde_json::json!("soon")),
+        ("waits_on", serde_json::json!("j-000001")),
+    ] {
+        let mut v = good.clone();
+        v[field] = wrong;
+        add(field, &v, 400);
+    }
+    for (field, wrong) in [
+        ("owner_crew", serde_json::json!("nobody")),
+        ("rigs", serde_json::json!(["m9"])),
+        ("rigs", serde_json::json!([])),
+        ("hall", serde_json::json!("c")),
+        ("cores", serde_json::json!(8.5)),
+        ("accelerators", serde_json::json!(1.0)),
+        ("memory_gb", serde_json::json!(33.0)),
+        ("waits_on", serde_json::json!(["j-999999"])),
+    ] {
+        let mut v = good.clone();
+        v[field] = wrong;
+        add(field, &v, 422);
+    }
+    odd
+}
+
+/// What can't be accepted is refused at each node, with and without a leader,
+/// in one line that names the field, and never once the job is known. Guards
+/// against 4xx for a known job, and against accepting what can't run.
+#[test]
+fn odd_requests_are_refused_by_name_and_known_jobs_answered_whatever_they_say() {
+    for led in [true, false] {
+        let mut w = in_flight(500, 4, 3);
+        w.submit(job(1, Kind::Array, 1));
+        w.submit(job(2, Kind::Service, 1));
+        w.until(20_000, "over", |w| w.done(&id(1)));
+        w.run(1_000);
+        if !led {
+            // Nobody may lead, and the records can be read.
+            let leader = w.leader().unwrap();
+            w.crash(leader, 600_000);
+            w.until(9_000, "nobody leads", |w| {
+                (0..3).filter(|i| *i != leader).for_each(|i| {
+                    let until = w.now + 60_000;
+                    w.nodes[i].election.abstain(until);
+                });
+                w.leader().is_none()
+            });
+        }
+        let nodes: Vec<usize> = (0..3).filter(|i| w.nodes[*i].alive).collect();
+        for (field, body, status) in odd_bodies(7) {
+            w.desk.unfit.insert(id(7));
+            for &i in &nodes {
+                match w.at_once(i, Ask::Odd(id(7), body.clone())) {
+                    Some(Answer::Refused(s, why)) => {
+                        assert_eq!(s, status, "{field}: {why}");
+                        assert!(
+                            why.contains(&field) && !why.contains('\n'),
+                            "{field}: {why}"
+                        );
+                    }
+                    other => panic!("{field} at {i}, led: {led}: {other:?}"),
+                }
+            }
+        }
+        // Of jobs that are known the same bodies say nothing.
+        for (n, state) in [(1, JobState::Done), (2, JobState::Queued)] {
+            for (field, body, _) in odd_bodies(n).into_iter().filter(|(f, ..)| f != "ref") {
+                for &i in &nodes {
+                    match w.at_once(i, Ask::Odd(id(n), body.clone())) {
+                        Some(Answer::State(200, s)) => {
+                            assert_eq!(s.state.is_final(), state.is_final(), "{field}");
+                        }
+                        other => panic!("{field} at {i}, led: {led}: {other:?}"),
+                    }
+                }
+            }
+        }
+        // Withdrawing what is done changes nothing; what nobody knows is 404.
+        for &i in &nodes {
+            let answer = w.at_once(i, Ask::Withdraw(id(1)));
+            let done = matches!(&answer, Some(Answer::State(200, s)) if s.state == JobState::Done);
+            let later = !led && matches!(answer, Some(Answer::Later(_)));
+            assert!(done || later, "{answer:?} at {i}, led: {led}");
+            let polled = w.at_once(i, Ask::Poll(id(8)));
+            let unknown = matches!(polled, Some(Answer::Refused(404, _)));
+            assert!(unknown, "{polled:?} at {i}, led: {led}");
+        }
+        assert!(!w.store.kv.contains_key("j/j-000007"));
+        w.sound();
+        // While the machine types aren't known, nothing is said of what fits.
+        w.no_types = true;
+        for &i in &nodes {
+            for n in [9, 2] {
+                let spec = job(n, Kind::Array, 1);
+                let answer = w.at_once(i, Ask::submit(&spec));
+                match n {
+                    2 if led => assert!(matches!(answer, Some(Answer::State(200, _)))),
+                    9 => assert!(matches!(answer, Some(Answer::Later(_))), "{answer:?}"),
+                    _ => {}
+                }
+            }
+        }
+        w.sound();
+    }
+}
+
+/// One-task jobs, four a second for minutes, a quarter of them withdrawn, with
+/// the changes that the smallest site allows. Guards against a record that is
+/// written once too often for each: ends would be told later and later.
+#[test]
+fn one_task_jobs_at_four_a_second_stay_within_the_smallest_rates() {
+    let mut w = in_flight(600, 24, 3);
+    w.limit_changes(15.0);
+    w.run_ms = 2_000;
+    let mut users = Clients {
+        quiet: true,
+        ..Clients::default()
+    };
+    let begun = w.now;
+    let (mut last, mut worst) = (begun, 0);
+    while w.now < begun + 150_000 {
+        if w.now >= last + 250 {
+            last += 250;
+            let n = users.all.len() as u32 + 1;
+            users.add(job(n, Kind::Array, 1), n.is_multiple_of(4));
+        }
+        users.pass(&mut w);
+        w.step();
+        // Ends are told in time: what has run but is not told yet stays little.
+        let late = w.finished.len() - w.finished.iter().filter(|t| w.done(&t[..8])).count();
+        worst = worst.max(late);
+    }
+    let jobs = users.all.len() as u32;
+    let changes = f64::from(w.store.changes) / f64::from(jobs);
+    users.see_out(&mut w, "one-task jobs");
+    assert!(jobs >= 595, "{jobs}");
+    let withdrawn = users
+        .all
+        .iter()
+        .filter(|c| c.over == Some(JobState::Cancelled))
+        .count();
+    assert!(withdrawn > 100, "{withdrawn}");
+    // Accepted, and the record replaced by a final one; where a task has to be
+    // stopped first, a mark.
+    assert!(changes <= 3.3, "{changes} changes a job");
+    assert!(worst < 40, "{worst} ends wait for their record");
+    assert_eq!(
+        (w.terms, w.lapsed),
+        (1, 0),
+        "reports and renewals don't wait"
+    );
+}
+
+/// Guards against a mark in the record of a job that has nothing anywhere: at
+/// 15 changes a second a burst of withdrawals would hold up all else.
+#[test]
+fn what_is_withdrawn_before_it_starts_costs_two_changes() {
+    let mut w = in_flight(610, 1, 3);
+    w.run_ms = 600_000;
+    for n in 1..=32 {
+        w.submit(job(n, Kind::Array, 1));
+    }
+    w.until(10_000, "full", |w| w.running("j-") == 2);
+    w.run(5_000);
+    let before = w.store.changes;
+    let waiting: Vec<u32> = (1..=32).filter(|n| w.running(&id(*n)) == 0).collect();
+    for n in &waiting {
+        w.ask(0, 0, Ask::Withdraw(id(*n)));
+    }
+    w.run(5_000);
+    assert_eq!((waiting.len(), w.store.changes - before), (30, 60));
+    for n in &waiting {
+        assert_eq!(w.poll(1, &id(*n)), Some(JobState::Cancelled));
+    }
+    assert_eq!(w.started_after, 0);
+    w.sound();
+}
+
+/// The acceptance is carried out, its answer is lost, and the user only asks
+/// from then on, at a node that reads the record. Guards against a job that is
+/// called pending and of which the leader never learns.
+#[test]
+fn a_job_of_which_only_the_records_know_runs() {
+    for nodes in [3, 7] {
+        let mut w = in_flight(620, 2, nodes);
+        w.store.lost_answers = 100;
+        let leader = w.leader().unwrap();
+        let submitted = w.ask(0, leader, Ask::submit(&job(1, Kind::Array, 2)));
+        w.run(200);
+        w.store.lost_answers = 0;
+        let other = (leader + 1) % nodes;
+        w.until(3_000, "read", |w| {
+            w.poll(other, &id(1)) == Some(JobState::Queued)
+        });
+        w.until(20_000, "run", |w| w.done(&id(1)));
+        assert!(!matches!(
+            w.desk.history[submitted].answer,
+            Some((_, Answer::State(..)))
+        ));
+        w.sound();
+    }
+}
+
+/// Guards against a final record while tasks may still run: whoever leads next
+/// would not know whose they are.
+#[test]
+fn a_withdrawn_job_is_over_once_nothing_of_it_may_run() {
+    let mut w = in_flight(630, 1, 3);
+    w.run_ms = 600_000;
+    w.submit(job(1, Kind::Array, 1));
+    w.until(10_000, "running", |w| w.running(&id(1)) == 1);
+    w.run(2_000);
+    w.workers[0].net = world::Net::Lose;
+    w.cancel(&id(1));
+    w.run(3_000);
+    assert_eq!((w.running(&id(1)), w.done(&id(1))), (1, false));
+    w.until(15_000, "its lease over", |w| w.done(&id(1)));
+    assert_eq!(w.running(&id(1)), 0);
+    w.sound();
+}
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -4,7 +4,10 @@
 
 use pathwinch::{
     bookkeeping::{Ms, records::JobRecord},
-    coordination::leader::{CloudOp, Leader},
+    coordination::{
+        answers::Answer,
+        leader::{CloudOp, Leader},
+    },
     options::Options,
     protocol::{
         cloud::MachineType,
@@ -12,7 +15,7 @@
     },
 };
 use std::rc::Rc;
-use world::{LEASE, Net, World, job};
+use world::{Ask, LEASE, Net, World, job};
 
 fn types() -> Vec<MachineType> {
     let mut dear = world::types().remove(0);
@@ -412,14 +415,19 @@
     }
 }
 
-/// Guards against an estimate beyond all measure: what is added to the time of
-/// arrival for it must not pass the end of time.
+/// Guards against an estimate beyond all measure, in a record of an earlier
+/// version: what is added to the time of arrival for it must not pass the end
+/// of time. (At the door it is refused, as the world now asks there.)
 #[test]
 fn an_absurd_estimate_stops_nobody() {
     let mut w = led(76, 1, 0.0, 5_000);
     let mut absurd = due(job(1, Kind::Array, 6));
     absurd.estimate_s = 1e300;
-    w.submit(absurd);
+    let body = serde_json::to_vec(&absurd).unwrap();
+    let leader = w.leader().unwrap();
+    let refused = w.at_once(leader, Ask::Odd(absurd.id.clone(), body));
+    assert!(matches!(refused, Some(Answer::Refused(400, why)) if why.contains("expected_s")));
+    w.accepted_before(absurd);
     w.run(500);
     w.submit(due(job(2, Kind::Array, 2)));
     w.until(60_000, "both", |w| w.done("j-000001") && w.done("j-000002"));
--- a/tests/world/check.rs
+++ b/tests/world/check.rs
@@ -15,6 +15,7 @@
     pub(super) fn check_start(&mut self, w: usize, name: &str) {
         let id = name.rsplit_once('/').unwrap().0;
         let spec = self.specs[id].clone();
+        self.started_after += u32::from(self.told.contains_key(&format!("{id}!")));
         let mut found = Vec::new();
         let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
         for (i, t) in self.on_machines() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -9,25 +9,32 @@
 mod nodes;
 mod standbys;
 mod store;
+mod users;
 mod workers;
 
 pub use net::{Cut, End, Link, Net, Side};
 pub use store::Store;
+// Not by every file of stories.
+#[allow(unused_imports)]
+pub use users::Ask;
 
 use fastrand::Rng;
 use net::Msg;
 use pathwinch::{
     bookkeeping::{
         Ms,
+        budget::Budget,
         model::ORDER,
         pieces::PIECES,
         records::{self, Bits, FinalRecord, LEADER, MachineRecord, StoredJob},
     },
     coordination::{
+        answers::{Answer, TxnResult},
         bars::{self, Bars, Step, bar_txn, lift_txn},
         bounds::Bounds,
         election::{Election, Extended, LIFE, LOOK, PROMISE, Promised, RENEWAL, SEEK},
         leader::{CloudOp, Direct, DirectOutcome, Leader, Plan},
+        notices::{self, Notices},
         polls::Finals,
         reach::{Contact, Foreman, Reach},
         relay::Relays,
@@ -47,6 +54,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
 };
+use users::Desk;
 
 pub const STEP: Ms = 50;
 pub const LEASE: Ms = 10_000;
@@ -146,6 +154,8 @@
     telling: Vec<Option<(u64, u64)>>,
     /// A write of the record of standbys without an answer, to be read back.
     record_open: Option<Ms>,
+    /// Where it stands in the notices, while it leads.
+    notices: Option<Notices>,
     /// Its records are read by then.
     loads_at: Ms,
     pub reach: Reach,
@@ -157,6 +167,8 @@
     greet_at: Ms,
     last_beat: Ms,
     flush_at: Ms,
+    /// A plan whose transaction is carried out, and its answer comes then.
+    flushing: Option<(Ms, Plan, TxnResult)>,
     /// A plan whose transaction had no answer, to be read back then.
     unclear: Option<(Ms, Plan)>,
     /// Since when questions to peers are open.
@@ -212,6 +224,8 @@
     /// What this node sends now leaves it only then: it stands still between
     /// its last check and the wire.
     stalls: Option<(usize, Ms)>,
+    /// The answer to what a leader writes comes at most so much later.
+    pub write_ms: Ms,
     /// How long a new leader takes to read the records.
     pub load_ms: Ms,
     /// Workers, and their reports, that a node passed on.
@@ -269,6 +283,16 @@
     /// For the checker's own test: a standby loses what it is told of a
     /// machine, but confirms it.
     pub forgetful: bool,
+    /// Requests of users that are under way, and what was said to them.
+    pub desk: Desk,
+    /// What nodes may still change, where that is limited, and how much a
+    /// second.
+    budgets: Vec<Budget>,
+    change_rate: f64,
+    /// Tasks that started after a user was told that their job is withdrawn.
+    pub started_after: u32,
+    /// The machine types are not known yet.
+    pub no_types: bool,
 }
 
 impl World {
@@ -293,6 +317,7 @@
             held: Vec::new(),
             cuts: Vec::new(),
             stalls: None,
+            write_ms: 0,
             load_ms: 0,
             relaying: BTreeSet::new(),
             late_ops: Vec::new(),
@@ -322,6 +347,11 @@
             old: BTreeSet::new(),
             warm: 0,
             forgetful: false,
+            desk: Desk::default(),
+            budgets: Vec::new(),
+            change_rate: 0.0,
+            started_after: 0,
+            no_types: false,
         };
         for i in 0..nodes {
             let node = w.fresh(i, nodes);
@@ -350,6 +380,7 @@
             follower: Follower::default(),
             telling: vec![None; nodes],
             record_open: None,
+            notices: None,
             loads_at: 0,
             reach: Reach::new(&names[i], &peers),
             bars: Bars::default(),
@@ -360,6 +391,7 @@
             greet_at: 0,
             last_beat: 0,
             flush_at: 0,
+            flushing: None,
             unclear: None,
             asked: vec![None; nodes],
         }
@@ -423,165 +455,6 @@
         w
     }
 
-    /// Submits until accepted, as a user would.
-    pub fn submit(&mut self, spec: JobSpec) {
-        self.specs.insert(spec.id.clone(), spec.clone());
-        for _ in 0..600 {
-            if let Some(i) = self.leader()
-                && self.reaches_state(i)
-                && self.reaches(i)
-            {
-                let now = self.now;
-                let l = self.nodes[i].leader.as_mut().unwrap();
-                l.upgraded(!self.mixed);
-                let (pieces, first) = l.pieces_first(&spec).unwrap().unzip();
-                for txn in first.into_iter().flatten() {
-                    self.store.apply(&txn).unwrap();
-                }
-                let (txn, record) = l.acceptance(&spec, pieces, now);
-                if let Ok(version) = self.store.apply(&txn) {
-                    l.accepted(record, version, now);
-                    self.submitted.insert(spec.id, now);
-                    return;
-                }
-            }
-            self.step();
-        }
-        panic!("never accepted: {}", spec.id);
-    }
-
-    /// Asks a node; `None`: it gave no answer.
-    pub fn poll(&mut self, i: usize, id: &str) -> Option<JobState> {
-        if !self.reaches(i) {
-            return None;
-        }
-        let known = match self.nodes[i].finals.get(id) {
-            Some(s) => Some(s.state),
-            // Leading, or asking the leader.
-            None => self.leader_for(i).and_then(|l| self.told_by(l, id)),
-        };
-        let state = match known {
-            Some(s) => s,
-            None if !self.reaches_state(i) || self.withholds(i, id) => return None,
-            None => match (
-                self.store.kv.get(&records::job_key(id)),
-                self.store.kv.get(&records::final_key(id)),
-            ) {
-                (Some((v, _)), _) => {
-                    let r: StoredJob = serde_json::from_value(v.clone()).unwrap();
-                    if r.cancelled {
-                        JobState::Cancelled
-                    } else {
-                        JobState::Queued
-                    }
-                }
-                (None, Some((v, _))) => {
-                    serde_json::from_value::<FinalRecord>(v.clone())
-                        .unwrap()
-                        .state
-                }
-                (None, None) => {
-                    self.broken.push(format!("forgotten: {id}"));
-                    return None;
-                }
-            },
-        };
-        self.nodes[i].finals.remember(&JobStatus {
-            id: id.to_owned(),
-            state,
-            done: 0,
-            running: 0,
-        });
-        self.tell(id, state);
-        Some(state)
-    }
-
-    fn withholds(&self, i: usize, id: &str) -> bool {
-        let node = &self.nodes[i];
-        let acts = node.election.authority(self.now).is_some();
-        acts && node.leader.as_ref().is_some_and(|l| l.is_withheld(id))
-    }
-
-    fn told_by(&self, leader: usize, id: &str) -> Option<JobState> {
-        let node = &self.nodes[leader];
-        node.election.authority(self.now)?;
-        let l = node.leader.as_ref().filter(|l| l.loaded())?;
-        l.told(id).map(|s| s.state)
-    }
-
-    /// The node that node `i` would ask: itself if it leads, else the leader
-    /// that it knows, if that answers.
-    fn leader_for(&self, i: usize) -> Option<usize> {
-        if self.nodes[i].election.authority(self.now).is_some() {
-            return Some(i);
-        }
-        let (name, _) = self.nodes[i].election.leader(self.now)?;
-        let l: usize = name[1..].parse().ok()?;
-        (l != i && self.reaches(l) && self.link(i, End::Node(l)) == Link::Up).then_some(l)
-    }
-
-    fn tell(&mut self, id: &str, state: JobState) {
-        self.check_told(id, state);
-        if let Some((before, _)) = self.told.get(id)
-            && matches!(before, JobState::Done | JobState::Cancelled)
-            && *before != state
-        {
-            self.broken
-                .push(format!("went_back: {id} {before:?} to {state:?}"));
-        }
-        if state == JobState::Done {
-            let spec = &self.specs[id];
-            let missing = (0..spec.tasks).any(|t| !self.finished.contains(&format!("{id}/{t}")));
-            if missing && spec.kind != Kind::Gang {
-                self.broken.push(format!("not_done: {id}"));
-            }
-        }
-        let now = self.now;
-        self.told
-            .entry(id.to_owned())
-            .and_modify(|t| t.0 = state)
-            .or_insert((state, now));
-        if state == JobState::Cancelled {
-            // The time of the first such answer counts.
-            self.told.entry(format!("{id}!")).or_insert((state, now));
-        }
-    }
-
-    pub fn cancel(&mut self, id: &str) {
-        self.cancelling.insert(id.to_owned());
-        for _ in 0..600 {
-            if let Some(i) = self.leader().filter(|i| self.reaches(*i)) {
-                if self.done(id) {
-                    self.poll(i, id);
-                    return;
-                }
-                let l = self.nodes[i].leader.as_mut().unwrap();
-                l.cancel(id);
-                if let Some(s) = l.told(id)
-                    && matches!(s.state, JobState::Cancelled | JobState::Done)
-                {
-                    self.tell(id, s.state);
-                    return;
-                }
-            }
-            self.step();
-        }
-        self.until(0, &format!("{id} withdrawn"), |_| false);
-    }
-
-    /// A user asks to cancel the job, and waits for the answer.
-    pub fn asks_to_cancel(&mut self, id: &str) {
-        self.cancelling.insert(id.to_owned());
-        let leader = self.leader().expect("somebody leads");
-        self.nodes[leader].leader.as_mut().unwrap().cancel(id);
-    }
-
-    /// A user was told so, by whomever.
-    pub fn told_cancelled(&mut self, id: &str) {
-        self.cancelling.insert(id.to_owned());
-        self.tell(id, JobState::Cancelled);
-    }
-
     pub fn running(&self, id: &str) -> usize {
         self.workers
             .iter()
@@ -663,6 +536,7 @@
         for (_, msg) in due {
             self.deliver(msg);
         }
+        self.desk_time();
         for i in 0..self.nodes.len() {
             self.node_time(i);
         }
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -80,10 +80,12 @@
     pub fn crash(&mut self, i: usize, back: Ms) {
         let n = &mut self.nodes[i];
         n.alive = false;
+        n.flushing = None;
         n.leader = None;
         n.back_at = self.now + back;
         n.unclear = None;
         n.record_open = None;
+        self.desk.forget_node(i);
     }
 
     pub fn cut(&mut self, i: usize, side: Side, how: Cut) {
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -62,6 +62,13 @@
                 let (id, c) = k[2..].rsplit_once('/').unwrap();
                 l.load_chunk(id, c.parse().unwrap(), v.as_str().unwrap());
             }
+            // Those from before the term are told of by the jobs.
+            for (key, _, version) in self.store.under(records::NOTICES) {
+                if version <= l.term {
+                    l.drop_notice(key);
+                }
+            }
+            node.notices = Some(Notices::new(l.term));
             l.finish_loading(now);
             if self.sabotage {
                 for m in l.model.each_machine_mut() {
@@ -92,6 +99,20 @@
                 }
             }
         }
+        if reaches_state
+            && !stalled
+            && let Some(notices) = node.notices.as_mut()
+            && let Some(body) = self.store.noticed(notices.from())
+            && let notices::Next::Look(keys) = notices.answered(200, &body)
+        {
+            for key in keys {
+                let id = key.trim_start_matches(records::NOTICES).to_owned();
+                if let Some((v, r)) = self.store.kv.get(&records::job_key(&id)) {
+                    l.accepted(self.store.whole(&id, v.clone()), *r, now);
+                }
+                l.drop_notice(key);
+            }
+        }
         let term = l.term;
         self.warm += u32::from(loads && l.is_warm());
         let directs = l.directs(now);
@@ -160,7 +181,7 @@
 
     fn flush(&mut self, i: usize) {
         let now = self.now;
-        let (reaches, link) = (self.reaches_state(i), self.link(i, End::State));
+        let reaches = self.reaches_state(i);
         let stalled = self.stalls.filter(|(n, _)| *n == i);
         let node = &mut self.nodes[i];
         let l = node.leader.as_mut().unwrap();
@@ -177,38 +198,48 @@
             }
             l.reread_done(&plan);
         }
-        if now < node.flush_at {
+        if let Some((at, plan, result)) = node.flushing.take() {
+            match now >= at {
+                true => self.flushed(i, plan, result),
+                false => node.flushing = Some((at, plan, result)),
+            }
             return;
         }
-        node.flush_at = now + 100;
-        let Some(plan) = l.plan_flush(12) else { return };
-        // No answer, and it may be applied yet.
-        let late = match (stalled, link) {
-            (Some((_, until)), _) => Some(until),
-            (None, Link::Hold) => Some(Ms::MAX),
-            _ => None,
-        };
-        if let Some(at) = late {
-            self.store.held.push((at, i, plan.txn.clone()));
-            node.unclear = Some((now + 1500, plan));
+        if now < node.flush_at {
             return;
         }
-        if !reaches {
-            l.reread_done(&plan);
+        node.flush_at = now + 100;
+        let room = self.room(i);
+        let l = self.nodes[i].leader.as_mut().unwrap();
+        let Some(plan) = (room >= 2).then(|| l.plan_flush(room)).flatten() else {
             return;
+        };
+        if let Some(budget) = self.budgets.get_mut(i) {
+            budget.force(now, plan.txn.writes.len() as f64);
         }
-        if let Some(delay) = self.store.late.pop() {
-            self.store.held.push((now + delay, i, plan.txn.clone()));
-            node.unclear = Some((now + 1500, plan));
-            return;
+        let result = self.transact(i, &plan.txn);
+        match self.rng.u64(0..=self.write_ms) {
+            _ if self.write_ms == 0 => self.flushed(i, plan, result),
+            later => self.nodes[i].flushing = Some((now + later, plan, result)),
         }
-        match self.store.apply(&plan.txn) {
-            Ok(revision) => l.flushed(&plan, revision),
-            Err(failed) if failed.iter().any(|k| k == LEADER) => self.resign(i, false),
-            Err(_) => {
+    }
+
+    /// What came of a leader's transaction.
+    fn flushed(&mut self, i: usize, plan: Plan, result: TxnResult) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let l = node.leader.as_mut().unwrap();
+        match result {
+            TxnResult::Done(revision) => l.flushed(&plan, revision),
+            TxnResult::Conflict(failed) if failed.iter().any(|k| k == LEADER) => {
+                self.resign(i, false);
+            }
+            TxnResult::Conflict(_) => {
                 l.in_doubt(&plan);
                 node.unclear = Some((now, plan));
             }
+            TxnResult::Unknown => node.unclear = Some((now + 1500, plan)),
+            TxnResult::Refused | TxnResult::Rejected => l.reread_done(&plan),
         }
     }
 
@@ -224,6 +255,8 @@
         }
         // What it began is of no concern to a later term of the same node.
         node.unclear = None;
+        node.notices = None;
+        node.flushing = None;
         node.record_open = None;
         if self.reaches_state(i) {
             self.store.end_lease(lead.lease);
@@ -324,6 +357,8 @@
             return;
         }
         let lease = self.store.grant(now, LIFE);
+        let incarnation = self.nodes[i].election.incarnation;
+        let value = serde_json::json!({"n": format!("n{i}"), "i": incarnation});
         let txn = Txn {
             guards: vec![
                 Guard {
@@ -337,16 +372,24 @@
             ],
             writes: vec![Write::Put {
                 key: LEADER.into(),
-                value: serde_json::json!({"n": format!("n{i}"), "i": 1}),
+                value: value.clone(),
                 lease: Some(lease),
             }],
         };
-        if let Some((_, until)) = stalled {
-            self.nodes[i].election.doubt = Some(lease);
-            self.store.held.push((until, i, txn));
-            return;
-        }
-        if let Ok(term) = self.store.apply(&txn) {
+        self.nodes[i].election.doubt = Some(lease);
+        let term = match self.transact(i, &txn) {
+            TxnResult::Done(term) => term,
+            // Read back at once.
+            TxnResult::Unknown if stalled.is_none() && self.reaches_state(i) => {
+                match self.store.kv.get(LEADER) {
+                    Some((v, r)) if *v == value => *r,
+                    _ => return,
+                }
+            }
+            TxnResult::Unknown => return,
+            _ => return self.nodes[i].election.doubt = None,
+        };
+        {
             self.terms += 1;
             let node = &mut self.nodes[i];
             node.election.won(term, lease, now);
--- a/tests/world/standbys.rs
+++ b/tests/world/standbys.rs
@@ -58,27 +58,30 @@
         }
         if let Some(txn) = l.keep_warm(|p| answers[p], now) {
             let late = match held {
-                Some(at) => Some(at),
-                None => self.store.late_record.pop().map(|delay| now + delay),
+                Some(_) => None,
+                None => self.store.late_record.pop(),
             };
-            if let Some(at) = late {
-                self.store.held.push((at, i, txn));
-                node.record_open = Some(now + 1500);
-            } else if !reaches {
-                l.standbys_written(Written::Refused, now);
-            } else {
-                match self.store.apply(&txn) {
-                    Ok(version) => l.standbys_written(Written::Done(version), now),
-                    Err(failed) if failed.iter().any(|k| k == LEADER) => {
-                        self.resign(i, false);
-                        return;
-                    }
-                    Err(_) => {
-                        let found = self.record_of_standbys();
-                        let l = self.nodes[i].leader.as_mut().unwrap();
-                        l.standbys_written(Written::Reread(found), now);
-                    }
+            let result = match late {
+                Some(delay) => {
+                    self.store.held.push((now + delay, i, txn));
+                    TxnResult::Unknown
+                }
+                None => self.transact(i, &txn),
+            };
+            let found = self.record_of_standbys();
+            let node = &mut self.nodes[i];
+            let l = node.leader.as_mut().unwrap();
+            match result {
+                TxnResult::Unknown => node.record_open = Some(now + 1500),
+                TxnResult::Refused | TxnResult::Rejected => {
+                    l.standbys_written(Written::Refused, now);
+                }
+                TxnResult::Done(version) => l.standbys_written(Written::Done(version), now),
+                TxnResult::Conflict(failed) if failed.iter().any(|k| k == LEADER) => {
+                    self.resign(i, false);
+                    return;
                 }
+                TxnResult::Conflict(_) => l.standbys_written(Written::Reread(found), now),
             }
         }
         for p in 0..answers.len() {
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -3,7 +3,7 @@
 use pathwinch::{
     bookkeeping::{
         Ms, pieces,
-        records::{JobRecord, StoredJob},
+        records::{JobRecord, NOTICES, StoredJob},
     },
     protocol::state::{Txn, Write},
 };
@@ -29,6 +29,15 @@
     /// Answers of the next transactions are lost, and they are applied so
     /// much later.
     pub late: Vec<Ms>,
+    /// Of a hundred transactions so many are carried out at once, and only
+    /// their answers are lost.
+    pub lost_answers: u32,
+    /// How many were, by what they wrote.
+    pub unanswered: BTreeMap<String, u32>,
+    /// Notices that were written, with the revisions.
+    pub notices: Vec<(u64, String)>,
+    /// Puts and deletes so far.
+    pub changes: u32,
     /// The same for writes of the record of standbys.
     pub late_record: Vec<Ms>,
     /// The same for bars, and for lifting them.
@@ -51,6 +60,10 @@
             leases: BTreeMap::new(),
             attached: BTreeMap::new(),
             late: Vec::new(),
+            lost_answers: 0,
+            unanswered: BTreeMap::new(),
+            notices: Vec::new(),
+            changes: 0,
             late_record: Vec::new(),
             late_bars: Vec::new(),
             held: Vec::new(),
@@ -84,6 +97,7 @@
             return Err(failed);
         }
         self.revision += 1;
+        self.changes += txn.writes.len() as u32;
         for w in &txn.writes {
             match w {
                 Write::Put { key, value, lease } => {
@@ -93,6 +107,9 @@
                     };
                     assert!(value.to_string().len() <= self.value, "value_kb: {key}");
                     self.kv.insert(key.clone(), (value.clone(), self.revision));
+                    if key.starts_with(NOTICES) {
+                        self.notices.push((self.revision, key.clone()));
+                    }
                 }
                 Write::Delete { key } => {
                     self.attached.remove(key);
@@ -103,6 +120,16 @@
         Ok(self.revision)
     }
 
+    /// What the watch answers that begins there; `None`: nothing has changed.
+    pub fn noticed(&self, from: u64) -> Option<Vec<u8>> {
+        let since = self.notices.iter().filter(|(r, _)| *r > from);
+        let log: Vec<Value> = since
+            .map(|(r, k)| serde_json::json!({"set": k, "data": true, "key_rev": r}))
+            .collect();
+        let body = serde_json::json!({"ledger_rev": self.revision, "log": log});
+        (!log.is_empty()).then(|| body.to_string().into_bytes())
+    }
+
     /// A job's record with its description.
     pub fn whole(&self, id: &str, value: Value) -> JobRecord {
         let stored: StoredJob = serde_json::from_value(value).unwrap();
--- /dev/null
+++ b/tests/world/users.rs
@@ -0,0 +1,640 @@
+//! Users, by the steps that the nodes take themselves: what is asked at once,
+//! what is under way for a drawn time, and the history of questions and
+//! answers.
+
+use super::*;
+use pathwinch::{
+    bookkeeping::budget::share::{self, Role},
+    coordination::answers::{Event, Found, Here, Looked, Next, Request, TxnResult, polled},
+};
+
+/// What a user asks.
+#[derive(Clone, Debug)]
+pub enum Ask {
+    Poll(String),
+    Submit(Box<JobSpec>),
+    /// Of this job, with a body that is not as it should be.
+    Odd(String, Vec<u8>),
+    Withdraw(String),
+}
+
+impl Ask {
+    pub fn submit(spec: &JobSpec) -> Ask {
+        Ask::Submit(Box::new(spec.clone()))
+    }
+
+    fn id(&self) -> &str {
+        match self {
+            Ask::Poll(id) | Ask::Withdraw(id) | Ask::Odd(id, _) => id,
+            Ask::Submit(spec) => &spec.id,
+        }
+    }
+
+    fn request(&self, forwarded: bool) -> Request {
+        match self {
+            Ask::Poll(id) => Request::poll(id),
+            Ask::Withdraw(id) => Request::withdraw(id, forwarded),
+            Ask::Odd(_, body) => Request::submit(body, forwarded),
+            Ask::Submit(spec) => Request::submit(&serde_json::to_vec(spec).unwrap(), forwarded),
+        }
+    }
+
+    /// How long its user waits.
+    fn patience(&self) -> Ms {
+        match self {
+            Ask::Poll(_) => 2_000,
+            _ => 5_000,
+        }
+    }
+}
+
+/// A question, when it was sent, and when its answer came.
+pub struct Asked {
+    pub ask: Ask,
+    pub node: usize,
+    pub sent: Ms,
+    pub answer: Option<(Ms, Answer)>,
+    order: u64,
+}
+
+/// What comes of a request in flight at its time.
+#[derive(Debug)]
+enum Comes {
+    /// Its user sends it.
+    Sent,
+    Event(Event),
+    AtLeader(usize),
+    ReadState,
+    Look(Vec<String>),
+    Write(Txn),
+    Passed(usize),
+    /// The answer, at the user or at the node that passed the request on.
+    Answer(Option<Answer>),
+}
+
+/// Who waits for the answer.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum For {
+    User(usize),
+    Flight(u64),
+    Nobody,
+}
+
+struct Flight {
+    serial: u64,
+    node: usize,
+    process: u64,
+    who: For,
+    ask: Ask,
+    request: Request,
+    due: Ms,
+    comes: Comes,
+}
+
+/// What any node has told of a job, by the order of all questions and answers.
+#[derive(Default)]
+struct Said {
+    accepted: Option<u64>,
+    over: Option<(u64, JobState)>,
+}
+
+#[derive(Default)]
+pub struct Desk {
+    flights: Vec<Flight>,
+    pub history: Vec<Asked>,
+    said: HashMap<String, Said>,
+    order: u64,
+    /// Answers that were older than one before them, to a question that had
+    /// been sent before that.
+    pub overtaken: u32,
+    /// Jobs that were submitted with bodies that can't be accepted.
+    pub unfit: BTreeSet<String>,
+    /// The longest way between two nodes, or to the state service and back.
+    pub way: Ms,
+}
+
+impl Desk {
+    fn next(&mut self) -> u64 {
+        self.order += 1;
+        self.order
+    }
+
+    pub fn forget_node(&mut self, i: usize) {
+        self.flights
+            .retain(|f| f.node != i || matches!(f.comes, Comes::Sent));
+    }
+
+    pub fn under_way(&self) -> usize {
+        self.flights.len()
+    }
+}
+
+impl World {
+    // ---- what nodes know and do ----
+
+    fn here<T>(&mut self, i: usize, now: Ms, f: impl FnOnce(&mut Here) -> T) -> T {
+        let types = if self.no_types { Vec::new() } else { types() };
+        let node = &mut self.nodes[i];
+        let term = node.election.authority(now);
+        f(&mut Here {
+            acts: term.is_some() && node.leader.as_ref().map(|l| l.term) == term,
+            leader: node.leader.as_mut(),
+            finals: &mut node.finals,
+            settings: &self.settings,
+            types: &types,
+            upgraded: !self.mixed,
+            now,
+            wall_ms: now,
+        })
+    }
+
+    fn look_up(&self, id: &str) -> Found {
+        let live = self.store.kv.get(&records::job_key(id));
+        let over = self.store.kv.get(&records::final_key(id));
+        match (live, over) {
+            (Some((v, r)), _) => Found::Live(Box::new(self.store.whole(id, v.clone())), *r),
+            (None, Some((v, _))) => Found::Final(serde_json::from_value(v.clone()).unwrap()),
+            (None, None) => Found::Nothing,
+        }
+    }
+
+    fn look(&self, i: usize, ids: &[String]) -> Looked {
+        let reaches = self.reaches_state(i);
+        let one = |id: &String| match reaches {
+            true => Ok(self.look_up(id)),
+            false => Err("status 503".to_owned()),
+        };
+        ids.iter().map(|id| (id.clone(), one(id))).collect()
+    }
+
+    fn read_state(&self, i: usize, id: &str) -> Result<Option<JobStatus>, String> {
+        if !self.reaches_state(i) {
+            return Err("status 503".into());
+        }
+        Ok(match self.look_up(id) {
+            Found::Live(record, _) => Some(record.status()),
+            Found::Final(r) => Some(JobStatus {
+                id: id.to_owned(),
+                state: r.state,
+                done: r.done,
+                running: 0,
+            }),
+            Found::Nothing => None,
+        })
+    }
+
+    /// Carries out a node's transaction, or holds it, or loses its answer, as
+    /// the troubles have it. What the node learns in the end.
+    pub(super) fn transact(&mut self, i: usize, txn: &Txn) -> TxnResult {
+        let stalled = self.stalls.filter(|(n, _)| *n == i);
+        let late = match (stalled, self.link(i, End::State)) {
+            (Some((_, until)), _) => Some(until),
+            (None, Link::Hold) => Some(Ms::MAX),
+            _ => None,
+        };
+        if let Some(at) = late {
+            self.store.held.push((at, i, txn.clone()));
+            return TxnResult::Unknown;
+        }
+        if !self.reaches_state(i) {
+            return TxnResult::Refused;
+        }
+        if self.store.lost_answers > 0 && self.rng.u32(..100) < self.store.lost_answers {
+            let kind = match &txn.writes[0] {
+                Write::Put { key, .. } | Write::Delete { key } => key.split('/').next(),
+            };
+            let kind = kind.unwrap_or_default().to_owned();
+            *self.store.unanswered.entry(kind).or_default() += 1;
+            let _ = self.store.apply(txn);
+            return TxnResult::Unknown;
+        }
+        if let Some(delay) = self.store.late.pop() {
+            self.store.held.push((self.now + delay, i, txn.clone()));
+            return TxnResult::Unknown;
+        }
+        match self.store.apply(txn) {
+            Ok(revision) => TxnResult::Done(revision),
+            Err(failed) => TxnResult::Conflict(failed),
+        }
+    }
+
+    /// The state service takes so many changes a second.
+    pub fn limit_changes(&mut self, rate: f64) {
+        self.change_rate = rate;
+        let budget = || Budget::new(rate * share::of_changes(Role::Leads, 3), 1.0);
+        self.budgets = self.nodes.iter().map(|_| budget()).collect();
+    }
+
+    fn has_budget(&mut self, i: usize, now: Ms, txn: &Txn) -> bool {
+        let budget = self.budgets.get_mut(i);
+        budget.is_none_or(|b| b.take(now, txn.writes.len() as f64, 0.0))
+    }
+
+    /// Changes that a leader's bookkeeping may make now.
+    pub(super) fn room(&mut self, i: usize) -> usize {
+        let (now, kept) = (self.now, share::kept_for_users(self.change_rate));
+        let level = self.budgets.get_mut(i).map(|b| b.level(now) - kept);
+        level.map_or(12, |l| l.max(0.0) as usize)
+    }
+
+    /// The leader that node `i` would ask, if it answers.
+    fn leader_for(&self, i: usize, now: Ms) -> Option<usize> {
+        let (name, _) = self.nodes[i].election.leader(now)?;
+        let l: usize = name[1..].parse().ok()?;
+        (l != i && self.reaches(l) && self.link(i, End::Node(l)) == Link::Up).then_some(l)
+    }
+
+    // ---- at once ----
+
+    /// Does all that the request asks for at this moment. `Err`: it waits.
+    fn through(
+        &mut self,
+        i: usize,
+        ask: &Ask,
+        request: &mut Request,
+    ) -> Result<Option<Answer>, ()> {
+        let now = self.now;
+        let mut event = Event::Begin;
+        loop {
+            event = match self.here(i, now, |here| request.step(event, here)) {
+                Next::Answer(answer) => return Ok(Some(answer)),
+                Next::NotLeading | Next::Over => return Ok(None),
+                Next::Wait(_) => return Err(()),
+                Next::AskLeader => Event::Told(self.leader_for(i, now).and_then(|l| {
+                    let ids = [ask.id().to_owned()];
+                    let known = self.here(l, now, |here| polled(here, &ids))?.pop()?;
+                    known.map(|k| status_of(&ids[0], k))
+                })),
+                Next::ReadState => Event::Read(self.read_state(i, ask.id())),
+                Next::Versions => Event::Versions(!self.mixed),
+                Next::Look(ids) => Event::Looked(self.look(i, &ids)),
+                Next::Write(txn, _) => Event::Wrote(self.transact(i, &txn)),
+                Next::Forward => {
+                    let leader = self.leader_for(i, now);
+                    let passed = leader.map(|l| self.through(l, ask, &mut ask.request(true)));
+                    Event::Forwarded(passed.transpose()?.flatten())
+                }
+            };
+        }
+    }
+
+    /// Asks a node and has the answer at once, if it need not be waited for.
+    pub fn at_once(&mut self, i: usize, ask: Ask) -> Option<Answer> {
+        if !self.reaches(i) {
+            return None;
+        }
+        let sent = self.desk.next();
+        let answer = self
+            .through(i, &ask, &mut ask.request(false))
+            .ok()
+            .flatten()?;
+        self.given(&ask, sent, &answer);
+        Some(answer)
+    }
+
+    // ---- in flight ----
+
+    /// A user sends it in so long; the answer comes, if one does, as time
+    /// passes.
+    pub fn ask(&mut self, after: Ms, i: usize, ask: Ask) -> usize {
+        if let Ask::Withdraw(id) = &ask {
+            self.cancelling.insert(id.clone());
+        }
+        if let Ask::Submit(spec) = &ask {
+            let known = self.specs.entry(spec.id.clone());
+            known.or_insert_with(|| (**spec).clone());
+        }
+        let sent = self.now + after;
+        self.desk.history.push(Asked {
+            ask: ask.clone(),
+            node: i,
+            sent,
+            answer: None,
+            order: 0,
+        });
+        let n = self.desk.history.len() - 1;
+        self.fly(i, ask, false, For::User(n), sent, Comes::Sent);
+        n
+    }
+
+    fn fly(&mut self, i: usize, ask: Ask, forwarded: bool, who: For, due: Ms, comes: Comes) {
+        let serial = self.desk.next();
+        self.desk.flights.push(Flight {
+            serial,
+            node: i,
+            process: self.nodes[i].election.incarnation,
+            who,
+            request: ask.request(forwarded),
+            ask,
+            due,
+            comes,
+        });
+    }
+
+    fn way(&mut self) -> Ms {
+        let most = self.desk.way;
+        1 + self.rng.u64(0..=most)
+    }
+
+    /// All that happens to requests until then.
+    pub(super) fn desk_time(&mut self) {
+        loop {
+            let flights = self.desk.flights.iter().enumerate();
+            let first = flights.min_by_key(|(_, f)| (f.due, f.serial));
+            let Some(at) = first.filter(|(_, f)| f.due <= self.now).map(|(at, _)| at) else {
+                return;
+            };
+            let flight = self.desk.flights.swap_remove(at);
+            self.goes_on(flight);
+        }
+    }
+
+    fn goes_on(&mut self, mut f: Flight) {
+        let (i, now) = (f.node, f.due);
+        if let (Comes::Sent, For::User(n)) = (&f.comes, f.who) {
+            self.desk.history[n].order = self.desk.next();
+            if !self.reaches(i) {
+                return;
+            }
+            f.process = self.nodes[i].election.incarnation;
+            f.due = now + self.way();
+            f.comes = Comes::Event(Event::Begin);
+            return self.desk.flights.push(f);
+        }
+        let node = &self.nodes[i];
+        if !node.alive || node.election.incarnation != f.process {
+            return;
+        }
+        // What comes to a node that stands still waits at its door.
+        if node.still_until > now && matches!(f.comes, Comes::Event(_)) {
+            f.due = node.still_until + self.rng.u64(0..20);
+            self.desk.flights.push(f);
+            return;
+        }
+        let slow = self.store.slow;
+        let (soon, next) = match std::mem::replace(&mut f.comes, Comes::Answer(None)) {
+            Comes::Event(event) => {
+                let next = self.here(i, now, |here| f.request.step(event, here));
+                self.asks_for(&mut f, next)
+            }
+            Comes::AtLeader(l) => {
+                let answers = self.reaches(l) && self.link(i, End::Node(l)) == Link::Up;
+                let ids = [f.ask.id().to_owned()];
+                let known = match answers {
+                    true => self.here(l, now, |here| polled(here, &ids)),
+                    false => None,
+                };
+                let known = known.and_then(|mut k| k.pop()?);
+                let told = known.map(|k| status_of(&ids[0], k));
+                let after = if answers { self.way() } else { 500 };
+                (after, Comes::Event(Event::Told(told)))
+            }
+            Comes::ReadState => {
+                let read = self.read_state(i, f.ask.id());
+                (self.way(), Comes::Event(Event::Read(read)))
+            }
+            Comes::Look(ids) => {
+                let looked = self.look(i, &ids);
+                (self.way(), Comes::Event(Event::Looked(looked)))
+            }
+            Comes::Write(txn) => {
+                let wrote = self.transact(i, &txn);
+                let after = match wrote {
+                    TxnResult::Unknown => 2_000,
+                    _ => self.way(),
+                };
+                (after, Comes::Event(Event::Wrote(wrote)))
+            }
+            Comes::Passed(l) => {
+                let there = self.reaches(l) && self.link(i, End::Node(l)) == Link::Up;
+                if there {
+                    let begin = Comes::Event(Event::Begin);
+                    self.fly(l, f.ask.clone(), true, For::Flight(f.serial), now, begin);
+                }
+                let after = if there { 800 } else { 0 };
+                (after, Comes::Event(Event::Forwarded(None)))
+            }
+            Comes::Sent => return,
+            Comes::Answer(answer) => return self.arrives(f, answer),
+        };
+        let reads = matches!(next, Comes::ReadState | Comes::Look(_) | Comes::Write(_));
+        f.due = now + soon + if reads { slow } else { 0 };
+        f.comes = next;
+        self.desk.flights.push(f);
+    }
+
+    /// What a step asks for, and when it is there.
+    fn asks_for(&mut self, f: &mut Flight, next: Next) -> (Ms, Comes) {
+        let way = self.way();
+        let leader = self.leader_for(f.node, f.due);
+        match next {
+            Next::Answer(answer) => {
+                if let Some(left) = f.request.left() {
+                    let serial = self.desk.next();
+                    self.desk.flights.push(Flight {
+                        serial,
+                        node: f.node,
+                        process: f.process,
+                        who: For::Nobody,
+                        ask: f.ask.clone(),
+                        request: left,
+                        due: f.due,
+                        comes: Comes::Event(Event::Begin),
+                    });
+                }
+                (way, Comes::Answer(Some(answer)))
+            }
+            Next::NotLeading | Next::Over => (way, Comes::Answer(None)),
+            Next::Wait(ms) => (ms, Comes::Event(Event::Waited)),
+            Next::AskLeader => match leader {
+                Some(l) => (way, Comes::AtLeader(l)),
+                None => (0, Comes::Event(Event::Told(None))),
+            },
+            Next::Forward => match leader {
+                Some(l) => (way, Comes::Passed(l)),
+                None => (0, Comes::Event(Event::Forwarded(None))),
+            },
+            Next::ReadState => (way, Comes::ReadState),
+            Next::Look(ids) => (way, Comes::Look(ids)),
+            Next::Versions => (way, Comes::Event(Event::Versions(!self.mixed))),
+            Next::Write(txn, _) => match self.has_budget(f.node, f.due, &txn) {
+                true => (way, Comes::Write(txn)),
+                false => (0, Comes::Event(Event::OverBudget)),
+            },
+        }
+    }
+
+    fn arrives(&mut self, f: Flight, answer: Option<Answer>) {
+        match f.who {
+            For::Nobody => {}
+            For::Flight(serial) => {
+                let asker = self.desk.flights.iter_mut().find(|o| o.serial == serial);
+                let waits =
+                    |o: &&mut Flight| matches!(o.comes, Comes::Event(Event::Forwarded(None)));
+                if let Some(asker) = asker.filter(waits) {
+                    asker.due = f.due;
+                    asker.comes = Comes::Event(Event::Forwarded(answer));
+                }
+            }
+            For::User(n) => {
+                let asked = &self.desk.history[n];
+                let late = f.due > asked.sent + asked.ask.patience();
+                let Some(answer) = answer.filter(|_| !late && self.reaches(f.node)) else {
+                    return;
+                };
+                let order = asked.order;
+                self.given(&f.ask, order, &answer);
+                self.desk.history[n].answer = Some((f.due, answer));
+            }
+        }
+    }
+
+    // ---- what was told ----
+
+    /// A user has this answer to a question sent then.
+    fn given(&mut self, ask: &Ask, sent: u64, answer: &Answer) {
+        let id = ask.id().to_owned();
+        match answer {
+            Answer::State(_, status) => {
+                if self.desk.unfit.contains(&id) {
+                    self.broken
+                        .push(format!("invented: {id} can't be accepted"));
+                }
+                self.submitted.entry(id.clone()).or_insert(self.now);
+                self.tell(&id, status.state, sent);
+            }
+            Answer::Refused(status, why) => {
+                // A submission that is refused was never known.
+                let known = self.desk.said.get(&id).and_then(|s| s.accepted);
+                match known.is_some_and(|at| at < sent) {
+                    true => self.broken.push(format!("forgotten: {id}: {status} {why}")),
+                    false => self.desk.overtaken += u32::from(known.is_some()),
+                }
+                if why.is_empty() || why.contains('\n') {
+                    self.broken
+                        .push(format!("{id}: {status} without a line of why"));
+                }
+            }
+            Answer::Later(_) => {}
+        }
+    }
+
+    /// A user was told so, as the answer to a question sent then. No answer
+    /// may be older than one that came before its question was sent.
+    fn tell(&mut self, id: &str, state: JobState, sent: u64) {
+        let order = self.desk.next();
+        let said = self.desk.said.entry(id.to_owned()).or_default();
+        said.accepted.get_or_insert(order);
+        let older = match said.over {
+            Some((_, over)) if state.is_final() && over != state => Some((true, over)),
+            Some((at, over)) if !state.is_final() => Some((at < sent, over)),
+            _ => None,
+        };
+        if state.is_final() {
+            said.over.get_or_insert((order, state));
+        }
+        match older {
+            Some((true, over)) => self
+                .broken
+                .push(format!("went_back: {id} {over:?} to {state:?}")),
+            Some((false, _)) => {
+                self.desk.overtaken += 1;
+                return;
+            }
+            None => {}
+        }
+        self.check_told(id, state);
+        if state == JobState::Done {
+            let spec = &self.specs[id];
+            let missing = (0..spec.tasks).any(|t| !self.finished.contains(&format!("{id}/{t}")));
+            if missing && spec.kind != Kind::Gang {
+                self.broken.push(format!("not_done: {id}"));
+            }
+        }
+        let now = self.now;
+        self.told
+            .entry(id.to_owned())
+            .and_modify(|t| t.0 = state)
+            .or_insert((state, now));
+        if state == JobState::Cancelled {
+            // The time of the first such answer counts.
+            self.told.entry(format!("{id}!")).or_insert((state, now));
+        }
+    }
+
+    /// Submits until accepted, as a user would.
+    pub fn submit(&mut self, spec: JobSpec) {
+        self.specs.insert(spec.id.clone(), spec.clone());
+        for _ in 0..600 {
+            if let Some(i) = self.leader()
+                && self.reaches_state(i)
+                && self.reaches(i)
+                && let Some(Answer::State(..)) = self.at_once(i, Ask::submit(&spec))
+            {
+                return;
+            }
+            self.step();
+        }
+        panic!("never accepted: {}", spec.id);
+    }
+
+    /// An earlier version accepted it, with bounds of its own.
+    pub fn accepted_before(&mut self, spec: JobSpec) {
+        let i = self.leader().expect("somebody leads");
+        let l = self.nodes[i].leader.as_mut().unwrap();
+        let (txn, record) = l.acceptance(&spec, None, self.now);
+        let version = self.store.apply(&txn).unwrap();
+        l.accepted(record, version, self.now);
+        self.submitted.insert(spec.id.clone(), self.now);
+        self.specs.insert(spec.id.clone(), spec);
+    }
+
+    /// Asks a node; `None`: it gave no answer.
+    pub fn poll(&mut self, i: usize, id: &str) -> Option<JobState> {
+        match self.at_once(i, Ask::Poll(id.to_owned()))? {
+            Answer::State(_, status) => Some(status.state),
+            Answer::Refused(..) => {
+                self.broken.push(format!("forgotten: {id}"));
+                None
+            }
+            Answer::Later(_) => None,
+        }
+    }
+
+    /// Withdraws until that is confirmed, as a user would.
+    pub fn cancel(&mut self, id: &str) {
+        self.cancelling.insert(id.to_owned());
+        for _ in 0..600 {
+            if let Some(i) = self.leader().filter(|i| self.reaches(*i))
+                && let Some(Answer::State(..)) = self.at_once(i, Ask::Withdraw(id.to_owned()))
+            {
+                return;
+            }
+            self.step();
+        }
+        self.until(0, &format!("{id} withdrawn"), |_| false);
+    }
+
+    /// A user asks to cancel the job, and waits for the answer.
+    pub fn asks_to_cancel(&mut self, id: &str) {
+        self.cancelling.insert(id.to_owned());
+        let leader = self.leader().expect("somebody leads");
+        self.nodes[leader].leader.as_mut().unwrap().cancel(id);
+    }
+
+    /// A user was told so, by whomever.
+    pub fn told_cancelled(&mut self, id: &str) {
+        self.cancelling.insert(id.to_owned());
+        let sent = self.desk.next();
+        self.tell(id, JobState::Cancelled, sent);
+    }
+}
+
+fn status_of(id: &str, (state, done, running): (JobState, u32, u32)) -> JobStatus {
+    JobStatus {
+        id: id.to_owned(),
+        state,
+        done,
+        running,
+    }
+}
