--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -38,6 +38,7 @@
     }
 }
 
+#[derive(Debug)]
 pub struct Answer {
     pub status: u16,
     /// The `Retry-After` header, if it is a number of seconds.
@@ -125,6 +126,21 @@
         path: &str,
         body: Option<Vec<u8>>,
         limit: Duration,
+    ) -> Result<Answer, CallError> {
+        self.call_if(addr, method, path, body, limit, || true).await
+    }
+
+    /// Looks whether it may still be sent once the connection is there: that
+    /// takes a time of its own, and the process may stand still meanwhile.
+    /// Nothing is waited for between that look and the first byte.
+    pub async fn call_if(
+        &self,
+        addr: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+        still: impl FnOnce() -> bool,
     ) -> Result<Answer, CallError> {
         let start = std::time::Instant::now();
         let stream = match self.pooled(addr) {
@@ -146,6 +162,10 @@
             request.insert_header("content-type", "application/json");
         }
         let left = limit.saturating_sub(start.elapsed());
+        if !still() {
+            self.idle.borrow_mut().keep(addr, stream);
+            return Err(CallError::NotSent("it may not be sent any more".into()));
+        }
         let exchange = async {
             let mut response = client::connect(stream.clone(), request).await?;
             let mut body = Vec::new();
@@ -181,23 +201,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_full_pool_closes_what_was_unused_for_longest_and_nothing_else() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let there = listener.local_addr().unwrap();
-        let client = Client::new(3);
-        let host = |n: u16| SocketAddr::from(([127, 0, 0, 1], n));
-        for n in 1..=4 {
-            let stream = Async::<TcpStream>::new(TcpStream::connect(there).unwrap()).unwrap();
-            let mut idle = client.idle.borrow_mut();
-            idle.keep(host(n), Stream(Arc::new(stream)));
-        }
-        let pooled: Vec<bool> = (1..=4).map(|n| client.pooled(host(n)).is_some()).collect();
-        assert_eq!(pooled, [false, true, true, true]);
-        assert_eq!(client.idle.borrow().kept, 0);
-        assert!(client.idle.borrow().hosts.is_empty());
-    }
-}
+mod tests;
--- a/src/bookkeeping/model/machine.rs
+++ b/src/bookkeeping/model/machine.rs
@@ -106,10 +106,9 @@
     pub unknown: bool,
     /// When a report was last answered with 200.
     pub answered: Ms,
-    /// The direct order with a start that is on its way: when it was sent, and
-    /// what was known of the machine then.
-    pub starting: Option<(Ms, (u64, u64))>,
-    /// When the last one without an answer can have reached it at the latest.
+    /// When the direct command with a start was sent that is on its way.
+    pub starting: Option<Ms>,
+    /// When the last one can have reached it at the latest.
     pub may_have_begun: Ms,
     pub heard: Ms,
     pub roster: Roster,
@@ -173,7 +172,7 @@
     /// from its own beginning, which may be as late as the moment at which it
     /// took a direct order; what was started by that runs until then.
     pub fn leased_since(&self) -> Ms {
-        let on_its_way = self.starting.map_or(0, |(sent, _)| sent + ORDER);
+        let on_its_way = self.starting.map_or(0, |sent| sent + ORDER);
         self.answered.max(self.may_have_begun).max(on_its_way)
     }
     /// It reports, but was not seen to receive anything for a while.
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -398,7 +398,7 @@
                 m.ordering = true;
                 let starts = |c: &Command| matches!(c, Command::Start { .. });
                 if commands.iter().any(starts) {
-                    m.starting = Some((now, (m.session, m.seq)));
+                    m.starting = Some(now);
                 }
                 out.push(Direct {
                     machine: m.name.clone(),
@@ -421,13 +421,12 @@
         let retry = millis(self.settings.cluster.workers.report_s) * 2;
         if let Some(m) = self.model.machine_mut(ix) {
             m.ordering = false;
-            if let Some((sent, known)) = m.starting.take() {
+            if let Some(sent) = m.starting.take() {
                 match &outcome {
-                    // The process that was known: its lease runs as answered.
-                    DirectOutcome::Executed(r) if (r.session, r.seq) > known => {
-                        m.may_have_begun = 0;
-                    }
-                    // One that has just begun.
+                    // Its count does not tell whether this process is the one
+                    // that was answered last: one that began anew since may
+                    // have counted further, and so may a new session that was
+                    // never answered.
                     DirectOutcome::Executed(_) => m.may_have_begun = now,
                     DirectOutcome::NoAnswer => m.may_have_begun = sent + ORDER,
                     DirectOutcome::Refused(_) | DirectOutcome::NotSent => {}
--- a/src/node/cloud.rs
+++ b/src/node/cloud.rs
@@ -4,6 +4,7 @@
 use crate::{
     coordination::leader::CloudOp,
     protocol::cloud::{MachineList, MachineNames, MachineType, MachineTypes},
+    transport::client::CallError,
 };
 use async_io::Timer;
 use http_types::Method;
@@ -51,8 +52,9 @@
         path: &str,
         body: Option<Vec<u8>>,
     ) -> Result<(u16, Vec<u8>), String> {
+        let still = || term.is_none() || self.election.borrow().authority(self.now()) == term;
         loop {
-            if term.is_some() && self.election.borrow().authority(self.now()) != term {
+            if !still() {
                 return Err(NOT_SENT.into());
             }
             let now = self.now();
@@ -64,10 +66,13 @@
         self.figures.borrow().cloud_requests.inc();
         let addr = self.settings.services.cloud;
         self.http
-            .call(addr, method, path, body, LIMIT)
+            .call_if(addr, method, path, body, LIMIT, still)
             .await
             .map(|a| (a.status, a.body))
-            .map_err(|e| e.to_string())
+            .map_err(|e| match e {
+                CallError::NotSent(_) if !still() => NOT_SENT.into(),
+                e => e.to_string(),
+            })
     }
 
     async fn fetch_types(&self) -> Result<Vec<MachineType>, String> {
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -96,10 +96,11 @@
         let limit = Duration::from_millis(ORDER);
         // Decided with authority, but that may have ended since. Past this
         // point the token's order makes a late order harmless.
-        let result = match self.acting(|l, _| l.term) == Some(term) {
+        let still = || self.acting(|l, _| l.term) == Some(term);
+        let result = match still() {
             true => {
                 self.http
-                    .call(d.addr, Method::Post, "/do", Some(body), limit)
+                    .call_if(d.addr, Method::Post, "/do", Some(body), limit, still)
                     .await
             }
             false => Err(CallError::NotSent("authority has ended".into())),
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -228,14 +228,6 @@
     }
 }
 
-/// When the last task of the job that still runs will end.
-fn last_end(w: &World, id: &str) -> Option<u64> {
-    let prefix = format!("{id}/");
-    let tasks = w.workers.iter().flat_map(|m| &m.tasks);
-    let of = tasks.filter(|t| t.name.starts_with(&prefix) && t.until > w.now);
-    of.map(|t| t.until).max()
-}
-
 /// A withdrawal, polls and repeated submissions meet the end of the last task,
 /// with no other trouble. Guards against an end that is told and then undone,
 /// either way, and against dependents that go with a job which was done.
@@ -251,9 +243,9 @@
         after.needs = vec![id(1)];
         w.submit(after);
         w.until(20_000, "near its end", |w| {
-            w.running(&id(1)) > 0 && last_end(w, &id(1)).is_some_and(|at| at < w.now + 150)
+            w.running(&id(1)) > 0 && w.last_end(&id(1)).is_some_and(|at| at < w.now + 150)
         });
-        let by = last_end(&w, &id(1)).unwrap() - w.now;
+        let by = w.last_end(&id(1)).unwrap() - w.now;
         let asked = w.rng.u64(by.saturating_sub(60)..by + 250);
         let node = w.rng.usize(..3);
         let ticket = w.ask(asked, node, Ask::Withdraw(id(1)));
@@ -365,7 +357,7 @@
         }
         let nodes: Vec<usize> = (0..3).filter(|i| w.nodes[*i].alive).collect();
         for (field, body, status) in odd_bodies(7) {
-            w.desk.unfit.insert(id(7));
+            w.unfit(&id(7));
             for &i in &nodes {
                 match w.at_once(i, Ask::Odd(id(7), body.clone())) {
                     Some(Answer::Refused(s, why)) => {
--- /dev/null
+++ b/tests/handovers.rs
@@ -0,0 +1,563 @@
+//! What falls into the seconds in which one controller's work changes hands:
+//! limits, withdrawals, old reports, machines that can't be asked, new ones.
+
+mod world;
+
+use pathwinch::{
+    coordination::answers::Answer,
+    protocol::users::{JobState, Kind, Priority},
+};
+use world::{Ask, CANCEL, Cut, LEASE, Net, Side, World, job};
+
+fn id(n: u32) -> String {
+    format!("j-{n:06}")
+}
+
+/// Both teams at their limits, with more of each waiting: `t` runs four tasks
+/// and `u` two, on four machines with room for eight.
+fn at_limits(seed: u64, nodes: usize, standbys: bool) -> World {
+    let mut w = World::sized(seed, 4, 0.0, nodes).limited(&[("t", 16.0), ("u", 8.0)]);
+    (w.run_ms, w.desk.way, w.standbys) = (600_000, 20, standbys);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    for n in 1..=10 {
+        let mut j = job(n, Kind::Array, 2);
+        if n > 5 {
+            j.team = "u".into();
+        }
+        w.submit(j);
+    }
+    w.until(20_000, "at the limits", |w| w.running("j-") == 6);
+    w.run(3_000);
+    w
+}
+
+/// Jobs that run, with the machine of a task of each.
+fn running_on(w: &World) -> Vec<(usize, String)> {
+    let on = w.workers.iter().enumerate();
+    let on = on.flat_map(|(m, worker)| worker.tasks.iter().map(move |t| (m, &t.name[..8])));
+    on.map(|(m, id)| (m, id.to_owned())).collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    OnPurpose,
+    Ends,
+    EndsAndIsBack,
+    Refused,
+    StandsStill,
+}
+use Change::*;
+
+const CHANGES: [Change; 5] = [OnPurpose, Ends, EndsAndIsBack, Refused, StandsStill];
+
+fn change(w: &mut World, how: Change) {
+    let Some(leader) = w.leader() else { return };
+    match how {
+        OnPurpose => w.hand_over(leader),
+        Ends => w.crash(leader, 20_000),
+        EndsAndIsBack => w.crash(leader, 100),
+        Refused => {
+            w.store.refuses.insert(leader);
+        }
+        StandsStill => w.stand_still(leader, 8_000),
+    }
+}
+
+/// Every team is at its limit while jobs are withdrawn whose machines are cut
+/// off, hang, hear nothing or can't be heard, and the leader changes in that
+/// spell. Guards against use that counts as free because its job is over in
+/// the records, and against claims that never end.
+#[test]
+fn limits_hold_while_jobs_are_withdrawn_on_machines_that_cannot_be_asked() {
+    let (mut withdrawn, mut unasked) = (0, 0);
+    let ways = [Net::Hold, Net::Lose, Net::Deaf, Net::Mute, Net::Up];
+    for (k, how) in (0..50u64).map(|k| (k, CHANGES[(k / 5) as usize % 5])) {
+        let mut w = at_limits(1_000 + k, [3, 7][(k % 2) as usize], k % 3 != 0);
+        let victims = running_on(&w);
+        let silent = [victims[0].0, victims[victims.len() - 1].0];
+        for m in silent {
+            match ways[(k % 5) as usize] {
+                Net::Up => w.hang(m, 14_000),
+                net => w.workers[m].net = net,
+            }
+        }
+        let before = w.rng.u64(0..3_000);
+        w.run(before);
+        for (m, id) in &victims {
+            if silent.contains(m) {
+                let i = w.rng.usize(..w.nodes.len());
+                w.ask(0, i, Ask::Withdraw(id.clone()));
+            }
+        }
+        // Before that is recorded, or after.
+        let between = w.rng.u64(0..400);
+        w.run(between);
+        unasked += silent
+            .iter()
+            .filter(|m| !w.workers[**m].tasks.is_empty())
+            .count();
+        change(&mut w, how);
+        w.run(CANCEL + 10_000);
+        let told = |n: &u32| {
+            w.told
+                .get(&id(*n))
+                .is_some_and(|t| t.0 == JobState::Cancelled)
+        };
+        withdrawn += (1..=10).filter(told).count();
+        w.store.refuses.clear();
+        silent.into_iter().for_each(|m| w.heal(m));
+        (w.calm, w.run_ms) = (true, 3_000);
+        for n in 1..=10 {
+            w.until(240_000, &format!("{k} {how:?}: {n}"), |w| {
+                let ended = w.done(&id(n));
+                if !ended {
+                    for worker in &mut w.workers {
+                        let long = w.now + 3_000;
+                        worker
+                            .tasks
+                            .iter_mut()
+                            .for_each(|t| t.until = t.until.min(long));
+                    }
+                }
+                ended
+            });
+        }
+        assert!(w.broken.is_empty(), "{k} {how:?}: {:?}", w.broken);
+    }
+    // The meeting: tasks stood on machines that could not be asked, and users
+    // were told that their jobs are withdrawn.
+    assert!(unasked >= 90 && withdrawn >= 50, "{unasked}, {withdrawn}");
+}
+
+/// Withdrawals in the seconds before, within and after a change, asked at all
+/// nodes. Guards against one that is confirmed and lost on the way from one
+/// leader to the next, and against its tasks running on.
+#[test]
+fn a_withdrawal_falls_anywhere_into_a_change_of_leader() {
+    let (mut met, mut late) = ([0; 5], 0);
+    for seed in 0..60u64 {
+        let nodes = [3, 7][(seed % 2) as usize];
+        let mut w = World::sized(2_000 + seed, 6, 0.0, nodes);
+        (w.run_ms, w.desk.way, w.write_ms) = (600_000, 30, 150);
+        w.store.slow = [0, 300][(seed / 3 % 2) as usize];
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        for n in 1..=6 {
+            w.submit(job(
+                n,
+                [Kind::Array, Kind::Gang, Kind::Service][n as usize % 3],
+                2,
+            ));
+        }
+        w.until(20_000, "running", |w| w.running("j-") == 12);
+        w.run(3_000);
+        let asked: Vec<usize> = (1..=6)
+            .flat_map(|n| {
+                let (at, i) = (w.rng.u64(0..9_000), w.rng.usize(..nodes));
+                [
+                    w.ask(at, i, Ask::Withdraw(id(n))),
+                    w.ask(at + 700, (i + 1) % nodes, Ask::Withdraw(id(n))),
+                ]
+            })
+            .collect();
+        for n in 1..=6 {
+            for at in 0..60 {
+                let i = w.rng.usize(..nodes);
+                w.ask(at * 200, i, Ask::Poll(id(n)));
+            }
+        }
+        w.run(2_500);
+        let how = CHANGES[seed as usize % 5];
+        change(&mut w, how);
+        w.run(11_000);
+        w.store.refuses.clear();
+        w.store.slow = 0;
+        let given = |n: &usize| w.desk.history[*n].answer.as_ref();
+        let confirmed = |n: &&usize| matches!(given(n), Some((_, Answer::State(..))));
+        met[seed as usize % 5] += asked.iter().filter(confirmed).count();
+        late += w.started_after;
+        w.run(CANCEL);
+        for n in 1..=6 {
+            if w.told.contains_key(&format!("{}!", id(n))) {
+                assert_eq!(w.running(&id(n)), 0, "seed {seed} {how:?}");
+                w.until(20_000, "over", |w| w.done(&id(n)));
+            }
+        }
+        assert!(w.broken.is_empty(), "seed {seed} {how:?}: {:?}", w.broken);
+    }
+    assert!(met.iter().all(|m| *m > 10), "{met:?}");
+    assert_eq!(late, 0, "starts after a confirmed withdrawal");
+}
+
+/// At the very moment at which the state service refuses the leader alone jobs
+/// are withdrawn, at it and at the others, and a second later it is out for
+/// longer than `cancel_s`.
+#[test]
+fn what_is_withdrawn_as_the_leader_is_refused_stops_though_the_outage_is_long() {
+    let mut told = 0;
+    for seed in 0..30u64 {
+        let nodes = [3, 7][(seed % 2) as usize];
+        let mut w = World::sized(3_000 + seed, 4, 0.0, nodes);
+        (w.run_ms, w.desk.way, w.write_ms) = (600_000, 30, 100);
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        for n in 1..=4 {
+            w.submit(job(n, Kind::Array, 2));
+        }
+        w.until(20_000, "running", |w| w.running("j-") == 8);
+        w.run(3_000);
+        let leader = w.leader().unwrap();
+        for n in 1..=4 {
+            for i in 0..nodes {
+                let at = w.rng.u64(0..1_500);
+                w.ask(at, i, Ask::Withdraw(id(n)));
+            }
+        }
+        w.store.refuses.insert(leader);
+        w.run([300, 1_000, 1_000, 2_500][seed as usize % 4]);
+        w.store.down = true;
+        if seed % 3 == 0 {
+            // Whoever might follow ends, and is back with no memory.
+            (0..nodes)
+                .filter(|i| *i != leader)
+                .for_each(|i| w.crash(i, 150));
+        }
+        w.run(CANCEL + 15_000);
+        let confirmed = (1..=4).filter(|n| w.told.contains_key(&format!("{}!", id(*n))));
+        told += confirmed.count();
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+        w.store.down = false;
+        w.store.refuses.clear();
+        w.until(30_000, "a leader again", |w| w.leader().is_some());
+        (w.calm, w.run_ms) = (true, 3_000);
+        w.run(60_000);
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+    assert!(told > 30, "{told}");
+}
+
+/// All controllers are away for longer than a lease; and leaders change ten
+/// times in two minutes, also inside an outage, and hand over and back within
+/// a second. Guards against tasks that are started beside what still runs, and
+/// against jobs that nobody takes up again.
+#[test]
+fn ten_leaders_in_two_minutes_and_none_at_all() {
+    for seed in 0..16u64 {
+        let nodes = [3, 7][(seed % 2) as usize];
+        let mut w = World::sized(4_000 + seed, 5, 0.0, nodes);
+        (w.run_ms, w.desk.way, w.write_ms) = (25_000, 20, 100);
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        for n in 1..=5 {
+            w.submit(job(
+                n,
+                [Kind::Array, Kind::Service][n as usize % 2],
+                2 + n % 3,
+            ));
+        }
+        w.run(8_000);
+        let terms = w.terms;
+        if seed % 4 == 3 {
+            let away = w.rng.u64(LEASE + 1_000..3 * LEASE);
+            (0..nodes).for_each(|i| w.crash(i, away));
+            w.run(away + 1_000);
+            assert!(w.lapsed > 0, "the meeting: leases ran out");
+        } else {
+            for k in 0..12 {
+                // Inside an outage too.
+                w.store.down = seed % 4 == 2 && (4..7).contains(&k);
+                match (seed % 4 == 1, w.leader()) {
+                    (true, Some(i)) => w.hand_over(i),
+                    (false, Some(i)) => w.crash(i, [100, 700, 6_000][k % 3]),
+                    (_, None) => {}
+                }
+                let step = if seed % 4 == 1 { 1_000 } else { 10_000 };
+                w.run(step);
+            }
+            w.store.down = false;
+            w.run(8_000);
+            let least = if seed % 4 == 2 { 6 } else { 10 };
+            assert!(w.terms >= terms + least, "{} terms", w.terms - terms);
+        }
+        w.until(40_000, "a leader", |w| w.leader().is_some());
+        (w.calm, w.run_ms) = (true, 3_000);
+        for n in [2, 4] {
+            w.until(120_000, &format!("seed {seed}: {n}"), |w| w.done(&id(n)));
+        }
+        w.until(60_000, "the services serve", |w| w.running(&id(1)) == 3);
+        for n in 1..=5 {
+            for i in 0..nodes {
+                assert!(w.poll(i, &id(n)).is_some(), "seed {seed}: {n} at {i}");
+            }
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+}
+
+/// Old reports reach every controller just as a new leader begins, and again
+/// after it has acted: from before tasks ended, from earlier sessions, and
+/// from before a machine began anew. Guards against taking them for news.
+#[test]
+fn old_reports_that_reach_every_controller_with_a_new_leader_say_nothing() {
+    let mut copied = 0;
+    for seed in 0..40u64 {
+        let nodes = [3, 7][(seed % 2) as usize];
+        let mut w = World::sized(5_000 + seed, 5, 0.0, nodes);
+        (w.run_ms, w.standbys, w.keep_copies) = (4_000, seed % 3 != 0, true);
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        let mut n = 0;
+        for k in 0..5u64 {
+            for _ in 0..3 {
+                n += 1;
+                w.submit(job(
+                    n,
+                    [Kind::Array, Kind::Service][(n % 2) as usize],
+                    1 + n % 3,
+                ));
+                w.run(1_500);
+            }
+            let m = w.rng.usize(..5);
+            match (seed + k) % 4 {
+                0 => w.restart_machine(m),
+                1 => w.workers[m].net = Net::Lose,
+                2 => w.hang(m, LEASE + 2_000),
+                _ => {}
+            }
+            w.cancel(&id(n));
+            let ms = w.rng.u64(0..LEASE + 4_000);
+            w.run(ms);
+            change(&mut w, CHANGES[(seed + k) as usize % 5]);
+            w.run(6_000);
+            w.heal(m);
+            w.store.refuses.clear();
+            w.run(8_000);
+        }
+        w.keep_copies = false;
+        w.until(30_000, "a leader", |w| w.leader().is_some());
+        copied += w.copied;
+        w.calm = true;
+        for n in 1..=n {
+            if w.specs[&id(n)].kind == Kind::Service {
+                w.cancel(&id(n));
+            }
+            w.until(120_000, &format!("seed {seed}: {n}"), |w| w.done(&id(n)));
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+    assert!(copied > 500, "{copied}");
+}
+
+/// New machines are up within two seconds and get work at once, while writes
+/// are late or have no answer, and the leader ends. Guards against a machine
+/// that runs something and stands in no roster that the next leader reads.
+#[test]
+fn machines_that_are_up_at_once_are_known_to_whoever_leads_next() {
+    let (mut started, mut lost) = (0, 0);
+    for seed in 0..40u64 {
+        let nodes = [3, 7][(seed % 2) as usize];
+        let mut w = World::sized(6_000 + seed, 1, 0.0, nodes);
+        (w.rents, w.boot_ms, w.run_ms, w.fetch_ms) = (true, 1_000, 60_000, 100);
+        w.standbys = seed % 3 != 0;
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        for n in 1..=6 {
+            w.submit(job(n, Kind::Array, 3));
+        }
+        match seed % 2 {
+            0 => w.store.late = (0..8).map(|k| 2_000 + k * 1_100).collect(),
+            _ => w.store.lost_answers = 60,
+        }
+        let some = w.rng.u64(2_500..7_000);
+        w.run(some);
+        started += w.story.len();
+        let leader = w.leader().unwrap_or(0);
+        w.crash(leader, [100, 20_000][(seed / 2 % 2) as usize]);
+        // Some of the new ones can't be asked.
+        let new = w.workers.len();
+        for m in (1..new).filter(|m| m % 3 != 0) {
+            w.workers[m].net = [Net::Hold, Net::Mute, Net::Lose][(seed % 3) as usize];
+            lost += 1;
+        }
+        w.run(12_000);
+        w.store.late.clear();
+        w.store.lost_answers = 0;
+        w.run(LEASE + 8_000);
+        (0..w.workers.len()).for_each(|m| w.heal(m));
+        w.until(30_000, "a leader", |w| w.leader().is_some());
+        (w.calm, w.run_ms) = (true, 3_000);
+        for n in 1..=6 {
+            w.until(200_000, &format!("seed {seed}: {n}"), |w| w.done(&id(n)));
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+    assert!(
+        started > 40 && lost > 40,
+        "{started} starts, {lost} cut off"
+    );
+}
+
+/// Machines that no controller hears, though direct commands reach them.
+/// Guards against a machine that is taken for usable because it answers
+/// commands: its lease ends every ten seconds, with all that was begun there.
+#[test]
+fn a_machine_that_no_controller_hears_gets_nothing_new_and_is_not_given_up_early() {
+    for (seed, how) in (0..20u64).map(|s| (s, CHANGES[s as usize % 5])) {
+        let mut w = World::sized(7_000 + seed, 4, 0.0, 3);
+        w.run_ms = 600_000;
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        w.submit(job(1, Kind::Service, 4));
+        w.until(20_000, "serving", |w| w.running(&id(1)) == 4);
+        w.run(3_000);
+        let m = running_on(&w)[0].0;
+        w.workers[m].net = Net::Mute;
+        let (muted, starts) = (w.now, w.story.len());
+        if seed % 4 > 0 {
+            w.run(2_000);
+            change(&mut w, how);
+        }
+        w.until(LEASE + 16_000, "all elsewhere", |w| {
+            w.workers[m].session > 1 && w.running(&id(1)) == 4
+        });
+        let again = |s: &(u64, usize, String)| s.1 == m && s.0 > muted + LEASE;
+        assert!(
+            !w.story[starts..].iter().any(again),
+            "begun there once more"
+        );
+        w.store.refuses.clear();
+        w.run(10_000);
+        assert!(
+            !w.story[starts..].iter().any(again),
+            "begun there once more"
+        );
+        w.heal(m);
+        (w.calm, w.run_ms) = (true, 3_000);
+        w.submit(job(2, Kind::Array, 4));
+        w.until(90_000, "of use again", |w| w.done(&id(2)));
+        assert!(w.broken.is_empty(), "seed {seed} {how:?}: {:?}", w.broken);
+    }
+}
+
+/// A zone with workers and a controller is cut off for longer than a lease,
+/// the leader inside and outside; jobs are bound to it, arrays among them.
+#[test]
+fn a_zone_that_is_cut_off_with_its_controller_disturbs_nothing_for_good() {
+    let mut led_inside = 0;
+    for seed in 0..24u64 {
+        let nodes = [3, 7][(seed % 2) as usize];
+        let mut w = World::sized(8_000 + seed, 6, 0.0, nodes);
+        (w.run_ms, w.desk.way, w.rents) = (20_000, 20, true);
+        let inside = [0, nodes - 1][(seed / 2 % 2) as usize];
+        w.in_b.insert(inside);
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        let mut bound = job(1, Kind::Array, 6);
+        bound.zone = Some("b".into());
+        w.submit(bound);
+        let mut spread = job(2, Kind::Service, 3);
+        spread.spread = true;
+        w.submit(spread);
+        let mut gang = job(3, Kind::Gang, 3);
+        gang.one_zone = true;
+        w.submit(gang);
+        w.run(8_000);
+        led_inside += u32::from(w.leader() == Some(inside));
+        let zone: Vec<usize> = (0..6).filter(|m| w.workers[*m].zone == "b").collect();
+        w.cut(inside, Side::State, Cut::Hold);
+        (0..nodes)
+            .filter(|i| *i != inside)
+            .for_each(|i| w.cut(inside, Side::Node(i), Cut::Hold));
+        // Its workers reach it, and it alone.
+        (0..nodes)
+            .filter(|i| *i != inside)
+            .for_each(|i| w.cut_worker_off(i, &zone));
+        let ms = w.rng.u64(LEASE + 2_000..3 * LEASE);
+        w.run(ms);
+        if seed % 3 == 0 {
+            zone.iter().for_each(|m| w.die(*m));
+        }
+        (0..nodes).for_each(|i| w.join(i));
+        w.until(40_000, "a leader", |w| w.leader().is_some());
+        (w.calm, w.run_ms) = (true, 3_000);
+        w.until(60_000, "serves", |w| w.running(&id(2)) == 3);
+        for n in [1, 3] {
+            w.until(120_000, &format!("seed {seed}: {n}"), |w| w.done(&id(n)));
+        }
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+    assert!((4..20).contains(&led_inside), "{led_inside}");
+}
+
+/// More work than room, urgent and not, over slow links, with commands held
+/// for seconds: each class gets its share, and nobody is forgotten.
+#[test]
+fn more_work_than_room_over_slow_links_starves_nobody() {
+    for seed in 0..6u64 {
+        let mut w = World::sized(9_000 + seed, 5, 0.0, 3);
+        (w.run_ms, w.desk.way) = (4_000, 20);
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        for m in 0..5 {
+            let ms = w.rng.u64(100..1_800);
+            w.slow_links.insert(m, ms);
+            if m % 2 == 0 {
+                w.slow_do.insert(m, ms * 2);
+            }
+        }
+        let mut n = 0;
+        for k in 0..40 {
+            n += 1;
+            let mut j = job(n, [Kind::Array, Kind::Gang][k % 2], 1 + n % 4);
+            j.priority = [Priority::Normal, Priority::High, Priority::Low][k % 3];
+            j.class = format!("c{}", k % 3);
+            w.submit(j);
+            w.run(800);
+        }
+        let begun = w.now;
+        w.calm = true;
+        for m in 1..=n {
+            w.until(240_000, &format!("seed {seed}: {m}"), |w| w.done(&id(m)));
+        }
+        assert!(w.now < begun + 240_000, "seed {seed}");
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+}
+
+/// A machine is back at once, reports to nodes that cannot answer it, and so
+/// counts on past what the leader knows; then direct commands reach it, and it
+/// is given work. Its lease runs from its own beginning, after the last answer
+/// that the leader gave. Guards against taking its count for a sign that it is
+/// the process which was answered (one drawn day in some 4,500 showed it).
+#[test]
+fn a_machine_back_at_once_that_counts_past_what_was_known_keeps_its_own_lease() {
+    let mut met = 0;
+    for seed in 0..40u64 {
+        let mut w = World::sized(9_500 + seed, 4, 0.0, 3);
+        (w.run_ms, w.standbys) = (600_000, false);
+        w.until(10_000, "a leader", |w| w.leader().is_some());
+        for n in 1..=8 {
+            w.submit(job(n, Kind::Array, 1));
+        }
+        w.until(10_000, "all full", |w| w.running("j-") == 8);
+        w.run(3_000);
+        let leader = w.leader().unwrap();
+        (0..3).for_each(|j| w.cut(leader, Side::Node(j), Cut::Hold));
+        let on = running_on(&w);
+        let (m, first) = on[0].clone();
+        let elsewhere = on.iter().find(|(o, _)| *o != m).unwrap().1.clone();
+        // The others see that it does not answer them, and name nobody.
+        w.run(1_600);
+        w.restart_machine(m);
+        let some = w.rng.u64(5_500..9_000);
+        w.run(some);
+        let before = w.story.len();
+        // What comes of it shows that all is gone there, and one starts anew.
+        w.cancel(&first);
+        w.run(400);
+        // Now there is room elsewhere too.
+        w.cancel(&elsewhere);
+        w.run(6_000);
+        met += u32::from(w.story[before..].iter().any(|s| s.1 == m));
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+        (0..3).for_each(|i| w.join(i));
+        w.run(10_000);
+        assert!(w.broken.is_empty(), "seed {seed}: {:?}", w.broken);
+    }
+    assert!(
+        met >= 20,
+        "it was given work in the life that the leader did not know"
+    );
+}
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -10,7 +10,7 @@
         users::{JobState, Kind},
     },
 };
-use world::{CANCEL, Cut, LEASE, Net, Side, World, job};
+use world::{Ask, CANCEL, Cut, LEASE, Net, Side, World, job};
 
 fn id(n: u32) -> String {
     format!("j-{n:06}")
@@ -465,10 +465,20 @@
     LateOrders,
     StandsStill,
     MachinesBackAtOnce,
+    Mute,
+    CopiesForNext,
+    LostAnswers,
+    MachinesHang,
+    CalledOffAtOnce,
+    CalledOffAtEnd,
+    CloseLooks,
+    OddRequests,
+    SlowLinks,
+    NewMachines,
 }
 use Trouble::*;
 
-const TROUBLES: [Trouble; 18] = [
+const TROUBLES: [Trouble; 28] = [
     RefusedAlone,
     Outage,
     LongOutage,
@@ -487,8 +497,26 @@
     LateOrders,
     StandsStill,
     MachinesBackAtOnce,
+    Mute,
+    CopiesForNext,
+    LostAnswers,
+    MachinesHang,
+    CalledOffAtOnce,
+    CalledOffAtEnd,
+    CloseLooks,
+    OddRequests,
+    SlowLinks,
+    NewMachines,
 ];
 
+/// What users do beside the rest, as a day has it.
+#[derive(Default)]
+struct Habits {
+    look: bool,
+    odd: bool,
+    call_off_ends: bool,
+}
+
 fn pair(n: usize) -> (Trouble, Trouble) {
     let all = TROUBLES.len();
     let pairs = (0..all).flat_map(|a| (a + 1..all).map(move |b| (a, b)));
@@ -498,7 +526,7 @@
 
 const PAIRS: usize = TROUBLES.len() * (TROUBLES.len() - 1) / 2;
 
-fn bring(w: &mut World, trouble: Trouble) {
+fn bring(w: &mut World, habits: &mut Habits, trouble: Trouble) {
     let nodes = w.nodes.len();
     let now = w.now;
     let lead = (0..nodes).find(|i| w.nodes[*i].election.authority(now).is_some());
@@ -548,10 +576,53 @@
             w.stand_still(i, ms);
         }
         MachinesBackAtOnce => some.iter().for_each(|m| w.restart_machine(*m)),
+        Mute => some.iter().for_each(|m| w.workers[*m].net = Net::Mute),
+        CopiesForNext => w.keep_copies = true,
+        LostAnswers => w.store.lost_answers = 40,
+        MachinesHang => some.iter().for_each(|m| {
+            let ms = w.rng.u64(1_000..20_000);
+            w.hang(*m, ms);
+        }),
+        CalledOffAtOnce => called_off(w, 6, 3),
+        CalledOffAtEnd => habits.call_off_ends = true,
+        CloseLooks => habits.look = true,
+        OddRequests => habits.odd = true,
+        SlowLinks => some.iter().for_each(|m| {
+            let ms = w.rng.u64(100..1_500);
+            w.slow_links.insert(*m, ms);
+        }),
+        NewMachines => {
+            w.boot_ms = 1_000;
+            some.iter().for_each(|m| w.die(*m));
+        }
     }
 }
 
-fn heal_all(w: &mut World) {
+/// Users call off so many jobs that run, within a fifth of a second, and some
+/// of their machines hang.
+fn called_off(w: &mut World, most: usize, hang: usize) {
+    let on = w.workers.iter().enumerate();
+    let on = on.flat_map(|(m, worker)| worker.tasks.iter().map(move |t| (m, &t.name[..8])));
+    let mut running: Vec<(usize, String)> = on.map(|(m, id)| (m, id.to_owned())).collect();
+    running.dedup_by(|a, b| a.1 == b.1);
+    w.rng.shuffle(&mut running);
+    for (n, (m, id)) in running.into_iter().take(most).enumerate() {
+        let (after, i) = (w.rng.u64(0..200), w.rng.usize(..w.nodes.len()));
+        w.ask(after, i, Ask::Withdraw(id));
+        if n < hang {
+            let ms = w.rng.u64(2_000..15_000);
+            w.hang(m, ms);
+        }
+    }
+}
+
+fn heal_all(w: &mut World, habits: &mut Habits) {
+    *habits = Habits::default();
+    w.keep_copies = false;
+    w.store.lost_answers = 0;
+    w.slow_links.clear();
+    w.boot_ms = 5_000;
+    (0..w.workers.len()).for_each(|m| w.wake(m));
     w.store.down = false;
     w.store.slow = 0;
     w.store.refuses.clear();
@@ -564,9 +635,10 @@
 }
 
 /// Users ask about some jobs at some nodes, each second.
-fn asked(w: &mut World, ms: u64, last: u32) {
+fn asked(w: &mut World, habits: &Habits, ms: u64, last: u32) {
     let end = w.now + ms;
     while w.now < end {
+        in_flight(w, habits, last);
         w.run(1_000.min(end - w.now));
         for _ in 0..6 {
             let (i, n) = (w.rng.usize(..w.nodes.len()), w.rng.u32(1..=last));
@@ -575,13 +647,63 @@
     }
 }
 
+/// What they ask in the second to come, and have no answer to at once.
+fn in_flight(w: &mut World, habits: &Habits, last: u32) {
+    let nodes = w.nodes.len();
+    if habits.look {
+        let which = id(w.rng.u32(1..=last));
+        for i in 0..nodes {
+            let Some(spec) = w.specs.get(&which).cloned() else {
+                break;
+            };
+            let after = w.rng.u64(0..800);
+            w.ask(after, i, Ask::Poll(which.clone()));
+            w.ask(after, i, Ask::submit(&spec));
+        }
+    }
+    if habits.odd {
+        let (i, after) = (w.rng.usize(..nodes), w.rng.u64(0..900));
+        let mut unfit = job(900_000 + last, Kind::Array, 1);
+        unfit.cpus = 9.0;
+        w.unfit(&unfit.id);
+        w.ask(after, i, Ask::submit(&unfit));
+        let some = id(w.rng.u32(1..=last));
+        w.ask(
+            after,
+            i,
+            Ask::Odd(some.clone(), format!(r#"{{"ref":"{some}"}}"#).into()),
+        );
+        if w.done(&some) {
+            w.ask(after, i, Ask::Withdraw(some));
+        }
+    }
+    if habits.call_off_ends {
+        for n in 1..=last {
+            let ends = w.last_end(&id(n)).filter(|at| *at < w.now + 1_000);
+            if let Some(at) = ends.filter(|_| w.rng.u8(..3) == 0) {
+                let (i, after) = (w.rng.usize(..nodes), at - w.now + w.rng.u64(0..150));
+                w.ask(after, i, Ask::Withdraw(id(n)));
+            }
+        }
+    }
+}
+
 fn submit_if_led(w: &mut World, n: u32) -> bool {
     let led = w
         .leader()
         .is_some_and(|i| w.reaches_state(i) && w.reaches(i));
     if led {
         let kind = [Kind::Array, Kind::Service, Kind::Gang, Kind::Array][w.rng.usize(..4)];
-        let mut j = job(n, kind, 1 + n % 4);
+        // As many tasks as fit the machines there are.
+        let times = (w.workers.len() as u32 / 6).clamp(1, 100);
+        let mut j = job(
+            n,
+            kind,
+            (1 + n % 4) * if kind == Kind::Array { times } else { 1 },
+        );
+        if n.is_multiple_of(5) {
+            j.team = "u".into();
+        }
         if n > 4 && kind != Kind::Service && w.rng.u8(..3) == 0 {
             let need = id(n - 1 - w.rng.u32(..3));
             if w.specs[&need].kind != Kind::Service {
@@ -605,12 +727,16 @@
     let first = number("FIRST", 0);
     let mut met = vec![0; PAIRS];
     let (mut starts, mut lapsed, mut blind, mut withdrawn) = (0, 0, 0, 0);
-    let seeds = number("SEEDS", 39);
+    let seeds = number("SEEDS", 95);
     for seed in first..first + seeds {
         let nodes = [3, 7][(seed % 2) as usize];
         let machines = number("MACHINES", 6) as usize;
-        let mut w = World::sized(70_000 + seed, machines, machines as f64 * 8.0, nodes);
+        let room = machines as f64 * 8.0;
+        let mut w = World::sized(70_000 + seed, machines, 0.0, nodes)
+            .limited(&[("t", room * 0.75), ("u", room * 0.35)]);
         w.standbys = seed % 4 != 0;
+        (w.desk.way, w.write_ms) = (20, [0, 150][(seed / 2 % 2) as usize]);
+        let mut habits = Habits::default();
         w.until(10_000, "a leader", |w| w.leader().is_some());
         (w.rents, w.fetch_ms) = (true, 300);
         let mut n = 0;
@@ -618,11 +744,11 @@
             w.run_ms = [3_000, 25_000, 120_000][w.rng.usize(..3)];
             for _ in 0..4 {
                 n += u32::from(submit_if_led(&mut w, n + 1));
-                asked(&mut w, 600, n.max(1));
+                asked(&mut w, &habits, 600, n.max(1));
             }
             let which = (seed as usize * 4 + k) % PAIRS;
             let (a, b) = pair(which);
-            bring(&mut w, a);
+            bring(&mut w, &mut habits, a);
             let between = w.rng.u64(0..5_000);
             let ask = |w: &mut World| {
                 let which = id(w.rng.u32(1..=n.max(1)));
@@ -631,8 +757,8 @@
                 }
             };
             ask(&mut w);
-            asked(&mut w, between, n.max(1));
-            bring(&mut w, b);
+            asked(&mut w, &habits, between, n.max(1));
+            bring(&mut w, &mut habits, b);
             met[which] += 1;
             ask(&mut w);
             let long = [a, b].contains(&LongOutage);
@@ -641,13 +767,14 @@
             } else {
                 2_000..20_000
             });
-            asked(&mut w, ms / 2, n.max(1));
+            asked(&mut w, &habits, ms / 2, n.max(1));
             ask(&mut w);
-            asked(&mut w, ms / 2, n.max(1));
-            heal_all(&mut w);
+            asked(&mut w, &habits, ms / 2, n.max(1));
+            heal_all(&mut w, &mut habits);
             w.until(60_000, "a leader again", |w| w.leader().is_some());
         }
-        heal_all(&mut w);
+        heal_all(&mut w, &mut habits);
+        w.calm = true;
         w.run_ms = 3_000;
         let healed = w.now;
         for m in 1..=n {
--- a/tests/world/check.rs
+++ b/tests/world/check.rs
@@ -4,10 +4,11 @@
 
 impl World {
     fn on_machines(&self) -> impl Iterator<Item = (usize, &Task)> {
-        self.workers.iter().enumerate().flat_map(|(i, w)| {
+        let now = self.now;
+        self.workers.iter().enumerate().flat_map(move |(i, w)| {
             w.tasks
                 .iter()
-                .filter(|t| t.state == TaskState::Running)
+                .filter(move |t| t.state == TaskState::Running && !w.is_lost(now))
                 .map(move |t| (i, t))
         })
     }
@@ -100,13 +101,16 @@
     pub(super) fn check(&mut self) {
         let now = self.now;
         let mut found = Vec::new();
-        let limit = self.settings.cluster.teams[0].cpus_max;
-        let cpus: f64 = self
-            .on_machines()
-            .map(|(_, t)| self.specs[t.name.rsplit_once('/').unwrap().0].cpus)
-            .sum();
-        if limit > 0.0 && cpus > limit {
-            found.push(format!("quota: {cpus} of {limit}"));
+        for team in &self.settings.cluster.teams {
+            let spec = |t: &Task| &self.specs[t.name.rsplit_once('/').unwrap().0];
+            let of = self.on_machines().map(|(_, t)| spec(t));
+            let cpus: f64 = of.filter(|s| s.team == team.name).map(|s| s.cpus).sum();
+            if team.cpus_max > 0.0 && cpus > team.cpus_max {
+                found.push(format!(
+                    "quota: {} uses {cpus} of {}",
+                    team.name, team.cpus_max
+                ));
+            }
         }
         for (i, t) in self.on_machines() {
             let id = t.name.rsplit_once('/').unwrap().0;
@@ -117,5 +121,67 @@
             }
         }
         self.broken.extend(found);
+        match self.calm {
+            true if now.is_multiple_of(1_000) => self.check_room(),
+            true => {}
+            false => self.beside_room.clear(),
+        }
+    }
+
+    /// While nothing is amiss, no task that may start waits for 90 s beside a
+    /// machine with room, its team under its limit.
+    fn check_room(&mut self) {
+        let now = self.now;
+        let on: BTreeSet<&str> = (self.workers.iter().filter(|w| w.alive))
+            .flat_map(|w| w.tasks.iter().map(|t| t.name.as_str()))
+            .collect();
+        let used = |w: &Worker| {
+            let live = w.tasks.iter().filter(|t| t.state != TaskState::Exited);
+            live.count()
+        };
+        let up = |w: &&Worker| w.alive && now >= w.boots && w.net == Net::Up && !w.sick;
+        let room: Vec<&Worker> = (self.workers.iter().filter(up))
+            .filter(|w| used(w) < 2)
+            .collect();
+        let usage = |team: &str| -> f64 {
+            let tasks = self.workers.iter().flat_map(|w| &w.tasks);
+            let live = tasks.filter(|t| t.state != TaskState::Exited);
+            let of = live.map(|t| &self.specs[t.name.rsplit_once('/').unwrap().0]);
+            of.filter(|s| s.team == team).map(|s| s.cpus).sum()
+        };
+        let mut waiting = BTreeSet::new();
+        for (id, spec) in &self.specs {
+            let known = self.submitted.contains_key(id) && !self.done(id);
+            let free = spec.needs.iter().all(|n| self.done(n));
+            if !known || !free || self.faulty.contains(id) || self.cancelling.contains(id) {
+                continue;
+            }
+            let name = |t| format!("{id}/{t}");
+            let waits = |t: &String| !on.contains(t.as_str()) && !self.finished.contains(t);
+            let tasks = (0..spec.tasks).map(name).filter(waits).count();
+            let limit = self.settings.cluster.teams.iter();
+            let limit = limit.filter(|t| t.name == spec.team).map(|t| t.cpus_max);
+            let limit = limit.sum::<f64>();
+            let (one, all) = (spec.cpus, spec.cpus * tasks as f64);
+            let needs = if spec.kind == Kind::Array { one } else { all };
+            let under = limit == 0.0 || usage(&spec.team) + needs <= limit;
+            let fits = room.iter().filter(|w| {
+                spec.zone.as_ref().is_none_or(|z| *z == w.zone) && (spec.spot || !w.spot)
+            });
+            let fits = fits.map(|w| 2 - used(w)).sum::<usize>();
+            let wants = if spec.kind == Kind::Gang { tasks } else { 1 };
+            // Rules for zones are looked at by the other checks.
+            let apart = spec.spread || spec.one_zone;
+            if tasks > 0 && under && fits >= wants && !apart {
+                waiting.insert(id.clone());
+            }
+        }
+        self.beside_room.retain(|id, _| waiting.contains(id));
+        for id in waiting {
+            let since = *self.beside_room.entry(id.clone()).or_insert(now);
+            if now > since + 90_000 {
+                self.broken.push(format!("{id} waits beside room for 90 s"));
+            }
+        }
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -203,6 +203,7 @@
     pub sick: bool,
     flight: Option<(u64, Ms)>,
     boots: Ms,
+    hangs_until: Ms,
 }
 
 pub struct World {
@@ -233,6 +234,18 @@
     late_ops: Vec<(Ms, usize, u64, CloudOp)>,
     /// Of a hundred reports so many come again, seconds to half a minute late.
     pub copies: u32,
+    /// Some reports are kept for the next leader, and those that are.
+    pub keep_copies: bool,
+    kept: Vec<(usize, Report)>,
+    /// Kept reports that came to a new leader.
+    pub copied: u32,
+    /// Extra delay of all between a worker and the controllers.
+    pub slow_links: HashMap<usize, Ms>,
+    /// How long a rented machine takes until it is up.
+    pub boot_ms: Ms,
+    /// Since when each job waits beside room, while nothing is amiss.
+    beside_room: HashMap<String, Ms>,
+    pub calm: bool,
     /// Direct orders that are open: node, term, machine, token.
     directs: BTreeSet<(usize, u64, String, u64)>,
     /// Extra delay of direct orders to a worker.
@@ -291,6 +304,8 @@
     change_rate: f64,
     /// Tasks that started after a user was told that their job is withdrawn.
     pub started_after: u32,
+    /// Nodes in the second zone.
+    pub in_b: BTreeSet<usize>,
     /// The machine types are not known yet.
     pub no_types: bool,
 }
@@ -322,6 +337,13 @@
             relaying: BTreeSet::new(),
             late_ops: Vec::new(),
             copies: 0,
+            keep_copies: false,
+            kept: Vec::new(),
+            copied: 0,
+            slow_links: HashMap::new(),
+            boot_ms: 5_000,
+            beside_room: HashMap::new(),
+            calm: false,
             directs: BTreeSet::new(),
             slow_do: HashMap::new(),
             broken: Vec::new(),
@@ -351,6 +373,7 @@
             budgets: Vec::new(),
             change_rate: 0.0,
             started_after: 0,
+            in_b: BTreeSet::new(),
             no_types: false,
         };
         for i in 0..nodes {
@@ -363,6 +386,18 @@
         w
     }
 
+    /// Teams have limits of their own, from the beginning.
+    pub fn limited(mut self, limits: &[(&str, f64)]) -> World {
+        let mut settings = (*self.settings).clone();
+        for team in &mut settings.cluster.teams {
+            if let Some((_, most)) = limits.iter().find(|(name, _)| *name == team.name) {
+                team.cpus_max = *most;
+            }
+        }
+        self.settings = Rc::new(settings);
+        self
+    }
+
     fn fresh(&mut self, i: usize, nodes: usize) -> Node {
         let names: Vec<String> = (0..nodes).map(|j| format!("n{j}")).collect();
         let peers: Vec<&str> = peers_of(i, nodes).map(|j| names[j].as_str()).collect();
@@ -417,10 +452,17 @@
             sick: false,
             flight: None,
             boots: self.now + boot,
+            hangs_until: 0,
         });
         name
     }
 
+    /// All nodes are in the first zone but for those that a story puts into the
+    /// other.
+    fn zone_of(&self, i: usize) -> &'static str {
+        if self.in_b.contains(&i) { "b" } else { "a" }
+    }
+
     pub fn leader(&mut self) -> Option<usize> {
         let now = self.now;
         (0..self.nodes.len()).find(|i| {
--- a/tests/world/net.rs
+++ b/tests/world/net.rs
@@ -10,8 +10,11 @@
     Hold,
     /// Nothing arrives, ever.
     Lose,
-    /// Its reports arrive; answers and orders don't.
+    /// Its reports arrive; answers and commands don't.
     Deaf,
+    /// It can open no connection to a controller; direct commands arrive, and
+    /// their answers.
+    Mute,
 }
 
 /// How a controller is cut off: packets are held, or refused.
@@ -26,6 +29,7 @@
 pub enum Side {
     State,
     Workers,
+    Worker(usize),
     Node(usize),
     /// From everything, its users included.
     All,
@@ -88,6 +92,13 @@
         self.desk.forget_node(i);
     }
 
+    /// Nothing passes between the node and these machines.
+    pub fn cut_worker_off(&mut self, i: usize, machines: &[usize]) {
+        for m in machines {
+            self.cuts.push((i, Side::Worker(*m), Cut::Hold));
+        }
+    }
+
     pub fn cut(&mut self, i: usize, side: Side, how: Cut) {
         self.cuts.push((i, side, how));
     }
@@ -141,6 +152,13 @@
     /// So late that it says nothing any more, a copy of a report comes to some
     /// node.
     pub(super) fn copy(&mut self, w: usize, report: &Report) {
+        if self.keep_copies {
+            // Of each machine two, none of them soon after the other.
+            let of = |r: &&(usize, Report)| r.0 == w;
+            if self.kept.iter().filter(of).count() < 2 && self.rng.u8(..3) == 0 {
+                self.kept.push((w, report.clone()));
+            }
+        }
         if self.copies == 0 || self.rng.u32(..100) >= self.copies {
             return;
         }
@@ -152,6 +170,37 @@
         self.wire.push((self.now + late, copy));
     }
 
+    /// What was kept reaches every controller just as a leader begins, and once
+    /// more after it has acted.
+    pub(super) fn deliver_kept(&mut self) {
+        for (w, report) in std::mem::take(&mut self.kept) {
+            self.copied += 1;
+            for i in 0..self.nodes.len() {
+                for late in [self.rng.u64(0..400), self.rng.u64(2_000..12_000)] {
+                    let copy = Msg::Copy(i, w, report.clone());
+                    self.wire.push((self.now + late, copy));
+                }
+            }
+        }
+    }
+
+    /// The machine stands still for so long: what comes to it waits at its door.
+    pub fn hang(&mut self, w: usize, ms: Ms) {
+        self.workers[w].hangs_until = self.now + ms;
+    }
+
+    /// It goes on.
+    pub fn wake(&mut self, w: usize) {
+        let hangs = &mut self.workers[w].hangs_until;
+        *hangs = (*hangs).min(self.now);
+    }
+
+    /// It stops with all that is on it.
+    pub fn die(&mut self, w: usize) {
+        self.workers[w].alive = false;
+        self.workers[w].tasks.clear();
+    }
+
     pub fn heal(&mut self, w: usize) {
         self.workers[w].net = Net::Up;
         self.release_held();
@@ -172,6 +221,7 @@
         let hits = |n: usize, side: Side, other: End| match (side, other) {
             (Side::All, _) | (Side::State, End::State) | (Side::Workers, End::Worker(_)) => n == i,
             (Side::Node(a), End::Node(b)) => n == i && a == b,
+            (Side::Worker(a), End::Worker(b)) => n == i && a == b,
             _ => false,
         };
         let mut link = Link::Up;
@@ -219,11 +269,13 @@
     pub(super) fn send(&mut self, i: usize, w: usize, delay: Ms, msg: Msg) {
         let from_node = matches!(msg, Msg::Reply(..) | Msg::Do(..));
         let stalled = self.stalls.filter(|(n, _)| *n == i && from_node);
-        let at = stalled.map_or(self.now, |(_, until)| until) + delay;
+        let slow = self.slow_links.get(&w).copied().unwrap_or(0);
+        let at = stalled.map_or(self.now, |(_, until)| until) + delay + slow;
         match (self.workers[w].net, self.link(i, End::Worker(w))) {
             (Net::Up, Link::Up) => self.wire.push((at, msg)),
             (Net::Deaf, Link::Up) if !from_node => self.wire.push((at, msg)),
-            (Net::Lose | Net::Deaf, _) | (_, Link::Reset) => {}
+            (Net::Mute, Link::Up) if matches!(msg, Msg::Do(..)) => self.wire.push((at, msg)),
+            (Net::Lose | Net::Deaf | Net::Mute, _) | (_, Link::Reset) => {}
             _ => self.held.push(msg),
         }
     }
@@ -258,6 +310,13 @@
             self.wire.push((at, msg));
             return;
         }
+        if let Msg::Reply(w, ..) | Msg::Do(_, w, ..) = &msg
+            && self.workers[*w].hangs_until > now
+        {
+            let at = self.workers[*w].hangs_until;
+            self.wire.push((at, msg));
+            return;
+        }
         match msg {
             Msg::Tell(i, j, part) => self.told(i, j, part),
             Msg::Told(i, j, term, part, answer) => self.confirmed(i, j, term, part, answer),
@@ -324,7 +383,8 @@
                 }
                 let report = self.report(w);
                 let name = report.machine.clone();
-                if self.workers[w].net == Net::Up && self.link(i, End::Worker(w)) == Link::Up {
+                let answers = matches!(self.workers[w].net, Net::Up | Net::Mute);
+                if answers && self.link(i, End::Worker(w)) == Link::Up {
                     let done = Msg::Done(i, term, name, order.token, Some((ok, report)));
                     self.wire.push((now + 5, done));
                 }
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -155,7 +155,7 @@
                 self.asked_for += r.count;
                 let names: Vec<String> = if self.rents {
                     (0..r.count.min(4))
-                        .map(|_| self.add_worker(&r.zone, r.spot, 5_000))
+                        .map(|_| self.add_worker(&r.zone, r.spot, self.boot_ms))
                         .collect()
                 } else {
                     Vec::new()
@@ -389,50 +389,49 @@
             TxnResult::Unknown => return,
             _ => return self.nodes[i].election.doubt = None,
         };
-        {
-            self.terms += 1;
-            let node = &mut self.nodes[i];
-            node.election.won(term, lease, now);
-            let mut settings = (*self.settings).clone();
-            settings.name = format!("n{i}");
-            // In the first zone all, so that the other has no controller.
-            settings.peers = peers_of(i, nodes)
-                .map(|j| Peer {
-                    name: format!("n{j}"),
-                    zone: "a".into(),
-                    addr: "127.0.0.1:2".parse().unwrap(),
-                })
-                .collect();
-            if !self.standbys {
-                settings.peers.clear();
-            }
-            let mut leader = Leader::new(
-                Rc::new(settings),
-                Options {
-                    // Where nothing can be rented, nothing is returned.
-                    idle_s: if self.rents { 20.0 } else { 36_000.0 },
-                    begin_s: self.begin_s,
-                    ..Options::default()
-                },
-                types(),
-                term,
-                now,
-            );
-            leader.finals = std::mem::take(&mut node.finals);
-            let copy = node.follower.take_over(term);
-            leader.inherit(node.election.incarnation, copy);
-            node.leader = Some(leader);
-            node.loads_at = now + self.load_ms;
-            let found = self.store.under(records::BARS);
-            let found = found
-                .iter()
-                .map(|(k, _, r)| (k[3..].parse::<usize>().unwrap(), *r));
-            let peer = |(j, r): (usize, u64)| {
-                let p = peers_of(i, nodes).position(|p| p == j);
-                p.map(|p| (p, r))
-            };
-            self.nodes[i].bars = Bars::new(found.filter_map(peer));
-        }
+        self.terms += 1;
+        self.deliver_kept();
+        self.nodes[i].election.won(term, lease, now);
+        let mut settings = (*self.settings).clone();
+        settings.name = format!("n{i}");
+        settings.zone = self.zone_of(i).into();
+        settings.peers = peers_of(i, nodes)
+            .map(|j| Peer {
+                name: format!("n{j}"),
+                zone: self.zone_of(j).into(),
+                addr: "127.0.0.1:2".parse().unwrap(),
+            })
+            .collect();
+        if !self.standbys {
+            settings.peers.clear();
+        }
+        let mut leader = Leader::new(
+            Rc::new(settings),
+            Options {
+                // Where nothing can be rented, nothing is returned.
+                idle_s: if self.rents { 20.0 } else { 36_000.0 },
+                begin_s: self.begin_s,
+                ..Options::default()
+            },
+            types(),
+            term,
+            now,
+        );
+        let node = &mut self.nodes[i];
+        leader.finals = std::mem::take(&mut node.finals);
+        let copy = node.follower.take_over(term);
+        leader.inherit(node.election.incarnation, copy);
+        node.leader = Some(leader);
+        node.loads_at = now + self.load_ms;
+        let found = self.store.under(records::BARS);
+        let found = found
+            .iter()
+            .map(|(k, _, r)| (k[3..].parse::<usize>().unwrap(), *r));
+        let peer = |(j, r): (usize, u64)| {
+            let p = peers_of(i, nodes).position(|p| p == j);
+            p.map(|p| (p, r))
+        };
+        self.nodes[i].bars = Bars::new(found.filter_map(peer));
     }
 
     /// What node `j`, peer `p` of `i`, answers.
@@ -553,11 +552,18 @@
     /// does not hear, and hands over if it hears nobody at all.
     fn greet(&mut self, i: usize) {
         let now = self.now;
-        let node = &mut self.nodes[i];
-        if now < node.greet_at {
+        if now < self.nodes[i].greet_at {
             return;
         }
-        node.greet_at = now + 1000;
+        self.nodes[i].greet_at = now + 1000;
+        for j in peers_of(i, self.nodes.len()) {
+            let zone = self.zone_of(j);
+            if zone != self.zone_of(i) && self.contact(i, j) == Some(Contact::Answers) {
+                let l = self.nodes[i].leader.as_mut();
+                l.into_iter().for_each(|l| l.controller_heard(zone, now));
+            }
+        }
+        let node = &mut self.nodes[i];
         let Some(l) = node.leader.as_ref() else {
             return;
         };
--- a/tests/world/standbys.rs
+++ b/tests/world/standbys.rs
@@ -175,7 +175,8 @@
         let over = |t: &Task| self.done(t.name.rsplit_once('/').unwrap().0);
         let live = |w: &Worker| {
             let there = w.tasks.iter();
-            let there = there.filter(|t| w.alive && t.state != TaskState::Exited && !over(t));
+            let gone = !w.alive || w.is_lost(self.now);
+            let there = there.filter(|t| !gone && t.state != TaskState::Exited && !over(t));
             there
                 .map(|t| (t.name.clone(), t.attempt))
                 .collect::<Vec<_>>()
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -489,6 +489,22 @@
         }
     }
 
+    /// When the last of the job's tasks that run now will end.
+    pub fn last_end(&self, id: &str) -> Option<Ms> {
+        let prefix = format!("{id}/");
+        let tasks = self.workers.iter().flat_map(|m| &m.tasks);
+        let of = tasks.filter(|t| t.name.starts_with(&prefix));
+        let ends = of
+            .map(|t| t.until)
+            .filter(|at| *at > self.now && *at < Ms::MAX);
+        ends.max()
+    }
+
+    /// A job that nobody may accept.
+    pub fn unfit(&mut self, id: &str) {
+        self.desk.unfit.insert(id.to_owned());
+    }
+
     // ---- what was told ----
 
     /// A user has this answer to a question sent then.
--- a/tests/world/workers.rs
+++ b/tests/world/workers.rs
@@ -2,6 +2,14 @@
 
 use super::*;
 
+impl Worker {
+    /// It hangs, or has not looked at its lease since, and that is over: what it
+    /// lists never goes on.
+    pub(super) fn is_lost(&self, now: Ms) -> bool {
+        self.hangs_until > 0 && now > self.last_ok + LEASE
+    }
+}
+
 impl World {
     /// The token that the leader would give the machine now.
     pub fn leader_token(&mut self, w: usize) -> u64 {
@@ -142,9 +150,16 @@
         let nodes = self.nodes.len();
         let mut started = Vec::new();
         let worker = &mut self.workers[w];
-        if !worker.alive || now < worker.boots {
+        if !worker.alive || now < worker.boots || now < worker.hangs_until {
             return;
         }
+        if std::mem::take(&mut worker.hangs_until) > 0 {
+            // Its tasks stood still as well.
+            let lost = now - worker.sent.min(now);
+            let running = |t: &&mut Task| t.state == TaskState::Running;
+            let tasks = worker.tasks.iter_mut().filter(running);
+            tasks.for_each(|t| t.until = t.until.saturating_add(lost));
+        }
         if now > worker.last_ok + LEASE {
             worker.session += 1;
             worker.last_ok = now;
@@ -198,7 +213,8 @@
             worker.sent = now;
             worker.dirty = false;
             let target = worker.target;
-            let refused = self.link(target, End::Worker(w)) == Link::Reset;
+            let refused = self.link(target, End::Worker(w)) == Link::Reset
+                || self.workers[w].net == Net::Mute;
             if self.nodes[target].alive && !refused {
                 let report = self.report(w);
                 self.workers[w].flight = Some((report.seq, now));
