--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -75,17 +75,18 @@
         let Some(mut request) = asked(method, path, &body, forwarded) else {
             return Some(HttpResponse::error(404, "no such path"));
         };
-        let pass_on = Request::Forward {
+        let id = target(path).map_or("", |(id, _)| id);
+        let pass_on = || Request::Forward {
             method: method.to_owned(),
             path: path.to_owned(),
-            body,
+            body: body.clone(),
         };
-        let id = target(path).map_or("", |(id, _)| id);
-        let answer = self.see_through(&mut request, id, Some(&pass_on)).await;
+        let answer = self.see_through(&mut request, id, pass_on).await;
         if let Some(mut left) = request.left() {
             let node = self.clone();
             let settle = async move {
-                node.see_through(&mut left, "", None).await;
+                // It asks for the records alone.
+                node.see_through(&mut left, "", Request::greeting).await;
             };
             self.lanes.spawn(settle).detach();
         }
@@ -97,7 +98,7 @@
         self: &Rc<Self>,
         request: &mut Asked,
         id: &str,
-        pass_on: Option<&Request>,
+        pass_on: impl Fn() -> Request,
     ) -> Option<Answer> {
         let mut event = Event::Begin;
         loop {
@@ -110,10 +111,7 @@
                     Err(e) => Event::Read(Err(e)),
                 },
                 Next::ReadState => Event::Read(self.reads.ask(id).await),
-                Next::Forward => Event::Forwarded(match pass_on {
-                    Some(pass_on) => self.pass_on(pass_on).await,
-                    None => None,
-                }),
+                Next::Forward => Event::Forwarded(self.pass_on(&pass_on()).await),
                 Next::Versions => Event::Versions(self.upgraded().await),
                 Next::Look(ids) => Event::Looked(match &ids[..] {
                     [one] => [(one.clone(), self.lookup(one).await)].into(),
