--- a/src/coordination/answers/mod.rs
+++ b/src/coordination/answers/mod.rs
@@ -16,7 +16,7 @@
 mod tests;
 mod withdraw;
 
-pub use poll::{polled, status_of};
+pub use poll::polled;
 
 use super::{leader::Leader, polls::Finals};
 use crate::{
@@ -47,17 +47,6 @@
     Nothing,
 }
 
-impl Found {
-    /// How the job stands by that; `None`: it was never accepted.
-    pub fn status(&self, id: &str) -> Option<JobStatus> {
-        match self {
-            Found::Live(record, _) => Some(record.status()),
-            Found::Final(record) => Some(final_status(id, record)),
-            Found::Nothing => None,
-        }
-    }
-}
-
 /// By job; one that is missing was never accepted.
 pub type Looked = HashMap<String, Result<Found, String>>;
 
@@ -128,13 +117,18 @@
 
     /// Takes in what was read of a job, and says how it stands by that.
     fn learn(&mut self, id: &str, found: Found) -> Option<JobStatus> {
-        let status = found.status(id)?;
-        let now = self.now;
-        if let Found::Live(record, version) = found
-            && let Some(l) = self.acting().filter(|l| l.loaded())
-        {
-            l.accepted(*record, version, now);
-        }
+        let status = match found {
+            Found::Live(record, version) => {
+                let status = record.status();
+                let now = self.now;
+                if let Some(l) = self.acting().filter(|l| l.loaded()) {
+                    l.accepted(*record, version, now);
+                }
+                status
+            }
+            Found::Final(record) => final_status(id, &record),
+            Found::Nothing => return None,
+        };
         self.remember(&status);
         Some(status)
     }
@@ -279,12 +273,12 @@
     }
 
     pub fn step(&mut self, event: Event, here: &mut Here) -> Next {
-        let id = self.id.as_deref().unwrap_or_default();
+        let id = self.id.clone().unwrap_or_default();
         let next = match &mut self.what {
-            What::Poll => poll::step(id, event, here),
-            What::Submit(s) => s.step(id, self.forwarded, event, here),
-            What::Withdraw(w) => w.step(id, self.forwarded, event, here),
-            What::Settle(s) => return s.step(id, event, here),
+            What::Poll => poll::step(&id, event, here),
+            What::Submit(s) => s.step(&id, self.forwarded, event, here),
+            What::Withdraw(w) => w.step(&id, self.forwarded, event, here),
+            What::Settle(s) => return s.step(&id, event, here),
         };
         match next {
             Next::Answer(answer) => Next::Answer(self.last_look(answer, here)),
--- a/src/coordination/answers/poll.rs
+++ b/src/coordination/answers/poll.rs
@@ -36,13 +36,3 @@
     let known = |id: &String| l.told(id).map(|s| (s.state, s.done, s.running));
     Some(ids.iter().map(known).collect())
 }
-
-/// Such an answer, as the job's state.
-pub fn status_of(id: String, (state, done, running): (JobState, u32, u32)) -> JobStatus {
-    JobStatus {
-        id,
-        state,
-        done,
-        running,
-    }
-}
--- a/src/coordination/answers/submit.rs
+++ b/src/coordination/answers/submit.rs
@@ -111,7 +111,8 @@
             None if forwarded => return Next::NotLeading,
             _ => {}
         }
-        match (led, self.names_needs() && !upgraded) {
+        let needs = self.parsed.as_ref().is_ok_and(|s| !s.needs.is_empty());
+        match (led, needs && !upgraded) {
             (true, _) => self.led_by(id, here),
             // An older leader would take the job and start it at once.
             (false, true) => Next::Versions,
@@ -124,24 +125,13 @@
         Next::Forward
     }
 
-    fn names_needs(&self) -> bool {
-        self.parsed.as_ref().is_ok_and(|s| !s.needs.is_empty())
-    }
-
-    /// What a submission comes to that can't be accepted, unless it is known.
-    fn refused(&mut self, id: &str, here: &mut Here) -> Option<Next> {
-        let refusal = match &self.parsed {
-            Err(e) => Answer::Refused(400, e.clone()),
-            Ok(_) if here.types.is_empty() => {
-                let why = "machine types are not known yet";
-                return Some(Next::Answer(Answer::later(why)));
-            }
-            Ok(spec) => {
-                let why = admission::never_runs(here.settings, here.types, spec)?;
-                Answer::Refused(422, why)
-            }
-        };
-        Some(self.unless_known(id, refusal, here))
+    /// Status and reason with which a submission that isn't known is refused.
+    fn refusal(&self, here: &Here) -> Option<Answer> {
+        match &self.parsed {
+            Err(e) => Some(Answer::Refused(400, e.clone())),
+            Ok(spec) => admission::never_runs(here.settings, here.types, spec)
+                .map(|why| Answer::Refused(422, why)),
+        }
     }
 
     /// A known job is answered with its state, whatever the repeated body or
@@ -169,10 +159,14 @@
         if let Some(status) = here.acting().and_then(|l| l.told(id)) {
             return Next::Answer(Answer::known(status));
         }
-        if let Some(next) = self.refused(id, here) {
-            return next;
+        if self.parsed.is_ok() && here.types.is_empty() {
+            return Next::Answer(Answer::later("machine types are not known yet"));
+        }
+        if let Some(refusal) = self.refusal(here) {
+            return self.unless_known(id, refusal, here);
         }
-        match self.names_needs() && !here.upgraded {
+        let needs = self.parsed.as_ref().is_ok_and(|s| !s.needs.is_empty());
+        match needs && !here.upgraded {
             true => Next::Versions,
             false => self.needs(id, here),
         }
@@ -283,8 +277,11 @@
 
     /// Without a leader: its record is what counts.
     fn alone(&mut self, id: &str, here: &mut Here) -> Next {
-        if let Some(next) = self.refused(id, here) {
-            return next;
+        if self.parsed.is_ok() && here.types.is_empty() {
+            return Next::Answer(Answer::later("machine types are not known yet"));
+        }
+        if let Some(refusal) = self.refusal(here) {
+            return self.unless_known(id, refusal, here);
         }
         match &self.parsed {
             Ok(spec) if !spec.needs.is_empty() => {
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -96,8 +96,7 @@
                     (false, None) => 2,
                 };
                 // Its record can't be written as it is: first the pieces.
-                let progress = j.is_dirty() && !j.complete();
-                let rewrites = over.is_none() && (awaited || progress || j.away.moves());
+                let rewrites = over.is_none() && (awaited || j.is_dirty() || j.away.moves());
                 if rewrites && self.cuts.is_due(j, value_limits) {
                     if pass == 0 {
                         let most = room.saturating_sub(plan.txn.writes.len());
--- a/src/node/polls.rs
+++ b/src/node/polls.rs
@@ -4,7 +4,7 @@
 use crate::{
     bookkeeping::records::{FINALS, JOBS, StoredJob, job_key},
     coordination::{
-        answers::{final_status, polled, status_of},
+        answers::{Found, final_status, polled},
         polls::Batch,
     },
     protocol::{
@@ -98,7 +98,12 @@
         }
         known.resize(round.len(), None);
         for ((id, who), known) in round.into_iter().zip(known) {
-            let told = known.map(|known| status_of(id, known));
+            let told = known.map(|(state, done, running)| JobStatus {
+                id,
+                state,
+                done,
+                running,
+            });
             tell(who, &Ok(told));
         }
     }
@@ -156,7 +161,11 @@
                     .map_err(|e| e.to_string()),
                 (None, Some(Err(e))) => Err(e),
                 (None, None) if list => Ok(None),
-                (None, None) => node.lookup(&id).await.map(|found| found.status(&id)),
+                (None, None) => node.lookup(&id).await.map(|found| match found {
+                    Found::Live(record, _) => Some(record.status()),
+                    Found::Final(record) => Some(final_status(&id, &record)),
+                    Found::Nothing => None,
+                }),
             };
             match &found {
                 Ok(_) => node.reads.paid(&id),
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -75,18 +75,17 @@
         let Some(mut request) = asked(method, path, &body, forwarded) else {
             return Some(HttpResponse::error(404, "no such path"));
         };
-        let id = target(path).map_or("", |(id, _)| id);
-        let pass_on = || Request::Forward {
+        let pass_on = Request::Forward {
             method: method.to_owned(),
             path: path.to_owned(),
-            body: body.clone(),
+            body,
         };
-        let answer = self.see_through(&mut request, id, pass_on).await;
+        let id = target(path).map_or("", |(id, _)| id);
+        let answer = self.see_through(&mut request, id, Some(&pass_on)).await;
         if let Some(mut left) = request.left() {
             let node = self.clone();
             let settle = async move {
-                // It asks for the records alone.
-                node.see_through(&mut left, "", Request::greeting).await;
+                node.see_through(&mut left, "", None).await;
             };
             self.lanes.spawn(settle).detach();
         }
@@ -98,7 +97,7 @@
         self: &Rc<Self>,
         request: &mut Asked,
         id: &str,
-        pass_on: impl Fn() -> Request,
+        pass_on: Option<&Request>,
     ) -> Option<Answer> {
         let mut event = Event::Begin;
         loop {
@@ -111,7 +110,10 @@
                     Err(e) => Event::Read(Err(e)),
                 },
                 Next::ReadState => Event::Read(self.reads.ask(id).await),
-                Next::Forward => Event::Forwarded(self.pass_on(&pass_on()).await),
+                Next::Forward => Event::Forwarded(match pass_on {
+                    Some(pass_on) => self.pass_on(pass_on).await,
+                    None => None,
+                }),
                 Next::Versions => Event::Versions(self.upgraded().await),
                 Next::Look(ids) => Event::Looked(match &ids[..] {
                     [one] => [(one.clone(), self.lookup(one).await)].into(),
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -5,9 +5,7 @@
 use super::*;
 use pathwinch::{
     bookkeeping::budget::share::{self, Role},
-    coordination::answers::{
-        Event, Found, Here, Looked, Next, Request, TxnResult, polled, status_of,
-    },
+    coordination::answers::{Event, Found, Here, Looked, Next, Request, TxnResult, polled},
 };
 
 /// What a user asks.
@@ -176,7 +174,16 @@
         if !self.reaches_state(i) {
             return Err("status 503".into());
         }
-        Ok(self.look_up(id).status(id))
+        Ok(match self.look_up(id) {
+            Found::Live(record, _) => Some(record.status()),
+            Found::Final(r) => Some(JobStatus {
+                id: id.to_owned(),
+                state: r.state,
+                done: r.done,
+                running: 0,
+            }),
+            Found::Nothing => None,
+        })
     }
 
     /// Carries out a node's transaction, or holds it, or loses its answer, as
@@ -259,7 +266,7 @@
                 Next::AskLeader => Event::Told(self.leader_for(i, now).and_then(|l| {
                     let ids = [ask.id().to_owned()];
                     let known = self.here(l, now, |here| polled(here, &ids))?.pop()?;
-                    known.map(|k| status_of(ask.id().to_owned(), k))
+                    known.map(|k| status_of(&ids[0], k))
                 })),
                 Next::ReadState => Event::Read(self.read_state(i, ask.id())),
                 Next::Versions => Event::Versions(!self.mixed),
@@ -386,7 +393,7 @@
                     false => None,
                 };
                 let known = known.and_then(|mut k| k.pop()?);
-                let told = known.map(|k| status_of(f.ask.id().to_owned(), k));
+                let told = known.map(|k| status_of(&ids[0], k));
                 let after = if answers { self.way() } else { 500 };
                 (after, Comes::Event(Event::Told(told)))
             }
@@ -660,3 +667,12 @@
         self.tell(id, JobState::Cancelled, sent);
     }
 }
+
+fn status_of(id: &str, (state, done, running): (JobState, u32, u32)) -> JobStatus {
+    JobStatus {
+        id: id.to_owned(),
+        state,
+        done,
+        running,
+    }
+}
