--- /dev/null
+++ b/crates/lab/src/base.rs
@@ -0,0 +1,96 @@
+//! What every lab has: stand-ins on loopback with real controllers beside
+//! them, and workers on what the controllers rent.
+
+use crate::{
+    children::Program,
+    controllers, front, hosts,
+    installation::{Lab, loopback},
+    services,
+    site::Site,
+};
+use anyhow::{Context, Result};
+use pathwinch_protocol::settings::Services;
+use pathwinch_transport::{
+    lanes::Lanes,
+    server::{self, HttpRequest, HttpResponse, Limits},
+};
+use std::{
+    net::{SocketAddr, TcpListener},
+    path::Path,
+    rc::Rc,
+};
+
+/// Connections that each stand-in takes.
+const CONNECTIONS: usize = 1024;
+/// The path whose connections the stand-ins serve first.
+const FIRST_PATH: &str = "/leases";
+
+/// Stand-ins that listen but don't serve yet.
+pub struct Base {
+    pub lab: Rc<Lab>,
+    pub users: SocketAddr,
+    pub state: SocketAddr,
+    pub cloud: SocketAddr,
+    state_listener: TcpListener,
+    cloud_listener: TcpListener,
+    users_listener: TcpListener,
+}
+
+impl Base {
+    /// Writes the controllers' settings to `dir`, which is made if need be.
+    pub fn new(site: Site, dir: &Path) -> Result<Self> {
+        std::fs::create_dir_all(dir).with_context(|| format!("cannot make {}", dir.display()))?;
+        let (state_listener, state) = loopback()?;
+        let (cloud_listener, cloud) = loopback()?;
+        let (users_listener, users) = loopback()?;
+        let services = Services { cloud, state };
+        let list = controllers::configure(&site, &services, dir)?;
+        let lanes = Rc::new(Lanes::default());
+        Ok(Base {
+            lab: Rc::new(Lab::new(site, lanes, list)),
+            users,
+            state,
+            cloud,
+            state_listener,
+            cloud_listener,
+            users_listener,
+        })
+    }
+
+    /// How the controllers are started.
+    pub fn programs(&self, program: &Path) -> Vec<Program> {
+        let of = |c: &crate::installation::Controller| Program {
+            name: c.name.clone(),
+            path: program.to_owned(),
+            arguments: vec!["serve".into(), "--config".into(), c.settings.clone().into()],
+        };
+        self.lab.controllers.iter().map(of).collect()
+    }
+
+    /// Serves all paths, hosts the workers and probes the controllers from now
+    /// on.
+    pub fn serve(self) {
+        let lab = self.lab;
+        serve_on(&lab, self.state_listener, services::state);
+        serve_on(&lab, self.cloud_listener, services::cloud);
+        serve_on(&lab, self.users_listener, front::front);
+        lab.lanes.spawn(hosts::run(lab.clone())).detach();
+        lab.lanes.spawn(front::probe(lab.clone())).detach();
+    }
+}
+
+fn serve_on<F, Fut>(lab: &Rc<Lab>, listener: TcpListener, handler: F)
+where
+    F: Fn(Rc<Lab>, HttpRequest) -> Fut + 'static,
+    Fut: Future<Output = HttpResponse> + 'static,
+{
+    let limits = Limits {
+        connections: CONNECTIONS,
+        others: CONNECTIONS,
+        first: FIRST_PATH,
+    };
+    let shared = lab.clone();
+    let handle = move |request| handler(shared.clone(), request);
+    let serve = server::serve_on(lab.lanes.clone(), listener, limits, handle);
+    lab.lanes.spawn(serve).detach();
+}
--- a/crates/lab/src/cloud.rs
+++ b/crates/lab/src/cloud.rs
@@ -25,7 +25,8 @@
 pub struct Cloud {
     types: Vec<MachineType>,
     zones: Vec<String>,
-    capacity: u32,
+    /// Machines of each type in a zone.
+    capacity: Vec<u32>,
     stillborn: f64,
     lag: Ms,
     requests: Budget,
@@ -54,7 +55,7 @@
         Cloud {
             types: site.rigs.clone(),
             zones: site.cluster.zones.clone(),
-            capacity: site.capacity,
+            capacity: (0..site.rigs.len()).map(|t| site.capacity_of(t)).collect(),
             stillborn: site.stillborn,
             lag: millis(site.cluster.cloud.list_lag_s),
             requests: Budget::new(site.cluster.cloud.rps, 2.0),
@@ -120,7 +121,7 @@
                 && m.zone == rent.zone
                 && m.spot == rent.spot
         });
-        let free = self.capacity.saturating_sub(taken.count() as u32);
+        let free = self.capacity[type_index].saturating_sub(taken.count() as u32);
         if free == 0 {
             return Err(Refused::NoCapacity);
         }
--- a/crates/lab/src/depot.rs
+++ b/crates/lab/src/depot.rs
@@ -35,6 +35,14 @@
     PeersGone,
 }
 
+/// A task that came to be on its machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Started {
+    pub job: String,
+    pub task: u32,
+    pub at: Ms,
+}
+
 #[derive(Debug)]
 pub struct Depot {
     jobs: HashMap<String, Job>,
@@ -48,6 +56,8 @@
     lent: HashMap<String, String>,
     lent_ever: usize,
     broken: Vec<String>,
+    /// Starts since they were last taken, if anybody takes them.
+    starts: Option<Vec<Started>>,
     failing: f64,
     failed_once: HashSet<String>,
     peer_ms: Ms,
@@ -79,6 +89,7 @@
             lent: HashMap::new(),
             lent_ever: 0,
             broken: Vec::new(),
+            starts: None,
             failing,
             failed_once: HashSet::new(),
             peer_ms,
@@ -145,6 +156,18 @@
             self.wrong(format!("{task} started after its job was withdrawn"));
         }
         self.on.insert(task.to_owned(), machine.to_owned());
+        if let Some(starts) = &mut self.starts {
+            starts.push(Started {
+                job: job_of(task).to_owned(),
+                task: number_of(task),
+                at: now,
+            });
+        }
+    }
+
+    /// Starts since the last call; they are kept from the first call on.
+    pub fn take_starts(&mut self) -> Vec<Started> {
+        self.starts.replace(Vec::new()).unwrap_or_default()
     }
 
     /// A market starts a job.
--- /dev/null
+++ b/crates/lab/src/front.rs
@@ -0,0 +1,105 @@
+//! The users' front door: passes requests on to a controller that is ready, and
+//! keeps what users upload for the workers.
+
+use crate::installation::Lab;
+use async_io::Timer;
+use http_types::Method;
+use pathwinch_protocol::users::{JobSpec, JobState, JobStatus};
+use pathwinch_transport::{
+    client::CallError,
+    server::{self, HttpRequest, HttpResponse},
+};
+use serde_json::json;
+use std::{rc::Rc, time::Duration};
+
+/// How long a user waits for an answer.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The users' side: passed on to a controller that is ready.
+pub async fn front(lab: Rc<Lab>, request: HttpRequest) -> HttpResponse {
+    if (request.method, request.path.as_str()) == (Method::Get, "/lab") {
+        return summary(&lab);
+    }
+    let Some(body) = request.body else {
+        return HttpResponse::error(400, "body is incomplete or over 64 KiB");
+    };
+    if request.path == "/v1/jobs"
+        && let Ok(spec) = JobSpec::parse(&body)
+    {
+        lab.depot.borrow_mut().upload(&spec);
+    }
+    let body = (request.method == Method::Post).then_some(body);
+    for _ in 0..3 {
+        let Some(to) = lab.ready_controller() else {
+            return HttpResponse::later("no controller is ready");
+        };
+        let call = lab.http.call(
+            to,
+            request.method,
+            &request.path,
+            body.clone(),
+            USER_TIMEOUT,
+        );
+        match call.await {
+            Ok(a) => {
+                note_cancelled(&lab, &a.body);
+                return HttpResponse {
+                    status: a.status,
+                    retry_after_s: a.retry_after_s,
+                    content: server::JSON,
+                    body: a.body,
+                };
+            }
+            // A refused connection goes to another; anything else is unknown.
+            Err(CallError::NotSent(_)) => {}
+            Err(e) => return HttpResponse::error(504, &e.to_string()),
+        }
+    }
+    HttpResponse::later("controllers refuse connections")
+}
+
+fn note_cancelled(lab: &Lab, body: &[u8]) {
+    if let Ok(told) = serde_json::from_slice::<JobStatus>(body)
+        && told.state == JobState::Cancelled
+    {
+        lab.depot.borrow_mut().cancelled(&told.id, lab.now());
+    }
+}
+
+/// What the stand-ins have seen.
+fn summary(lab: &Lab) -> HttpResponse {
+    let (now, cloud, depot) = (lab.now(), lab.cloud.borrow(), lab.depot.borrow());
+    let state = lab.state.borrow();
+    HttpResponse::json(
+        200,
+        &json!({
+            "seconds": now as f64 / 1000.0,
+            "machines": cloud.present(),
+            "spent": cloud.spent(now),
+            "tasks_finished": depot.finished(),
+            "tasks_on_machines": depot.on_machines(),
+            "jobs_at_markets": depot.at_markets().0,
+            "jobs_lent_ever": depot.at_markets().1,
+            "rules_broken": depot.broken(),
+            "state_keys": state.keys(),
+            "state_revision": state.revision(),
+        }),
+    )
+}
+
+/// Asks each controller again and again whether it is ready.
+pub async fn probe(lab: Rc<Lab>) {
+    loop {
+        for i in 0..lab.controllers.len() {
+            let to = lab.controllers[i].listen;
+            let call = lab
+                .http
+                .call(to, Method::Get, "/ready", None, PROBE_TIMEOUT);
+            let ok = call.await.is_ok_and(|a| a.status == 200);
+            lab.ready.borrow_mut()[i] = ok;
+        }
+        Timer::after(PROBE_INTERVAL).await;
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,14 +1,23 @@
 //! Stand-ins of everything that a controller talks to, written from the
 //! published protocols. `state`, `cloud`, `depot` and `worker` have neither
-//! clock nor sockets: they are told the time. `up` binds them to loopback.
+//! clock nor sockets: they are told the time. `base` binds them to loopback;
+//! `up` and `scale` run whole installations.
 
+pub mod base;
+pub mod children;
 pub mod cloud;
+pub mod controllers;
 pub mod depot;
-pub mod machines;
+pub mod front;
+pub mod hosts;
+pub mod installation;
 pub mod market;
 pub mod markets;
+pub mod scale;
+pub mod services;
 pub mod site;
 pub mod state;
+pub mod traffic;
 pub mod up;
 pub mod worker;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,9 +5,11 @@
 use clap::{Args, Parser, Subcommand};
 use futures_lite::StreamExt;
 use pathwinch_lab::{
+    children::{self, Roll},
     markets,
+    scale::{self, plan::Plan},
     site::Site,
-    up::{self, Addresses, Roll},
+    up::{self, Addresses},
 };
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
@@ -26,6 +28,29 @@
     Up(Up),
     /// Print the site that `up` uses when it is given none, to be edited.
     Site,
+    /// Run a plan's fleet and load against real controllers, measure what each
+    /// role spends, and end.
+    Scale(Scale),
+}
+
+#[derive(Args)]
+struct Scale {
+    /// The plan, as TOML (see examples/scale.toml).
+    #[arg(value_name = "PLAN")]
+    plan: PathBuf,
+    /// Scale all counts of the plan to so many machines.
+    #[arg(long, value_name = "COUNT")]
+    machines: Option<u32>,
+    /// The controllers' program; by default the one beside this.
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+    /// Where the controllers' settings and logs go; by default a directory of
+    /// its own among the system's temporary files.
+    #[arg(long, value_name = "DIR")]
+    dir: Option<PathBuf>,
+    /// Write the figures to this file, as JSON.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -88,20 +113,54 @@
 }
 
 fn start(cli: Cli) -> Result<()> {
-    let Command::Up(asked) = cli.command else {
-        println!("{}", serde_json::to_string_pretty(&Site::default())?);
-        return Ok(());
-    };
+    match cli.command {
+        Command::Up(asked) => start_up(asked),
+        Command::Scale(asked) => start_scale(asked),
+        Command::Site => {
+            println!("{}", serde_json::to_string_pretty(&Site::default())?);
+            Ok(())
+        }
+    }
+}
+
+/// The program named, or the one beside this.
+fn controllers_program(named: Option<PathBuf>) -> Result<PathBuf> {
+    match named {
+        Some(path) => Ok(path),
+        None => children::program_beside(),
+    }
+}
+
+/// The directory named, or one of this process among the temporary files.
+fn working_directory(named: Option<PathBuf>) -> PathBuf {
+    let own = format!("pathwinch-lab-{}", std::process::id());
+    named.unwrap_or_else(|| std::env::temp_dir().join(own))
+}
+
+fn start_scale(asked: Scale) -> Result<()> {
+    let mut plan = Plan::load(&asked.plan)?;
+    if let Some(machines) = asked.machines {
+        plan = plan.scaled(machines).context("--machines")?;
+    }
+    let program = controllers_program(asked.program)?;
+    let dir = working_directory(asked.dir);
+    let report = scale::run(plan, &program, &dir)?;
+    if let Some(path) = &asked.json {
+        let text = serde_json::to_string_pretty(&report)?;
+        std::fs::write(path, text + "\n")
+            .with_context(|| format!("cannot write {}", path.display()))?;
+    }
+    println!("{}", report.text());
+    report.verdict()
+}
+
+fn start_up(asked: Up) -> Result<()> {
     let site = match &asked.site {
         Some(path) => Site::load(path)?,
         None => Site::default(),
     };
-    let program = match asked.program {
-        Some(path) => path,
-        None => up::program_beside()?,
-    };
-    let own = format!("pathwinch-lab-{}", std::process::id());
-    let dir = asked.dir.unwrap_or_else(|| std::env::temp_dir().join(own));
+    let program = controllers_program(asked.program)?;
+    let dir = working_directory(asked.dir);
     let mut signals =
         Signals::new([Signal::Int, Signal::Term]).context("signals can't be received")?;
     let over = async {
--- a/crates/lab/src/markets.rs
+++ b/crates/lab/src/markets.rs
@@ -2,8 +2,8 @@
 //! occasion, and the INI file of a broker that knows them.
 
 use crate::{
+    installation::Lab,
     market::{Did, MarketSim},
-    up::Lab,
 };
 use anyhow::{Context, Result};
 use async_io::Timer;
--- /dev/null
+++ b/crates/lab/src/scale/plan.rs
@@ -0,0 +1,299 @@
+//! The plan of a scale run, a TOML file: fleet, teams, classes of jobs, how
+//! long, and the bounds that the run keeps.
+
+use crate::site::{MOST_CONTROLLERS, Site};
+use anyhow::{Context, Result, ensure};
+use pathwinch_protocol::{
+    cloud::MachineType,
+    settings::{CloudLimits, Cluster, Objective, Quota, StateLimits, Team, Workers},
+    users::{JobSpec, Kind, Priority},
+};
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+const MOST_MACHINES: u32 = 5_000;
+const MOST_TASKS_OF_JOB: u32 = 1_000;
+/// Limits of a team, as multiples of an equal share of the fleet.
+const TEAM_GUARANTEE: f64 = 0.5;
+const TEAM_LIMIT: f64 = 6.0;
+
+/// A plan as written. Counts are for `machines` and scale with it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// Everything drawn comes from this.
+    pub seed: u64,
+    pub machines: u32,
+    pub controllers: usize,
+    pub regions: usize,
+    pub zones_per_region: usize,
+    pub teams: usize,
+    /// Seconds before anything is measured, and of measuring.
+    pub warm_up_s: f64,
+    pub measure_s: f64,
+    /// Seconds between two polls of a job by its user.
+    pub poll_s: f64,
+    /// The run ends when all its processes together hold more.
+    pub most_memory_gb: f64,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub max_sockets: usize,
+    pub machine_type: Vec<MachineKind>,
+    pub class: Vec<Class>,
+}
+
+/// A machine type, and which part of the fleet is of it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MachineKind {
+    pub name: String,
+    pub share: f64,
+    pub cores: f64,
+    pub accelerators: f64,
+    pub memory_gb: f64,
+    pub local_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    pub startup_s: f64,
+}
+
+/// Jobs that are alike.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    pub name: String,
+    pub shape: Kind,
+    pub urgency: Priority,
+    /// Numbers of tasks to draw from, each as likely.
+    pub tasks: Vec<u32>,
+    pub cores: f64,
+    pub accelerators: f64,
+    pub memory_gb: f64,
+    pub images: u32,
+    pub image_gb: f64,
+    pub expected_s: f64,
+    /// Jobs at the start, and jobs that come each second.
+    pub initial: f64,
+    pub per_s: f64,
+    /// The aim for starting, if there is one.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+impl Plan {
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("cannot read plan {}", path.display()))?;
+        Self::parse(&text).with_context(|| format!("plan {}", path.display()))
+    }
+
+    /// Errors name the field.
+    pub fn parse(text: &str) -> Result<Self> {
+        let plan: Plan = toml::from_str(text)?;
+        plan.check()?;
+        Ok(plan)
+    }
+
+    fn check(&self) -> Result<()> {
+        let within = |field: &str, v: f64, low: f64, high: f64| {
+            ensure!(
+                (low..=high).contains(&v),
+                "{field}: {v} is outside {low} to {high}"
+            );
+            Ok(())
+        };
+        within(
+            "machines",
+            f64::from(self.machines),
+            1.0,
+            f64::from(MOST_MACHINES),
+        )?;
+        within(
+            "controllers",
+            self.controllers as f64,
+            1.0,
+            MOST_CONTROLLERS as f64,
+        )?;
+        within("regions", self.regions as f64, 1.0, 20.0)?;
+        within("zones_per_region", self.zones_per_region as f64, 1.0, 10.0)?;
+        within("teams", self.teams as f64, 1.0, 500.0)?;
+        within("warm_up_s", self.warm_up_s, 0.0, 3_600.0)?;
+        within("measure_s", self.measure_s, 1.0, 3_600.0)?;
+        within("poll_s", self.poll_s, 0.1, 600.0)?;
+        within("most_memory_gb", self.most_memory_gb, 0.1, 1_000.0)?;
+        ensure!(!self.machine_type.is_empty(), "machine_type: at least one");
+        ensure!(!self.class.is_empty(), "class: at least one");
+        for m in &self.machine_type {
+            let field = |name: &str| format!("machine_type {}: {name}", m.name);
+            within(&field("share"), m.share, 0.0, 1.0)?;
+            within(&field("cores"), m.cores, 0.1, 10_000.0)?;
+            within(&field("accelerators"), m.accelerators, 0.0, 1_000.0)?;
+            within(&field("fetch_gb_per_s"), m.fetch_gb_per_s, 0.001, 1_000.0)?;
+            within(&field("startup_s"), m.startup_s, 0.1, 600.0)?;
+        }
+        for c in &self.class {
+            let field = |name: &str| format!("class {}: {name}", c.name);
+            ensure!(!c.tasks.is_empty(), "{}: at least one", field("tasks"));
+            for tasks in &c.tasks {
+                within(
+                    &field("tasks"),
+                    f64::from(*tasks),
+                    1.0,
+                    f64::from(MOST_TASKS_OF_JOB),
+                )?;
+            }
+            within(&field("images"), f64::from(c.images), 1.0, 10_000.0)?;
+            within(&field("initial"), c.initial, 0.0, 100_000.0)?;
+            within(&field("per_s"), c.per_s, 0.0, 1_000.0)?;
+            within(&field("expected_s"), c.expected_s, 0.0, 86_400.0)?;
+        }
+        Ok(())
+    }
+
+    /// The same with all counts for another number of machines.
+    pub fn scaled(mut self, machines: u32) -> Result<Self> {
+        let factor = f64::from(machines) / f64::from(self.machines);
+        self.machines = machines;
+        for class in &mut self.class {
+            class.initial *= factor;
+            class.per_s *= factor;
+        }
+        self.check()?;
+        Ok(self)
+    }
+
+    fn zones(&self) -> Vec<String> {
+        let of_region = |region| {
+            (1..=self.zones_per_region).map(move |zone| format!("region-{region}-zone-{zone}"))
+        };
+        (1..=self.regions).flat_map(of_region).collect()
+    }
+
+    /// Machines of a type in one zone.
+    fn per_zone(&self, kind: &MachineKind) -> u32 {
+        let zones = (self.regions * self.zones_per_region) as f64;
+        (f64::from(self.machines) * kind.share / zones).round() as u32
+    }
+
+    /// The fleet's processors and accelerators.
+    fn fleet(&self) -> (f64, f64) {
+        let zones = (self.regions * self.zones_per_region) as f64;
+        self.machine_type
+            .iter()
+            .fold((0.0, 0.0), |(cpus, gpus), m| {
+                let count = f64::from(self.per_zone(m)) * zones;
+                (cpus + count * m.cores, gpus + count * m.accelerators)
+            })
+    }
+
+    /// The most processors and accelerators that one job takes: no limit is
+    /// lower, or the job could never run.
+    fn largest_job(&self) -> (f64, f64) {
+        let mut largest = (0.0_f64, 0.0_f64);
+        for class in &self.class {
+            let tasks = f64::from(class.tasks.iter().copied().max().unwrap_or(0));
+            largest.0 = largest.0.max(tasks * class.cores);
+            largest.1 = largest.1.max(tasks * class.accelerators);
+        }
+        largest
+    }
+
+    /// The site that the plan describes.
+    pub fn site(&self) -> Site {
+        let zones = self.zones();
+        let (cpus, gpus) = self.fleet();
+        let largest = self.largest_job();
+        let share = 1.0 / self.teams as f64;
+        let team = |number: usize| Team {
+            name: team_name(number),
+            cpus: (cpus * share * TEAM_GUARANTEE).round(),
+            gpus: (gpus * share * TEAM_GUARANTEE).round(),
+            cpus_max: (cpus * share * TEAM_LIMIT).max(largest.0).round(),
+            gpus_max: (gpus * share * TEAM_LIMIT).max(largest.1).round(),
+        };
+        let aims = self.class.iter().filter_map(|c| {
+            Some(Objective {
+                kind: "wait".into(),
+                class: Some(c.name.clone()),
+                within_s: Some(c.within_s?),
+                times: None,
+            })
+        });
+        let rig = |m: &MachineKind| MachineType {
+            name: m.name.clone(),
+            cpus: m.cores,
+            gpus: m.accelerators,
+            memory_gb: m.memory_gb,
+            cache_gb: m.local_gb,
+            fetch_gb_per_s: m.fetch_gb_per_s,
+            price: m.price,
+            spot_price: m.price,
+            boot_s: m.startup_s,
+            zones: zones.clone(),
+        };
+        Site {
+            controllers: self.controllers,
+            cluster: Cluster {
+                teams: (0..self.teams).map(team).collect(),
+                objectives: aims.collect(),
+                workers: self.workers.clone(),
+                state: self.state.clone(),
+                cloud: self.cloud.clone(),
+                quota: Quota {
+                    max_connections: self.max_sockets,
+                },
+                zones: zones.clone(),
+            },
+            rigs: self.machine_type.iter().map(rig).collect(),
+            capacity: 0,
+            capacity_by_type: self.machine_type.iter().map(|m| self.per_zone(m)).collect(),
+            stillborn: 0.0,
+            failing: 0.0,
+            seed: self.seed,
+        }
+    }
+
+    /// Machines that the site has in all.
+    pub fn site_machines(&self) -> u32 {
+        let zones = (self.regions * self.zones_per_region) as u32;
+        self.machine_type
+            .iter()
+            .map(|m| self.per_zone(m) * zones)
+            .sum()
+    }
+}
+
+pub fn team_name(number: usize) -> String {
+    format!("team-{number:02}")
+}
+
+impl Class {
+    /// The job of this class that has this number.
+    pub fn job(&self, number: usize, teams: usize, rng: &mut fastrand::Rng) -> JobSpec {
+        let tasks = self.tasks[rng.usize(..self.tasks.len())];
+        JobSpec {
+            id: format!("j-{number:06}"),
+            class: self.name.clone(),
+            team: team_name(rng.usize(..teams)),
+            kind: self.shape,
+            priority: self.urgency,
+            tasks,
+            cpus: self.cores,
+            gpus: self.accelerators,
+            memory_gb: self.memory_gb,
+            image: format!("{}-{}", self.name, rng.u32(..self.images)),
+            image_gb: self.image_gb,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: self.expected_s,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+            needs: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/report.rs
@@ -0,0 +1,259 @@
+//! The figures of a scale run, as a table and as JSON.
+
+use anyhow::{Result, ensure};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::fmt::Write;
+
+/// Times in milliseconds.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Times {
+    pub count: u64,
+    pub median_ms: u64,
+    pub p99_ms: u64,
+    pub p999_ms: u64,
+    pub largest_ms: u64,
+}
+
+impl Times {
+    pub fn of(histogram: &Histogram<u64>) -> Self {
+        Times {
+            count: histogram.len(),
+            median_ms: histogram.value_at_quantile(0.5),
+            p99_ms: histogram.value_at_quantile(0.99),
+            p999_ms: histogram.value_at_quantile(0.999),
+            largest_ms: histogram.max(),
+        }
+    }
+}
+
+/// What a process spent over the time measured.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct RoleRow {
+    pub name: String,
+    /// `leader`, `standby`, `follower`, or `load and stand-ins`.
+    pub role: &'static str,
+    /// Shares of one core: mean, and the largest over a second.
+    pub cpu_mean: f64,
+    pub cpu_largest: f64,
+    /// The largest seen.
+    pub memory_mb: f64,
+    pub sockets: usize,
+    /// A second.
+    pub state_requests: f64,
+    pub state_changes: f64,
+    pub peer_requests: f64,
+    pub peer_kb: f64,
+    /// Rounds of the leader's loop a second, their mean time in milliseconds,
+    /// and the share of them that took over 50 ms.
+    pub rounds: f64,
+    pub round_ms: f64,
+    pub rounds_over_50_ms: f64,
+}
+
+/// What users of a class saw.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct ClassRow {
+    pub name: String,
+    pub submitted: u64,
+    pub accepted: u64,
+    pub done: u64,
+    /// Starts of tasks a second, repeated ones included.
+    pub starts_per_s: f64,
+    /// From the first attempt to submit to a task's first start.
+    pub start_delay: Times,
+    /// The aim for starting, and the share of starts within it.
+    pub within_s: Option<f64>,
+    pub share_within: Option<f64>,
+}
+
+/// What workers exchanged with controllers, a second and worker.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct WorkerRow {
+    pub workers: usize,
+    pub tasks: usize,
+    pub reports: f64,
+    pub unanswered: f64,
+    pub direct_orders: f64,
+    pub sent_bytes: f64,
+    pub received_bytes: f64,
+    /// From sending a report to its answer.
+    pub answer: Times,
+}
+
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Report {
+    pub machines: u32,
+    pub controllers: usize,
+    pub teams: usize,
+    pub seconds: f64,
+    pub leader_changed: bool,
+    pub starts_per_s: f64,
+    pub open_jobs: usize,
+    pub polls_per_s: f64,
+    pub polls_failed: u64,
+    pub submissions_repeated: u64,
+    pub submit: Times,
+    pub roles: Vec<RoleRow>,
+    pub classes: Vec<ClassRow>,
+    pub worker: WorkerRow,
+    pub processes: usize,
+    pub memory_all_mb: f64,
+    /// Rules that were seen broken, over the whole run.
+    pub rules_broken: Vec<String>,
+}
+
+impl Report {
+    /// The table that the terminal shows.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        // Writing to a string can't fail.
+        let _ = self.write(&mut out);
+        out
+    }
+
+    fn write(&self, out: &mut String) -> std::fmt::Result {
+        writeln!(
+            out,
+            "{} machines, {} controllers, {} teams; measured for {:.0} s on loopback; {} processes, {:.0} MB",
+            self.machines,
+            self.controllers,
+            self.teams,
+            self.seconds,
+            self.processes,
+            self.memory_all_mb
+        )?;
+        writeln!(
+            out,
+            "{:.1} starts a second; {} open jobs; {:.0} polls a second, {} failed; submissions repeated {}, accepted in {} ms (99%)",
+            self.starts_per_s,
+            self.open_jobs,
+            self.polls_per_s,
+            self.polls_failed,
+            self.submissions_repeated,
+            self.submit.p99_ms
+        )?;
+        self.write_roles(out)?;
+        self.write_classes(out)?;
+        self.write_workers(out)?;
+        if self.leader_changed {
+            writeln!(
+                out,
+                "the lead changed while measuring: roles are those at the end"
+            )?;
+        }
+        for rule in &self.rules_broken {
+            writeln!(out, "RULE BROKEN: {rule}")?;
+        }
+        Ok(())
+    }
+
+    fn write_roles(&self, out: &mut String) -> std::fmt::Result {
+        writeln!(
+            out,
+            "\n{:<10} {:<18} {:>6} {:>7} {:>8} {:>7} {:>8} {:>8} {:>7} {:>8} {:>7} {:>8} {:>8}",
+            "process",
+            "role",
+            "cpu %",
+            "most %",
+            "mem MB",
+            "sockets",
+            "state/s",
+            "change/s",
+            "peer/s",
+            "peer kB",
+            "round/s",
+            "round ms",
+            ">50ms %"
+        )?;
+        for r in &self.roles {
+            writeln!(
+                out,
+                "{:<10} {:<18} {:>6.1} {:>7.1} {:>8.1} {:>7} {:>8.1} {:>8.1} {:>7.1} {:>8.1} {:>7.1} {:>8.2} {:>8.2}",
+                r.name,
+                r.role,
+                r.cpu_mean * 100.0,
+                r.cpu_largest * 100.0,
+                r.memory_mb,
+                r.sockets,
+                r.state_requests,
+                r.state_changes,
+                r.peer_requests,
+                r.peer_kb,
+                r.rounds,
+                r.round_ms,
+                r.rounds_over_50_ms * 100.0
+            )?;
+        }
+        Ok(())
+    }
+
+    fn write_classes(&self, out: &mut String) -> std::fmt::Result {
+        writeln!(
+            out,
+            "\n{:<10} {:>9} {:>9} {:>7} {:>9} {:>10} {:>9} {:>9} {:>10} {:>12}",
+            "class",
+            "submitted",
+            "accepted",
+            "done",
+            "starts/s",
+            "median ms",
+            "99% ms",
+            "99.9% ms",
+            "largest ms",
+            "within aim"
+        )?;
+        for c in &self.classes {
+            let aim = match (c.within_s, c.share_within) {
+                (Some(s), Some(share)) => format!("{:.2}% in {s} s", share * 100.0),
+                _ => "-".into(),
+            };
+            let delay = &c.start_delay;
+            writeln!(
+                out,
+                "{:<10} {:>9} {:>9} {:>7} {:>9.1} {:>10} {:>9} {:>9} {:>10} {:>12}",
+                c.name,
+                c.submitted,
+                c.accepted,
+                c.done,
+                c.starts_per_s,
+                delay.median_ms,
+                delay.p99_ms,
+                delay.p999_ms,
+                delay.largest_ms,
+                aim
+            )?;
+        }
+        Ok(())
+    }
+
+    fn write_workers(&self, out: &mut String) -> std::fmt::Result {
+        let w = &self.worker;
+        writeln!(
+            out,
+            "\n{} workers, {} tasks on them; each a second: {:.2} reports ({:.4} unanswered), {:.3} direct orders, {:.0} bytes sent, {:.0} received",
+            w.workers,
+            w.tasks,
+            w.reports,
+            w.unanswered,
+            w.direct_orders,
+            w.sent_bytes,
+            w.received_bytes
+        )?;
+        writeln!(
+            out,
+            "a report's answer: median {} ms, 99% {} ms, 99.9% {} ms, largest {} ms",
+            w.answer.median_ms, w.answer.p99_ms, w.answer.p999_ms, w.answer.largest_ms
+        )
+    }
+
+    /// An error if a rule was broken.
+    pub fn verdict(&self) -> Result<()> {
+        ensure!(
+            self.rules_broken.is_empty(),
+            "{} rules broken",
+            self.rules_broken.len()
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/users.rs
@@ -0,0 +1,243 @@
+//! The load: users who submit jobs at the plan's rates and poll them until
+//! they are over, and what they saw.
+
+use super::plan::Plan;
+use crate::{Ms, depot::Started, installation::Lab, traffic};
+use async_io::Timer;
+use hdrhistogram::Histogram;
+use http_types::Method;
+use pathwinch_protocol::users::{JobSpec, JobState, JobStatus, Kind};
+use pathwinch_transport::client::Answer;
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
+
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(5);
+const POLL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Before a request that failed is repeated.
+const RETRY: Duration = Duration::from_secs(1);
+/// Submissions that are begun at once at the start, and how often.
+const INITIAL_BATCH: usize = 20;
+const INITIAL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What users of one class saw since the figures were last reset.
+#[derive(Debug)]
+pub struct ClassFigures {
+    pub submitted: u64,
+    pub accepted: u64,
+    pub done: u64,
+    pub starts: u64,
+    /// From the first attempt to submit to a task's first start.
+    pub start_delays: Histogram<u64>,
+}
+
+impl Default for ClassFigures {
+    fn default() -> Self {
+        ClassFigures {
+            submitted: 0,
+            accepted: 0,
+            done: 0,
+            starts: 0,
+            start_delays: traffic::times(),
+        }
+    }
+}
+
+/// What all users saw since the figures were last reset.
+#[derive(Debug)]
+pub struct Figures {
+    pub classes: Vec<ClassFigures>,
+    pub submit_times: Histogram<u64>,
+    pub polls: u64,
+    pub polls_failed: u64,
+    pub submissions_repeated: u64,
+}
+
+impl Figures {
+    fn of(classes: usize) -> Self {
+        Figures {
+            classes: (0..classes).map(|_| ClassFigures::default()).collect(),
+            submit_times: traffic::times(),
+            polls: 0,
+            polls_failed: 0,
+            submissions_repeated: 0,
+        }
+    }
+}
+
+/// A job whose user has not seen it end.
+struct Open {
+    class: usize,
+    submitted: Ms,
+    started: HashSet<u32>,
+}
+
+pub struct Users {
+    lab: Rc<Lab>,
+    plan: Plan,
+    open: RefCell<HashMap<String, Open>>,
+    figures: RefCell<Figures>,
+    next_job: RefCell<usize>,
+    rng: RefCell<fastrand::Rng>,
+}
+
+impl Users {
+    pub fn new(lab: Rc<Lab>, plan: Plan) -> Rc<Self> {
+        Rc::new(Users {
+            figures: RefCell::new(Figures::of(plan.class.len())),
+            rng: RefCell::new(fastrand::Rng::with_seed(plan.seed)),
+            next_job: RefCell::new(1),
+            open: RefCell::default(),
+            plan,
+            lab,
+        })
+    }
+
+    /// Jobs whose users have not seen them end.
+    pub fn open_jobs(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Takes what was seen since the last call.
+    pub fn take_figures(&self) -> Figures {
+        self.figures.replace(Figures::of(self.plan.class.len()))
+    }
+
+    /// Begins all arrivals; they go on until the lab ends.
+    pub fn begin(self: &Rc<Self>) {
+        for class in 0..self.plan.class.len() {
+            let users = self.clone();
+            let arrivals = async move {
+                users.submit_initial(class).await;
+                users.arrive(class).await;
+            };
+            self.lab.lanes.spawn_second(arrivals).detach();
+        }
+    }
+
+    async fn submit_initial(self: &Rc<Self>, class: usize) {
+        let count = self.plan.class[class].initial.round() as usize;
+        for number in 0..count {
+            self.submit_one(class);
+            if number % INITIAL_BATCH == INITIAL_BATCH - 1 {
+                Timer::after(INITIAL_INTERVAL).await;
+            }
+        }
+    }
+
+    async fn arrive(self: &Rc<Self>, class: usize) {
+        let rate = self.plan.class[class].per_s;
+        if rate <= 0.0 {
+            return;
+        }
+        loop {
+            let chance = 1.0 - self.rng.borrow_mut().f64();
+            let gap = -chance.ln() / rate;
+            Timer::after(Duration::from_secs_f64(gap)).await;
+            self.submit_one(class);
+        }
+    }
+
+    fn submit_one(self: &Rc<Self>, class: usize) {
+        let number = self.next_job.replace_with(|n| *n + 1);
+        let spec = {
+            let mut rng = self.rng.borrow_mut();
+            self.plan.class[class].job(number, self.plan.teams, &mut rng)
+        };
+        let open = Open {
+            class,
+            submitted: self.lab.now(),
+            started: HashSet::new(),
+        };
+        self.lab.depot.borrow_mut().upload(&spec);
+        self.open.borrow_mut().insert(spec.id.clone(), open);
+        self.figures.borrow_mut().classes[class].submitted += 1;
+        let users = self.clone();
+        let user = async move { users.follow(class, spec).await };
+        self.lab.lanes.spawn_second(user).detach();
+    }
+
+    /// One user's part: submits until that is accepted, then polls.
+    async fn follow(&self, class: usize, spec: JobSpec) {
+        let body = serde_json::to_vec(&spec).unwrap_or_default();
+        let begun = self.lab.now();
+        loop {
+            let answer = self.call(Method::Post, "/v1/jobs", Some(&body), SUBMIT_TIMEOUT);
+            match answer.await {
+                Some(a) if matches!(a.status, 200 | 201) => break,
+                Some(a) if matches!(a.status, 400 | 422) => {
+                    log::error!("{} refused: {}", spec.id, String::from_utf8_lossy(&a.body));
+                    self.open.borrow_mut().remove(&spec.id);
+                    return;
+                }
+                _ => {
+                    self.figures.borrow_mut().submissions_repeated += 1;
+                    Timer::after(RETRY).await;
+                }
+            }
+        }
+        {
+            let took = self.lab.now() - begun;
+            let mut figures = self.figures.borrow_mut();
+            figures.classes[class].accepted += 1;
+            traffic::record(&mut figures.submit_times, took);
+        }
+        self.poll_until_over(class, &spec).await;
+    }
+
+    async fn poll_until_over(&self, class: usize, spec: &JobSpec) {
+        let path = format!("/v1/jobs/{}", spec.id);
+        // The first polls are spread like the later ones.
+        let first = self.plan.poll_s * self.rng.borrow_mut().f64();
+        Timer::after(Duration::from_secs_f64(first)).await;
+        loop {
+            let answer = self.call(Method::Get, &path, None, POLL_TIMEOUT).await;
+            self.figures.borrow_mut().polls += 1;
+            let status = answer
+                .filter(|a| a.status == 200)
+                .and_then(|a| serde_json::from_slice::<JobStatus>(&a.body).ok());
+            match status.map(|s| s.state) {
+                Some(JobState::Done | JobState::Cancelled) => break,
+                Some(JobState::Queued | JobState::Running) => {}
+                None => self.figures.borrow_mut().polls_failed += 1,
+            }
+            Timer::after(Duration::from_secs_f64(self.plan.poll_s)).await;
+        }
+        if spec.kind != Kind::Service {
+            self.figures.borrow_mut().classes[class].done += 1;
+        }
+        self.open.borrow_mut().remove(&spec.id);
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&[u8]>,
+        limit: Duration,
+    ) -> Option<Answer> {
+        let to = self.lab.ready_controller()?;
+        let body = body.map(<[u8]>::to_vec);
+        self.lab.http.call(to, method, path, body, limit).await.ok()
+    }
+
+    /// Takes in the starts that workers saw.
+    pub fn note_starts(&self, starts: Vec<Started>) {
+        let mut open = self.open.borrow_mut();
+        let mut figures = self.figures.borrow_mut();
+        for start in starts {
+            let Some(job) = open.get_mut(&start.job) else {
+                continue;
+            };
+            let class = &mut figures.classes[job.class];
+            class.starts += 1;
+            if job.started.insert(start.task) {
+                let delay = start.at.saturating_sub(job.submitted);
+                traffic::record(&mut class.start_delays, delay);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/services.rs
@@ -0,0 +1,127 @@
+//! The HTTP paths of the state service and the cloud.
+
+use crate::{Ms, cloud::Refused, installation::Lab, state::Answer};
+use async_io::Timer;
+use http_types::Method;
+use pathwinch_protocol::cloud::{MachineNames, MachineTypes, Rent};
+use pathwinch_transport::server::{HttpRequest, HttpResponse};
+use serde_json::json;
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+/// Between two looks of a watch at what has changed.
+const WATCH_STEP: Duration = Duration::from_millis(20);
+/// The longest that a watch may ask to wait.
+const MOST_WATCH_MS: u64 = 60_000;
+
+fn answer(a: Answer) -> HttpResponse {
+    HttpResponse::json(a.status, &a.body)
+}
+
+fn query(request: &HttpRequest) -> HashMap<String, String> {
+    let text = request.query.as_deref().unwrap_or_default();
+    url::form_urlencoded::parse(text.as_bytes())
+        .into_owned()
+        .collect()
+}
+
+/// The state service's paths.
+pub async fn state(lab: Rc<Lab>, request: HttpRequest) -> HttpResponse {
+    let now = lab.now();
+    if let Some(refusal) = lab.state.borrow_mut().admit(now) {
+        return answer(refusal);
+    }
+    let Some(body) = &request.body else {
+        return HttpResponse::error(400, "body is incomplete or over 64 KiB");
+    };
+    let path = request.path.as_str();
+    let asked = query(&request);
+    let text = |name: &str| asked.get(name).map(String::as_str).unwrap_or_default();
+    let number = |name: &str| text(name).parse::<u64>().ok();
+    let lease = path.strip_prefix("/leases/");
+    match (request.method, path) {
+        (Method::Get, "/kv") => {
+            let most = number("most").unwrap_or(1000) as usize;
+            let state = lab.state.borrow();
+            answer(state.list(text("under"), text("from"), most))
+        }
+        (Method::Get, "/watch") => {
+            let Some(from) = number("from") else {
+                return HttpResponse::error(400, "from: missing");
+            };
+            let wait = number("wait_ms").unwrap_or(0).min(MOST_WATCH_MS);
+            watch(&lab, text("under"), from, now + wait).await
+        }
+        (Method::Post, "/txn") => answer(lab.state.borrow_mut().txn(body, now)),
+        (Method::Post, "/leases") => answer(lab.state.borrow_mut().grant(body, now)),
+        (Method::Get, _) if path.starts_with("/kv/") => {
+            answer(lab.state.borrow().get(&path["/kv/".len()..]))
+        }
+        (Method::Post | Method::Delete, _) => {
+            let touch = request.method == Method::Post;
+            let id = lease
+                .map(|l| l.strip_suffix("/touch").filter(|_| touch).unwrap_or(l))
+                .and_then(|l| l.parse().ok());
+            match id {
+                Some(id) if touch => answer(lab.state.borrow_mut().touch(id, now)),
+                Some(id) => answer(lab.state.borrow_mut().drop_lease(id)),
+                None => HttpResponse::error(404, "no such path"),
+            }
+        }
+        _ => HttpResponse::error(404, "no such path"),
+    }
+}
+
+async fn watch(lab: &Rc<Lab>, under: &str, from: u64, until: Ms) -> HttpResponse {
+    loop {
+        let now = lab.now();
+        lab.state.borrow_mut().pass_time(now);
+        if let Some(found) = lab.state.borrow().changes(under, from) {
+            return answer(found);
+        }
+        if now >= until {
+            return answer(lab.state.borrow().looked(Vec::new()));
+        }
+        Timer::after(WATCH_STEP).await;
+    }
+}
+
+/// The cloud's paths.
+pub async fn cloud(lab: Rc<Lab>, request: HttpRequest) -> HttpResponse {
+    let now = lab.now();
+    if !lab.cloud.borrow_mut().admit(now) {
+        return HttpResponse::error(429, "too many requests");
+    }
+    let body = request.body.as_deref().unwrap_or_default();
+    let mut cloud = lab.cloud.borrow_mut();
+    let refused = |r: Refused| match r {
+        Refused::NoCapacity => HttpResponse::error(503, "no capacity"),
+        Refused::Malformed(why) => HttpResponse::error(400, why),
+    };
+    match (request.method, request.path.as_str()) {
+        (Method::Get, "/machine_types") => {
+            let types = cloud.types().to_vec();
+            HttpResponse::json(200, &MachineTypes { types })
+        }
+        (Method::Get, "/hosts") => {
+            let asked = query(&request);
+            let from = asked.get("from").map(String::as_str).unwrap_or_default();
+            let most = asked.get("most").and_then(|m| m.parse().ok());
+            HttpResponse::json(200, &cloud.list(from, most.unwrap_or(500), now))
+        }
+        (Method::Post, "/hosts") => match serde_json::from_slice::<Rent>(body) {
+            Ok(rent) => match cloud.rent(&rent, now) {
+                Ok(machines) => HttpResponse::json(200, &MachineNames { machines }),
+                Err(r) => refused(r),
+            },
+            Err(e) => HttpResponse::error(400, &e.to_string()),
+        },
+        (Method::Post, "/hosts/release") => match serde_json::from_slice(body) {
+            Ok(names) => match cloud.release(&names, now) {
+                Ok(_) => HttpResponse::json(200, &json!({})),
+                Err(r) => refused(r),
+            },
+            Err(e) => HttpResponse::error(400, &e.to_string()),
+        },
+        _ => HttpResponse::error(404, "no such path"),
+    }
+}
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -17,6 +17,9 @@
     pub rigs: Vec<MachineType>,
     /// Machines of each type, zone and kind that the cloud has.
     pub capacity: u32,
+    /// The same by type, in the order of `rigs`; empty: `capacity` of each.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub capacity_by_type: Vec<u32>,
     /// Share of machines that never come up.
     #[serde(default)]
     pub stillborn: f64,
@@ -30,6 +33,8 @@
 
 /// More listeners than this on one machine serve no purpose.
 const MOST_CAPACITY: u32 = 500;
+/// More controllers than this are not planned for.
+pub const MOST_CONTROLLERS: usize = 15;
 
 impl Default for Site {
     fn default() -> Self {
@@ -88,6 +93,7 @@
             },
             rigs: vec![rig("m8", 8.0, 0.0, 0.4), rig("g16", 16.0, 2.0, 2.0)],
             capacity: 20,
+            capacity_by_type: Vec::new(),
             stillborn: 0.0,
             failing: 0.0,
             seed: 1,
@@ -96,6 +102,12 @@
 }
 
 impl Site {
+    /// Machines of this type in each zone, ordinary ones and spot ones each.
+    pub fn capacity_of(&self, type_index: usize) -> u32 {
+        let own = self.capacity_by_type.get(type_index);
+        own.copied().unwrap_or(self.capacity)
+    }
+
     pub fn load(path: &Path) -> Result<Self> {
         let text = std::fs::read_to_string(path)
             .with_context(|| format!("cannot read {}", path.display()))?;
@@ -105,14 +117,18 @@
     pub fn parse(text: &str) -> Result<Self> {
         let site: Site = serde_json::from_str(text)?;
         ensure!(
-            (1..=9).contains(&site.controllers),
-            "controllers: must be 1 to 9"
+            (1..=MOST_CONTROLLERS).contains(&site.controllers),
+            "controllers: must be 1 to {MOST_CONTROLLERS}"
         );
         ensure!(
             (1..=MOST_CAPACITY).contains(&site.capacity),
             "capacity: must be 1 to {MOST_CAPACITY}"
         );
         ensure!(!site.rigs.is_empty(), "rigs: at least one machine type");
+        ensure!(
+            site.capacity_by_type.iter().all(|c| *c <= MOST_CAPACITY),
+            "capacity_by_type: must be 0 to {MOST_CAPACITY}"
+        );
         for (field, v) in [("stillborn", site.stillborn), ("failing", site.failing)] {
             ensure!((0.0..=1.0).contains(&v), "{field}: must be 0 to 1");
         }
--- a/crates/lab/src/state.rs
+++ b/crates/lab/src/state.rs
@@ -334,10 +334,11 @@
         if from + 1 < oldest && from < self.revision {
             return Some(error(410, "too old"));
         }
+        let first = self.log.partition_point(|c| c.revision <= from);
         let log: Vec<Value> = self
             .log
-            .iter()
-            .filter(|c| c.revision > from && c.key.starts_with(under))
+            .range(first..)
+            .filter(|c| c.key.starts_with(under))
             .map(|c| match &c.value {
                 Some(v) => json!({"set": c.key, "data": v, "key_rev": c.revision}),
                 None => json!({"drop": c.key, "key_rev": c.revision}),
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -34,6 +34,16 @@
     fn live(&self) -> bool {
         self.state != TaskState::Exited
     }
+
+    /// Whether time may change anything about it. A gang's task waits for the
+    /// others, so only time tells that it does not.
+    fn may_change(&self, now: Ms) -> bool {
+        match self.state {
+            TaskState::Exited => false,
+            TaskState::Waiting => true,
+            TaskState::Fetching | TaskState::Running | TaskState::Saving => now >= self.until,
+        }
+    }
 }
 
 /// Images kept on a machine.
@@ -299,7 +309,9 @@
             self.lapse(depot, now);
         }
         for i in 0..self.tasks.len() {
-            self.advance(i, depot, now);
+            if self.tasks[i].may_change(now) {
+                self.advance(i, depot, now);
+            }
         }
     }
 
--- a/crates/transport/src/frames.rs
+++ b/crates/transport/src/frames.rs
@@ -100,9 +100,20 @@
 #[derive(Default)]
 pub struct PeerClient {
     idle: RefCell<HashMap<SocketAddr, Vec<Stream>>>,
+    requests: Cell<u64>,
+    bytes: Cell<u64>,
 }
 
 impl PeerClient {
+    /// Requests that were sent, and the bytes of those and of their replies.
+    pub fn exchanged(&self) -> (u64, u64) {
+        (self.requests.get(), self.bytes.get())
+    }
+
+    fn count_bytes(&self, length: usize) {
+        self.bytes.set(self.bytes.get() + length as u64);
+    }
+
     pub async fn call(
         &self,
         addr: SocketAddr,
@@ -143,7 +154,10 @@
                 .write_all(&frame)
                 .await
                 .map_err(|e| no_answer(e.into()))?;
+            self.requests.set(self.requests.get() + 1);
+            self.count_bytes(frame.len());
             let bytes = read(&mut stream).await.map_err(no_answer)?;
+            self.count_bytes(bytes.len());
             let reply = decode(&bytes).map_err(no_answer)?;
             let mut idle = self.idle.borrow_mut();
             let list = idle.entry(addr).or_default();
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -10,7 +10,10 @@
 };
 use async_io::Timer;
 use http_types::Method;
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 /// Between two looks at the clock; events wake the loop sooner, but not in a
 /// row, so that a batch of reports is one pass.
@@ -40,6 +43,7 @@
         }
         let wall = node.wall_ms();
         let upgraded = node.upgrade.is_complete();
+        let round_began = Instant::now();
         let begun = node.acting(|l, now| {
             l.upgraded(upgraded);
             l.tick(now, wall);
@@ -55,6 +59,8 @@
             continue;
         };
         node.figures.borrow_mut().add(tally);
+        let round = round_began.elapsed().as_secs_f64();
+        node.figures.borrow().round(round);
         node.keep_standbys(term);
         for d in directs {
             node.lanes.spawn(node.clone().direct(term, d)).detach();
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -60,6 +60,9 @@
     pub(super) state_changes: Counter,
     pub(super) state_refused: Counter,
     pub(super) cloud_requests: Counter,
+    peer_requests: Counter,
+    peer_bytes: Counter,
+    rounds: Histogram,
 }
 
 fn answer_times() -> Histogram {
@@ -74,6 +77,10 @@
     Histogram::new([0.1, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 30.0, 60.0, 120.0])
 }
 
+fn round_times() -> Histogram {
+    Histogram::new([0.001, 0.005, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0])
+}
+
 impl Metrics {
     pub(super) fn new() -> Self {
         let mut m = Metrics {
@@ -96,6 +103,9 @@
             state_changes: Counter::default(),
             state_refused: Counter::default(),
             cloud_requests: Counter::default(),
+            peer_requests: Counter::default(),
+            peer_bytes: Counter::default(),
+            rounds: round_times(),
         };
         let r = &mut m.registry;
         let help = "Time to answer users, in seconds";
@@ -128,6 +138,12 @@
         r.register("state_refused", help, m.state_refused.clone());
         let help = "Requests to the cloud";
         r.register("cloud_requests", help, m.cloud_requests.clone());
+        let help = "Requests to other controllers";
+        r.register("peer_requests", help, m.peer_requests.clone());
+        let help = "Bytes sent to other controllers as requests, and received as replies";
+        r.register("peer_bytes", help, m.peer_bytes.clone());
+        let help = "Time of a round of the leader's loop, placement included, in seconds";
+        r.register("round_seconds", help, m.rounds.clone());
         m
     }
 
@@ -136,6 +152,20 @@
         self.answers.get_or_create(&kind).observe(seconds);
     }
 
+    /// A round of the leader's loop took so many seconds.
+    pub(super) fn round(&self, seconds: f64) {
+        self.rounds.observe(seconds);
+    }
+
+    /// The totals of what was exchanged with other controllers.
+    fn exchanged(&self, requests: u64, bytes: u64) {
+        let more = |counter: &Counter, total: u64| {
+            counter.inc_by(total.saturating_sub(counter.get()));
+        };
+        more(&self.peer_requests, requests);
+        more(&self.peer_bytes, bytes);
+    }
+
     pub(super) fn stopped(&self, why: &'static str) {
         self.stops.get_or_create(&Cause { why }).inc();
     }
@@ -173,6 +203,8 @@
             (l.model.live_jobs(), l.model.machine_count(), warm)
         });
         let m = self.figures.borrow();
+        let (requests, bytes) = self.peers.exchanged();
+        m.exchanged(requests, bytes);
         m.leading.set(i64::from(led.is_some()));
         let (jobs, machines, warm) = led.unwrap_or_default();
         m.warm.set(warm as i64);
--- /dev/null
+++ b/tests/scale_run.rs
@@ -0,0 +1,42 @@
+//! A scale run of 200 workers beside real controllers: it holds the rules, all
+//! it started with runs, and it ends by itself. No times are asserted.
+
+use pathwinch_lab::scale::{self, plan::Plan};
+use std::path::Path;
+
+const MACHINES: u32 = 200;
+
+fn plan() -> Plan {
+    let text = include_str!("../examples/scale.toml")
+        .replace("controllers = 14", "controllers = 3")
+        .replace("warm_up_s = 130.0", "warm_up_s = 20.0")
+        .replace("measure_s = 60.0", "measure_s = 8.0");
+    let mut plan = Plan::parse(&text).unwrap().scaled(MACHINES).unwrap();
+    // Services fill half of the fleet; one gang each is as large as it may be.
+    for class in &mut plan.class {
+        match class.name.as_str() {
+            "large" => class.initial = 1.0,
+            "wave" => class.initial = 1.0,
+            _ => {}
+        }
+    }
+    plan
+}
+
+#[test]
+fn two_hundred_workers_hold_the_rules_and_the_run_ends_by_itself() {
+    let dir = std::env::temp_dir().join(format!("pathwinch-scale-{}", std::process::id()));
+    let program = Path::new(env!("CARGO_BIN_EXE_pathwinch"));
+    let report = scale::run(plan(), program, &dir).unwrap();
+    println!("{}", report.text());
+    assert_eq!(report.rules_broken, Vec::<String>::new());
+    assert_eq!(report.processes, 4, "three controllers and this process");
+    let leaders = report.roles.iter().filter(|r| r.role == "leader");
+    assert_eq!(leaders.count(), 1);
+    assert!(report.worker.workers >= 50, "{}", report.worker.workers);
+    // Of 120 service jobs none has fewer than three replicas.
+    assert!(report.worker.tasks >= 360, "{}", report.worker.tasks);
+    let urgent = report.classes.iter().find(|c| c.name == "urgent");
+    assert!(urgent.is_some_and(|c| c.accepted > 0 && c.starts_per_s > 0.0));
+    std::fs::remove_dir_all(dir).unwrap();
+}
