--- a/examples/limits.rs
+++ b/examples/limits/main.rs
@@ -5,6 +5,12 @@
 //!     limits memory JOBS N        N finished jobs beside JOBS live ones
 //!     limits told MACHINES N      N changes of a machine, told and taken in
 //!     limits takeover MACHINES N  N takeovers of what MACHINES hold
+//!     limits idle MACHINES N      N passes of placement with nothing waiting
+//!     limits task MACHINES N      N jobs of one task, accepted and placed
+//!     limits array MACHINES N     N arrays of 500 tasks, accepted and placed
+//!     limits gang MACHINES N      N gangs of 256 tasks, accepted and placed
+
+mod passes;
 
 use anyhow::{Context, Result, bail};
 use pathwinch::{
@@ -124,7 +130,7 @@
 fn main() -> Result<()> {
     let args: Vec<String> = std::env::args().collect();
     let [_, what, size, count] = args.as_slice() else {
-        bail!("usage: limits reports|polls|memory|told|takeover SIZE N");
+        bail!("usage: limits WHAT SIZE N, see the head of this file");
     };
     let size: usize = size.parse().context("SIZE")?;
     let count: usize = count.parse().context("N")?;
@@ -204,7 +210,11 @@
                 anyhow::ensure!(l.is_warm(), "cold");
             }
         }
-        other => bail!("{other}: neither reports, polls, memory, told nor takeover"),
+        "idle" => passes::Drawn::new(size)?.idle(count)?,
+        "task" => passes::Drawn::new(size)?.place("array", 1, count)?,
+        "array" => passes::Drawn::new(size)?.place("array", passes::ARRAY, count)?,
+        "gang" => passes::Drawn::new(size)?.place("gang", passes::GANG, count)?,
+        other => bail!("{other}: not one of those that the head of this file names"),
     }
     Ok(())
 }
--- /dev/null
+++ b/examples/limits/passes.rs
@@ -0,0 +1,180 @@
+//! What a pass of placement costs: fleets of two machine types in 15 zones,
+//! each machine with a drawn number of tasks of four shapes on it.
+
+use anyhow::{Context, Result, ensure};
+use pathwinch::{
+    bookkeeping::records::{JobRecord, MachineRecord},
+    coordination::leader::Leader,
+    options::Options,
+    protocol::{cloud::MachineType, settings::Settings, users::JobSpec, workers::Report},
+};
+use std::rc::Rc;
+
+const ZONES: usize = 15;
+/// Time of the fleet's reports and of all passes, in milliseconds.
+const NOW: u64 = 1_000;
+/// Cores, accelerators and memory of a task.
+type Shape = (f64, f64, f64);
+const SHAPES: [Shape; 4] = [
+    (5.0, 0.0, 10.0),
+    (5.0, 0.0, 12.0),
+    (4.0, 1.0, 40.0),
+    (1.0, 0.0, 2.0),
+];
+/// Tasks of the job that a pass finds waiting.
+pub const ARRAY: u32 = 500;
+pub const GANG: u32 = 256;
+
+fn zone(number: usize) -> String {
+    format!("zone-{number:02}")
+}
+
+fn settings() -> Result<Settings> {
+    let zones: Vec<String> = (0..ZONES).map(zone).collect();
+    let text = serde_json::json!({
+        "host_name": "n0", "area": zone(0), "listen": "127.0.0.1:1", "back": "127.0.0.1:2",
+        "known": [], "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+        "cluster": {
+            "zones": zones, "teams": [{"name": "t"}],
+            "workers": {"report_s": 5.0, "lease_s": 26.5, "gang_wait_s": 45.0,
+                        "gang_peer_s": 5.0, "cancel_s": 56.5},
+            "state": {"rps": 1400.0, "write_rps": 500.0, "value_kb": 16.0, "txn_ops": 24},
+            "cloud": {"rps": 30.0, "list_lag_s": 3.0}, "quota": {"max_sockets": 8000}
+        }
+    });
+    Settings::parse(&text.to_string())
+}
+
+fn machine_types() -> Result<Vec<MachineType>> {
+    let zones: Vec<String> = (0..ZONES).map(zone).collect();
+    let types = serde_json::json!([
+        {"sku": "c64", "cores": 64.0, "memory_gb": 256.0, "local_gb": 200.0,
+         "fetch_gb_per_s": 1.0, "price": 3.5, "market_price": 3.5, "halls": zones},
+        {"sku": "g4", "cores": 48.0, "accelerators": 4.0, "memory_gb": 384.0,
+         "local_gb": 200.0, "fetch_gb_per_s": 1.0, "price": 12.0, "market_price": 12.0,
+         "halls": zones},
+    ]);
+    Ok(serde_json::from_value(types)?)
+}
+
+fn job(number: usize, shape: Shape, run_shape: &str, tasks: u32) -> Result<JobRecord> {
+    let (cores, accelerators, memory_gb) = shape;
+    let spec = serde_json::json!({
+        "ref": format!("j-{number:06}"), "job_family": "c", "owner_crew": "t",
+        "run_shape": run_shape, "urgency": "normal", "pieces": tasks, "cores": cores,
+        "accelerators": accelerators, "memory_gb": memory_gb,
+        "bundle": format!("image-{}", number % 16), "image_gb": 1.0, "same_place": false,
+        "apart": false, "lendback": false, "expected_s": 60.0, "snapshot_every_s": 0.0,
+        "snapshot_cost_s": 0.0
+    });
+    let spec = JobSpec::parse(spec.to_string().as_bytes()).map_err(anyhow::Error::msg)?;
+    Ok(JobRecord::new(spec, 0))
+}
+
+/// A leader that has heard so many machines with drawn tasks on them, and the
+/// number of the next job.
+pub struct Drawn {
+    leader: Leader,
+    next_job: usize,
+}
+
+impl Drawn {
+    pub fn new(machines: usize) -> Result<Self> {
+        let mut rng = fastrand::Rng::with_seed(7);
+        let settings = Rc::new(settings()?);
+        let mut leader = Leader::new(settings, Options::default(), machine_types()?, 1, 0);
+        for n in 0..machines {
+            let record = MachineRecord {
+                addr: "127.0.0.1:9".into(),
+                type_name: type_name(n).into(),
+                zone: zone(n % ZONES),
+                spot: false,
+                releasing: false,
+                lapsed: false,
+                quarantined: false,
+                images: vec![format!("image-{}", rng.u32(..16))],
+            };
+            leader.load_machine(&format!("i-{n:06}"), record, 1, 0);
+        }
+        // One job of each shape for every ten machines.
+        let jobs = 4 * machines.div_ceil(10);
+        for n in 0..jobs {
+            leader.load_job(job(n, SHAPES[n % 4], "array", 1_000)?, 1, 0);
+        }
+        leader.finish_loading(0);
+        let mut next_task = vec![0; jobs];
+        for n in 0..machines {
+            leader.on_beat(&report(n, jobs, &mut next_task, &mut rng)?, NOW);
+        }
+        // What waits of these jobs is taken off again.
+        for n in 0..jobs {
+            leader.cancel(&format!("j-{n:06}"));
+        }
+        leader.tick(NOW, NOW);
+        Ok(Drawn {
+            leader,
+            next_job: jobs,
+        })
+    }
+
+    /// Passes that find nothing waiting.
+    pub fn idle(&mut self, count: usize) -> Result<()> {
+        for _ in 0..count {
+            // Known already: it only makes the next round look again.
+            self.leader.load_job(job(0, SHAPES[0], "array", 1_000)?, 1, NOW);
+            self.leader.tick(NOW, NOW);
+        }
+        Ok(())
+    }
+
+    /// Jobs of so many tasks, each accepted and placed in a pass of its own.
+    pub fn place(&mut self, run_shape: &str, tasks: u32, count: usize) -> Result<()> {
+        for _ in 0..count {
+            let number = self.next_job;
+            self.next_job += 1;
+            let record = job(number, (1.0, 0.0, 2.0), run_shape, tasks)?;
+            self.leader.accepted(record, 2, NOW);
+            self.leader.tick(NOW, NOW);
+            let id = format!("j-{number:06}");
+            let ix = self.leader.model.job_ix(&id).context("not known")?;
+            let waiting = self.leader.model.job(ix).map_or(tasks, |j| j.waiting());
+            ensure!(waiting == 0, "{waiting} of {tasks} tasks still wait");
+        }
+        Ok(())
+    }
+}
+
+fn type_name(machine: usize) -> &'static str {
+    if machine % 2 == 0 { "c64" } else { "g4" }
+}
+
+/// A report with 5 to 9 running tasks that fit.
+fn report(
+    machine: usize,
+    jobs: usize,
+    next_task: &mut [u32],
+    rng: &mut fastrand::Rng,
+) -> Result<Report> {
+    let accelerators = type_name(machine) == "g4";
+    let mut pieces = Vec::new();
+    let mut gpus = 0;
+    for _ in 0..rng.usize(5..=9) {
+        let mut shape = rng.usize(..4);
+        if shape == 2 && (!accelerators || gpus == 4) {
+            shape = 3;
+        }
+        gpus += usize::from(shape == 2);
+        let number = rng.usize(..jobs / 4) * 4 + shape;
+        let task = next_task[number];
+        next_task[number] += 1;
+        pieces.push(serde_json::json!({
+            "piece": format!("j-{number:06}/{task}"), "try": 7, "stage": "running"
+        }));
+    }
+    let text = serde_json::json!({
+        "post": format!("i-{machine:06}"), "addr": "127.0.0.1:9", "rig": type_name(machine),
+        "hall": zone(machine % ZONES), "lendback": false, "tenure": 1, "tick": 1,
+        "baton": 1u64 << 20, "pieces": pieces
+    });
+    Ok(serde_json::from_value(text)?)
+}
