Placement from rankings that are kept, in passes that are bounded

Cause: choosing a machine for a task looked at every machine, once a task: 503 us at 2,400 machines, so 3,000 waiting tasks held up all reports for 1.5 s; gangs copied the whole list for each zone, and each job that found no room went over it again.

Change: machines with room are kept in rankings, one for each kind of request (need, types, image, price ranks, lateness), that take in what has changed since they were last used; the order and the choice stay the same to the machine. A pass stops after 1,000 steps and goes on where it stopped once reports have been answered; a gang is placed whole or not at all. Machines that may have changed are marked as they are touched; judging leases no longer touches all of them. place.rs is in parts: queue, limits, pass, rooms, place.

--- a/examples/limits/passes.rs
+++ b/examples/limits/passes.rs
@@ -121,7 +121,8 @@
     pub fn idle(&mut self, count: usize) -> Result<()> {
         for _ in 0..count {
             // Known already: it only makes the next round look again.
-            self.leader.load_job(job(0, SHAPES[0], "array", 1_000)?, 1, NOW);
+            self.leader
+                .load_job(job(0, SHAPES[0], "array", 1_000)?, 1, NOW);
             self.leader.tick(NOW, NOW);
         }
         Ok(())
--- a/src/bookkeeping/model/job.rs
+++ b/src/bookkeeping/model/job.rs
@@ -70,6 +70,8 @@
     pub file: JobFile,
     /// A task of it has run since this leader knows of it.
     pub has_run: bool,
+    /// No other job of this leader has had it: indices are used again.
+    pub serial: u64,
     /// Why what waits does not run, as placement last decided.
     pub reason: Reason,
     /// What renting makes of it: room on its way, or none to be had.
--- a/src/bookkeeping/model/mod.rs
+++ b/src/bookkeeping/model/mod.rs
@@ -4,11 +4,13 @@
 mod job;
 mod machine;
 mod names;
+mod stale;
 mod told;
 
 pub use job::{Job, Place};
 pub use machine::{Assignment, Machine, ORDER, Phase, Roster};
 pub use names::Names;
+use stale::StaleMachines;
 
 use super::{
     Ms,
@@ -47,12 +49,16 @@
     image_gb: Vec<f64>,
     pub jobs: Vec<Option<Job>>,
     free_jobs: Vec<u32>,
+    /// Of the job that was inserted last.
+    last_serial: u64,
     by_ref: HashMap<String, u32>,
     machines: Vec<Option<Machine>>,
     /// Machines looked at, one by one or in a pass over all: what tests of
     /// the work done go by.
     looked_at: Cell<u64>,
     free_machines: Vec<u32>,
+    /// Machines that may have changed since `take_stale`.
+    stale: StaleMachines,
     by_name: HashMap<String, u32>,
     /// Changes of what is, or may be, on machines.
     pub changes: u64,
@@ -132,8 +138,13 @@
     }
     pub fn machine_mut(&mut self, ix: u32) -> Option<&mut Machine> {
         self.count(1);
+        self.stale.mark(ix);
         self.machines.get_mut(ix as usize)?.as_mut()
     }
+    /// Machines that may have changed since the last call, each once.
+    pub fn take_stale(&mut self) -> Vec<u32> {
+        self.stale.take(self.machines.len())
+    }
     fn count(&self, n: usize) {
         self.looked_at.set(self.looked_at.get() + n as u64);
     }
@@ -146,6 +157,7 @@
     }
     pub fn each_machine_mut(&mut self) -> impl Iterator<Item = &mut Machine> {
         self.count(self.machines.len());
+        self.stale.mark_all();
         self.machines.iter_mut().flatten()
     }
     pub fn indexed_machines(&self) -> impl Iterator<Item = (u32, &Machine)> {
@@ -153,13 +165,24 @@
         let all = self.machines.iter().enumerate();
         all.filter_map(|(ix, m)| Some((ix as u32, m.as_ref()?)))
     }
-    /// All machines to change, with the jobs to look up.
-    pub fn machines_and_jobs(&mut self) -> (impl Iterator<Item = &mut Machine>, &[Option<Job>]) {
+    /// Notes on which machines work other than services runs now.
+    pub fn note_batches(&mut self, now: Ms) {
         self.count(self.machines.len());
-        (self.machines.iter_mut().flatten(), &self.jobs)
+        let jobs = &self.jobs;
+        let is_batch = |a: &Assignment| {
+            let job = jobs.get(a.job as usize).and_then(Option::as_ref);
+            a.live() && job.is_none_or(|j| j.spec.kind != Kind::Service)
+        };
+        // What placement goes by does not change with this.
+        for m in self.machines.iter_mut().flatten() {
+            if m.tasks.iter().any(is_batch) {
+                m.batch_until = now;
+            }
+        }
     }
     pub fn machine_and_jobs(&mut self, ix: u32) -> Option<(&mut Machine, &[Option<Job>])> {
         self.count(1);
+        self.stale.mark(ix);
         let m = self.machines.get_mut(ix as usize)?.as_mut()?;
         Some((m, &self.jobs))
     }
@@ -186,6 +209,7 @@
         if let Some(ix) = self.job_ix(&spec.id) {
             return ix;
         }
+        self.last_serial += 1;
         let n = spec.tasks;
         let slots = (0..n)
             .map(|i| if done.get(i) { DONE } else { NONE })
@@ -230,6 +254,7 @@
             backoff_until: 0,
             file: JobFile::default(),
             has_run: false,
+            serial: self.last_serial,
             reason: Reason::New,
             supply: None,
             away: Away::Here,
@@ -348,6 +373,7 @@
             }
         };
         self.by_name.insert(machine.name.clone(), ix);
+        self.stale.mark(ix);
         self.machines[ix as usize] = Some(machine);
         Some(ix)
     }
@@ -355,6 +381,7 @@
     /// A machine that is surely gone: nothing is on it any more.
     pub fn remove_machine(&mut self, ix: u32) {
         self.clear_machine(ix);
+        self.stale.mark(ix);
         if let Some(m) = self.machines.get_mut(ix as usize).and_then(Option::take) {
             self.by_name.remove(&m.name);
             self.free_machines.push(ix);
@@ -366,6 +393,7 @@
         let Some(m) = self.machines.get_mut(ix as usize).and_then(Option::as_mut) else {
             return;
         };
+        self.stale.mark(ix);
         let tasks = std::mem::take(&mut m.tasks);
         if !tasks.is_empty() {
             self.touch(ix);
--- a/src/coordination/leader/gather.rs
+++ b/src/coordination/leader/gather.rs
@@ -1,7 +1,7 @@
 //! Gangs of several tasks: rooms that come free one by one are kept together
 //! until all tasks find one, and made by preemption where that is enough.
 
-use super::{preempt::Room, *};
+use super::{preempt::Preemption, *};
 
 /// After this long, where no aim for starting says otherwise, other work of
 /// the same priority no longer passes a gang by taking the rooms it gathers.
@@ -46,46 +46,64 @@
         })
     }
 
-    /// Takes the rooms that a waiting gang finds out of the candidates, so
+    /// Withholds the rooms that a waiting gang finds from the others, so
     /// that what comes after it can't break them up. Guards against gangs
     /// that never start, because each machine that comes up or falls free is
     /// filled with small tasks before there are enough of them.
-    pub(super) fn gather(&self, job_ix: u32, candidates: &mut [Candidate], now: Ms) {
-        let Some(j) = self.model.job(job_ix).filter(|_| self.wants_room(job_ix)) else {
+    pub(super) fn gather(&mut self, job_ix: u32, now: Ms) {
+        if !self.wants_room(job_ix) {
+            return;
+        }
+        let Some(ranking) = self.ranking_for(job_ix, now) else {
             return;
         };
-        let missing = i64::from(j.waiting());
-        let fits = |c: &Candidate| {
-            self.model
-                .machine(c.machine)
-                .filter(|m| j.allows(m) && m.open_to(job_ix, now))
-                .map_or(0, |_| c.free.count(&j.need).min(missing))
+        let Some(j) = self.model.job(job_ix) else {
+            return;
         };
+        let (need, missing) = (j.need, i64::from(j.waiting()));
+        let zones = self.gang_zones(job_ix);
         let found = |zone: &Option<usize>| -> i64 {
-            candidates
-                .iter()
-                .filter(|c| zone.is_none_or(|z| z == c.zone))
-                .map(fits)
-                .sum::<i64>()
-                .min(missing)
+            let rooms = self.rooms_for_gang(job_ix, *zone, ranking, now);
+            rooms.iter().map(|(_, n)| n).sum::<i64>().min(missing)
         };
-        let zones = self.gang_zones(job_ix);
         let Some(zone) = zones.into_iter().max_by_key(found) else {
             return;
         };
         let mut left = missing;
-        for c in candidates.iter_mut() {
-            if left == 0 {
-                return;
-            }
-            if zone.is_none_or(|z| z == c.zone) {
-                let n = fits(c).min(left);
-                c.free -= j.need.scaled(n);
-                left -= n;
+        for (machine, tasks) in self.rooms_for_gang(job_ix, zone, ranking, now) {
+            let tasks = tasks.min(left);
+            if tasks > 0 {
+                self.planning.fleet.withhold(machine, need.scaled(tasks));
             }
+            left -= tasks;
         }
     }
 
+    /// Machines of a zone, or of any, with room for tasks of the gang, and for
+    /// how many.
+    fn rooms_for_gang(
+        &self,
+        job_ix: u32,
+        zone: Option<usize>,
+        ranking: RankingId,
+        now: Ms,
+    ) -> Vec<(u32, i64)> {
+        let Some(j) = self.model.job(job_ix) else {
+            return Vec::new();
+        };
+        let fleet = &self.planning.fleet;
+        let open = |machine: &u32| {
+            let m = self.model.machine(*machine);
+            m.is_some_and(|m| j.allows(m) && m.open_to(job_ix, now))
+        };
+        let machines = fleet.ranked(ranking, |z| zone.is_none_or(|only| only == z));
+        let with_room = machines.into_iter().filter(open).filter_map(|machine| {
+            let tasks = fleet.room(machine)?.free.count(&j.need);
+            Some((machine, tasks.min(i64::from(j.waiting()))))
+        });
+        with_room.collect()
+    }
+
     /// Rooms for all missing tasks of a gang in one zone, on machines that
     /// `there` admits, where the least work is lost.
     fn gang_rooms(
@@ -93,13 +111,13 @@
         job_ix: u32,
         now: Ms,
         there: impl Fn(&Machine) -> bool,
-    ) -> Option<(i64, Vec<Room>)> {
+    ) -> Option<(i64, Vec<Preemption>)> {
         let j = self.model.job(job_ix).filter(|j| !j.spec.spread)?;
         let (missing, priority, need) = (i64::from(j.waiting()), j.rank, j.need);
         let guaranteed = self.within_guarantee(j, now);
-        let mut best: Option<(i64, Vec<Room>)> = None;
+        let mut best: Option<(i64, Vec<Preemption>)> = None;
         for zone in self.gang_zones(job_ix) {
-            let mut rooms: Vec<Room> = (self.model.machine_range())
+            let mut rooms: Vec<Preemption> = (self.model.machine_range())
                 .filter(|ix| {
                     let m = self.model.machine(*ix);
                     m.is_some_and(|m| zone.is_none_or(|z| z == m.zone) && there(m))
@@ -174,7 +192,7 @@
         }
     }
 
-    fn preempt_all(&mut self, job_ix: u32, rooms: Vec<Room>, now: Ms) -> usize {
+    fn preempt_all(&mut self, job_ix: u32, rooms: Vec<Preemption>, now: Ms) -> usize {
         let mut stopped = 0;
         for room in rooms {
             stopped += usize::from(!room.victims.is_empty());
--- /dev/null
+++ b/src/coordination/leader/limits.rs
@@ -0,0 +1,55 @@
+//! Limits of teams, counted with what may run unseen.
+
+use super::*;
+
+impl Leader {
+    /// What may run unseen counts against the team's limit until every machine
+    /// has been heard: all that waits of jobs older than this term.
+    pub(super) fn count_unseen(&mut self) {
+        self.planning.unseen.clear();
+        if self.recovery.knows_all() {
+            return;
+        }
+        self.planning
+            .unseen
+            .resize(self.model.teams.len(), Amounts::default());
+        for j in self.model.jobs.iter().flatten() {
+            if !self.job_settled(j)
+                && let Some(u) = self.planning.unseen.get_mut(j.team)
+            {
+                *u += j.need.scaled(i64::from(j.may_run()));
+            }
+        }
+    }
+
+    /// Whether all tasks of the job that are, or may be, on a machine are
+    /// known: it is younger than the term, or no machine that has neither been
+    /// heard nor lapsed is of a kind that the job allows.
+    pub(super) fn job_settled(&self, job: &Job) -> bool {
+        self.recovery.knows_all()
+            || job.fresh
+            || !self.model.each_machine().any(|m| {
+                m.unknown
+                    && job.types.get(m.type_ix).copied().unwrap_or(true)
+                    && job.zone.is_none_or(|z| z == m.zone)
+                    && (job.spec.spot || !m.spot)
+            })
+    }
+
+    pub(super) fn within_limit(&self, team: usize, need: &Amounts, n: i64) -> bool {
+        let unseen = self.planning.unseen.get(team).copied().unwrap_or_default();
+        self.model.within_limit(team, need, n, unseen)
+    }
+
+    /// How many of at most `n` such tasks the team may run beside `planned`.
+    pub(super) fn most_within_limit(
+        &self,
+        team: usize,
+        need: &Amounts,
+        n: u32,
+        mut planned: Amounts,
+    ) -> i64 {
+        planned += self.planning.unseen.get(team).copied().unwrap_or_default();
+        self.model.most_within_limit(team, need, n, planned)
+    }
+}
--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Names that one request to delete machines may hold.
+const MOST_RELEASED: usize = 100;
+
 impl Leader {
     /// When the machine list is due, it is taken as asked for.
     pub fn list_due(&mut self, now: Ms) -> bool {
@@ -103,34 +106,10 @@
             return ops;
         }
         self.renting.at = now + 1000;
-        let (machines, jobs) = self.model.machines_and_jobs();
-        for m in machines {
-            let batch = m.tasks.iter().any(|a| {
-                a.live()
-                    && jobs
-                        .get(a.job as usize)
-                        .and_then(Option::as_ref)
-                        .is_none_or(|j| j.spec.kind != Kind::Service)
-            });
-            if batch {
-                m.batch_until = now;
-            }
-        }
+        self.model.note_batches(now);
         self.return_machines(now);
         self.drain(now);
-        let mut names = Vec::new();
-        for m in self.model.each_machine_mut() {
-            if m.releasing
-                && !m.release_sent
-                && (m.roster == Roster::Absent || m.release_marked)
-                && !m.writing
-                && m.live_tasks() == 0
-                && names.len() < 100
-            {
-                m.release_sent = true;
-                names.push(m.name.clone());
-            }
-        }
+        let names = self.take_releases();
         if !names.is_empty() {
             ops.push(CloudOp::Release(names));
         }
@@ -146,6 +125,28 @@
         ops
     }
 
+    /// Machines to be deleted now, marked as asked for.
+    fn take_releases(&mut self) -> Vec<String> {
+        let due = |m: &Machine| {
+            m.releasing
+                && !m.release_sent
+                && (m.roster == Roster::Absent || m.release_marked)
+                && !m.writing
+                && m.live_tasks() == 0
+        };
+        let all = self.model.indexed_machines();
+        let all = all.filter(|(_, m)| due(m)).map(|(ix, _)| ix);
+        let due: Vec<u32> = all.take(MOST_RELEASED).collect();
+        let mut names = Vec::with_capacity(due.len());
+        for ix in due {
+            if let Some(m) = self.model.machine_mut(ix) {
+                m.release_sent = true;
+                names.push(m.name.clone());
+            }
+        }
+        names
+    }
+
     /// Every machine is known, or those that can report have had the time to.
     /// Guards against a lease during which nothing is rented, as a few
     /// machines are silent when a new leader begins.
@@ -177,8 +178,8 @@
         let lapse = self.lapse_after();
         let lag = millis(self.settings.cluster.cloud.list_lag_s);
         // What arrives often and must start soon finds an idle machine.
-        let candidates = self.candidates();
-        let mut held = self.reserves(&candidates, 60_000, KEEP_IDLE, now);
+        self.refresh_fleet(now);
+        let mut held = self.reserves(60_000, KEEP_IDLE, now);
         held.extend(self.spares());
         let mut gone = Vec::new();
         for ix in self.model.machine_range() {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -5,15 +5,19 @@
 mod chains;
 mod deaf;
 mod gather;
+mod limits;
 mod machines;
 mod parts;
+mod pass;
 mod pieces;
 mod place;
 mod preempt;
+mod queue;
 mod records;
 mod recovery;
 mod rent;
 mod reserves;
+mod rooms;
 mod status;
 mod takeover;
 mod upkeep;
@@ -23,7 +27,10 @@
 use super::{
     bounds::Bounds,
     dispatch,
-    placement::{self, Candidate, Policy},
+    placement::{
+        self, Policy,
+        fleet::{Choice, Fleet, RankingId, Request, Room},
+    },
     polls::Finals,
     provision::{self, Bin, Demand, Offer},
     standby::Standbys,
@@ -81,14 +88,6 @@
 const LEAST_CHARGE: Ms = 57_000;
 /// A start stopped sooner than this would not have been worth making.
 const SETTLED_IN: Ms = 30_000;
-/// How long a machine must have been empty to count as surplus.
-const SURPLUS: Ms = 3_000;
-/// Added to a machine's rank: it is about to be returned, or its fetch would
-/// miss the aim for starting. The latter weighs more.
-const SURPLUS_RANK: u32 = 1000;
-const LATE_RANK: u32 = 10_000;
-/// The same for one on which the job has failed: the fault may be there.
-const FAILED_RANK: u32 = 1_000_000;
 /// A fetch that a service may be moved for. Longer ones cost more of its
 /// replica time than the machine is worth (tried without this bound).
 const SHORT_FETCH_S: f64 = 4.0;
@@ -532,7 +531,7 @@
 
     /// Something happened that shouldn't wait for the next look.
     pub fn has_work(&self) -> bool {
-        self.changed || self.recovery.takeover.released
+        self.changed || self.recovery.takeover.released || self.planning.pass.is_some()
     }
 
     pub fn tick(&mut self, now: Ms, wall_ms: u64) {
@@ -567,10 +566,13 @@
         self.try_again(now);
         // Rates and holds change with time alone, so look now and then anyway.
         let due = now >= self.planning.place_at;
-        if self.changed || backoff || due {
+        let resumes = self.planning.pass.is_some();
+        if !resumes && (self.changed || backoff || due) {
             self.changed = false;
             self.planning.place_at = now + 2000;
             self.place(now);
+        } else if resumes {
+            self.place(now);
         }
         self.recover(now);
     }
--- a/src/coordination/leader/parts.rs
+++ b/src/coordination/leader/parts.rs
@@ -1,6 +1,6 @@
 //! What the leader keeps beside its picture, by what each part is for.
 
-use super::{reserves::Class, status, zones::ZoneLife, *};
+use super::{pass::Pass, reserves::Class, status, zones::ZoneLife, *};
 
 /// Placement: the order of service, and when it is looked at again.
 pub(super) struct Planning {
@@ -16,11 +16,20 @@
     pub(super) attempts: u64,
     /// By team, see `count_unseen`; empty once all that may run is known.
     pub(super) unseen: Vec<Amounts>,
+    /// Machines that tasks may be placed on.
+    pub(super) fleet: Fleet,
+    /// A pass that stopped for its bound, and goes on where it stopped.
+    pub(super) pass: Option<Pass>,
+    /// Steps that the pass may make before it stops.
+    pub(super) steps_left: u32,
 }
 
 impl Planning {
     pub(super) fn new(policy: Policy) -> Self {
         Planning {
+            fleet: Fleet::new(policy.clone()),
+            pass: None,
+            steps_left: 0,
             policy,
             shapes: Vec::new(),
             order: Vec::new(),
--- /dev/null
+++ b/src/coordination/leader/pass.rs
@@ -0,0 +1,261 @@
+//! A pass of placement over all that waits, in the order of service. It does a
+//! bounded amount of work at once and goes on where it stopped, so that reports
+//! are answered in between.
+
+use super::{place::Outcome, *};
+
+/// Machines chosen and jobs looked at before reports are answered again: some
+/// milliseconds.
+const MOST_STEPS: u32 = 1_000;
+
+/// A job by its index, and what tells it from a later one with that index.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    job: u32,
+    serial: u64,
+}
+
+/// What tasks ask of machines, for jobs that find none with room.
+#[derive(Debug, PartialEq)]
+struct Shape {
+    need: Amounts,
+    types: Vec<bool>,
+    zone: Option<usize>,
+    spot: bool,
+}
+
+/// A pass that has begun.
+pub(super) struct Pass {
+    order: Vec<Waiting>,
+    next: usize,
+    reserves: Vec<Reserve>,
+    /// Jobs for which room is held.
+    held: Vec<u32>,
+    /// Jobs that found no room.
+    wanting: Vec<u32>,
+    /// Shapes that found no room in this pass; the rest of the queue needn't
+    /// be tried for them.
+    full: Vec<Shape>,
+    /// Gangs that wait for room, and the priority they have.
+    gathering: Vec<u32>,
+    gathering_priority: Priority,
+    /// The job at hand may start one task under its team's limit.
+    may_start_one: bool,
+}
+
+impl Leader {
+    /// Begins a pass, or goes on with the one that was interrupted.
+    pub(super) fn place(&mut self, now: Ms) {
+        self.count_unseen();
+        self.planning.steps_left = MOST_STEPS;
+        let pass = match self.planning.pass.take() {
+            Some(pass) => Some(pass),
+            None => self.begin_pass(now),
+        };
+        let Some(mut pass) = pass else { return };
+        while let Some(waiting) = pass.order.get(pass.next).copied() {
+            let there = self.model.job(waiting.job);
+            let still = there.is_some_and(|j| j.serial == waiting.serial && is_queued(j));
+            if still && (!self.take_step() || !self.place_job(waiting.job, &mut pass, now)) {
+                self.planning.pass = Some(pass);
+                return;
+            }
+            pass.next += 1;
+        }
+        self.planning.fleet.release_withheld();
+        if self.recovery.heard_most(now) {
+            self.make_room(&pass.wanting, now);
+        }
+    }
+
+    /// Counts a step; `false` once the pass has made as many as it may.
+    pub(super) fn take_step(&mut self) -> bool {
+        let left = self.planning.steps_left.checked_sub(1);
+        self.planning.steps_left = left.unwrap_or(0);
+        left.is_some()
+    }
+
+    /// `None`: there is no machine to place anything on.
+    fn begin_pass(&mut self, now: Ms) -> Option<Pass> {
+        let order = self.queue(now);
+        if self.planning.fleet.is_empty() {
+            for ix in &order {
+                self.set_reason(*ix, Reason::NoRoom);
+            }
+            self.planning.order = order;
+            return None;
+        }
+        let keep = millis(self.options.keep_s);
+        let reserves = self.reserves(RATE_WINDOW, keep, now);
+        let held = self
+            .model
+            .each_machine()
+            .filter_map(|m| m.held_for)
+            .filter(|(_, until)| now < *until)
+            .map(|(of, _)| of)
+            .collect();
+        let waiting = |ix: &u32| {
+            let serial = self.model.job(*ix)?.serial;
+            Some(Waiting { job: *ix, serial })
+        };
+        let jobs = order.iter().filter_map(waiting).collect();
+        self.planning.order = order;
+        Some(Pass {
+            order: jobs,
+            next: 0,
+            reserves,
+            held,
+            wanting: Vec::new(),
+            full: Vec::new(),
+            gathering: Vec::new(),
+            gathering_priority: Priority::Low,
+            may_start_one: false,
+        })
+    }
+
+    /// Places what it can of one job; `false`: the pass was interrupted.
+    fn place_job(&mut self, job_ix: u32, pass: &mut Pass, now: Ms) -> bool {
+        let Some(job) = self.model.job(job_ix) else {
+            return true;
+        };
+        // One try at a time.
+        let tried = job.file.suspected && job.live > 0;
+        if job.backoff_until > now || job.file.waits(now) || tried {
+            self.set_reason(job_ix, Reason::FailsEverywhere);
+            return true;
+        }
+        let suspected = job.file.suspected;
+        if !self.job_settled(job) {
+            self.set_reason(job_ix, Reason::Settling);
+            return true;
+        }
+        let shape = Shape {
+            need: job.need,
+            types: job.types.clone(),
+            zone: job.zone,
+            spot: job.spec.spot,
+        };
+        if job.rank < pass.gathering_priority {
+            for gang in pass.gathering.drain(..) {
+                self.gather(gang, now);
+            }
+        }
+        let held = pass.held.contains(&job_ix);
+        // No room in the open; room may be held or made for it still.
+        if pass.full.contains(&shape) && !held {
+            self.set_reason(job_ix, Reason::NoRoom);
+            pass.wanting.push(job_ix);
+            return true;
+        }
+        if suspected {
+            // Into room that is free; nothing is made or kept for it.
+            if let Some(ranking) = self.ranking_for(job_ix, now) {
+                self.place_try(job_ix, ranking, &mut pass.reserves, now);
+            }
+            return true;
+        }
+        self.refresh_fleet(now);
+        // Guards against a ranking for every shape that waits while the fleet
+        // is full.
+        if !self.may_fit(job_ix) {
+            self.note_left(job_ix, held);
+            pass.wanting.push(job_ix);
+            return true;
+        }
+        match self.place_tasks(job_ix, pass, now) {
+            Outcome::Placed => true,
+            Outcome::Interrupted => false,
+            Outcome::Left => {
+                self.note_left(job_ix, held);
+                pass.wanting.push(job_ix);
+                self.note_no_room(job_ix, shape, pass, now);
+                true
+            }
+        }
+    }
+
+    fn may_fit(&self, job_ix: u32) -> bool {
+        self.model.job(job_ix).is_some_and(|job| {
+            let allows = |type_ix, zone, spot| job.allows_kind(type_ix, zone, spot);
+            self.planning.fleet.may_fit(&job.need, allows)
+        })
+    }
+
+    /// Places what it can of a job for which there may be room.
+    fn place_tasks(&mut self, job_ix: u32, pass: &mut Pass, now: Ms) -> Outcome {
+        let Some(job) = self.model.job(job_ix) else {
+            return Outcome::Placed;
+        };
+        let gang = job.spec.kind == Kind::Gang;
+        let (team, need) = (job.team, job.need);
+        let begins_late = self.begins_late(job);
+        pass.may_start_one = self.within_limit(team, &need, 1);
+        let Some(ranking) = self.ranking_for(job_ix, now) else {
+            return Outcome::Placed;
+        };
+        let reserves = &mut pass.reserves;
+        if gang {
+            return match self.place_gang(job_ix, ranking, reserves, now) {
+                true => Outcome::Placed,
+                false => Outcome::Left,
+            };
+        }
+        if !begins_late {
+            return self.place_some(job_ix, u32::MAX, ranking, reserves, now);
+        }
+        // One task is a beginning; the rest takes its turn.
+        let outcome = self.place_some(job_ix, 1, ranking, reserves, now);
+        // Guards against a pass at every event while it finds no room.
+        if self.model.job(job_ix).is_some_and(|j| j.live > 0) {
+            self.changed = true;
+            return Outcome::Placed;
+        }
+        outcome
+    }
+
+    /// Keeps what a gang finds for it, or notes that the shape has no room.
+    fn note_no_room(&mut self, job_ix: u32, shape: Shape, pass: &mut Pass, now: Ms) {
+        let Some(job) = self.model.job(job_ix) else {
+            return;
+        };
+        let (team, priority) = (job.team, job.rank);
+        let bound = job.spec.one_zone || job.spec.spread || job.spec.kind == Kind::Gang;
+        if job.spec.kind == Kind::Gang {
+            if self.begins_late(job) || self.out_of_patience(job_ix, now) {
+                self.gather(job_ix, now);
+            } else {
+                pass.gathering.push(job_ix);
+                pass.gathering_priority = priority;
+            }
+        }
+        if !bound && pass.may_start_one && self.within_limit(team, &shape.need, 1) {
+            pass.full.push(shape);
+        }
+    }
+
+    /// Notes why the rest of a job found no place in this pass.
+    fn note_left(&mut self, job_ix: u32, held: bool) {
+        let Some(j) = self.model.job(job_ix) else {
+            return;
+        };
+        let gang = j.spec.kind == Kind::Gang;
+        let at_once = if gang { j.waiting() } else { 1 };
+        let reason = if gang && j.live > 0 && self.gang_to_complete(job_ix).is_none() {
+            Reason::OldAttempt
+        } else if !self.within_limit(j.team, &j.need, i64::from(at_once)) {
+            Reason::TeamLimit
+        } else if held {
+            Reason::RoomBeingMade
+        } else if gang && j.spec.tasks > 1 {
+            Reason::GangIncomplete
+        } else {
+            Reason::NoRoom
+        };
+        self.set_reason(job_ix, reason);
+    }
+}
+
+/// The job waits for its turn.
+pub(super) fn is_queued(j: &Job) -> bool {
+    j.waiting() > 0 && !j.cancelled && !j.cancel_wanted
+}
--- a/src/coordination/leader/preempt.rs
+++ b/src/coordination/leader/preempt.rs
@@ -18,7 +18,7 @@
 }
 
 /// Room that stopping some tasks would make.
-pub(super) struct Room {
+pub(super) struct Preemption {
     pub(super) machine: u32,
     pub(super) victims: Vec<usize>,
     /// The image would have to be fetched there.
@@ -91,7 +91,7 @@
         priority: Priority,
         now: Ms,
         zone_ok: impl Fn(usize) -> bool,
-    ) -> Option<Room> {
+    ) -> Option<Preemption> {
         let guaranteed = self.within_guarantee(self.model.job(job_ix)?, now);
         (self.model.machine_range())
             .filter(|ix| self.model.machine(*ix).is_some_and(|m| zone_ok(m.zone)))
@@ -108,7 +108,7 @@
         priority: Priority,
         guaranteed: bool,
         now: Ms,
-    ) -> Option<Room> {
+    ) -> Option<Preemption> {
         let job = self.model.job(job_ix)?;
         let m = self.model.machine(ix)?;
         let allowed = m.usable()
@@ -159,7 +159,7 @@
             lost += cost;
             chosen.push(at);
         }
-        job.need.fits(&free).then_some(Room {
+        job.need.fits(&free).then_some(Preemption {
             machine: ix,
             victims: chosen,
             fetch,
@@ -174,7 +174,7 @@
     pub(super) fn room_with_image(
         &mut self,
         job_ix: u32,
-        at: &Candidate,
+        at: Choice,
         now: Ms,
         zone_ok: impl Fn(usize) -> bool,
     ) -> bool {
@@ -216,7 +216,7 @@
         true
     }
 
-    pub(super) fn preempt(&mut self, job_ix: u32, room: Room, now: Ms) {
+    pub(super) fn preempt(&mut self, job_ix: u32, room: Preemption, now: Ms) {
         let id = self.model.job(job_ix).map(|j| j.id.clone());
         self.set_reason(job_ix, Reason::RoomBeingMade);
         self.events.tally.preempted += room.victims.len() as u64;
--- /dev/null
+++ b/src/coordination/leader/queue.rs
@@ -0,0 +1,106 @@
+//! The order of service of what waits.
+
+use super::{pass::is_queued, *};
+
+impl Leader {
+    /// Waiting jobs in the order in which they are served.
+    pub(super) fn queue(&mut self, now: Ms) -> Vec<u32> {
+        self.refresh_fleet(now);
+        let mut order = std::mem::take(&mut self.planning.order);
+        order.clear();
+        for (ix, job) in self.model.jobs.iter().enumerate() {
+            if job.as_ref().is_some_and(is_queued) {
+                order.push(ix as u32);
+            }
+        }
+        let jobs = &self.model.jobs;
+        let (objectives, wall) = (&self.settings.cluster.objectives, self.wall_ms);
+        let fleet = self.planning.fleet.capacity();
+        order.sort_by_cached_key(|ix| {
+            jobs[*ix as usize].as_ref().map(|j| {
+                let begun = !self.begins_late(j);
+                let band = deadline_band(&j.spec, objectives, wall.saturating_sub(j.at_ms));
+                let rank = std::cmp::Reverse(j.rank);
+                let turn = j.turn_ms.saturating_add(yields_for(j, &fleet));
+                (j.file.suspected, begun, rank, band, turn, *ix)
+            })
+        });
+        order
+    }
+
+    /// Nothing of the job has run for so long that it goes ahead of all others
+    /// now. Guards against large jobs that whatever is smaller, later or of
+    /// higher priority passes for as long as that keeps coming.
+    pub(super) fn begins_late(&self, j: &Job) -> bool {
+        if !self.waited_long(j) || j.has_run || j.done_n > 0 || j.live > 0 {
+            return false;
+        }
+        // Guests begin where one room is enough: more would cost others theirs.
+        j.spec.kind != Kind::Gang || j.spec.tasks == 1 || !self.is_guest(j)
+    }
+
+    fn waited_long(&self, j: &Job) -> bool {
+        let waited = self.wall_ms.saturating_sub(j.turn_ms);
+        let bound = millis(self.options.begin_s);
+        bound > 0 && waited >= bound
+    }
+
+    /// All that runs of the job is what it began with. Guards against a
+    /// beginning that is stopped at once for what it went ahead of.
+    pub(super) fn only_begins(&self, j: &Job) -> bool {
+        j.live <= 1 && j.done_n == 0 && self.waited_long(j)
+    }
+
+    /// Neither its team nor its class is promised anything.
+    fn is_guest(&self, j: &Job) -> bool {
+        let promised = |t: &crate::protocol::settings::Team| t.cpus > 0.0 || t.gpus > 0.0;
+        let class = Some(j.spec.class.as_str());
+        let aims = &self.settings.cluster.objectives;
+        !self.model.teams.get(j.team).is_some_and(promised)
+            && !aims.iter().any(|o| o.class.as_deref() == class)
+    }
+}
+
+/// A batch with a deadline lets those pass that came up to so many times later
+/// as the whole fleet would take for what is left of it.
+const YIELD: f64 = 40.0;
+
+/// For how long after its arrival a batch lets smaller ones pass, in
+/// milliseconds. Guards against a burst that makes all batches late by the same
+/// time, where most would keep their deadline if the few large ones waited; it
+/// ends by itself, so none waits for ever.
+fn yields_for(j: &Job, fleet: &Amounts) -> u64 {
+    if j.spec.kind != Kind::Array || j.spec.deadline_s.is_none() {
+        return 0;
+    }
+    let (each, all) = match j.need.gpus {
+        0 => (j.need.cpus, fleet.cpus),
+        n => (n, fleet.gpus),
+    };
+    let left = f64::from(j.waiting()) * j.spec.estimate_s * each as f64;
+    (YIELD * 1000.0 * left / all.max(each).max(1) as f64) as u64
+}
+
+/// Within a priority, jobs are served in arrival order, but those that have
+/// missed their deadline let the others pass, until a later aim for them (or
+/// three times the deadline) draws near.
+fn deadline_band(spec: &JobSpec, objectives: &[Objective], age_ms: u64) -> u8 {
+    let Some(due) = spec.deadline_s else {
+        return 1;
+    };
+    let age = age_ms as f64 / 1000.0;
+    if due - age >= spec.estimate_s * 0.8 {
+        return 1;
+    }
+    let last = objectives
+        .iter()
+        .filter(|o| o.kind == "deadline" && o.class.as_deref() == Some(spec.class.as_str()))
+        .filter_map(|o| o.times)
+        .fold(1.0, f64::max);
+    let last = if last > 1.0 { last } else { 3.0 };
+    let near = last * due - age < spec.estimate_s * 1.5 + 0.2 * due;
+    if near { 0 } else { 2 }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/coordination/leader/queue/tests.rs
@@ -0,0 +1,28 @@
+//! Stories of the order of service.
+
+use super::*;
+
+#[test]
+fn a_batch_past_its_deadline_lets_others_pass_until_its_last_aim_is_near() {
+    let spec = JobSpec::parse(
+        br#"{"ref":"j-000001","job_family":"c","owner_crew":"t","run_shape":"array",
+            "urgency":"normal","pieces":3,"cores":1.0,"accelerators":0.0,"memory_gb":1.0,
+            "bundle":"i","image_gb":1.0,"same_place":false,"apart":false,"lendback":true,
+            "expected_s":20.0,"snapshot_every_s":0.0,"snapshot_cost_s":0.0,"due_s":100.0}"#,
+    )
+    .unwrap();
+    let aim = |times| Objective {
+        kind: "deadline".into(),
+        class: Some("c".into()),
+        within_s: None,
+        times: Some(times),
+    };
+    let band = |age_s: u64, aims: &[Objective]| deadline_band(&spec, aims, age_s * 1000);
+    let aims = [aim(1.0), aim(1.5)];
+    assert_eq!(band(0, &aims), 1);
+    assert_eq!(band(90, &aims), 2);
+    assert_eq!(band(110, &aims), 0);
+    // Without a later aim it still does not wait for ever.
+    assert_eq!(band(110, &[]), 2);
+    assert_eq!(band(280, &[]), 0);
+}
--- a/src/coordination/leader/rent.rs
+++ b/src/coordination/leader/rent.rs
@@ -130,7 +130,7 @@
                 }
             }
         }
-        let order = self.queue();
+        let order = self.queue(now);
         let free_before: Vec<Amounts> = bins.iter().map(|b| b.free).collect();
         let mut wanted = Wanted::default();
         let mut batches = Wanted::default();
--- a/src/coordination/leader/reserves.rs
+++ b/src/coordination/leader/reserves.rs
@@ -140,13 +140,7 @@
 
     /// Room to keep for work of high priority that is expected within `ahead`,
     /// going by what arrived lately, `over` how long.
-    pub(super) fn reserves(
-        &mut self,
-        candidates: &[Candidate],
-        over: Ms,
-        ahead: Ms,
-        now: Ms,
-    ) -> Vec<Reserve> {
+    pub(super) fn reserves(&mut self, over: Ms, ahead: Ms, now: Ms) -> Vec<Reserve> {
         while self
             .planning
             .arrivals
@@ -173,11 +167,9 @@
                 continue;
             }
             let mut r = c.reserve(wanted);
-            for candidate in candidates {
-                if let Some(m) = self.model.machine(candidate.machine)
-                    && r.covers(m.type_ix, m.spot)
-                {
-                    r.fits += candidate.free.count(&r.need).min(1000);
+            for (_, room) in self.planning.fleet.rooms() {
+                if r.covers(room.type_ix, room.spot) {
+                    r.fits += room.free.count(&r.need).min(1000);
                 }
             }
             out.push(r);
--- /dev/null
+++ b/src/coordination/leader/rooms.rs
@@ -0,0 +1,98 @@
+//! Machines as placement sees them, and what a job asks of them.
+
+use super::*;
+
+/// Ranks of machine types a doubling of the price is apart.
+const RANKS_PER_DOUBLING: f64 = 2.0;
+
+fn room_of(m: &Machine) -> Room {
+    let free = m.free();
+    Room {
+        type_ix: m.type_ix,
+        zone: m.zone,
+        spot: m.spot,
+        capacity: m.capacity,
+        free,
+        images: m.images.clone(),
+        idle_since: (free == m.capacity).then_some(m.idle_since),
+    }
+}
+
+impl Leader {
+    /// Takes in what has changed on machines since the last call.
+    pub(super) fn refresh_fleet(&mut self, now: Ms) {
+        let fleet = &mut self.planning.fleet;
+        fleet.set_policy(&self.planning.policy);
+        for ix in self.model.take_stale() {
+            let usable = self.model.machine(ix).filter(|m| m.usable());
+            fleet.set(ix, usable.map(room_of), now);
+        }
+        fleet.advance(now);
+    }
+
+    /// Machines with room for a task of the job, ranked as things stand.
+    pub(super) fn ranking_for(&mut self, job_ix: u32, now: Ms) -> Option<RankingId> {
+        self.refresh_fleet(now);
+        let request = self.request_of(self.model.job(job_ix)?, now);
+        Some(self.planning.fleet.ranking(&request, now))
+    }
+
+    fn request_of(&self, job: &Job, now: Ms) -> Request {
+        let time_left = self.time_to_aim(job, now);
+        let late = self.model.types.iter().map(|t| {
+            let fetch_s = job.spec.image_gb / t.fetch_gb_per_s.max(0.001);
+            time_left.is_some_and(|left| fetch_s > left)
+        });
+        let ranks = (0..self.model.types.len())
+            .map(|ix| [false, true].map(|spot| self.task_price(&job.need, ix, spot)));
+        Request {
+            need: job.need,
+            types: job.types.clone(),
+            spot: job.spec.spot,
+            image: job.image,
+            late: late.collect(),
+            type_ranks: ranks.collect(),
+        }
+    }
+
+    /// Seconds left to the nearest aim for starting that can still be met.
+    pub(super) fn time_to_aim(&self, job: &Job, now: Ms) -> Option<f64> {
+        let age = (now - job.known_ms) as f64 / 1000.0;
+        let team = self.model.teams.get(job.team);
+        let guaranteed = team.is_some_and(|t| {
+            (job.need.gpus > 0 && t.gpus > 0.0) || (job.need.gpus == 0 && t.cpus > 0.0)
+        });
+        self.settings
+            .cluster
+            .objectives
+            .iter()
+            .filter(|o| match o.kind.as_str() {
+                "wait" => o.class.as_deref() == Some(job.spec.class.as_str()),
+                "guarantee" => guaranteed,
+                _ => false,
+            })
+            .filter_map(|o| o.within_s)
+            .map(|within| within - age)
+            .filter(|left| *left > 0.0)
+            .min_by(f64::total_cmp)
+            // A service that lost a replica is short of it while it fetches.
+            .or((job.spec.kind == Kind::Service).then_some(0.0))
+    }
+
+    /// What a task costs on a kind of machine, by the share it takes, in
+    /// thousandths of the price unit. Which node a job should run on is left
+    /// open by the paper; cheaper kinds go first here, and its method chooses
+    /// among machines of a kind.
+    pub(super) fn task_price(&self, need: &Amounts, type_ix: usize, spot: bool) -> u32 {
+        let Some(t) = self.model.types.get(type_ix) else {
+            return u32::MAX;
+        };
+        let whole = Amounts::offer(t.cpus, t.gpus, t.memory_gb);
+        let share = placement::load(&whole, &whole.minus(*need), LoadResource::Scarcest);
+        // Current prices move by a third; steps keep the order steady.
+        (t.price_of(spot) * share * 1000.0)
+            .max(1.0)
+            .log2()
+            .mul_add(RANKS_PER_DOUBLING, 0.5) as u32
+    }
+}
--- a/src/coordination/leader/upkeep.rs
+++ b/src/coordination/leader/upkeep.rs
@@ -41,7 +41,7 @@
         let mut silent = vec![0; self.model.zones.len()];
         let (mut up, mut overdue_now, mut unheard) = (0, 0, 0);
         for ix in self.model.machine_range() {
-            let Some(m) = self.model.machine_mut(ix) else {
+            let Some(m) = self.model.machine(ix) else {
                 continue;
             };
             let suspect = m.up && now > m.heard.max(resumed) + overdue;
@@ -51,13 +51,21 @@
             up += usize::from(m.up);
             unheard += usize::from(m.unknown);
             overdue_now += usize::from(suspect || m.up && m.is_deaf());
-            if m.suspect != suspect {
+            let changed = m.suspect != suspect;
+            let lapsed = (m.up || m.unknown) && now > m.leased_since() + after;
+            if !changed && !lapsed {
+                continue;
+            }
+            let Some(m) = self.model.machine_mut(ix) else {
+                continue;
+            };
+            if changed {
                 m.suspect = suspect;
                 m.suspect_since = now;
                 self.changed = true;
                 log::debug!("machine {} overdue: {suspect}", m.name);
             }
-            if !(m.up || m.unknown) || now <= m.leased_since() + after {
+            if !lapsed {
                 continue;
             }
             log::info!(
