What machines gain during a pass is offered from the next one on

Cause: a pass that stops after 1,000 steps goes on some rounds later. What came free or came up meanwhile went to whoever was next in it, past earlier jobs that had found no room; and room was held for gangs on machines that had not been offered to anybody.

Change: while a pass is under way the rankings take in only what machines lose; what they gain counts from the next pass on, and no room is made or held there before that. Trying set aside machines again no longer touches all machines.

--- a/src/bookkeeping/amounts.rs
+++ b/src/bookkeeping/amounts.rs
@@ -47,6 +47,15 @@
         self.memory = self.memory.max(other.memory);
     }
 
+    /// The lesser of each amount.
+    pub fn least(&self, other: &Amounts) -> Amounts {
+        Amounts {
+            cpus: self.cpus.min(other.cpus),
+            gpus: self.gpus.min(other.gpus),
+            memory: self.memory.min(other.memory),
+        }
+    }
+
     pub fn minus(mut self, other: Amounts) -> Amounts {
         self -= other;
         self
--- a/src/bookkeeping/model/mod.rs
+++ b/src/bookkeeping/model/mod.rs
@@ -145,6 +145,10 @@
     pub fn take_stale(&mut self) -> Vec<u32> {
         self.stale.take(self.machines.len())
     }
+    /// The machine is among those that `take_stale` names next.
+    pub fn mark_stale(&mut self, machine: u32) {
+        self.stale.mark(machine);
+    }
     fn count(&self, n: usize) {
         self.looked_at.set(self.looked_at.get() + n as u64);
     }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -59,7 +59,7 @@
     },
 };
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
 };
--- a/src/coordination/leader/parts.rs
+++ b/src/coordination/leader/parts.rs
@@ -20,6 +20,10 @@
     pub(super) fleet: Fleet,
     /// A pass that stopped for its bound, and goes on where it stopped.
     pub(super) pass: Option<Pass>,
+    /// A pass is under way, or was interrupted.
+    pub(super) in_pass: bool,
+    /// Machines that have gained room since it began.
+    pub(super) gained: BTreeSet<u32>,
     /// Steps that the pass may make before it stops.
     pub(super) steps_left: u32,
 }
@@ -29,6 +33,8 @@
         Planning {
             fleet: Fleet::new(policy.clone()),
             pass: None,
+            in_pass: false,
+            gained: BTreeSet::new(),
             steps_left: 0,
             policy,
             shapes: Vec::new(),
--- a/src/coordination/leader/pass.rs
+++ b/src/coordination/leader/pass.rs
@@ -62,10 +62,12 @@
             }
             pass.next += 1;
         }
-        self.planning.fleet.release_withheld();
+        // What machines have gained is offered to nobody yet.
+        self.refresh_fleet(now);
         if self.recovery.heard_most(now) {
             self.make_room(&pass.wanting, now);
         }
+        self.end_pass();
     }
 
     /// Counts a step; `false` once the pass has made as many as it may.
@@ -99,6 +101,7 @@
             Some(Waiting { job: *ix, serial })
         };
         let jobs = order.iter().filter_map(waiting).collect();
+        self.planning.in_pass = true;
         self.planning.order = order;
         Some(Pass {
             order: jobs,
--- a/src/coordination/leader/preempt.rs
+++ b/src/coordination/leader/preempt.rs
@@ -112,6 +112,7 @@
         let job = self.model.job(job_ix)?;
         let m = self.model.machine(ix)?;
         let allowed = m.usable()
+            && !self.planning.gained.contains(&ix)
             && m.held_for.is_none_or(|(_, until)| now >= until)
             && job.allows(m)
             && job.need.fits(&m.capacity);
--- a/src/coordination/leader/rooms.rs
+++ b/src/coordination/leader/rooms.rs
@@ -19,15 +19,32 @@
 }
 
 impl Leader {
-    /// Takes in what has changed on machines since the last call.
+    /// Takes in what has changed on machines since the last call. What they
+    /// gain while a pass is under way is offered from the next one on. Guards
+    /// against room that goes to whoever is next in a pass that was
+    /// interrupted, past earlier jobs that had found none.
     pub(super) fn refresh_fleet(&mut self, now: Ms) {
-        let fleet = &mut self.planning.fleet;
-        fleet.set_policy(&self.planning.policy);
+        let planning = &mut self.planning;
+        planning.fleet.set_policy(&planning.policy);
         for ix in self.model.take_stale() {
             let usable = self.model.machine(ix).filter(|m| m.usable());
-            fleet.set(ix, usable.map(room_of), now);
+            let room = usable.map(room_of);
+            if !planning.in_pass {
+                planning.fleet.set(ix, room, now);
+            } else if planning.fleet.set_without_gain(ix, room, now) {
+                planning.gained.insert(ix);
+            }
+        }
+        planning.fleet.advance(now);
+    }
+
+    /// The pass is over: what machines have gained meanwhile counts.
+    pub(super) fn end_pass(&mut self) {
+        self.planning.in_pass = false;
+        self.planning.fleet.release_withheld();
+        for ix in std::mem::take(&mut self.planning.gained) {
+            self.model.mark_stale(ix);
         }
-        fleet.advance(now);
     }
 
     /// Machines with room for a task of the job, ranked as things stand.
--- a/src/coordination/leader/verdicts.rs
+++ b/src/coordination/leader/verdicts.rs
@@ -159,8 +159,13 @@
 
     /// Machines that are set aside, but can't be returned, are tried again.
     pub(super) fn try_again(&mut self, now: Ms) {
-        for m in self.model.each_machine_mut().filter(|m| m.file.set_aside) {
-            if m.live_tasks() > 0 && m.file.tried_again(now) {
+        let all = self.model.indexed_machines();
+        let aside = all.filter(|(_, m)| m.file.set_aside && m.live_tasks() > 0);
+        let aside: Vec<u32> = aside.map(|(ix, _)| ix).collect();
+        for ix in aside {
+            if let Some(m) = self.model.machine_mut(ix)
+                && m.file.tried_again(now)
+            {
                 log::info!("machine {} is tried again", m.name);
                 m.verdict_new = true;
             }
--- a/src/coordination/placement/fleet.rs
+++ b/src/coordination/placement/fleet.rs
@@ -251,6 +251,25 @@
         self.note_change(machine);
     }
 
+    /// The same, but room that the machine has gained is left out. Returns
+    /// whether it has gained any.
+    pub fn set_without_gain(&mut self, machine: u32, room: Option<Room>, now: Ms) -> bool {
+        let Some(mut room) = room else {
+            self.set(machine, None, now);
+            return false;
+        };
+        let slot = self.slots.get(machine as usize).and_then(Option::as_ref);
+        let Some(slot) = slot else {
+            return true;
+        };
+        let mut before = slot.room.free;
+        before += slot.withheld;
+        let gained = !room.free.fits(&before);
+        room.free = room.free.least(&before);
+        self.set(machine, Some(room), now);
+        gained
+    }
+
     fn forget(&mut self, machine: u32) {
         let Some(slot) = self.slots[machine as usize].take() else {
             return;
--- /dev/null
+++ b/tests/passes.rs
@@ -0,0 +1,268 @@
+//! Stories of passes of placement that are interrupted: what happens in
+//! between is taken in, and nobody is served out of order.
+
+use pathwinch::{
+    bookkeeping::records::{JobRecord, MachineRecord},
+    coordination::leader::Leader,
+    options::Options,
+    protocol::{
+        settings::Settings,
+        users::JobSpec,
+        workers::{Report, ReportedTask, TaskState, Why},
+    },
+};
+use std::rc::Rc;
+
+const MACHINES: usize = 40;
+/// Tasks of one core that a machine takes.
+const CORES: usize = 100;
+/// Steps that a pass makes before reports are answered.
+const STEPS: u32 = 1_000;
+
+fn settings() -> Settings {
+    Settings::parse(
+        r#"{"host_name":"n0","area":"a","listen":"127.0.0.1:1","back":"127.0.0.1:2",
+            "known":[],"outside":{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"},
+            "cluster":{"zones":["a"],"teams":[{"name":"t"}],
+            "workers":{"report_s":1.0,"lease_s":10.0,"gang_wait_s":45.0,
+                       "gang_peer_s":5.0,"cancel_s":35.0},
+            "state":{"rps":200.0,"write_rps":80.0,"value_kb":8.0,"txn_ops":12},
+            "cloud":{"rps":5.0,"list_lag_s":3.0},"quota":{"max_sockets":600}}}"#,
+    )
+    .unwrap()
+}
+
+fn machine(number: usize) -> String {
+    format!("i-{number:06}")
+}
+
+fn report(number: usize, tick: u64) -> Report {
+    let text = format!(
+        r#"{{"post":"{}","addr":"127.0.0.1:9","rig":"m","hall":"a","lendback":false,
+            "tenure":1,"tick":{tick},"baton":{},"reclaim_in_s":null,"pieces":[]}}"#,
+        machine(number),
+        1u64 << 20,
+    );
+    serde_json::from_str(&text).unwrap()
+}
+
+/// A leader that has heard all its machines, which are empty.
+fn leader() -> Leader {
+    let types = format!(
+        r#"[{{"sku":"m","cores":{CORES},"memory_gb":1000.0,"local_gb":50.0,"fetch_gb_per_s":1.0,
+            "price":3.5,"market_price":1.4,"startup_s":20.0,"halls":["a"]}}]"#,
+    );
+    let types = serde_json::from_str(&types).unwrap();
+    let mut l = Leader::new(Rc::new(settings()), Options::default(), types, 1, 0);
+    for n in 0..MACHINES {
+        let record = MachineRecord {
+            addr: "127.0.0.1:9".into(),
+            type_name: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            releasing: false,
+            lapsed: false,
+            quarantined: false,
+            images: Vec::new(),
+        };
+        l.load_machine(&machine(n), record, 1, 0);
+    }
+    l.finish_loading(0);
+    for n in 0..MACHINES {
+        assert!(l.on_beat(&report(n, 1), 100).is_some());
+    }
+    l.tick(100, 100);
+    l
+}
+
+/// Accepts a job of tasks of one core; returns its index.
+fn accept(l: &mut Leader, number: u32, run_shape: &str, tasks: u32) -> u32 {
+    accept_with_cores(l, number, run_shape, tasks, 1.0)
+}
+
+fn accept_with_cores(l: &mut Leader, number: u32, run_shape: &str, tasks: u32, cores: f64) -> u32 {
+    accept_with_priority(l, number, run_shape, "normal", tasks, cores)
+}
+
+fn accept_with_priority(
+    l: &mut Leader,
+    number: u32,
+    run_shape: &str,
+    urgency: &str,
+    tasks: u32,
+    cores: f64,
+) -> u32 {
+    let id = format!("j-{number:06}");
+    let text = format!(
+        r#"{{"ref":"{id}","job_family":"c","owner_crew":"t","run_shape":"{run_shape}",
+            "urgency":"{urgency}","pieces":{tasks},"cores":{cores},"accelerators":0.0,
+            "memory_gb":1.0,"bundle":"image","image_gb":1.0,"same_place":false,"apart":false,
+            "lendback":false,"expected_s":35.0,"snapshot_every_s":0.0,"snapshot_cost_s":0.0}}"#,
+    );
+    let spec = JobSpec::parse(text.as_bytes()).unwrap();
+    l.accepted(JobRecord::new(spec, u64::from(number)), 2, 200);
+    l.model.job_ix(&id).unwrap()
+}
+
+/// The machine of a job of one task, alone there, reports its end.
+fn end_task(l: &mut Leader, job: u32) {
+    let has_it = |ix: &u32| {
+        let m = l.model.machine(*ix).unwrap();
+        m.tasks.iter().any(|a| a.job == job)
+    };
+    let ix = (0..MACHINES as u32).find(has_it).unwrap();
+    let task = &l.model.machine(ix).unwrap().tasks[0];
+    let mut ended = report(ix as usize, 2);
+    ended.tasks.push(ReportedTask {
+        task: task.name.clone(),
+        attempt: task.attempt,
+        state: TaskState::Exited,
+        why: Some(Why::Done),
+        saved: false,
+    });
+    assert!(l.on_beat(&ended, 215).is_some());
+}
+
+fn placed(l: &Leader, job: u32) -> u32 {
+    l.model.job(job).map_or(0, |j| j.live)
+}
+
+#[test]
+fn a_long_pass_lets_reports_be_answered_and_goes_on_in_the_order_of_arrival() {
+    let mut l = leader();
+    let first = accept(&mut l, 1, "array", 1_500);
+    let second = accept(&mut l, 2, "array", 900);
+    l.tick(200, 200);
+    assert!(placed(&l, first) < STEPS && placed(&l, first) > STEPS / 2);
+    assert_eq!(placed(&l, second), 0, "the earlier job has its turn");
+    assert!(l.has_work(), "the loop comes back at once");
+    let answer = l.on_beat(&report(3, 2), 210).unwrap();
+    assert!(!answer.commands.is_empty(), "what was placed is started");
+    // A job that comes meanwhile is served by the pass after this one.
+    let third = accept(&mut l, 3, "array", 10);
+    let mut rounds = 0;
+    while placed(&l, third) < 10 {
+        let before = placed(&l, second);
+        l.tick(220 + rounds, 220 + rounds);
+        assert!(placed(&l, second) == before || placed(&l, first) == 1_500);
+        assert!(placed(&l, third) == 0 || placed(&l, second) == 900);
+        rounds += 1;
+    }
+    assert_eq!(rounds, 3, "two for what was left, one for what came");
+}
+
+#[test]
+fn a_machine_lost_and_a_job_withdrawn_between_two_parts_of_a_pass_are_left_out() {
+    let mut l = leader();
+    let first = accept(&mut l, 1, "array", 1_500);
+    let second = accept(&mut l, 2, "array", 900);
+    let third = accept(&mut l, 3, "array", 900);
+    l.tick(200, 200);
+    assert!(placed(&l, first) < 1_500);
+    // The machine that would take the next task is to be taken away.
+    let next = (0..MACHINES as u32)
+        .filter(|ix| l.model.machine(*ix).unwrap().live_tasks() < CORES)
+        .max_by_key(|ix| l.model.machine(*ix).unwrap().live_tasks())
+        .unwrap();
+    let had = l.model.machine(next).unwrap().live_tasks();
+    let mut leaving = report(next as usize, 2);
+    leaving.notice_s = Some(60.0);
+    assert!(l.on_beat(&leaving, 210).is_some());
+    l.cancel("j-000002");
+    for n in 0..5 {
+        l.tick(220 + n, 220 + n);
+    }
+    assert_eq!(placed(&l, second), 0);
+    assert_eq!((placed(&l, first), placed(&l, third)), (1_500, 900));
+    assert!(l.model.machine(next).unwrap().live_tasks() <= had);
+}
+
+/// Guards against a place in the order that a later job inherits with the
+/// index of one that is gone.
+#[test]
+fn a_job_that_takes_the_index_of_one_that_is_gone_waits_for_its_own_turn() {
+    let mut l = leader();
+    let first = accept(&mut l, 1, "array", 1_500);
+    let second = accept(&mut l, 2, "array", 900);
+    let third = accept(&mut l, 3, "array", 900);
+    l.tick(200, 200);
+    assert!(placed(&l, first) < 1_500);
+    l.model.remove_job(second);
+    let late = accept(&mut l, 4, "array", 900);
+    assert_eq!(late, second, "its index is used again");
+    let mut now = 220;
+    while placed(&l, late) == 0 {
+        l.tick(now, now);
+        now += 1;
+        assert!(now < 240, "it has its turn");
+    }
+    assert_eq!(placed(&l, third), 900, "the earlier one was served first");
+}
+
+#[test]
+fn a_gang_is_placed_whole_or_not_at_all_also_when_machines_leave_in_a_pass() {
+    let mut l = leader();
+    let array = accept(&mut l, 1, "array", 1_500);
+    let gang = accept(&mut l, 2, "gang", 2_500);
+    l.tick(200, 200);
+    assert_eq!(placed(&l, gang), 0);
+    // One machine less, and 3,900 cores are not enough for both.
+    let mut leaving = report(MACHINES - 1, 2);
+    leaving.notice_s = Some(60.0);
+    assert!(l.on_beat(&leaving, 210).is_some());
+    for n in 0..6 {
+        l.tick(220 + n, 220 + n);
+        assert_eq!(placed(&l, gang), 0, "round {n}");
+    }
+    assert_eq!(placed(&l, array), 1_500);
+    let small = accept(&mut l, 3, "gang", 2_400);
+    for n in 0..4 {
+        l.tick(230 + n, 230 + n);
+        assert!([0, 2_400].contains(&placed(&l, small)), "round {n}");
+    }
+    assert_eq!(placed(&l, small), 2_400);
+}
+
+/// Guards against room that goes to whoever is next in a pass that was
+/// interrupted, past an earlier job that had found none.
+#[test]
+fn room_that_appears_between_two_parts_goes_to_the_earliest_that_waits() {
+    let mut l = leader();
+    let wide = accept_with_cores(&mut l, 1, "array", 1, CORES as f64);
+    accept_with_cores(&mut l, 2, "array", MACHINES as u32 - 1, 60.0);
+    l.tick(200, 200);
+    assert_eq!(placed(&l, wide), 1, "one machine is taken whole");
+    // 40 cores are left on each of the others.
+    let waits = accept_with_cores(&mut l, 3, "array", 1, CORES as f64);
+    let many = accept(&mut l, 4, "array", 40 * (MACHINES as u32 - 1) + 50);
+    l.tick(210, 210);
+    assert!(placed(&l, many) > 900 && placed(&l, many) < 1_000);
+    // The machine that was taken whole falls free before the pass is over.
+    end_task(&mut l, wide);
+    for now in 220..226 {
+        l.tick(now, now);
+    }
+    assert_eq!(placed(&l, waits), 1);
+    assert_eq!(placed(&l, many), 40 * (MACHINES as u32 - 1));
+}
+
+/// Guards against room that is held for a gang, past an earlier job to which it
+/// was not offered yet, as it appeared in a pass that was interrupted.
+#[test]
+fn room_that_appears_in_a_pass_is_not_held_for_a_gang_that_comes_later() {
+    let mut l = leader();
+    let wide = accept_with_cores(&mut l, 1, "array", 1, CORES as f64);
+    accept_with_cores(&mut l, 2, "array", MACHINES as u32 - 1, 60.0);
+    l.tick(200, 200);
+    let half = CORES as f64 / 2.0;
+    let waits = accept_with_priority(&mut l, 3, "array", "prod", 1, CORES as f64);
+    let gang = accept_with_priority(&mut l, 4, "gang", "urgent", 2, half);
+    let many = accept(&mut l, 5, "array", 40 * (MACHINES as u32 - 1));
+    l.tick(210, 210);
+    assert!(placed(&l, many) < 1_000, "the pass is interrupted");
+    end_task(&mut l, wide);
+    for now in 220..226 {
+        l.tick(now, now);
+    }
+    assert_eq!((placed(&l, waits), placed(&l, gang)), (1, 0));
+}
