Room to make is searched once for all jobs alike; costs of machines are remembered

Change: a search that found nothing answers for all later jobs of the pass that ask for the same or more; machines that can't make the room are found without a list of victims. Making room is a module of its own. Fragmentation costs are remembered by capacity and what is left (rustc-hash), rankings are built sorted.

--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -15,7 +15,7 @@
 }
 
 /// Ordered by rank: a greater one may preempt a lesser one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Priority {
     #[serde(rename = "idle")]
     Low,
--- a/examples/limits/passes.rs
+++ b/examples/limits/passes.rs
@@ -146,7 +146,11 @@
 }
 
 fn type_name(machine: usize) -> &'static str {
-    if machine % 2 == 0 { "c64" } else { "g4" }
+    if machine.is_multiple_of(2) {
+        "c64"
+    } else {
+        "g4"
+    }
 }
 
 /// A report with 5 to 9 running tasks that fit.
--- a/src/bookkeeping/amounts.rs
+++ b/src/bookkeeping/amounts.rs
@@ -2,7 +2,7 @@
 
 use std::ops::{AddAssign, SubAssign};
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub struct Amounts {
     pub cpus: i64,
     pub gpus: i64,
--- a/src/coordination/leader/gather.rs
+++ b/src/coordination/leader/gather.rs
@@ -26,7 +26,7 @@
     }
 
     /// Whether the gang waits for nothing but room.
-    fn wants_room(&self, job_ix: u32) -> bool {
+    pub(super) fn wants_room(&self, job_ix: u32) -> bool {
         self.model.job(job_ix).is_some_and(|j| {
             (j.live == 0 || self.gang_to_complete(job_ix).is_some())
                 && self.within_limit(j.team, &j.need, i64::from(j.waiting()))
@@ -106,7 +106,7 @@
 
     /// Rooms for all missing tasks of a gang in one zone, on machines that
     /// `there` admits, where the least work is lost.
-    fn gang_rooms(
+    pub(super) fn gang_rooms(
         &self,
         job_ix: u32,
         now: Ms,
@@ -143,18 +143,6 @@
         best
     }
 
-    /// Stops tasks of lower priority for all missing tasks of a gang at once,
-    /// and holds the rooms. Returns on how many machines tasks were stopped.
-    pub(super) fn make_room_for_gang(&mut self, job_ix: u32, now: Ms) -> usize {
-        if !self.wants_room(job_ix) || self.holds_room(job_ix, now) {
-            return 0;
-        }
-        match self.gang_rooms(job_ix, now, |_| true) {
-            Some((_, rooms)) => self.preempt_all(job_ix, rooms, now),
-            None => 0,
-        }
-    }
-
     /// Where some of a gang's tasks would have to fetch for longer than the
     /// aim for starting allows, rooms with the image for all of them may be
     /// the lesser loss. Returns whether the gang is to wait for such rooms.
@@ -192,7 +180,7 @@
         }
     }
 
-    fn preempt_all(&mut self, job_ix: u32, rooms: Vec<Preemption>, now: Ms) -> usize {
+    pub(super) fn preempt_all(&mut self, job_ix: u32, rooms: Vec<Preemption>, now: Ms) -> usize {
         let mut stopped = 0;
         for room in rooms {
             stopped += usize::from(!room.victims.is_empty());
--- /dev/null
+++ b/src/coordination/leader/make_room.rs
@@ -0,0 +1,180 @@
+//! At the end of a pass: room made by stopping tasks, for jobs of high priority
+//! that found none. Searches that are sure to find nothing are left out.
+
+use super::{preempt::GUARANTEE_S, *};
+
+/// Machines on which tasks are stopped in one pass; a gang that has begun with
+/// fewer is not cut short.
+const MOST_BEGUN: usize = 3;
+
+/// All that the outcome of a search hangs on, as far as it may find nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct SearchKey {
+    /// All tasks at once: rooms without a task to stop count too.
+    gang: bool,
+    need: Amounts,
+    types: Vec<bool>,
+    zone: Option<usize>,
+    spot: bool,
+    one_zone: bool,
+    priority: Priority,
+    guaranteed: Option<Guaranteed>,
+}
+
+/// What a search for a job within its team's guarantee hangs on besides.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Guaranteed {
+    team: usize,
+    /// Only room with this image counts yet.
+    image: Option<u32>,
+}
+
+/// Searches of one pass that found nothing, and for how few tasks.
+#[derive(Debug, Default)]
+struct Fruitless(HashMap<SearchKey, i64>);
+
+impl Fruitless {
+    /// A search for as many tasks or more finds nothing either: meanwhile rooms
+    /// can only have become fewer.
+    fn covers(&self, key: &SearchKey, tasks: i64) -> bool {
+        self.0.get(key).is_some_and(|least| tasks >= *least)
+    }
+
+    fn note(&mut self, key: SearchKey, tasks: i64) {
+        let least = self.0.entry(key).or_insert(tasks);
+        *least = tasks.min(*least);
+    }
+}
+
+impl Leader {
+    /// Stops tasks of lower priority where a job of high priority finds no
+    /// room, and keeps the room for it.
+    pub(super) fn make_room(&mut self, wanting: &[u32], now: Ms) {
+        let all = self.model.each_machine().filter_map(|m| m.held_for);
+        let all = all.filter(|(_, until)| now < *until);
+        let holding: HashSet<u32> = all.map(|(job, _)| job).collect();
+        let mut fruitless = Fruitless::default();
+        let mut begun = 0;
+        for &job_ix in wanting {
+            let Some(j) = self.model.job(job_ix) else {
+                continue;
+            };
+            if begun >= MOST_BEGUN {
+                return;
+            }
+            let several = j.spec.kind == Kind::Gang && j.spec.tasks > 1;
+            let starts_over =
+                j.spec.kind == Kind::Gang && j.live > 0 && self.gang_to_complete(job_ix).is_none();
+            if starts_over || j.rank < Priority::High && !self.within_guarantee(j, now) {
+                continue;
+            }
+            if several {
+                if !holding.contains(&job_ix) {
+                    begun += self.make_room_for_gang(job_ix, &mut fruitless, now);
+                }
+                continue;
+            }
+            if j.spec.one_zone && j.spec.tasks > 1 {
+                // Not planned for here: such a job waits for room.
+                continue;
+            }
+            let holds = holding.contains(&job_ix);
+            begun += self.make_room_for_tasks(job_ix, holds, begun, &mut fruitless, now);
+        }
+    }
+
+    fn search_key(&self, job: &Job, now: Ms) -> SearchKey {
+        let guaranteed = self.within_guarantee(job, now);
+        let any_image = now >= job.known_ms + millis(GUARANTEE_S);
+        SearchKey {
+            gang: job.spec.kind == Kind::Gang && job.spec.tasks > 1,
+            need: job.need,
+            types: job.types.clone(),
+            zone: job.zone,
+            spot: job.spec.spot,
+            one_zone: job.spec.one_zone,
+            priority: job.rank,
+            guaranteed: guaranteed.then(|| Guaranteed {
+                team: job.team,
+                image: (!any_image).then_some(job.image),
+            }),
+        }
+    }
+
+    /// Room for tasks one by one. Returns on how many machines it is begun.
+    fn make_room_for_tasks(
+        &mut self,
+        job_ix: u32,
+        holds: bool,
+        begun: usize,
+        fruitless: &mut Fruitless,
+        now: Ms,
+    ) -> usize {
+        let Some(j) = self.model.job(job_ix) else {
+            return 0;
+        };
+        let (need, team, priority) = (j.need, j.team, j.rank);
+        let half = j.spec.spread.then(|| j.spec.tasks.div_ceil(2));
+        let key = self.search_key(j, now);
+        let mut tasks = i64::from(j.waiting());
+        if holds {
+            tasks -= self.tasks_that_held_room_takes(job_ix, &need, now);
+        }
+        // Where zones are counted, another job may find what this one can't.
+        if half.is_none() && fruitless.covers(&key, 1) {
+            return 0;
+        }
+        let mut zones = self.model.zones_of(job_ix);
+        let mut own = 0;
+        while tasks > 0 && begun + own < MOST_BEGUN && self.within_limit(team, &need, 1) {
+            let found = self.cheapest_room(job_ix, priority, now, |z| {
+                half.is_none_or(|h| zones.get(z).copied().unwrap_or(0) < h)
+            });
+            let Some(room) = found else {
+                if half.is_none() {
+                    fruitless.note(key, 1);
+                }
+                break;
+            };
+            tasks -= 1;
+            own += 1;
+            if let Some(m) = self.model.machine(room.machine) {
+                zones[m.zone] += 1;
+            }
+            self.preempt(job_ix, room, now);
+        }
+        own
+    }
+
+    fn tasks_that_held_room_takes(&self, job_ix: u32, need: &Amounts, now: Ms) -> i64 {
+        let held = self.model.each_machine();
+        let held = held.filter(|m| m.is_held_for(job_ix, now));
+        held.map(|m| m.capacity.count(need)).sum()
+    }
+
+    /// Stops tasks of lower priority for all missing tasks of a gang at once,
+    /// and holds the rooms. Returns on how many machines tasks were stopped.
+    fn make_room_for_gang(&mut self, job_ix: u32, fruitless: &mut Fruitless, now: Ms) -> usize {
+        if !self.wants_room(job_ix) {
+            return 0;
+        }
+        let Some(j) = self.model.job(job_ix) else {
+            return 0;
+        };
+        // Tasks that are there already may bind the rest to their zone.
+        let alone = j.live == 0 && !j.spec.spread;
+        let (key, missing) = (self.search_key(j, now), i64::from(j.waiting()));
+        if alone && fruitless.covers(&key, missing) {
+            return 0;
+        }
+        match self.gang_rooms(job_ix, now, |_| true) {
+            Some((_, rooms)) => self.preempt_all(job_ix, rooms, now),
+            None => {
+                if alone {
+                    fruitless.note(key, missing);
+                }
+                0
+            }
+        }
+    }
+}
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -7,6 +7,7 @@
 mod gather;
 mod limits;
 mod machines;
+mod make_room;
 mod parts;
 mod pass;
 mod pieces;
@@ -59,7 +60,7 @@
     },
 };
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
 };
--- a/src/coordination/leader/preempt.rs
+++ b/src/coordination/leader/preempt.rs
@@ -9,7 +9,7 @@
 const WORTH_SERVICE: f64 = 600.0;
 
 /// After this long a team does not wait for what others hold beyond theirs.
-const GUARANTEE_S: f64 = 20.0;
+pub(super) const GUARANTEE_S: f64 = 20.0;
 
 /// Core-seconds for which a task's share of a machine is idle while its image
 /// is fetched there.
@@ -27,57 +27,16 @@
     pub(super) lost: i64,
 }
 
-impl Leader {
-    /// Stops tasks of lower priority where a job of high priority finds no
-    /// room, and keeps the room for it.
-    pub(super) fn make_room(&mut self, wanting: &[u32], now: Ms) {
-        let mut begun = 0;
-        for &job_ix in wanting {
-            let Some(j) = self.model.job(job_ix) else {
-                continue;
-            };
-            if j.live > 0 && j.spec.kind == Kind::Gang && self.gang_to_complete(job_ix).is_none()
-                || j.rank < Priority::High && !self.within_guarantee(j, now)
-            {
-                continue;
-            }
-            let (need, team, priority) = (j.need, j.team, j.rank);
-            if j.spec.kind == Kind::Gang && j.spec.tasks > 1 {
-                if begun < 3 {
-                    begun += self.make_room_for_gang(job_ix, now);
-                }
-                continue;
-            }
-            if j.spec.one_zone && j.spec.tasks > 1 {
-                // Not planned for here: such a job waits for room.
-                continue;
-            }
-            let half = j.spec.spread.then(|| j.spec.tasks.div_ceil(2));
-            let mut zones = self.model.zones_of(job_ix);
-            let mut tasks = i64::from(j.waiting());
-            let held = self
-                .model
-                .each_machine()
-                .filter(|m| m.is_held_for(job_ix, now))
-                .map(|m| m.capacity.count(&need))
-                .sum::<i64>();
-            tasks -= held;
-            while tasks > 0 && begun < 3 && self.within_limit(team, &need, 1) {
-                let Some(room) = self.cheapest_room(job_ix, priority, now, |z| {
-                    half.is_none_or(|h| zones.get(z).copied().unwrap_or(0) < h)
-                }) else {
-                    break;
-                };
-                tasks -= 1;
-                begun += 1;
-                if let Some(m) = self.model.machine(room.machine) {
-                    zones[m.zone] += 1;
-                }
-                self.preempt(job_ix, room, now);
-            }
-        }
-    }
+/// What decides which tasks may be stopped for a job.
+struct Search<'a> {
+    job: &'a Job,
+    priority: Priority,
+    /// Also what other teams run beyond their guarantees.
+    beyond_guarantees: bool,
+    now: Ms,
+}
 
+impl Leader {
     /// Room is held for the job, or being made.
     pub(super) fn holds_room(&self, job_ix: u32, now: Ms) -> bool {
         let held = |m: &Machine| m.is_held_for(job_ix, now);
@@ -120,34 +79,24 @@
             return None;
         }
         let fetch = !m.images.contains(&job.image);
-        let mut victims: Vec<(i64, usize)> = Vec::new();
-        for (at, a) in m.tasks.iter().enumerate() {
-            let Some(v) = self.model.job(a.job) else {
-                continue;
-            };
-            if !a.live() || a.stop.is_some() || v.spec.kind == Kind::Service {
-                continue;
-            }
-            let lower = v.rank < priority && v.spec.kind == Kind::Array && !self.only_begins(v);
+        let search = Search {
+            job,
+            priority,
             // Room without the image can't meet the aim any more.
-            let beyond = guaranteed
-                && (!fetch || now >= job.known_ms + millis(GUARANTEE_S))
-                && v.team != job.team
-                && now > a.since + SETTLED_IN
-                && self.beyond_guarantee(v.team, &a.need, &job.need);
-            if lower || beyond {
-                // A task that saves loses little.
-                let mut ms = now - a.since;
-                if v.spec.checkpoint_s > 0.0 {
-                    ms = ms.min(millis(v.spec.save_s + 1.0));
-                }
-                let tasks = match v.spec.kind {
-                    Kind::Gang => i64::from(v.spec.tasks),
-                    _ => 1,
-                };
-                victims.push((ms as i64 * a.need.cpus.max(1) / 1_000_000 * tasks, at));
-            }
+            beyond_guarantees: guaranteed && (!fetch || now >= job.known_ms + millis(GUARANTEE_S)),
+            now,
+        };
+        let tasks = m.tasks.iter().enumerate();
+        let victims = tasks.filter_map(|(at, a)| Some((self.loss_of(a, &search)?, at)));
+        // Most machines can't make the room: found without a list.
+        let mut most = m.free();
+        for (_, at) in victims.clone() {
+            most += m.tasks[at].need;
+        }
+        if !job.need.fits(&most) {
+            return None;
         }
+        let mut victims: Vec<(i64, usize)> = victims.collect();
         victims.sort_unstable();
         let mut free = m.free();
         let mut lost = 0;
@@ -160,7 +109,7 @@
             lost += cost;
             chosen.push(at);
         }
-        job.need.fits(&free).then_some(Preemption {
+        Some(Preemption {
             machine: ix,
             victims: chosen,
             fetch,
@@ -168,6 +117,33 @@
         })
     }
 
+    /// The work in core-seconds that is lost if this task is stopped for the
+    /// job; `None`: it may not be stopped for it.
+    fn loss_of(&self, a: &Assignment, search: &Search) -> Option<i64> {
+        let v = self.model.job(a.job)?;
+        if !a.live() || a.stop.is_some() || v.spec.kind == Kind::Service {
+            return None;
+        }
+        let lower = v.rank < search.priority && v.spec.kind == Kind::Array && !self.only_begins(v);
+        let beyond = search.beyond_guarantees
+            && v.team != search.job.team
+            && search.now > a.since + SETTLED_IN
+            && self.beyond_guarantee(v.team, &a.need, &search.job.need);
+        if !lower && !beyond {
+            return None;
+        }
+        // A task that saves loses little.
+        let mut ms = search.now - a.since;
+        if v.spec.checkpoint_s > 0.0 {
+            ms = ms.min(millis(v.spec.save_s + 1.0));
+        }
+        let tasks = match v.spec.kind {
+            Kind::Gang => i64::from(v.spec.tasks),
+            _ => 1,
+        };
+        Some(ms as i64 * a.need.cpus.max(1) / 1_000_000 * tasks)
+    }
+
     /// Where the best place means a fetch that misses the aim for starting,
     /// room on a machine that caches the image may be the lesser loss: the
     /// fetch leaves the task's share idle for as long. Returns whether the
--- a/src/coordination/placement/fleet.rs
+++ b/src/coordination/placement/fleet.rs
@@ -8,7 +8,9 @@
 
 use super::{Policy, fragmentation, free_counts::FreeCounts, load};
 use crate::bookkeeping::{Ms, amounts::Amounts};
+use rustc_hash::FxHashMap;
 use std::{
+    cell::RefCell,
     cmp::Ordering,
     collections::{BTreeMap, BTreeSet, VecDeque},
 };
@@ -19,6 +21,8 @@
 const RANKING_IDLE: Ms = 30_000;
 /// How long a machine must have been empty to count as surplus.
 pub const SURPLUS: Ms = 3_000;
+/// Costs that are remembered; past that all are forgotten.
+const MOST_COSTS: usize = 8_192;
 /// Added to a machine's rank: it is about to be returned, or its fetch would
 /// miss the aim for starting. The latter weighs more.
 const SURPLUS_RANK: u32 = 1_000;
@@ -159,6 +163,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     policy: Policy,
+    /// By capacity and what is left: many machines are alike.
+    costs: RefCell<FxHashMap<(Amounts, Amounts), Cost>>,
     slots: Vec<Option<Slot>>,
     rankings: Vec<Ranking>,
     /// Machines that changed, oldest first, and how many were dropped before.
@@ -177,6 +183,7 @@
     pub fn new(policy: Policy) -> Self {
         Fleet {
             policy,
+            costs: RefCell::default(),
             slots: Vec::new(),
             rankings: Vec::new(),
             log: VecDeque::new(),
@@ -194,6 +201,7 @@
         if self.policy != *policy {
             self.policy = policy.clone();
             self.rankings.clear();
+            self.costs.borrow_mut().clear();
         }
     }
 
@@ -362,11 +370,16 @@
     }
 
     fn fill(&self, ranking: &mut Ranking) {
-        ranking.machines.clear();
-        ranking.keys.clear();
-        for machine in 0..self.slots.len() as u32 {
-            ranking.put(machine, self.key(&ranking.request, machine));
+        let all = 0..self.slots.len() as u32;
+        ranking.keys = all.map(|m| self.key(&ranking.request, m)).collect();
+        let mut by_zone: Vec<Vec<Key>> = Vec::new();
+        for (zone, key) in ranking.keys.iter().flatten() {
+            if by_zone.len() <= *zone {
+                by_zone.resize_with(zone + 1, Vec::new);
+            }
+            by_zone[*zone].push(*key);
         }
+        ranking.machines = by_zone.into_iter().map(sorted).collect();
         ranking.position = self.end_of_log();
     }
 
@@ -422,13 +435,22 @@
         Some(Key {
             rank,
             busy: load(&room.capacity, &room.free, self.policy.load) >= self.policy.threshold,
-            cost: Cost(fragmentation(&room.capacity, &after, &self.policy.shapes)),
+            cost: self.cost(&room.capacity, &after),
             fetches_image,
             free_cpus: room.free.cpus,
             machine,
         })
     }
 
+    fn cost(&self, capacity: &Amounts, left: &Amounts) -> Cost {
+        let mut costs = self.costs.borrow_mut();
+        if costs.len() >= MOST_COSTS {
+            costs.clear();
+        }
+        let known = costs.entry((*capacity, *left));
+        *known.or_insert_with(|| Cost(fragmentation(capacity, left, &self.policy.shapes)))
+    }
+
     /// The best machine in the zones that `zone_ok` admits, of those that
     /// `allowed` admits. Those that `last` names are used only when there is no
     /// other.
@@ -536,6 +558,11 @@
     }
 }
 
+fn sorted(mut keys: Vec<Key>) -> BTreeSet<Key> {
+    keys.sort_unstable();
+    BTreeSet::from_iter(keys)
+}
+
 fn empty_ranking(request: &Request) -> Ranking {
     Ranking {
         request: request.clone(),
