--- a/examples/limits/main.rs
+++ b/examples/limits/main.rs
@@ -9,6 +9,7 @@
 //!     limits task MACHINES N      N jobs of one task, accepted and placed
 //!     limits array MACHINES N     N arrays of 500 tasks, accepted and placed
 //!     limits gang MACHINES N      N gangs of 256 tasks, accepted and placed
+//!     limits array-again, limits gang-again: the same, all with one image
 
 mod passes;
 
@@ -211,9 +212,11 @@
             }
         }
         "idle" => passes::Drawn::new(size)?.idle(count)?,
-        "task" => passes::Drawn::new(size)?.place("array", 1, count)?,
-        "array" => passes::Drawn::new(size)?.place("array", passes::ARRAY, count)?,
-        "gang" => passes::Drawn::new(size)?.place("gang", passes::GANG, count)?,
+        "task" => passes::Drawn::new(size)?.place("array", 1, false, count)?,
+        "array" => passes::Drawn::new(size)?.place("array", passes::ARRAY, false, count)?,
+        "gang" => passes::Drawn::new(size)?.place("gang", passes::GANG, false, count)?,
+        "array-again" => passes::Drawn::new(size)?.place("array", passes::ARRAY, true, count)?,
+        "gang-again" => passes::Drawn::new(size)?.place("gang", passes::GANG, true, count)?,
         other => bail!("{other}: not one of those that the head of this file names"),
     }
     Ok(())
--- a/examples/limits/passes.rs
+++ b/examples/limits/passes.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 
 const ZONES: usize = 15;
+const IMAGES: usize = 16;
 /// Time of the fleet's reports and of all passes, in milliseconds.
 const NOW: u64 = 1_000;
 /// Cores, accelerators and memory of a task.
@@ -57,13 +58,19 @@
     Ok(serde_json::from_value(types)?)
 }
 
-fn job(number: usize, shape: Shape, run_shape: &str, tasks: u32) -> Result<JobRecord> {
+fn job(
+    number: usize,
+    image: usize,
+    shape: Shape,
+    run_shape: &str,
+    tasks: u32,
+) -> Result<JobRecord> {
     let (cores, accelerators, memory_gb) = shape;
     let spec = serde_json::json!({
         "ref": format!("j-{number:06}"), "job_family": "c", "owner_crew": "t",
         "run_shape": run_shape, "urgency": "normal", "pieces": tasks, "cores": cores,
         "accelerators": accelerators, "memory_gb": memory_gb,
-        "bundle": format!("image-{}", number % 16), "image_gb": 1.0, "same_place": false,
+        "bundle": format!("image-{}", image % IMAGES), "image_gb": 1.0, "same_place": false,
         "apart": false, "lendback": false, "expected_s": 60.0, "snapshot_every_s": 0.0,
         "snapshot_cost_s": 0.0
     });
@@ -92,14 +99,14 @@
                 releasing: false,
                 lapsed: false,
                 quarantined: false,
-                images: vec![format!("image-{}", rng.u32(..16))],
+                images: vec![format!("image-{}", rng.usize(..IMAGES))],
             };
             leader.load_machine(&format!("i-{n:06}"), record, 1, 0);
         }
         // One job of each shape for every ten machines.
         let jobs = 4 * machines.div_ceil(10);
         for n in 0..jobs {
-            leader.load_job(job(n, SHAPES[n % 4], "array", 1_000)?, 1, 0);
+            leader.load_job(job(n, n, SHAPES[n % 4], "array", 1_000)?, 1, 0);
         }
         leader.finish_loading(0);
         let mut next_task = vec![0; jobs];
@@ -122,18 +129,26 @@
         for _ in 0..count {
             // Known already: it only makes the next round look again.
             self.leader
-                .load_job(job(0, SHAPES[0], "array", 1_000)?, 1, NOW);
+                .load_job(job(0, 0, SHAPES[0], "array", 1_000)?, 1, NOW);
             self.leader.tick(NOW, NOW);
         }
         Ok(())
     }
 
     /// Jobs of so many tasks, each accepted and placed in a pass of its own.
-    pub fn place(&mut self, run_shape: &str, tasks: u32, count: usize) -> Result<()> {
+    /// They need the same image, or one after the other of several.
+    pub fn place(
+        &mut self,
+        run_shape: &str,
+        tasks: u32,
+        same_image: bool,
+        count: usize,
+    ) -> Result<()> {
         for _ in 0..count {
             let number = self.next_job;
             self.next_job += 1;
-            let record = job(number, (1.0, 0.0, 2.0), run_shape, tasks)?;
+            let image = if same_image { 0 } else { number };
+            let record = job(number, image, (1.0, 0.0, 2.0), run_shape, tasks)?;
             self.leader.accepted(record, 2, NOW);
             self.leader.tick(NOW, NOW);
             let id = format!("j-{number:06}");
--- a/tests/scale_run.rs
+++ b/tests/scale_run.rs
@@ -9,8 +9,8 @@
 fn plan() -> Plan {
     let text = include_str!("../examples/scale.toml")
         .replace("controllers = 14", "controllers = 3")
-        .replace("warm_up_s = 130.0", "warm_up_s = 20.0")
-        .replace("measure_s = 60.0", "measure_s = 8.0");
+        .replace("warm_up_s = 110.0", "warm_up_s = 20.0")
+        .replace("measure_s = 45.0", "measure_s = 8.0");
     let mut plan = Plan::parse(&text).unwrap().scaled(MACHINES).unwrap();
     // Services fill half of the fleet; one gang each is as large as it may be.
     for class in &mut plan.class {
