--- a/src/coordination/leader/machines.rs
+++ b/src/coordination/leader/machines.rs
@@ -4,6 +4,15 @@
 
 /// Names that one request to delete machines may hold.
 const MOST_RELEASED: usize = 100;
+/// Machines whose prices are no further apart than this cost the same.
+const SAME_PRICE: f64 = 1.01;
+
+/// A machine that services may move to.
+struct MoveTarget {
+    machine: u32,
+    free: Amounts,
+    price: f64,
+}
 
 impl Leader {
     /// When the machine list is due, it is taken as asked for.
@@ -276,8 +285,9 @@
             let (a, b) = (key(a), key(b));
             b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
         });
+        let targets = self.move_targets();
         for ix in order {
-            if let Some(targets) = self.can_empty(ix, now) {
+            if let Some(targets) = self.can_empty(ix, &targets, now) {
                 // Without this, batch tasks took the places with the image
                 // while the services stopped, and those had to fetch.
                 for to in targets {
@@ -301,47 +311,57 @@
         }
     }
 
+    /// Machines that services may move to.
+    fn move_targets(&self) -> Vec<MoveTarget> {
+        let all = self.model.indexed_machines();
+        let open = all.filter(|(_, m)| m.usable() && m.held_for.is_none() && m.live_tasks() > 0);
+        let target = |(machine, m): (u32, &Machine)| MoveTarget {
+            machine,
+            free: m.free(),
+            price: self.price(m),
+        };
+        open.map(target).collect()
+    }
+
     /// Where the services of a machine would go, if all of them can.
-    pub(super) fn can_empty(&self, ix: u32, now: Ms) -> Option<Vec<u32>> {
+    fn can_empty(&self, ix: u32, targets: &[MoveTarget], now: Ms) -> Option<Vec<u32>> {
         let from = self.model.machine(ix)?;
-        let mut targets = Vec::new();
+        let price = self.price(from);
         // One that has long been of no other use, and is dear, may cost its
         // services a short fetch. Between machines of one price that was
         // tried: 4 s of two replicas are 2% of what the worst 30 s counts.
         let long = now >= from.batch_until + 3 * millis(self.options.idle_s);
-        let mut room: Vec<(u32, Amounts)> = Vec::new();
-        for (to, m) in self.model.indexed_machines() {
-            if to != ix
-                && m.usable()
-                && m.held_for.is_none()
-                && self.price(m) <= self.price(from) * 1.01
-                && m.live_tasks() > 0
-            {
-                room.push((to, m.free()));
-            }
-        }
+        let mut moved: Vec<(u32, Amounts)> = Vec::new();
         for a in from.tasks.iter().filter(|a| a.live()) {
             let job = self.model.job(a.job)?;
             if a.phase != Phase::Running || job.cancelled || job.cancel_wanted {
                 return None;
             }
-            let found = room.iter_mut().find(|(to, free)| {
-                a.need.fits(free)
-                    && self.model.machine(*to).is_some_and(|m| {
-                        job.allows(m)
-                            && (m.zone == from.zone || !(job.spec.one_zone || job.spec.spread))
-                            && (m.images.contains(&job.image)
-                                || long
-                                    && self.price(from) >= 2.0 * self.price(m)
-                                    && job.spec.image_gb
-                                        <= self.model.types[m.type_ix].fetch_gb_per_s
-                                            * SHORT_FETCH_S)
-                    })
+            let may_move = |to: &MoveTarget| {
+                self.model.machine(to.machine).is_some_and(|m| {
+                    job.allows(m)
+                        && (m.zone == from.zone || !(job.spec.one_zone || job.spec.spread))
+                        && (m.images.contains(&job.image)
+                            || long
+                                && price >= 2.0 * to.price
+                                && job.spec.image_gb
+                                    <= self.model.types[m.type_ix].fetch_gb_per_s * SHORT_FETCH_S)
+                })
+            };
+            let has_room = |to: &MoveTarget| {
+                let taken = moved.iter().filter(|(machine, _)| *machine == to.machine);
+                let free = taken.fold(to.free, |free, (_, need)| free.minus(*need));
+                a.need.fits(&free)
+            };
+            let found = targets.iter().find(|to| {
+                to.machine != ix
+                    && to.price <= price * SAME_PRICE
+                    && a.need.fits(&to.free)
+                    && has_room(to)
+                    && may_move(to)
             });
-            let (to, free) = found?;
-            *free -= a.need;
-            targets.push(*to);
+            moved.push((found?.machine, a.need));
         }
-        Some(targets)
+        Some(moved.into_iter().map(|(machine, _)| machine).collect())
     }
 }
--- a/src/coordination/leader/place.rs
+++ b/src/coordination/leader/place.rs
@@ -68,12 +68,27 @@
         if log::log_enabled!(log::Level::Debug)
             && let Some(c) = chosen
         {
-            let name = self.model.machine(c.machine).map_or("?", |m| &m.name);
-            log::debug!("choice for {}/{task}: {name}, late {}", job.id, c.late);
+            self.log_choice(job, task, c);
         }
         chosen
     }
 
+    fn log_choice(&self, job: &Job, task: u32, choice: Choice) {
+        let Some(room) = self.planning.fleet.room(choice.machine) else {
+            return;
+        };
+        let policy = &self.planning.policy;
+        let after = room.free.minus(job.need);
+        log::debug!(
+            "choice for {}/{task}: {}, load {:.2}, cost {:.3}{}",
+            job.id,
+            self.model.machine(choice.machine).map_or("?", |m| &m.name),
+            placement::load(&room.capacity, &room.free, policy.load),
+            placement::fragmentation(&room.capacity, &after, &policy.shapes),
+            if choice.late { ", late" } else { "" },
+        );
+    }
+
     fn take_reserve(&self, reserves: &mut [Reserve], machine: u32, need: &Amounts) {
         if let Some(room) = self.planning.fleet.room(machine) {
             for r in reserves.iter_mut() {
--- a/tests/passes.rs
+++ b/tests/passes.rs
@@ -11,7 +11,7 @@
         workers::{Report, ReportedTask, TaskState, Why},
     },
 };
-use std::rc::Rc;
+use std::{collections::BTreeSet, rc::Rc};
 
 const MACHINES: usize = 40;
 /// Tasks of one core that a machine takes.
@@ -37,23 +37,38 @@
 }
 
 fn report(number: usize, tick: u64) -> Report {
+    report_in_term(1, number, tick)
+}
+
+fn report_in_term(term: u64, number: usize, tick: u64) -> Report {
     let text = format!(
         r#"{{"post":"{}","addr":"127.0.0.1:9","rig":"m","hall":"a","lendback":false,
             "tenure":1,"tick":{tick},"baton":{},"reclaim_in_s":null,"pieces":[]}}"#,
         machine(number),
-        1u64 << 20,
+        term << 20,
     );
     serde_json::from_str(&text).unwrap()
 }
 
 /// A leader that has heard all its machines, which are empty.
 fn leader() -> Leader {
+    let mut l = unheard(1);
+    l.finish_loading(0);
+    for n in 0..MACHINES {
+        assert!(l.on_beat(&report(n, 1), 100).is_some());
+    }
+    l.tick(100, 100);
+    l
+}
+
+/// The leader of a term that reads its records.
+fn unheard(term: u64) -> Leader {
     let types = format!(
         r#"[{{"sku":"m","cores":{CORES},"memory_gb":1000.0,"local_gb":50.0,"fetch_gb_per_s":1.0,
             "price":3.5,"market_price":1.4,"startup_s":20.0,"halls":["a"]}}]"#,
     );
     let types = serde_json::from_str(&types).unwrap();
-    let mut l = Leader::new(Rc::new(settings()), Options::default(), types, 1, 0);
+    let mut l = Leader::new(Rc::new(settings()), Options::default(), types, term, 0);
     for n in 0..MACHINES {
         let record = MachineRecord {
             addr: "127.0.0.1:9".into(),
@@ -67,11 +82,6 @@
         };
         l.load_machine(&machine(n), record, 1, 0);
     }
-    l.finish_loading(0);
-    for n in 0..MACHINES {
-        assert!(l.on_beat(&report(n, 1), 100).is_some());
-    }
-    l.tick(100, 100);
     l
 }
 
@@ -92,16 +102,21 @@
     tasks: u32,
     cores: f64,
 ) -> u32 {
-    let id = format!("j-{number:06}");
+    let record = record(number, run_shape, urgency, tasks, cores);
+    let id = record.spec.id.clone();
+    l.accepted(record, 2, 200);
+    l.model.job_ix(&id).unwrap()
+}
+
+fn record(number: u32, run_shape: &str, urgency: &str, tasks: u32, cores: f64) -> JobRecord {
     let text = format!(
-        r#"{{"ref":"{id}","job_family":"c","owner_crew":"t","run_shape":"{run_shape}",
+        r#"{{"ref":"j-{number:06}","job_family":"c","owner_crew":"t","run_shape":"{run_shape}",
             "urgency":"{urgency}","pieces":{tasks},"cores":{cores},"accelerators":0.0,
             "memory_gb":1.0,"bundle":"image","image_gb":1.0,"same_place":false,"apart":false,
             "lendback":false,"expected_s":35.0,"snapshot_every_s":0.0,"snapshot_cost_s":0.0}}"#,
     );
     let spec = JobSpec::parse(text.as_bytes()).unwrap();
-    l.accepted(JobRecord::new(spec, u64::from(number)), 2, 200);
-    l.model.job_ix(&id).unwrap()
+    JobRecord::new(spec, u64::from(number))
 }
 
 /// The machine of a job of one task, alone there, reports its end.
@@ -266,3 +281,34 @@
     }
     assert_eq!((placed(&l, waits), placed(&l, gang)), (1, 0));
 }
+
+#[test]
+fn a_pass_that_ends_with_the_lead_is_finished_by_the_next_leader_each_task_once() {
+    let mut first = leader();
+    let job = accept(&mut first, 1, "array", 1_500);
+    first.tick(200, 200);
+    assert!(first.has_work() && placed(&first, job) < 1_000);
+    let mut next = unheard(2);
+    let job = next.load_job(record(1, "array", "normal", 1_500, 1.0), 1, 0);
+    next.finish_loading(0);
+    for n in 0..MACHINES {
+        let mut report = report_in_term(2, n, 9);
+        let placed = &first.model.machine(n as u32).unwrap().tasks;
+        report.tasks.extend(placed.iter().map(|a| ReportedTask {
+            task: a.name.clone(),
+            attempt: a.attempt,
+            state: TaskState::Running,
+            why: None,
+            saved: false,
+        }));
+        assert!(next.on_beat(&report, 300).is_some());
+    }
+    for now in 300..304 {
+        next.tick(now, now);
+    }
+    let all = next.model.each_machine().flat_map(|m| &m.tasks);
+    let all: Vec<&str> = all.map(|a| a.name.as_str()).collect();
+    let each: BTreeSet<&str> = all.iter().copied().collect();
+    assert_eq!((each.len(), all.len()), (1_500, 1_500));
+    assert_eq!(placed(&next, job), 1_500);
+}
