One scan for the jobs that hold room, one way to listen on loopback

The pass and the search for room to make each had a scan of their own for the jobs with held room; the hosted workers had a listener of their own beside the lab's. Each is one function now.

--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -2,7 +2,11 @@
 //! address of its own for direct orders and a connection of its own for its
 //! reports; one loop lets time pass for all of them.
 
-use crate::{Ms, installation::Lab, worker::Worker};
+use crate::{
+    Ms,
+    installation::{Lab, loopback},
+    worker::Worker,
+};
 use async_executor::Task;
 use async_io::Timer;
 use http_types::Method;
@@ -14,7 +18,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    net::TcpListener,
     rc::Rc,
     time::Duration,
 };
@@ -76,8 +79,8 @@
 }
 
 fn start(lab: &Rc<Lab>, id: &str) -> Running {
-    let (listener, addr) = match listen() {
-        Ok((listener, addr)) => (Some(listener), addr),
+    let (listener, addr) = match loopback() {
+        Ok((listener, addr)) => (Some(listener), addr.to_string()),
         Err(e) => {
             log::warn!("{id}: its worker can't listen for direct orders: {e}");
             (None, String::new())
@@ -111,12 +114,6 @@
     }
 }
 
-fn listen() -> std::io::Result<(TcpListener, String)> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let addr = listener.local_addr()?.to_string();
-    Ok((listener, addr))
-}
-
 fn new_worker(lab: &Lab, id: &str, addr: String) -> Worker {
     let cloud = lab.cloud.borrow();
     let (machine_type, zone, spot) = match cloud.machine(id) {
--- a/src/coordination/leader/make_room.rs
+++ b/src/coordination/leader/make_room.rs
@@ -50,9 +50,7 @@
     /// Stops tasks of lower priority where a job of high priority finds no
     /// room, and keeps the room for it.
     pub(super) fn make_room(&mut self, wanting: &[u32], now: Ms) {
-        let all = self.model.each_machine().filter_map(|m| m.held_for);
-        let all = all.filter(|(_, until)| now < *until);
-        let holding: HashSet<u32> = all.map(|(job, _)| job).collect();
+        let holding = self.jobs_with_held_room(now);
         let mut fruitless = Fruitless::default();
         let mut begun = 0;
         for &job_ix in wanting {
--- a/src/coordination/leader/pass.rs
+++ b/src/coordination/leader/pass.rs
@@ -30,7 +30,7 @@
     next: usize,
     reserves: Vec<Reserve>,
     /// Jobs for which room is held.
-    held: Vec<u32>,
+    held: HashSet<u32>,
     /// Jobs that found no room.
     wanting: Vec<u32>,
     /// Shapes that found no room in this pass; the rest of the queue needn't
@@ -89,13 +89,7 @@
         }
         let keep = millis(self.options.keep_s);
         let reserves = self.reserves(RATE_WINDOW, keep, now);
-        let held = self
-            .model
-            .each_machine()
-            .filter_map(|m| m.held_for)
-            .filter(|(_, until)| now < *until)
-            .map(|(of, _)| of)
-            .collect();
+        let held = self.jobs_with_held_room(now);
         let waiting = |ix: &u32| {
             let serial = self.model.job(*ix)?.serial;
             Some(Waiting { job: *ix, serial })
--- a/src/coordination/leader/preempt.rs
+++ b/src/coordination/leader/preempt.rs
@@ -37,6 +37,13 @@
 }
 
 impl Leader {
+    /// Jobs for which room is held, or being made.
+    pub(super) fn jobs_with_held_room(&self, now: Ms) -> HashSet<u32> {
+        let held = self.model.each_machine().filter_map(|m| m.held_for);
+        let held = held.filter(|(_, until)| now < *until);
+        held.map(|(job, _)| job).collect()
+    }
+
     /// Room is held for the job, or being made.
     pub(super) fn holds_room(&self, job_ix: u32, now: Ms) -> bool {
         let held = |m: &Machine| m.is_held_for(job_ix, now);
