Log and metrics for who may act, what answers rest on, and writes in doubt

Need: an incident report of a job's state that went back, without any log from which to tell what each controller knew.

Change: an answer carries what it rests on (leader's picture or word, record, own write, remembered end), when that was read and at which revision; the first of each state that a node tells of a job is a line at info, at most 20 a second. Lines say by which right a leader acts and why that ended, ends and withdrawals with revision and term, writes without an answer and what was read of them, and once a second what was ordered. Metrics count all of it. Bounded maps share one type. No decision changes.

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -8,6 +8,7 @@
 pub mod chains;
 pub mod model;
 pub mod pieces;
+pub mod recent;
 pub mod records;
 
 /// Milliseconds of the steady clock since the process began.
--- a/src/coordination/answers/mod.rs
+++ b/src/coordination/answers/mod.rs
@@ -9,6 +9,7 @@
 //! any answer given. As it leaves it is looked at once more: an end that this
 //! node has learned meanwhile goes before it.
 
+mod basis;
 mod poll;
 mod settle;
 mod submit;
@@ -16,6 +17,7 @@
 mod tests;
 mod withdraw;
 
+pub use basis::{Basis, Reading, Source};
 pub use poll::polled;
 
 use super::{leader::Leader, polls::Finals};
@@ -43,7 +45,7 @@
 #[derive(Debug)]
 pub enum Found {
     Live(Box<JobRecord>, u64),
-    Final(FinalRecord),
+    Final(FinalRecord, u64),
     Nothing,
 }
 
@@ -126,7 +128,7 @@
                 }
                 status
             }
-            Found::Final(record) => final_status(id, &record),
+            Found::Final(record, _) => final_status(id, &record),
             Found::Nothing => return None,
         };
         self.remember(&status);
@@ -178,10 +180,10 @@
 #[derive(Debug)]
 pub enum Event {
     Begin,
-    /// The leader's word on a polled job. `None`: it can't say, or gave none.
-    Told(Option<JobStatus>),
+    /// The leader's word on a polled job.
+    Told(Reading),
     /// The polled job's state by the records.
-    Read(Result<Option<JobStatus>, String>),
+    Read(Result<Reading, String>),
     /// The leader's answer. `None`: there is none.
     Forwarded(Option<Answer>),
     /// Whether every controller runs this version.
@@ -232,6 +234,10 @@
     /// Passed on by another node.
     forwarded: bool,
     what: What,
+    /// When something was last asked for elsewhere.
+    asked: Ms,
+    /// What the last answer rests on.
+    basis: Basis,
 }
 
 impl Request {
@@ -241,6 +247,8 @@
             id,
             forwarded,
             what,
+            asked: 0,
+            basis: Basis::default(),
         }
     }
 
@@ -272,7 +280,18 @@
         Some(Self::of(id, false, what))
     }
 
+    /// The job that it names, if that is of the right form.
+    pub fn id(&self) -> Option<&str> {
+        self.id.as_deref()
+    }
+
+    /// What the answer rests on that was given last.
+    pub fn basis(&self) -> Basis {
+        self.basis
+    }
+
     pub fn step(&mut self, event: Event, here: &mut Here) -> Next {
+        self.basis = Basis::of(&event, self.asked, here.acts, here.now);
         let id = self.id.clone().unwrap_or_default();
         let next = match &mut self.what {
             What::Poll => poll::step(&id, event, here),
@@ -282,13 +301,16 @@
         };
         match next {
             Next::Answer(answer) => Next::Answer(self.last_look(answer, here)),
-            next => next,
+            next => {
+                self.asked = here.now;
+                next
+            }
         }
     }
 
     /// As late as can be. Guards against an answer that was read, or relayed,
     /// before the job ended, and is given after this node has told that end.
-    fn last_look(&self, answer: Answer, here: &mut Here) -> Answer {
+    fn last_look(&mut self, answer: Answer, here: &mut Here) -> Answer {
         let Some(id) = self.id.as_deref() else {
             return answer;
         };
@@ -302,6 +324,9 @@
                 led.or_else(|| here.end_of(id))
             }
         };
+        if told.is_some() {
+            self.basis = Basis::memory(here.now);
+        }
         let answer = told.map_or(answer, Answer::known);
         if let Answer::State(_, status) = &answer {
             here.remember(status);
--- a/src/coordination/answers/poll.rs
+++ b/src/coordination/answers/poll.rs
@@ -6,10 +6,14 @@
     match event {
         Event::Begin if id.is_empty() => Next::Answer(Answer::Refused(404, NO_SUCH.into())),
         Event::Begin => begin(id, here),
-        Event::Told(Some(status)) => Next::Answer(Answer::known(status)),
-        Event::Told(None) => Next::ReadState,
-        Event::Read(Ok(Some(status))) => Next::Answer(Answer::known(status)),
-        Event::Read(Ok(None)) => Next::Answer(Answer::Refused(404, NO_SUCH.into())),
+        Event::Told(reading) => match reading.status {
+            Some(status) => Next::Answer(Answer::known(status)),
+            None => Next::ReadState,
+        },
+        Event::Read(Ok(reading)) => Next::Answer(match reading.status {
+            Some(status) => Answer::known(status),
+            None => Answer::Refused(404, NO_SUCH.into()),
+        }),
         Event::Read(Err(e)) => Next::Answer(Answer::Later(e)),
         other => out_of_place(&other),
     }
--- a/src/coordination/answers/tests.rs
+++ b/src/coordination/answers/tests.rs
@@ -30,6 +30,18 @@
     }
 }
 
+fn reading(state: Option<JobState>) -> Reading {
+    Reading {
+        began: 0,
+        status: state.map(status),
+        version: None,
+    }
+}
+
+fn told(state: Option<JobState>) -> Event {
+    Event::Told(reading(state))
+}
+
 /// At a node that does not lead.
 fn step(request: &mut Request, event: Event, finals: &mut Finals) -> Next {
     request.step(
@@ -67,11 +79,11 @@
             Next::AskLeader
         ));
         let event = match relayed {
-            true => Event::Told(Some(status(JobState::Running))),
+            true => told(Some(JobState::Running)),
             false => {
-                let next = step(&mut poll, Event::Told(None), &mut finals);
+                let next = step(&mut poll, told(None), &mut finals);
                 assert!(matches!(next, Next::ReadState));
-                Event::Read(Ok(Some(status(JobState::Queued))))
+                Event::Read(Ok(reading(Some(JobState::Queued))))
             }
         };
         ended(&mut finals);
@@ -98,8 +110,8 @@
     let mut finals = Finals::default();
     let mut poll = Request::poll(ID);
     step(&mut poll, Event::Begin, &mut finals);
-    let told = Event::Told(Some(status(JobState::Done)));
-    assert_eq!(state_of(step(&mut poll, told, &mut finals)), JobState::Done);
+    let next = step(&mut poll, told(Some(JobState::Done)), &mut finals);
+    assert_eq!(state_of(next), JobState::Done);
     let body = format!(r#"{{"ref":"{ID}","pieces":"many"}}"#);
     for mut request in [
         Request::poll(ID),
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -99,6 +99,37 @@
     knows: Ms,
     /// When another node said, since the last renewal, that it is served.
     others_served: Option<Ms>,
+    right: Right,
+}
+
+/// By what a leader may act.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Right {
+    /// The state service renewed its lease.
+    Renewal,
+    /// All other nodes promised to seek nothing.
+    Promises,
+}
+
+impl Right {
+    pub fn text(self) -> &'static str {
+        match self {
+            Right::Renewal => "renewal",
+            Right::Promises => "promises",
+        }
+    }
+}
+
+impl Lead {
+    /// By what this leader may act, and until when.
+    pub fn authority(&self) -> (Right, Ms) {
+        (self.right, self.until)
+    }
+
+    /// Up to when it surely knows of every withdrawal.
+    pub fn knows(&self) -> Ms {
+        self.knows
+    }
 }
 
 impl Election {
@@ -231,6 +262,7 @@
             until: lease_asked + at_least(LIFE),
             knows: lease_asked,
             others_served: None,
+            right: Right::Renewal,
         });
     }
 
@@ -243,6 +275,7 @@
             l.until = l.until.max(sent + at_least(LIFE));
             l.knows = l.knows.max(sent);
             l.others_served = None;
+            l.right = Right::Renewal;
         }
     }
 
@@ -290,7 +323,11 @@
                 l.knows = l.knows.max(sent);
             }
             let promised = (sent + at_least(PROMISE)).min(most);
-            l.until = l.until.max(promised.min(l.knows + blind));
+            let promised = promised.min(l.knows + blind);
+            if promised > l.until {
+                l.until = promised;
+                l.right = Right::Promises;
+            }
         }
         let acts = now < l.until;
         if acts && all {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -341,7 +341,9 @@
         let fresh = m.up && (report.session, report.seq) == (m.session, m.seq);
         let commands = if fresh {
             let confirmed = self.standbys.confirmed();
-            dispatch::commands(&mut self.model, ix, None, report.seq, confirmed)
+            let commands = dispatch::commands(&mut self.model, ix, None, report.seq, confirmed);
+            self.count_orders(&commands);
+            commands
         } else {
             Vec::new()
         };
@@ -376,6 +378,16 @@
         }
     }
 
+    fn count_orders(&mut self, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Start { .. } => self.events.tally.starts += 1,
+                Command::Stop { .. } => self.events.tally.stops += 1,
+                Command::Forget { .. } => {}
+            }
+        }
+    }
+
     pub fn directs(&mut self, now: Ms) -> Vec<Direct> {
         let mut out = Vec::new();
         if !self.recovery.loaded {
@@ -392,6 +404,7 @@
             }
             let token = self.token(ix);
             let commands = dispatch::commands(&mut self.model, ix, Some(token), 0, confirmed);
+            self.count_orders(&commands);
             if let Some(m) = self.model.machine_mut(ix)
                 && let Some(addr) = m.addr
             {
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -299,7 +299,10 @@
                         j.cancelled = true;
                         // A mark that was on its way can't be set any more.
                         j.away.stays();
-                        log::info!("job {id} withdrawn");
+                        log::info!(
+                            "job {id} withdrawn, by its mark at revision {revision} in term {}",
+                            self.term
+                        );
                         self.chains.withdrawn(*ix);
                     }
                 }
@@ -313,7 +316,7 @@
                         }
                     }
                 }
-                Item::Final(ix, id, state) => self.ended(*ix, id, *state),
+                Item::Final(ix, id, state) => self.ended(*ix, id, *state, revision),
                 Item::Progress(ix, id, chunks) => {
                     if let Some(j) = self.job_of(*ix, id) {
                         j.writing = false;
@@ -339,7 +342,9 @@
         self.changed = true;
     }
 
-    pub(super) fn ended(&mut self, ix: u32, id: &str, state: JobState) {
+    /// The record of its end stands, at this revision.
+    pub(super) fn ended(&mut self, ix: u32, id: &str, state: JobState, revision: u64) {
+        let term = self.term;
         let Some(j) = self.job_of(ix, id) else { return };
         let status = JobStatus {
             id: id.to_owned(),
@@ -347,9 +352,11 @@
             done: j.done_n,
             running: 0,
         };
-        if state == JobState::Cancelled && !j.cancelled {
-            log::info!("job {id} withdrawn");
-        }
+        log::info!(
+            "job {id} is over, {}, by its record at revision {revision} in term {}",
+            format!("{state:?}").to_lowercase(),
+            term
+        );
         let chunks = j.dirty.len();
         let pieces = j.pieces.clone();
         for c in 1..chunks {
@@ -371,6 +378,11 @@
     /// job is withdrawn, and against calling a job unfinished from memory after
     /// a user read its end.
     pub fn in_doubt(&mut self, plan: &Plan) {
+        log::info!(
+            "a transaction had no answer, or failed, in term {}: {}",
+            self.term,
+            ends_of(plan).unwrap_or_else(|| "it ends no job".to_owned())
+        );
         for item in &plan.items {
             if let Item::Cancel(ix, id) | Item::Final(ix, id, _) = item
                 && let Some(j) = self.job_of(*ix, id)
@@ -396,11 +408,11 @@
         if let Some(id) = key.strip_prefix(AWARDS) {
             self.award_seen(id, found.map_or(0, |f| f.1));
         } else if let Some(id) = key.strip_prefix(keys::FINALS) {
-            if let Some((value, _)) = found
+            if let Some((value, version)) = found
                 && let Ok(record) = serde_json::from_value::<FinalRecord>(value)
                 && let Some(ix) = self.model.job_ix(id)
             {
-                self.ended(ix, id, record.state);
+                self.ended(ix, id, record.state, version);
             }
         } else if let Some(id) = key.strip_prefix(keys::JOBS) {
             if let Some((value, version)) = found
@@ -442,6 +454,19 @@
         }
     }
 
+    /// What was found of a transaction that was in doubt, for the log.
+    pub fn note_reread(&self, plan: &Plan) {
+        let Some(ends) = ends_of(plan) else { return };
+        let stands = |item: &&Item| match item {
+            Item::Cancel(_, id) | Item::Final(_, id, _) => {
+                self.status(id).is_some_and(|s| s.state.is_final())
+            }
+            _ => false,
+        };
+        let stand = plan.items.iter().filter(stands).count();
+        log::info!("read again in term {}: {ends}: {stand} stand", self.term);
+    }
+
     pub fn reread_done(&mut self, plan: &Plan) {
         // What was found may have made machines or jobs ready.
         self.changed = true;
@@ -479,6 +504,24 @@
     }
 }
 
+/// Jobs that a transaction withdraws or ends, the first few by name.
+fn ends_of(plan: &Plan) -> Option<String> {
+    const NAMED: usize = 5;
+    let ends = plan.items.iter().filter_map(|item| match item {
+        Item::Cancel(_, id) => Some(format!("withdrawal of {id}")),
+        Item::Final(_, id, state) => Some(format!("{id} {state:?}").to_lowercase()),
+        _ => None,
+    });
+    let ends: Vec<String> = ends.collect();
+    let more = ends.len().saturating_sub(NAMED);
+    let named = ends[..ends.len().min(NAMED)].join(", ");
+    match (ends.is_empty(), more) {
+        (true, _) => None,
+        (false, 0) => Some(named),
+        (false, more) => Some(format!("{named} and {more} more")),
+    }
+}
+
 /// The transaction that accepts a job on a node that can't reach a leader,
 /// with a notice for the leader to come.
 pub fn acceptance_with_notice(record: &JobRecord) -> Txn {
--- a/src/coordination/leader/status.rs
+++ b/src/coordination/leader/status.rs
@@ -26,6 +26,9 @@
     pub phases: Vec<(&'static str, f64)>,
     /// How this leader took over: `warm`, or why not.
     pub took_over: Option<&'static str>,
+    /// Tasks that machines were ordered to start, and to stop.
+    pub starts: u64,
+    pub stops: u64,
 }
 
 /// A task that failed: when, which, where, why.
--- a/src/coordination/polls.rs
+++ b/src/coordination/polls.rs
@@ -1,7 +1,10 @@
 //! Polls at a node: those of one job share an answer, many travel together,
 //! and final states are remembered, as they never change.
 
-use crate::protocol::users::{JobState, JobStatus};
+use crate::{
+    bookkeeping::recent::Recent,
+    protocol::users::{JobState, JobStatus},
+};
 use std::collections::{HashMap, VecDeque};
 
 /// Questions that wait for the next round of answers. Whoever asks while a
@@ -88,30 +91,33 @@
     }
 }
 
-/// Final states, the most recently learned ones. Half of them go at a time.
-#[derive(Debug, Default)]
+/// Final states, the most recently learned ones.
+#[derive(Debug)]
 pub struct Finals {
-    young: HashMap<Box<str>, (JobState, u32)>,
-    old: HashMap<Box<str>, (JobState, u32)>,
+    ends: Recent<Box<str>, (JobState, u32)>,
 }
 
 const MAX_FINALS: usize = 20_000;
 
+impl Default for Finals {
+    fn default() -> Self {
+        Finals {
+            ends: Recent::new(MAX_FINALS),
+        }
+    }
+}
+
 impl Finals {
     /// Anything but a final state is not kept.
     pub fn remember(&mut self, status: &JobStatus) {
-        if !status.state.is_final() || self.young.contains_key(status.id.as_str()) {
-            return;
-        }
-        if self.young.len() >= MAX_FINALS / 2 {
-            self.old = std::mem::take(&mut self.young);
+        if status.state.is_final() && !self.ends.is_young(status.id.as_str()) {
+            let id = status.id.as_str().into();
+            self.ends.insert(id, (status.state, status.done));
         }
-        let id = status.id.as_str().into();
-        self.young.insert(id, (status.state, status.done));
     }
 
     pub fn get(&self, id: &str) -> Option<JobStatus> {
-        let (state, done) = self.young.get(id).or_else(|| self.old.get(id))?;
+        let (state, done) = self.ends.get(id)?;
         Some(JobStatus {
             id: id.to_owned(),
             state: *state,
@@ -183,7 +189,7 @@
         for n in 0..MAX_FINALS * 2 {
             f.remember(&status(n, JobState::Done));
         }
-        assert!(f.young.len() + f.old.len() <= MAX_FINALS);
+        assert!(f.ends.len() <= MAX_FINALS);
         let last = format!("j-{:06}", MAX_FINALS * 2 - 1);
         assert_eq!(f.get(&last).map(|s| s.state), Some(JobState::Done));
         assert_eq!(f.get("j-000000"), None);
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -58,6 +58,8 @@
         let Some((term, directs, ops, list, tally)) = begun else {
             continue;
         };
+        let lead = node.election.borrow().lead();
+        node.note_orders(lead, tally.starts, tally.stops);
         node.figures.borrow_mut().add(tally);
         let round = round_began.elapsed().as_secs_f64();
         node.figures.borrow().round(round);
@@ -140,7 +142,7 @@
             for id in ids {
                 match found.remove(&id) {
                     Some(Ok(Found::Live(record, version))) => l.accepted(*record, version, now),
-                    Some(Ok(Found::Final(record))) => l.need_ended(&final_status(&id, &record)),
+                    Some(Ok(Found::Final(record, _))) => l.need_ended(&final_status(&id, &record)),
                     Some(Ok(Found::Nothing) | Err(_)) | None => again.push(id),
                 }
             }
@@ -183,6 +185,7 @@
                 Timer::after(Duration::from_millis(300)).await;
             }
             TxnResult::Conflict(_) | TxnResult::Unknown => {
+                self.figures.borrow().writes_in_doubt.inc();
                 self.of_term(term, |l, _| l.in_doubt(&plan));
                 self.reread(term, &plan).await;
             }
@@ -213,6 +216,7 @@
                 l.reread(&key, item);
             }
             l.reread_done(plan);
+            l.note_reread(plan);
         });
     }
 }
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -212,7 +212,11 @@
         };
         if let Some(term) = term {
             self.election.borrow_mut().won(term, lease, asked);
-            log::info!("leading, term {term}");
+            log::info!(
+                "leading, term {term}, under lease {lease}, in place of key version {version}, \
+                 asked for {} ms ago",
+                self.now() - asked
+            );
             self.set_shares();
             let mut leader = Leader::new(
                 self.settings.clone(),
@@ -252,6 +256,23 @@
         self.ask_promises(lead).await
     }
 
+    /// Does what may prolong the authority, and notes by which right it stands.
+    fn prolonged<T>(&self, f: impl FnOnce(&mut Election) -> T) -> T {
+        let mut election = self.election.borrow_mut();
+        let before = election.lead();
+        let result = f(&mut election);
+        if let (Some(before), Some(after)) = (before, election.lead()) {
+            let ((was, from), (is, until)) = (before.authority(), after.authority());
+            if until > from {
+                self.figures.borrow().prolonged(is);
+            }
+            if was != is {
+                log::info!("term {} goes on by {}", after.term, is.text());
+            }
+        }
+        result
+    }
+
     /// What is looked at after each renewal.
     async fn settle_in(self: &Rc<Self>, lead: Lead) -> Duration {
         self.greet_other_zones(lead.term);
@@ -283,7 +304,7 @@
             if still == Some(lead.lease) {
                 match touch {
                     Touch::Renewed => {
-                        node.election.borrow_mut().renewed(lead.lease, sent);
+                        node.prolonged(|e| e.renewed(lead.lease, sent));
                         node.renewals_fail.set(false);
                     }
                     Touch::Lost => node.resign(Stop::LeaseEnded),
@@ -405,7 +426,8 @@
                 _ => Promised::No,
             });
         }
-        let extended = (self.election.borrow_mut()).extend(sent, answers, self.now());
+        let now = self.now();
+        let extended = self.prolonged(|e| e.extend(sent, answers, now));
         match extended {
             Extended::Yes => again.detach(),
             Extended::No => {
@@ -475,7 +497,14 @@
         }
         self.renewals_fail.set(false);
         self.set_shares();
-        log::info!("term {} given up: {}", lead.term, why.text());
+        let (now, (right, until)) = (self.now(), lead.authority());
+        log::info!(
+            "term {} given up: {}; it might act by {} until {} ms from now",
+            lead.term,
+            why.text(),
+            right.text(),
+            until as i64 - now as i64
+        );
         self.stopped.set(Some((self.now(), why)));
         self.figures.borrow().stopped(why.text());
         // Nothing is done under it any more, so the key may go at once.
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -1,7 +1,12 @@
 //! Figures for the operators' monitoring, at one read-only path of `listen`.
 
 use super::Node;
-use crate::{coordination::leader::Tally, transport::server::HttpResponse};
+use crate::{
+    bookkeeping::Ms,
+    coordination::{election::Right, leader::Tally},
+    protocol::users::JobState,
+    transport::server::HttpResponse,
+};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -38,6 +43,17 @@
     how: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Told {
+    state: &'static str,
+    source: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct By {
+    right: &'static str,
+}
+
 type Histograms<L> = Family<L, Histogram, fn() -> Histogram>;
 
 pub(super) struct Metrics {
@@ -63,6 +79,11 @@
     peer_requests: Counter,
     peer_bytes: Counter,
     rounds: Histogram,
+    told: Family<Told, Counter>,
+    ages: Histogram,
+    authority: Family<By, Counter>,
+    pub(super) writes_in_doubt: Counter,
+    pub(super) lines_left_out: Counter,
 }
 
 fn answer_times() -> Histogram {
@@ -106,6 +127,11 @@
             peer_requests: Counter::default(),
             peer_bytes: Counter::default(),
             rounds: round_times(),
+            told: Family::default(),
+            ages: Histogram::new([0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0]),
+            authority: Family::default(),
+            writes_in_doubt: Counter::default(),
+            lines_left_out: Counter::default(),
         };
         let r = &mut m.registry;
         let help = "Time to answer users, in seconds";
@@ -144,6 +170,16 @@
         r.register("peer_bytes", help, m.peer_bytes.clone());
         let help = "Time of a round of the leader's loop, placement included, in seconds";
         r.register("round_seconds", help, m.rounds.clone());
+        let help = "States told to users, by state and by what the answer rested on";
+        r.register("answers_told", help, m.told.clone());
+        let help = "Age of what was read as an unfinished state was told, in seconds";
+        r.register("answer_age_seconds", help, m.ages.clone());
+        let help = "Times that this node's authority was prolonged, by what";
+        r.register("authority", help, m.authority.clone());
+        let help = "The leader's transactions of which the fate had to be read";
+        r.register("writes_in_doubt", help, m.writes_in_doubt.clone());
+        let help = "Lines on answers that were left out of the log, past its bound";
+        r.register("log_lines_left_out", help, m.lines_left_out.clone());
         m
     }
 
@@ -152,6 +188,26 @@
         self.answers.get_or_create(&kind).observe(seconds);
     }
 
+    /// A user is told this state, as it was read so many milliseconds ago.
+    pub(super) fn told(&self, state: JobState, source: &'static str, age: Ms) {
+        if !state.is_final() {
+            self.ages.observe(age as f64 / 1000.0);
+        }
+        let state = match state {
+            JobState::Queued => "queued",
+            JobState::Running => "running",
+            JobState::Done => "done",
+            JobState::Cancelled => "cancelled",
+        };
+        self.told.get_or_create(&Told { state, source }).inc();
+    }
+
+    /// Its authority was prolonged.
+    pub(super) fn prolonged(&self, right: Right) {
+        let right = right.text();
+        self.authority.get_or_create(&By { right }).inc();
+    }
+
     /// A round of the leader's loop took so many seconds.
     pub(super) fn round(&self, seconds: f64) {
         self.rounds.observe(seconds);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod bars;
 mod cloud;
 mod engine;
+mod evidence;
 mod lead;
 mod market;
 mod metrics;
@@ -92,6 +93,7 @@
     relays: RefCell<Relays>,
     last_picture: RefCell<status::LastPicture>,
     figures: RefCell<metrics::Metrics>,
+    evidence: evidence::Evidence,
     wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
@@ -149,6 +151,7 @@
         relays: RefCell::new(Relays::default()),
         last_picture: RefCell::new(None),
         figures: RefCell::new(metrics::Metrics::new()),
+        evidence: evidence::Evidence::default(),
         wake: async_channel::bounded(1),
     });
     async_io::block_on(lanes.run(async {
--- a/src/node/polls.rs
+++ b/src/node/polls.rs
@@ -2,9 +2,10 @@
 
 use super::Node;
 use crate::{
+    bookkeeping::Ms,
     bookkeeping::records::{FINALS, JOBS, StoredJob, job_key},
     coordination::{
-        answers::{Found, final_status, polled},
+        answers::{Found, Reading, final_status, polled},
         polls::Batch,
     },
     protocol::{
@@ -23,9 +24,8 @@
 /// Up to so many jobs are read one by one; of more, all live ones are listed.
 const FEW: usize = 4;
 
-/// What a poll comes to. `Ok(None)`: the leader can't say, or the records show
-/// that nobody submitted it.
-pub(super) type Answer = Result<Option<JobStatus>, String>;
+/// What a poll comes to.
+pub(super) type Answer = Result<Reading, String>;
 
 pub(super) struct Waiting {
     batch: RefCell<Batch<Sender<Answer>>>,
@@ -87,7 +87,7 @@
     loop {
         node.polls.asked().await;
         let round = node.polls.round();
-        let mut known = Vec::new();
+        let (mut known, began) = (Vec::new(), node.now());
         if let Some(leader) = node.answering_leader() {
             let ids = round.iter().map(|(id, _)| id.clone()).collect();
             match node.ask(leader, &Request::Polls { ids }, FORWARD).await {
@@ -104,7 +104,12 @@
                 done,
                 running,
             });
-            tell(who, &Ok(told));
+            let reading = Reading {
+                began,
+                status: told,
+                version: None,
+            };
+            tell(who, &Ok(reading));
         }
     }
 }
@@ -116,7 +121,7 @@
         node.reads.asked().await;
         // While requests are scarce more polls gather, for whom one list does.
         let room = node.room_to_read().await;
-        let round = node.reads.round();
+        let (round, began) = (node.reads.round(), node.now());
         let mut live = HashMap::new();
         // A list costs by the number of live jobs, a look-up by the request.
         let dear = round.len() * 16 < listed && 2 * round.len() < room;
@@ -126,7 +131,7 @@
                 Ok(items) => {
                     listed = items.len();
                     for i in items {
-                        live.insert(i.key, i.value);
+                        live.insert(i.key, (i.value, i.version));
                     }
                 }
                 Err(e) => {
@@ -145,27 +150,24 @@
             let over = over.filter(|id| !live.contains_key(&job_key(id)));
             let (items, unread) = node.read_some(FINALS, over.collect()).await;
             for i in items {
-                finals.insert(i.key[FINALS.len()..].to_owned(), Ok(i.value));
+                let id = i.key[FINALS.len()..].to_owned();
+                finals.insert(id, Ok((i.value, i.version)));
             }
             finals.extend(unread.into_iter().map(|(id, e)| (id, Err(e))));
         }
         for (id, who) in round {
             let found = match (live.remove(&job_key(&id)), finals.remove(&id)) {
-                (Some(value), _) => serde_json::from_value::<StoredJob>(value)
-                    .map(|r| Some(r.status(&id)))
+                (Some((value, version)), _) => serde_json::from_value::<StoredJob>(value)
+                    .map(|r| reading(began, r.status(&id), version))
                     .map_err(|e| e.to_string()),
                 // A key that was read one by one and is not there.
-                (None, Some(Ok(Value::Null))) => Ok(None),
-                (None, Some(Ok(value))) => serde_json::from_value(value)
-                    .map(|r| Some(final_status(&id, &r)))
+                (None, Some(Ok((Value::Null, _)))) => Ok(Reading::nothing(began)),
+                (None, Some(Ok((value, version)))) => serde_json::from_value(value)
+                    .map(|r| reading(began, final_status(&id, &r), version))
                     .map_err(|e| e.to_string()),
                 (None, Some(Err(e))) => Err(e),
-                (None, None) if list => Ok(None),
-                (None, None) => node.lookup(&id).await.map(|found| match found {
-                    Found::Live(record, _) => Some(record.status()),
-                    Found::Final(record) => Some(final_status(&id, &record)),
-                    Found::Nothing => None,
-                }),
+                (None, None) if list => Ok(Reading::nothing(began)),
+                (None, None) => look_up(&node, &id).await,
             };
             match &found {
                 Ok(_) => node.reads.paid(&id),
@@ -177,6 +179,24 @@
     }
 }
 
+fn reading(began: Ms, status: JobStatus, version: u64) -> Reading {
+    Reading {
+        began,
+        status: Some(status),
+        version: Some(version),
+    }
+}
+
+/// One job by itself.
+async fn look_up(node: &Node, id: &str) -> Answer {
+    let began = node.now();
+    node.lookup(id).await.map(|found| match found {
+        Found::Live(record, version) => reading(began, record.status(), version),
+        Found::Final(record, version) => reading(began, final_status(id, &record), version),
+        Found::Nothing => Reading::nothing(began),
+    })
+}
+
 impl Node {
     /// Polls at other nodes.
     pub(super) fn polled_here(&self, ids: &[String]) -> Reply {
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -93,7 +93,7 @@
             return Explanation::NoSuchJob;
         }
         match self.lookup(id).await {
-            Ok(Found::Final(f)) => Explanation::Over {
+            Ok(Found::Final(f, _)) => Explanation::Over {
                 state: format!("{:?}", f.state).to_lowercase(),
                 done: f.done,
             },
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -131,7 +131,7 @@
                     JOBS => (self.whole(&id, item.value).await)
                         .map(|r| Found::Live(Box::new(r), item.version)),
                     _ => serde_json::from_value(item.value)
-                        .map(Found::Final)
+                        .map(|r| Found::Final(r, item.version))
                         .map_err(|e| e.to_string()),
                 };
                 if let Err(e) = &found {
@@ -248,7 +248,7 @@
         self.requests.borrow_mut().force(now, 1.0);
         match self.get(&final_key(id), limit).await? {
             Some(item) => serde_json::from_value(item.value)
-                .map(Found::Final)
+                .map(|r| Found::Final(r, item.version))
                 .map_err(|e| e.to_string()),
             None => Ok(Found::Nothing),
         }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -80,8 +80,8 @@
             path: path.to_owned(),
             body,
         };
-        let id = target(path).map_or("", |(id, _)| id);
-        let answer = self.see_through(&mut request, id, Some(&pass_on)).await;
+        let id = request.id().unwrap_or_default().to_owned();
+        let answer = self.see_through(&mut request, &id, Some(&pass_on)).await;
         if let Some(mut left) = request.left() {
             let node = self.clone();
             let settle = async move {
@@ -102,7 +102,10 @@
         let mut event = Event::Begin;
         loop {
             event = match self.step(request, event) {
-                Next::Answer(answer) => return Some(answer),
+                Next::Answer(answer) => {
+                    self.note_answer(id, &answer, request.basis());
+                    return Some(answer);
+                }
                 Next::NotLeading | Next::Over => return None,
                 Next::AskLeader => match self.polls.ask(id).await {
                     Ok(told) => Event::Told(told),
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -5,7 +5,9 @@
 use super::*;
 use pathwinch::{
     bookkeeping::budget::share::{self, Role},
-    coordination::answers::{Event, Found, Here, Looked, Next, Request, TxnResult, polled},
+    coordination::answers::{
+        Event, Found, Here, Looked, Next, Reading, Request, TxnResult, final_status, polled,
+    },
 };
 
 /// What a user asks.
@@ -63,8 +65,9 @@
     /// Its user sends it.
     Sent,
     Event(Event),
-    AtLeader(usize),
-    ReadState,
+    /// At the leader, or the state service; asked then.
+    AtLeader(usize, Ms),
+    ReadState(Ms),
     Look(Vec<String>),
     Write(Txn),
     Passed(usize),
@@ -156,7 +159,7 @@
         let over = self.store.kv.get(&records::final_key(id));
         match (live, over) {
             (Some((v, r)), _) => Found::Live(Box::new(self.store.whole(id, v.clone())), *r),
-            (None, Some((v, _))) => Found::Final(serde_json::from_value(v.clone()).unwrap()),
+            (None, Some((v, r))) => Found::Final(serde_json::from_value(v.clone()).unwrap(), *r),
             (None, None) => Found::Nothing,
         }
     }
@@ -170,19 +173,19 @@
         ids.iter().map(|id| (id.clone(), one(id))).collect()
     }
 
-    fn read_state(&self, i: usize, id: &str) -> Result<Option<JobStatus>, String> {
+    fn read_state(&self, i: usize, id: &str, began: Ms) -> Result<Reading, String> {
         if !self.reaches_state(i) {
             return Err("status 503".into());
         }
-        Ok(match self.look_up(id) {
-            Found::Live(record, _) => Some(record.status()),
-            Found::Final(r) => Some(JobStatus {
-                id: id.to_owned(),
-                state: r.state,
-                done: r.done,
-                running: 0,
-            }),
-            Found::Nothing => None,
+        let (status, version) = match self.look_up(id) {
+            Found::Live(record, version) => (Some(record.status()), Some(version)),
+            Found::Final(record, version) => (Some(final_status(id, &record)), Some(version)),
+            Found::Nothing => (None, None),
+        };
+        Ok(Reading {
+            began,
+            status,
+            version,
         })
     }
 
@@ -263,12 +266,15 @@
                 Next::Answer(answer) => return Ok(Some(answer)),
                 Next::NotLeading | Next::Over => return Ok(None),
                 Next::Wait(_) => return Err(()),
-                Next::AskLeader => Event::Told(self.leader_for(i, now).and_then(|l| {
-                    let ids = [ask.id().to_owned()];
-                    let known = self.here(l, now, |here| polled(here, &ids))?.pop()?;
-                    known.map(|k| status_of(&ids[0], k))
-                })),
-                Next::ReadState => Event::Read(self.read_state(i, ask.id())),
+                Next::AskLeader => {
+                    let status = self.leader_for(i, now).and_then(|l| {
+                        let ids = [ask.id().to_owned()];
+                        let known = self.here(l, now, |here| polled(here, &ids))?.pop()?;
+                        known.map(|k| status_of(&ids[0], k))
+                    });
+                    told(now, status)
+                }
+                Next::ReadState => Event::Read(self.read_state(i, ask.id(), now)),
                 Next::Versions => Event::Versions(!self.mixed),
                 Next::Look(ids) => Event::Looked(self.look(i, &ids)),
                 Next::Write(txn, _) => Event::Wrote(self.transact(i, &txn)),
@@ -385,7 +391,7 @@
                 let next = self.here(i, now, |here| f.request.step(event, here));
                 self.asks_for(&mut f, next)
             }
-            Comes::AtLeader(l) => {
+            Comes::AtLeader(l, began) => {
                 let answers = self.reaches(l) && self.link(i, End::Node(l)) == Link::Up;
                 let ids = [f.ask.id().to_owned()];
                 let known = match answers {
@@ -393,12 +399,12 @@
                     false => None,
                 };
                 let known = known.and_then(|mut k| k.pop()?);
-                let told = known.map(|k| status_of(&ids[0], k));
+                let status = known.map(|k| status_of(&ids[0], k));
                 let after = if answers { self.way() } else { 500 };
-                (after, Comes::Event(Event::Told(told)))
+                (after, Comes::Event(told(began, status)))
             }
-            Comes::ReadState => {
-                let read = self.read_state(i, f.ask.id());
+            Comes::ReadState(began) => {
+                let read = self.read_state(i, f.ask.id(), began);
                 (self.way(), Comes::Event(Event::Read(read)))
             }
             Comes::Look(ids) => {
@@ -425,7 +431,7 @@
             Comes::Sent => return,
             Comes::Answer(answer) => return self.arrives(f, answer),
         };
-        let reads = matches!(next, Comes::ReadState | Comes::Look(_) | Comes::Write(_));
+        let reads = matches!(next, Comes::ReadState(_) | Comes::Look(_) | Comes::Write(_));
         f.due = now + soon + if reads { slow } else { 0 };
         f.comes = next;
         self.desk.flights.push(f);
@@ -455,14 +461,14 @@
             Next::NotLeading | Next::Over => (way, Comes::Answer(None)),
             Next::Wait(ms) => (ms, Comes::Event(Event::Waited)),
             Next::AskLeader => match leader {
-                Some(l) => (way, Comes::AtLeader(l)),
-                None => (0, Comes::Event(Event::Told(None))),
+                Some(l) => (way, Comes::AtLeader(l, f.due)),
+                None => (0, Comes::Event(told(f.due, None))),
             },
             Next::Forward => match leader {
                 Some(l) => (way, Comes::Passed(l)),
                 None => (0, Comes::Event(Event::Forwarded(None))),
             },
-            Next::ReadState => (way, Comes::ReadState),
+            Next::ReadState => (way, Comes::ReadState(f.due)),
             Next::Look(ids) => (way, Comes::Look(ids)),
             Next::Versions => (way, Comes::Event(Event::Versions(!self.mixed))),
             Next::Write(txn, _) => match self.has_budget(f.node, f.due, &txn) {
@@ -668,6 +674,14 @@
     }
 }
 
+fn told(began: Ms, status: Option<JobStatus>) -> Event {
+    Event::Told(Reading {
+        began,
+        status,
+        version: None,
+    })
+}
+
 fn status_of(id: &str, (state, done, running): (JobState, u32, u32)) -> JobStatus {
     JobStatus {
         id: id.to_owned(),
