What was begun in one term is taken into no other

Cause: a node that lost the lead and led again took in what it had asked for under its earlier term. A record read then put a job that had ended meanwhile back among the live ones: it was called queued from the leader's picture and its task ran again. Found beside it, of the same class: a late answer about a bar counted under a later lease, and a cause to stop of an earlier term stopped a later one.

Change: a request remembers in which term it asked, and only that term's picture takes the record in; the bars of a term and the giving up of a term name it. An end that is remembered goes before the picture.

Small tests for the order of memories, bars and stops; the first was seen to fail without its guard.

--- a/src/coordination/answers/mod.rs
+++ b/src/coordination/answers/mod.rs
@@ -90,6 +90,9 @@
     pub upgraded: bool,
     pub now: Ms,
     pub wall_ms: u64,
+    /// The term in which this node began the read of which the result is taken
+    /// in now; the request under way sets it.
+    pub read_in: Option<u64>,
 }
 
 impl Here<'_> {
@@ -98,6 +101,11 @@
         self.leader.as_deref_mut().filter(|_| acts)
     }
 
+    fn acting_term(&self) -> Option<u64> {
+        let leader = self.leader.as_deref().filter(|_| self.acts);
+        leader.map(|l| l.term)
+    }
+
     /// For what was begun with authority in that term.
     fn of_term(&mut self, term: u64) -> Option<&mut Leader> {
         self.leader.as_deref_mut().filter(|l| l.term == term)
@@ -117,13 +125,16 @@
         }
     }
 
-    /// Takes in what was read of a job, and says how it stands by that.
+    /// Takes in what was read of a job, and says how it stands by that. Into
+    /// the picture goes only what was read in its own term. Guards against a
+    /// job that ended under another leader while a slow read was under way.
     fn learn(&mut self, id: &str, found: Found) -> Option<JobStatus> {
         let status = match found {
             Found::Live(record, version) => {
                 let status = record.status();
-                let now = self.now;
-                if let Some(l) = self.acting().filter(|l| l.loaded()) {
+                let (now, read_in) = (self.now, self.read_in);
+                let acting = self.acting().filter(|l| Some(l.term) == read_in);
+                if let Some(l) = acting.filter(|l| l.loaded()) {
                     l.accepted(*record, version, now);
                 }
                 status
@@ -234,8 +245,10 @@
     /// Passed on by another node.
     forwarded: bool,
     what: What,
-    /// When something was last asked for elsewhere.
+    /// When something was last asked for elsewhere, and the term in which this
+    /// node led then.
     asked: Ms,
+    asked_in: Option<u64>,
     /// What the last answer rests on.
     basis: Basis,
 }
@@ -248,6 +261,7 @@
             forwarded,
             what,
             asked: 0,
+            asked_in: None,
             basis: Basis::default(),
         }
     }
@@ -292,6 +306,7 @@
 
     pub fn step(&mut self, event: Event, here: &mut Here) -> Next {
         self.basis = Basis::of(&event, self.asked, here.acts, here.now);
+        here.read_in = self.asked_in;
         let id = self.id.clone().unwrap_or_default();
         let next = match &mut self.what {
             What::Poll => poll::step(&id, event, here),
@@ -303,6 +318,7 @@
             Next::Answer(answer) => Next::Answer(self.last_look(answer, here)),
             next => {
                 self.asked = here.now;
+                self.asked_in = here.acting_term();
                 next
             }
         }
--- a/src/coordination/answers/tests.rs
+++ b/src/coordination/answers/tests.rs
@@ -55,6 +55,7 @@
             upgraded: true,
             now: 0,
             wall_ms: 0,
+            read_in: None,
         },
     )
 }
--- a/src/coordination/bars.rs
+++ b/src/coordination/bars.rs
@@ -75,6 +75,7 @@
 /// The bars of one term.
 #[derive(Debug, Default)]
 pub struct Bars {
+    term: u64,
     lease: Option<u64>,
     until: Ms,
     touch_at: Ms,
@@ -89,13 +90,20 @@
 impl Bars {
     /// `found`: bars of earlier terms, with their versions. They keep a node
     /// from seeking, but end this leader doesn't know when, so they don't count.
-    pub fn new(found: impl IntoIterator<Item = (usize, u64)>) -> Self {
+    pub fn new(term: u64, found: impl IntoIterator<Item = (usize, u64)>) -> Self {
         Bars {
+            term,
             written: found.into_iter().collect(),
             ..Bars::default()
         }
     }
 
+    /// For what came of a step that was begun in that term. Guards against a
+    /// late answer: a bar under the lease of an earlier term ends with that.
+    pub fn of_term(&mut self, term: u64) -> Option<&mut Bars> {
+        (self.term == term).then_some(self)
+    }
+
     /// The peer can't take the lead before `until`.
     pub fn stands(&self, peer: usize, now: Ms) -> bool {
         now < self.until && self.standing.contains(&peer)
@@ -145,7 +153,7 @@
 
     /// The lease has ended, and all bars with it.
     pub fn lost(&mut self) {
-        *self = Bars::new(std::mem::take(&mut self.written));
+        *self = Bars::new(self.term, std::mem::take(&mut self.written));
     }
 
     /// A bar is about to be written: from now on it may be there or not.
@@ -199,7 +207,7 @@
     #[test]
     fn a_bar_counts_from_its_writing_until_it_may_be_lifted_or_its_lease_ends() {
         let mut reach = Reach::new("n0", &["n1", "n2"]);
-        let mut bars = Bars::new([]);
+        let mut bars = Bars::new(5, []);
         assert_eq!(bars.next(&reach, 9000), None);
         silent(&mut reach, 1);
         assert_eq!(bars.next(&reach, 500), None, "it may be slow");
@@ -234,7 +242,7 @@
     #[test]
     fn bars_of_an_earlier_term_are_lifted_but_never_counted() {
         let reach = Reach::new("n0", &["n1", "n2"]);
-        let bars = Bars::new([(0, 12)]);
+        let bars = Bars::new(5, [(0, 12)]);
         assert!(!bars.stands(0, 1));
         let lift = Step::Lift {
             peer: 0,
@@ -248,7 +256,7 @@
     #[test]
     fn a_bar_whose_writing_had_no_answer_goes_with_its_lease() {
         let mut reach = Reach::new("n0", &["n1", "n2"]);
-        let mut bars = Bars::new([]);
+        let mut bars = Bars::new(5, []);
         silent(&mut reach, 1);
         bars.leased(7, 9000);
         bars.begun(1);
@@ -266,11 +274,29 @@
         assert!(!matches!(bars.next(&reach, 10_001), Some(Step::End(_))));
     }
 
+    /// Guards against a bar that is counted on under the lease of a later term,
+    /// and ends with that of the earlier one.
+    #[test]
+    fn a_bar_that_was_written_in_an_earlier_term_is_not_counted() {
+        let mut bars = Bars::new(5, []);
+        bars.leased(7, 9_000);
+        let again = bars.begun(1);
+        // The same node leads again before the answer comes.
+        let mut bars = Bars::new(9, []);
+        bars.leased(8, 20_000);
+        if let Some(bars) = bars.of_term(5) {
+            bars.barred(1, 40, again);
+        }
+        assert!(!bars.stands(1, 20_100));
+        bars.of_term(9).expect("its own").barred(1, 41, false);
+        assert!(bars.stands(1, 20_100));
+    }
+
     #[test]
     fn a_leader_that_hears_few_bars_nobody() {
         let mut reach = Reach::new("n0", &["n1", "n2"]);
         silent(&mut reach, 0);
         silent(&mut reach, 1);
-        assert_eq!(Bars::new([]).next(&reach, 9000), None);
+        assert_eq!(Bars::new(5, []).next(&reach, 9000), None);
     }
 }
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -355,10 +355,12 @@
         self.abstain_until = until;
     }
 
-    /// Stops acting. Returns the lease to give back.
-    pub fn resign(&mut self) -> Option<Lead> {
+    /// Stops acting under that term. Returns the lease to give back. Guards
+    /// against a cause of an earlier term that comes to light in a later one.
+    pub fn resign(&mut self, term: u64) -> Option<Lead> {
+        let lead = self.lead.take_if(|l| l.term == term)?;
         self.seen = None;
-        self.lead.take()
+        Some(lead)
     }
 
     /// A leader asks for a promise. `state_fails`: this node's own fresh
@@ -469,7 +471,7 @@
         assert_eq!(e.authority(14_001), Some(5));
         // Not that of an earlier lease, answered late.
         let mut e = led(35.0);
-        e.resign();
+        e.resign(5);
         e.won(9, 2, 12_000);
         e.renewed(1, 15_000);
         assert_eq!(e.authority(16_000), None);
@@ -522,6 +524,18 @@
         assert_eq!(e.leader(4000), None);
     }
 
+    /// Guards against a leader that stops for what befell it in an earlier term.
+    #[test]
+    fn only_the_term_that_is_led_can_be_given_up() {
+        let mut e = led(35.0);
+        e.resign(5);
+        e.won(9, 2, 12_000);
+        assert_eq!(e.resign(5), None);
+        assert_eq!(e.authority(12_100), Some(9));
+        assert!(e.resign(9).is_some());
+        assert_eq!(e.authority(12_100), None);
+    }
+
     /// Guards against counting a node's own term as time without a leader, as
     /// it reads the key of none then.
     #[test]
@@ -529,7 +543,7 @@
         let mut e = new("a");
         e.won(5, 1, 1_000);
         e.renewed(1, 9_000);
-        e.resign();
+        e.resign(5);
         assert_eq!(e.leaderless_for(10_000), 1_000);
     }
 }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -479,20 +479,24 @@
         self.changed = true;
     }
 
+    /// An end that is remembered goes before the picture: it never changes.
     pub fn status(&self, id: &str) -> Option<JobStatus> {
-        if let Some(ix) = self.model.job_ix(id) {
-            return self.model.job(ix).map(|j| j.status());
+        if let Some(end) = self.finals.get(id) {
+            return Some(end);
         }
-        self.finals.get(id)
+        let ix = self.model.job_ix(id)?;
+        self.model.job(ix).map(|j| j.status())
     }
 
     /// The job's state as a user may be told it. Not while its end is being
     /// recorded: another node may read that, and tell it, before the leader
     /// learns that it stands.
     pub fn told(&self, id: &str) -> Option<JobStatus> {
-        match self.is_closing(id) || self.is_withheld(id) {
-            true => None,
-            false => self.status(id),
+        let open = self.is_closing(id) || self.is_withheld(id);
+        match self.finals.get(id) {
+            None if open => None,
+            None => self.status(id),
+            end => end,
         }
     }
 
--- a/src/node/bars.rs
+++ b/src/node/bars.rs
@@ -35,7 +35,7 @@
 
 impl Node {
     /// Those of earlier terms.
-    pub(super) async fn read_bars(&self) -> Result<(), String> {
+    pub(super) async fn read_bars(&self, term: u64) -> Result<(), String> {
         let found = self.list(BARS).await?;
         let peer = |key: &str| {
             let name = key.trim_start_matches(BARS);
@@ -43,10 +43,16 @@
         };
         let found = found.iter();
         let found = found.filter_map(|i| Some((peer(&i.key)?, i.version)));
-        self.bars.replace(Bars::new(found));
+        let bars = Bars::new(term, found);
+        self.of_term(term, |_, _| self.bars.replace(bars));
         Ok(())
     }
 
+    /// What came of a step of that term.
+    fn bars_of<T>(&self, term: u64, f: impl FnOnce(&mut Bars) -> T) -> Option<T> {
+        self.bars.borrow_mut().of_term(term).map(f)
+    }
+
     /// Returns whether it was done.
     async fn bar_step(&self, term: u64, step: Step) -> bool {
         let sent = self.now();
@@ -60,7 +66,7 @@
                     .filter(|a| a.status == 200)
                     .and_then(|a| serde_json::from_slice::<LeaseGranted>(&a.body).ok());
                 if let Some(LeaseGranted { lease }) = &granted {
-                    self.bars.borrow_mut().leased(*lease, sent);
+                    self.bars_of(term, |bars| bars.leased(*lease, sent));
                 }
                 granted.is_some()
             }
@@ -68,11 +74,11 @@
                 let path = format!("/leases/{lease}/touch");
                 match self.state(Method::Post, &path, None, USUAL).await {
                     Ok(a) if a.status == 200 => {
-                        self.bars.borrow_mut().leased(lease, sent);
+                        self.bars_of(term, |bars| bars.leased(lease, sent));
                         true
                     }
                     Ok(a) if a.status == 404 => {
-                        self.bars.borrow_mut().lost();
+                        self.bars_of(term, Bars::lost);
                         true
                     }
                     _ => false,
@@ -80,23 +86,25 @@
             }
             Step::Bar { peer, lease } => {
                 let name = &self.settings.peers[peer].name;
-                let again = self.bars.borrow_mut().begun(peer);
-                let done = self.change_bar(bar_txn(term, name, lease)).await;
-                let mut bars = self.bars.borrow_mut();
-                match done {
+                let Some(again) = self.bars_of(term, |bars| bars.begun(peer)) else {
+                    return false;
+                };
+                match self.change_bar(bar_txn(term, name, lease)).await {
                     TxnResult::Done(version) => {
                         log::info!("{name} hangs: it may not lead until it answers");
-                        bars.barred(peer, version, again);
-                        return true;
+                        self.bars_of(term, |bars| bars.barred(peer, version, again));
+                        true
+                    }
+                    TxnResult::Unknown => false,
+                    _ => {
+                        self.bars_of(term, |bars| bars.not_barred(peer, again));
+                        false
                     }
-                    TxnResult::Unknown => {}
-                    _ => bars.not_barred(peer, again),
                 }
-                false
             }
             Step::Lift { peer, version } => {
                 let name = &self.settings.peers[peer].name;
-                self.bars.borrow_mut().lifting(peer);
+                self.bars_of(term, |bars| bars.lifting(peer));
                 match self.change_bar(lift_txn(term, name, version)).await {
                     TxnResult::Done(_) => {}
                     // It is gone, or another than was counted on.
@@ -104,14 +112,14 @@
                     _ => return false,
                 }
                 log::info!("{name} may lead again");
-                self.bars.borrow_mut().lifted(peer);
+                self.bars_of(term, |bars| bars.lifted(peer));
                 true
             }
             Step::End(lease) => {
-                self.bars.borrow_mut().ending();
+                self.bars_of(term, Bars::ending);
                 let ended = self.end_lease(lease, USUAL).await;
                 if ended {
-                    self.bars.borrow_mut().lost();
+                    self.bars_of(term, Bars::lost);
                 }
                 ended
             }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -174,7 +174,7 @@
                 self.of_term(term, |l, _| l.flushed(&plan, revision));
             }
             TxnResult::Conflict(failed) if failed.iter().any(|k| k == LEADER) => {
-                self.resign(Stop::Replaced);
+                self.resign(term, Stop::Replaced);
             }
             refused @ (TxnResult::Refused | TxnResult::Rejected) => {
                 // Guards against sending again and again what was too much.
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -279,7 +279,7 @@
         if self.hears_nobody(lead.term).await {
             let now = self.now();
             self.election.borrow_mut().abstain(now + ABSTAIN);
-            self.resign(Stop::HearsNobody);
+            self.resign(lead.term, Stop::HearsNobody);
             return Duration::from_millis(500);
         }
         let now = self.now();
@@ -287,7 +287,7 @@
         let warm = self.of_term(lead.term, |l, now| l.warm_standbys(now) > 0);
         let warm = warm.unwrap_or(false);
         if self.election.borrow_mut().stands_back(poor, warm, now) {
-            self.resign(Stop::PoorPlace);
+            self.resign(lead.term, Stop::PoorPlace);
             return Duration::from_millis(500);
         }
         Duration::from_millis(LIFE / 4)
@@ -307,7 +307,7 @@
                         node.prolonged(|e| e.renewed(lead.lease, sent));
                         node.renewals_fail.set(false);
                     }
-                    Touch::Lost => node.resign(Stop::LeaseEnded),
+                    Touch::Lost => node.resign(lead.term, Stop::LeaseEnded),
                     Touch::Busy | Touch::Failed => {}
                 }
             }
@@ -436,7 +436,7 @@
             }
             Extended::Blind => {
                 again.detach();
-                self.resign(Stop::Blind);
+                self.resign(lead.term, Stop::Blind);
                 return Duration::from_millis(500);
             }
             Extended::Alone => {
@@ -450,7 +450,7 @@
                             last.detach();
                         }
                         if self.election.borrow().is_refused_alone(begun) {
-                            self.resign(Stop::RefusedAlone);
+                            self.resign(lead.term, Stop::RefusedAlone);
                             return Duration::from_millis(500);
                         }
                     }
@@ -487,9 +487,9 @@
         }
     }
 
-    /// Stops acting, then tells the others so.
-    pub(super) fn resign(self: &Rc<Self>, why: Stop) {
-        let Some(lead) = self.election.borrow_mut().resign() else {
+    /// Stops acting under that term, then tells the others so.
+    pub(super) fn resign(self: &Rc<Self>, term: u64, why: Stop) {
+        let Some(lead) = self.election.borrow_mut().resign(term) else {
             return;
         };
         if let Some(leader) = self.leader.borrow_mut().take() {
@@ -599,7 +599,7 @@
         let pieces = self.list(pieces::PIECES).await?;
         let notices = self.list(records::NOTICES).await?;
         let standbys = self.read_standbys().await?;
-        self.read_bars().await?;
+        self.read_bars(term).await?;
         self.of_term(term, |l, now| {
             l.load_standbys(standbys);
             for i in machines {
--- a/src/node/standby.rs
+++ b/src/node/standby.rs
@@ -80,7 +80,7 @@
             TxnResult::Done(version) => Written::Done(version),
             TxnResult::Refused | TxnResult::Rejected => Written::Refused,
             TxnResult::Conflict(failed) if failed.iter().any(|k| k == LEADER) => {
-                self.resign(super::lead::Stop::Replaced);
+                self.resign(term, super::lead::Stop::Replaced);
                 return;
             }
             TxnResult::Conflict(_) | TxnResult::Unknown => loop {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -155,6 +155,7 @@
             upgraded: self.upgrade.is_complete(),
             now,
             wall_ms,
+            read_in: None,
         });
         if leader.as_ref().is_some_and(|l| l.has_work()) {
             let _ = self.wake.0.try_send(());
--- a/tests/went_back.rs
+++ b/tests/went_back.rs
@@ -83,3 +83,20 @@
     }
     assert!(met >= 3, "{met}");
 }
+
+/// Whatever brings a job that is over back into the picture, its end is what
+/// is told. Guards against a picture that outweighs the end.
+#[test]
+fn an_end_that_is_remembered_goes_before_the_picture() {
+    let mut w = World::sized(1, 2, 0.0, 3);
+    w.until(10_000, "a leader", |w| w.leader().is_some());
+    w.submit(job(1, Kind::Array, 1));
+    let leader = w.leader().expect("somebody leads");
+    let led = w.nodes[leader].leader.as_mut().expect("it leads");
+    let mut end = led.status(ID).expect("it is known");
+    assert_eq!(end.state, JobState::Queued);
+    end.state = JobState::Cancelled;
+    led.remember_final(&end);
+    assert_eq!(led.status(ID), Some(end.clone()));
+    assert_eq!(led.told(ID), Some(end));
+}
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -247,7 +247,8 @@
 
     pub(super) fn resign(&mut self, i: usize, tell: bool) {
         let node = &mut self.nodes[i];
-        let Some(lead) = node.election.resign() else {
+        let lead = node.election.lead();
+        let Some(lead) = lead.and_then(|l| node.election.resign(l.term)) else {
             return;
         };
         if let Some(l) = node.leader.take() {
@@ -431,7 +432,7 @@
             let p = peers_of(i, nodes).position(|p| p == j);
             p.map(|p| (p, r))
         };
-        self.nodes[i].bars = Bars::new(found.filter_map(peer));
+        self.nodes[i].bars = Bars::new(term, found.filter_map(peer));
     }
 
     /// What node `j`, peer `p` of `i`, answers.
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -156,6 +156,7 @@
             upgraded: !self.mixed,
             now,
             wall_ms: now,
+            read_in: None,
         })
     }
 
