An unfinished answer has an age, and an end is told once older answers are out

Cause: nothing bounded how old an answer of another node was. One node read that a job runs, another told its end, and the first one's answer came after it. The tests' checker let that pass where the two questions overlapped.

Change: an unfinished state, or a refusal, leaves a node within 0.5 s after its reading was begun; older ones are read again, three times at most, then 503. The check is one, in the request's step, for polls, submissions and withdrawals. A forwarded withdrawal is waited for up to 2 s, as its answer is held back.

Tests: the checker is strict now in all stories; a refusal may cross an acceptance only within that bound. Two stories changed with it, as strict as before: one asked all nodes in turn and counted the time of all waits as one (now all at once), one relied on a withdrawal being told as soon as its record stands (now it looks at the record).

--- a/examples/limits/main.rs
+++ b/examples/limits/main.rs
@@ -156,12 +156,13 @@
         "memory" => {
             let (mut l, _) = leader(400, size)?;
             for n in 0..count {
-                l.remember_final(&JobStatus {
+                let status = JobStatus {
                     id: format!("j-{:06}", 500_000 + n),
                     state: JobState::Done,
                     done: 80,
                     running: 0,
-                });
+                };
+                l.remember_final(&status, 0);
             }
             let status = std::fs::read_to_string("/proc/self/status")?;
             let line = status.lines().find(|l| l.starts_with("VmRSS"));
--- a/src/coordination/answers/basis.rs
+++ b/src/coordination/answers/basis.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    pub(super) fn picture(now: Ms) -> Basis {
+        Basis {
+            source: Source::Picture,
+            read_at: now,
+            revision: None,
+        }
+    }
+
     /// What an answer rests on that is made of this event, where what it came
     /// of was asked for at `asked`.
     pub(super) fn of(event: &Event, asked: Ms, leads: bool, now: Ms) -> Basis {
@@ -94,7 +102,7 @@
             Event::Wrote(super::TxnResult::Done(version)) => {
                 basis(Source::Write, asked, Some(*version))
             }
-            _ if leads => basis(Source::Picture, now, None),
+            _ if leads => Basis::picture(now),
             _ => Basis::memory(now),
         }
     }
--- a/src/coordination/answers/mod.rs
+++ b/src/coordination/answers/mod.rs
@@ -20,7 +20,11 @@
 pub use basis::{Basis, Reading, Source};
 pub use poll::polled;
 
-use super::{leader::Leader, polls::Finals};
+use super::{
+    bounds::{FRESH, hold},
+    leader::Leader,
+    polls::Finals,
+};
 use crate::{
     bookkeeping::{
         Ms,
@@ -35,6 +39,10 @@
 };
 use std::collections::HashMap;
 
+/// See `Request::forward_limit`.
+const FORWARD: Ms = 800;
+const FORWARD_WITHDRAWAL: Ms = 2_000;
+
 const LOST: &str = "leadership is changing";
 const NO_LEADER: &str = "no leader can be reached";
 const UNREAD: &str = "a new leader is reading the records";
@@ -118,11 +126,29 @@
             .or_else(|| self.finals.get(id))
     }
 
-    fn remember(&mut self, status: &JobStatus) {
+    /// All ends that this node remembers.
+    fn ends(&mut self) -> &mut Finals {
         match self.leader.as_deref_mut() {
-            Some(l) => l.remember_final(status),
-            None => self.finals.remember(status),
+            Some(l) => &mut l.finals,
+            None => self.finals,
+        }
+    }
+
+    /// It was learned now, by a read.
+    fn remember(&mut self, status: &JobStatus) {
+        let tell_at = self.now + hold();
+        self.ends().remember(status, tell_at);
+    }
+
+    /// For how long this end is held back yet. What the leader says has been.
+    fn held_for(&mut self, status: &JobStatus, source: Source) -> Ms {
+        let now = self.now;
+        match source {
+            Source::Leader => self.ends().remember(status, now),
+            _ => self.remember(status),
         }
+        let tell_at = self.ends().tell_at(&status.id);
+        tell_at.unwrap_or(now).saturating_sub(now)
     }
 
     /// Takes in what was read of a job, and says how it stands by that. Into
@@ -161,6 +187,15 @@
         Answer::State(200, status)
     }
 
+    /// With this state in place of an older reading: a job that was accepted
+    /// now stays one, and one that is known is not refused.
+    fn with(self, status: JobStatus) -> Answer {
+        match self {
+            Answer::State(code, _) => Answer::State(code, status),
+            _ => Answer::known(status),
+        }
+    }
+
     fn later(why: &str) -> Answer {
         Answer::Later(why.to_owned())
     }
@@ -251,8 +286,26 @@
     asked_in: Option<u64>,
     /// What the last answer rests on.
     basis: Basis,
+    check: Check,
+    /// Readings that were too old as they came.
+    stale: u32,
 }
 
+/// What is seen to before an answer is given.
+#[derive(Debug, Default)]
+enum Check {
+    #[default]
+    None,
+    /// Its end is held back until older answers have been given.
+    Held(Answer),
+    /// Its reading was too old: it is read again.
+    Reread(Answer),
+}
+
+/// So many readings may be too old.
+const MOST_STALE: u32 = 3;
+const SLOW: &str = "its state could not be read in time";
+
 impl Request {
     fn of(id: &str, forwarded: bool, what: What) -> Request {
         let id = Some(id.to_owned()).filter(|id| valid_ref(id));
@@ -263,6 +316,8 @@
             asked: 0,
             asked_in: None,
             basis: Basis::default(),
+            check: Check::None,
+            stale: 0,
         }
     }
 
@@ -304,24 +359,86 @@
         self.basis
     }
 
+    /// For how long the leader's answer to it is waited for, where it is passed
+    /// on. A withdrawal's record is waited for, and then held back.
+    pub fn forward_limit(&self) -> Ms {
+        match self.what {
+            What::Withdraw(_) => FORWARD_WITHDRAWAL,
+            _ => FORWARD,
+        }
+    }
+
+    /// Whether it waits only as an end is held back.
+    pub fn is_held(&self) -> bool {
+        matches!(self.check, Check::Held(_))
+    }
+
     pub fn step(&mut self, event: Event, here: &mut Here) -> Next {
         self.basis = Basis::of(&event, self.asked, here.acts, here.now);
         here.read_in = self.asked_in;
+        let next = match std::mem::take(&mut self.check) {
+            Check::None => self.go_on(event, here),
+            Check::Held(answer) => Next::Answer(answer),
+            Check::Reread(answer) => Next::Answer(reread(answer, event)),
+        };
+        let next = match next {
+            Next::Answer(answer) => self.give(answer, here),
+            next => next,
+        };
+        if !matches!(next, Next::Answer(_)) {
+            self.asked = here.now;
+            self.asked_in = here.acting_term();
+        }
+        next
+    }
+
+    fn go_on(&mut self, event: Event, here: &mut Here) -> Next {
         let id = self.id.clone().unwrap_or_default();
-        let next = match &mut self.what {
+        match &mut self.what {
             What::Poll => poll::step(&id, event, here),
             What::Submit(s) => s.step(&id, self.forwarded, event, here),
             What::Withdraw(w) => w.step(&id, self.forwarded, event, here),
-            What::Settle(s) => return s.step(&id, event, here),
-        };
-        match next {
-            Next::Answer(answer) => Next::Answer(self.last_look(answer, here)),
-            next => {
-                self.asked = here.now;
-                self.asked_in = here.acting_term();
-                next
+            What::Settle(s) => s.step(&id, event, here),
+        }
+    }
+
+    /// Gives an answer that is not too old, and an end not too soon: by the
+    /// time at which an end is told first, every node has given the older
+    /// answers that it may have read. Guards against one of those that is
+    /// given by another node after the end.
+    fn give(&mut self, answer: Answer, here: &mut Here) -> Next {
+        let answer = self.last_look(answer, here);
+        match &answer {
+            Answer::Later(_) => Next::Answer(answer),
+            Answer::State(_, status) if status.state.is_final() => {
+                match here.held_for(status, self.basis.source) {
+                    0 => Next::Answer(answer),
+                    left => {
+                        self.check = Check::Held(answer);
+                        Next::Wait(left)
+                    }
+                }
             }
+            _ if self.id.is_none() || self.basis.age(here.now) <= FRESH => Next::Answer(answer),
+            _ => self.too_old(answer, here),
+        }
+    }
+
+    /// Its reading took too long: read it once more, a few times at most.
+    fn too_old(&mut self, answer: Answer, here: &mut Here) -> Next {
+        let id = self.id.as_deref().unwrap_or_default();
+        let led = here.acting().filter(|l| l.loaded());
+        if let Some(status) = led.and_then(|l| l.told(id)) {
+            self.basis = Basis::picture(here.now);
+            let answer = answer.with(status);
+            return self.give(answer, here);
+        }
+        self.stale += 1;
+        if self.stale > MOST_STALE {
+            return Next::Answer(Answer::later(SLOW));
         }
+        self.check = Check::Reread(answer);
+        Next::ReadState
     }
 
     /// As late as can be. Guards against an answer that was read, or relayed,
@@ -343,11 +460,21 @@
         if told.is_some() {
             self.basis = Basis::memory(here.now);
         }
-        let answer = told.map_or(answer, Answer::known);
-        if let Answer::State(_, status) = &answer {
-            here.remember(status);
-        }
-        answer
+        told.map_or(answer, Answer::known)
+    }
+}
+
+/// The same answer, by what was read again.
+fn reread(answer: Answer, event: Event) -> Answer {
+    match (event, answer) {
+        (Event::Read(Ok(reading)), answer) => match (reading.status, answer) {
+            (Some(status), answer) => answer.with(status),
+            // A job that was known can't be unknown: what says so is amiss.
+            (None, Answer::State(..)) => Answer::later(SLOW),
+            (None, refused) => refused,
+        },
+        (Event::Read(Err(e)), _) => Answer::Later(e),
+        _ => Answer::later(SLOW),
     }
 }
 
--- a/src/coordination/answers/poll.rs
+++ b/src/coordination/answers/poll.rs
@@ -36,7 +36,11 @@
 
 /// Polls at other nodes, as the leader answers them; `None`: it does not lead.
 pub fn polled(here: &mut Here, ids: &[String]) -> Option<Vec<Option<(JobState, u32, u32)>>> {
+    let now = here.now;
     let l = here.acting().filter(|l| l.loaded())?;
-    let known = |id: &String| l.told(id).map(|s| (s.state, s.done, s.running));
+    let known = |id: &String| {
+        l.told_by_others(id, now)
+            .map(|s| (s.state, s.done, s.running))
+    };
     Some(ids.iter().map(known).collect())
 }
--- a/src/coordination/answers/tests.rs
+++ b/src/coordination/answers/tests.rs
@@ -71,7 +71,7 @@
 /// when it was said and is given after this node has told the job's end.
 #[test]
 fn an_answer_that_was_overtaken_on_its_way_is_not_given() {
-    let ended = |finals: &mut Finals| finals.remember(&status(JobState::Cancelled));
+    let ended = |finals: &mut Finals| finals.remember(&status(JobState::Cancelled), 0);
     for relayed in [true, false] {
         let mut finals = Finals::default();
         let mut poll = Request::poll(ID);
--- a/src/coordination/bounds.rs
+++ b/src/coordination/bounds.rs
@@ -9,6 +9,16 @@
 /// A worker takes an answer for so long after it sent its report.
 pub const ANSWER: Ms = 4_000;
 
+/// A state that is not final leaves a node no later than this after its reading
+/// was begun.
+pub const FRESH: Ms = 500;
+
+/// After a node has learned of a job's end, every older answer of any node has
+/// left that node by then, and reached its user over an ordinary way.
+pub fn hold() -> Ms {
+    at_most(FRESH)
+}
+
 fn slack(span: Ms) -> Ms {
     span / 500 + MARGIN
 }
--- a/src/coordination/leader/chains.rs
+++ b/src/coordination/leader/chains.rs
@@ -96,8 +96,8 @@
     }
 
     /// A job that was sought has this final state.
-    pub fn need_ended(&mut self, status: &JobStatus) {
-        self.remember_final(status);
+    pub fn need_ended(&mut self, status: &JobStatus, now: Ms) {
+        self.remember_final(status, now);
         let need = match status.state {
             JobState::Done => Need::Done,
             _ => Need::Withdrawn,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -26,7 +26,7 @@
 mod zones;
 
 use super::{
-    bounds::Bounds,
+    bounds::{Bounds, hold},
     dispatch,
     placement::{
         self, Policy,
@@ -515,8 +515,18 @@
         job.is_some_and(Job::is_closing)
     }
 
-    pub fn remember_final(&mut self, status: &JobStatus) {
-        self.finals.remember(status);
+    /// It was learned now.
+    pub fn remember_final(&mut self, status: &JobStatus, now: Ms) {
+        self.finals.remember(status, now + hold());
+    }
+
+    /// The job's state as another node may tell it at once. An end is held back
+    /// for the time that older answers may take.
+    pub fn told_by_others(&mut self, id: &str, now: Ms) -> Option<JobStatus> {
+        let status = self.told(id)?;
+        self.remember_final(&status, now);
+        let held = self.finals.tell_at(id).is_some_and(|at| now < at);
+        (!held).then_some(status)
     }
 
     pub fn accepted(&mut self, record: JobRecord, version: u64, now: Ms) {
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -288,7 +288,7 @@
         self.model.job_mut(ix).filter(|j| j.id == id)
     }
 
-    pub fn flushed(&mut self, plan: &Plan, revision: u64) {
+    pub fn flushed(&mut self, plan: &Plan, revision: u64, now: Ms) {
         for item in &plan.items {
             match item {
                 Item::Cancel(ix, id) => {
@@ -297,12 +297,14 @@
                         j.writing = false;
                         j.closing = false;
                         j.cancelled = true;
+                        let status = j.status();
                         // A mark that was on its way can't be set any more.
                         j.away.stays();
                         log::info!(
                             "job {id} withdrawn, by its mark at revision {revision} in term {}",
                             self.term
                         );
+                        self.finals.remember(&status, now + hold());
                         self.chains.withdrawn(*ix);
                     }
                 }
@@ -316,7 +318,7 @@
                         }
                     }
                 }
-                Item::Final(ix, id, state) => self.ended(*ix, id, *state, revision),
+                Item::Final(ix, id, state) => self.ended(*ix, id, *state, revision, now),
                 Item::Progress(ix, id, chunks) => {
                     if let Some(j) = self.job_of(*ix, id) {
                         j.writing = false;
@@ -343,7 +345,7 @@
     }
 
     /// The record of its end stands, at this revision.
-    pub(super) fn ended(&mut self, ix: u32, id: &str, state: JobState, revision: u64) {
+    pub(super) fn ended(&mut self, ix: u32, id: &str, state: JobState, revision: u64, now: Ms) {
         let term = self.term;
         let Some(j) = self.job_of(ix, id) else { return };
         let status = JobStatus {
@@ -367,7 +369,7 @@
         }
         self.drop_cut(ix);
         self.model.remove_job(ix);
-        self.remember_final(&status);
+        self.remember_final(&status, now);
         self.chains.over(ix, state == JobState::Done);
         self.changed = true;
     }
@@ -404,7 +406,7 @@
 
     /// A key of such a transaction as it stands now. All keys must have been
     /// read before `reread_done`.
-    pub fn reread(&mut self, key: &str, found: Option<(serde_json::Value, u64)>) {
+    pub fn reread(&mut self, key: &str, found: Option<(serde_json::Value, u64)>, now: Ms) {
         if let Some(id) = key.strip_prefix(AWARDS) {
             self.award_seen(id, found.map_or(0, |f| f.1));
         } else if let Some(id) = key.strip_prefix(keys::FINALS) {
@@ -412,7 +414,7 @@
                 && let Ok(record) = serde_json::from_value::<FinalRecord>(value)
                 && let Some(ix) = self.model.job_ix(id)
             {
-                self.ended(ix, id, record.state, version);
+                self.ended(ix, id, record.state, version, now);
             }
         } else if let Some(id) = key.strip_prefix(keys::JOBS) {
             if let Some((value, version)) = found
--- a/src/coordination/polls.rs
+++ b/src/coordination/polls.rs
@@ -2,7 +2,7 @@
 //! and final states are remembered, as they never change.
 
 use crate::{
-    bookkeeping::recent::Recent,
+    bookkeeping::{Ms, recent::Recent},
     protocol::users::{JobState, JobStatus},
 };
 use std::collections::{HashMap, VecDeque};
@@ -94,7 +94,15 @@
 /// Final states, the most recently learned ones.
 #[derive(Debug)]
 pub struct Finals {
-    ends: Recent<Box<str>, (JobState, u32)>,
+    ends: Recent<Box<str>, End>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct End {
+    state: JobState,
+    done: u32,
+    /// It may be told from then on.
+    tell_at: Ms,
 }
 
 const MAX_FINALS: usize = 20_000;
@@ -108,23 +116,41 @@
 }
 
 impl Finals {
-    /// Anything but a final state is not kept.
-    pub fn remember(&mut self, status: &JobStatus) {
-        if status.state.is_final() && !self.ends.is_young(status.id.as_str()) {
-            let id = status.id.as_str().into();
-            self.ends.insert(id, (status.state, status.done));
+    /// Anything but a final state is not kept. Of two times from which it may
+    /// be told the earlier counts.
+    pub fn remember(&mut self, status: &JobStatus, tell_at: Ms) {
+        let id = status.id.as_str();
+        let known = self.ends.get(id).copied();
+        let sooner = known.is_none_or(|end| tell_at < end.tell_at);
+        if !status.state.is_final() || self.ends.is_young(id) && !sooner {
+            return;
         }
+        let new = End {
+            state: status.state,
+            done: status.done,
+            tell_at,
+        };
+        let end = known.map_or(new, |end| End {
+            tell_at: end.tell_at.min(tell_at),
+            ..end
+        });
+        self.ends.insert(id.into(), end);
     }
 
     pub fn get(&self, id: &str) -> Option<JobStatus> {
-        let (state, done) = self.ends.get(id)?;
+        let end = self.ends.get(id)?;
         Some(JobStatus {
             id: id.to_owned(),
-            state: *state,
-            done: *done,
+            state: end.state,
+            done: end.done,
             running: 0,
         })
     }
+
+    /// From when on the job's end may be told.
+    pub fn tell_at(&self, id: &str) -> Option<Ms> {
+        self.ends.get(id).map(|end| end.tell_at)
+    }
 }
 
 #[cfg(test)]
@@ -184,10 +210,10 @@
             done: 1,
             running: 0,
         };
-        f.remember(&status(0, JobState::Running));
+        f.remember(&status(0, JobState::Running), 0);
         assert_eq!(f.get("j-000000"), None);
         for n in 0..MAX_FINALS * 2 {
-            f.remember(&status(n, JobState::Done));
+            f.remember(&status(n, JobState::Done), 0);
         }
         assert!(f.ends.len() <= MAX_FINALS);
         let last = format!("j-{:06}", MAX_FINALS * 2 - 1);
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -142,7 +142,9 @@
             for id in ids {
                 match found.remove(&id) {
                     Some(Ok(Found::Live(record, version))) => l.accepted(*record, version, now),
-                    Some(Ok(Found::Final(record, _))) => l.need_ended(&final_status(&id, &record)),
+                    Some(Ok(Found::Final(record, _))) => {
+                        l.need_ended(&final_status(&id, &record), now);
+                    }
                     Some(Ok(Found::Nothing) | Err(_)) | None => again.push(id),
                 }
             }
@@ -171,7 +173,7 @@
         match self.txn(&plan.txn, USUAL).await {
             TxnResult::Done(revision) => {
                 self.narrow.set(self.narrow.get().saturating_mul(2));
-                self.of_term(term, |l, _| l.flushed(&plan, revision));
+                self.of_term(term, |l, now| l.flushed(&plan, revision, now));
             }
             TxnResult::Conflict(failed) if failed.iter().any(|k| k == LEADER) => {
                 self.resign(term, Stop::Replaced);
@@ -211,9 +213,9 @@
                 Timer::after(Duration::from_millis(200)).await;
             }
         }
-        self.of_term(term, |l, _| {
+        self.of_term(term, |l, now| {
             for (key, item) in found {
-                l.reread(&key, item);
+                l.reread(&key, item, now);
             }
             l.reread_done(plan);
             l.note_reread(plan);
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::{
+    bookkeeping::Ms,
     coordination::answers::{Answer, Event, Here, Next, Request as Asked},
     protocol::peers::{Reply, Request},
     transport::server::HttpResponse,
@@ -9,8 +10,6 @@
 use async_io::Timer;
 use std::{rc::Rc, time::Duration};
 
-/// For a submission or a withdrawal to be answered by the leader.
-const FORWARD: Duration = Duration::from_millis(800);
 /// For a write that a user waits for.
 const WRITE: Duration = Duration::from_millis(2_000);
 /// Looks at the budget of changes, where a write may wait for it.
@@ -114,7 +113,7 @@
                 },
                 Next::ReadState => Event::Read(self.reads.ask(id).await),
                 Next::Forward => Event::Forwarded(match pass_on {
-                    Some(pass_on) => self.pass_on(pass_on).await,
+                    Some(pass_on) => self.pass_on(pass_on, request.forward_limit()).await,
                     None => None,
                 }),
                 Next::Versions => Event::Versions(self.upgraded().await),
@@ -163,9 +162,10 @@
         result
     }
 
-    async fn pass_on(self: &Rc<Self>, request: &Request) -> Option<Answer> {
+    async fn pass_on(self: &Rc<Self>, request: &Request, limit: Ms) -> Option<Answer> {
         let leader = self.answering_leader()?;
-        match self.ask(leader, request, FORWARD).await {
+        let limit = Duration::from_millis(limit);
+        match self.ask(leader, request, limit).await {
             Ok(Reply::Forwarded { status, body, .. }) => Some(Answer::relayed(status, &body)),
             Ok(_) => None,
             Err(e) => {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -536,7 +536,7 @@
     let mut close = 0;
     for (seed, nodes) in (0..6).flat_map(|s| [(s, 3), (s, 7)]) {
         let mut w = in_flight(900 + seed, 6, nodes);
-        (w.desk.way, w.desk.strict) = (100, true);
+        w.desk.way = 100;
         let mut users = Clients::default();
         for k in 0..4 {
             users.run(&mut w, 3_000, 6);
--- a/tests/known.rs
+++ b/tests/known.rs
@@ -4,8 +4,11 @@
 
 mod world;
 
-use pathwinch::protocol::users::{JobSpec, Kind, Priority};
-use world::{Cut, LEASE, Net, Side, World, job};
+use pathwinch::{
+    coordination::answers::Answer,
+    protocol::users::{JobSpec, Kind, Priority},
+};
+use world::{Ask, Cut, LEASE, Net, Side, World, job};
 
 fn id(n: u32) -> String {
     format!("j-{n:06}")
@@ -370,13 +373,22 @@
         (0..nodes).for_each(|i| w.join(i));
         (0..w.workers.len()).for_each(|m| w.heal(m));
         let healed = w.now;
-        for m in 1..=n {
-            for i in 0..nodes {
-                while w.poll(i, &id(m)).is_none() {
-                    w.step();
-                    assert!(w.now < healed + 20_000, "seed {seed}: {m} at {i}");
+        let everywhere = (1..=n).flat_map(|m| (0..nodes).map(move |i| (m, i)));
+        let ask = |w: &mut World, (m, i)| (m, i, w.ask(0, i, Ask::Poll(id(m))));
+        let mut open: Vec<_> = everywhere.map(|of| ask(&mut w, of)).collect();
+        while !open.is_empty() {
+            w.step();
+            for question in &mut open {
+                let (m, i, asked) = *question;
+                let asked = &w.desk.history[asked];
+                let refused = !matches!(asked.answer, None | Some((_, Answer::State(..))));
+                let waits = asked.answer.is_none() && w.now < asked.sent + 2_000;
+                if refused || !waits && asked.answer.is_none() {
+                    *question = ask(&mut w, (m, i));
                 }
+                assert!(w.now < healed + 20_000, "seed {seed}: {m} at {i}");
             }
+            open.retain(|(_, _, asked)| w.desk.history[*asked].answer.is_none());
         }
         longest = longest.max(w.now - healed);
         // And all ends once the services make room.
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -297,9 +297,18 @@
     w.submit(after);
     w.run(500);
     w.poll(leader, &id(3));
-    w.cancel(&id(1));
+    let asked = w.ask(0, leader, Ask::Withdraw(id(1)));
+    w.until(2_000, "its record", |w| {
+        let led = w.nodes[leader].leader.as_ref();
+        let status = led.and_then(|l| l.status(&id(1)));
+        status.is_some_and(|s| s.state == JobState::Cancelled)
+    });
     w.store.down = true;
     assert!(w.store.kv.contains_key(&job_key(&id(3))), "not recorded");
+    w.until(2_000, "the answer", |w| {
+        w.desk.history[asked].answer.is_some()
+    });
+    assert_eq!(w.told[&id(1)].0, JobState::Cancelled);
     let mut answers = 0;
     for _ in 0..30 {
         w.run(2_000);
@@ -339,7 +348,7 @@
         let plan = l.plan_flush(12).expect("its end is to be written");
         l.in_doubt(&plan);
         for key in pathwinch::coordination::leader::Leader::keys_of(&plan) {
-            l.reread(&key, w.store.kv.get(&key).cloned());
+            l.reread(&key, w.store.kv.get(&key).cloned(), w.now);
         }
         l.reread_done(&plan);
         w.store.apply(&plan.txn).expect("carried out late");
@@ -370,13 +379,13 @@
     let l = w.nodes[leader].leader.as_mut().unwrap();
     l.in_doubt(&older);
     for key in pathwinch::coordination::leader::Leader::keys_of(&older) {
-        l.reread(&key, w.store.kv.get(&key).cloned());
+        l.reread(&key, w.store.kv.get(&key).cloned(), w.now);
     }
     l.reread_done(&older);
     let newer = done(&mut w, 8_501);
     let revision = w.store.apply(&newer.txn).expect("the newer one");
     let l = w.nodes[leader].leader.as_mut().unwrap();
-    l.flushed(&newer, revision);
+    l.flushed(&newer, revision, w.now);
     assert!(w.store.apply(&older.txn).is_err(), "carried out late");
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -29,7 +29,7 @@
         records::{self, Bits, FinalRecord, LEADER, MachineRecord, StoredJob},
     },
     coordination::{
-        answers::{Answer, TxnResult},
+        answers::{Answer, TxnResult, final_status},
         bars::{self, Bars, Step, bar_txn, lift_txn},
         bounds::Bounds,
         election::{Election, Extended, LIFE, LOOK, PROMISE, Promised, RENEWAL, SEEK},
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -88,12 +88,7 @@
                     }
                     (None, Some((v, _))) => {
                         let record: FinalRecord = serde_json::from_value(v.clone()).unwrap();
-                        l.need_ended(&JobStatus {
-                            id,
-                            state: record.state,
-                            done: record.done,
-                            running: 0,
-                        });
+                        l.need_ended(&final_status(&id, &record), now);
                     }
                     (None, None) => l.not_found(vec![id]),
                 }
@@ -194,7 +189,7 @@
                 return;
             }
             for key in Leader::keys_of(&plan) {
-                l.reread(&key, self.store.kv.get(&key).cloned());
+                l.reread(&key, self.store.kv.get(&key).cloned(), now);
             }
             l.reread_done(&plan);
         }
@@ -230,7 +225,7 @@
         let node = &mut self.nodes[i];
         let l = node.leader.as_mut().unwrap();
         match result {
-            TxnResult::Done(revision) => l.flushed(&plan, revision),
+            TxnResult::Done(revision) => l.flushed(&plan, revision, now),
             TxnResult::Conflict(failed) if failed.iter().any(|k| k == LEADER) => {
                 self.resign(i, false);
             }
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -6,8 +6,9 @@
 use pathwinch::{
     bookkeeping::budget::share::{self, Role},
     coordination::answers::{
-        Event, Found, Here, Looked, Next, Reading, Request, TxnResult, final_status, polled,
+        Event, Found, Here, Looked, Next, Reading, Request, TxnResult, polled,
     },
+    coordination::bounds::FRESH,
 };
 
 /// What a user asks.
@@ -97,8 +98,9 @@
 /// What any node has told of a job, by the order of all questions and answers.
 #[derive(Default)]
 struct Said {
-    accepted: Option<u64>,
-    over: Option<(u64, JobState)>,
+    /// By that order, and when.
+    accepted: Option<(u64, Ms)>,
+    over: Option<JobState>,
 }
 
 #[derive(Default)]
@@ -109,18 +111,15 @@
     order: u64,
     /// Since when no question about a job had an answer.
     unanswered: HashMap<String, Ms>,
-    /// Answers that were older than one before them, to a question that had
-    /// been sent before that.
-    pub overtaken: u32,
+    /// Refusals of jobs that another node had just called accepted, to a question
+    /// that had been sent before that.
+    pub refusals_overtaken: u32,
     /// Jobs that were submitted with bodies that can't be accepted.
     pub unfit: BTreeSet<String>,
     /// The longest way between two nodes, or to the state service and back.
     pub way: Ms,
     /// The state service's answers to looks at records come so much later.
     pub slow_answers: Ms,
-    /// No answer may be older than one that was given before it, also where
-    /// the two questions overlapped.
-    pub strict: bool,
 }
 
 impl Desk {
@@ -265,12 +264,18 @@
         ask: &Ask,
         request: &mut Request,
     ) -> Result<Option<Answer>, ()> {
-        let now = self.now;
+        let mut now = self.now;
         let mut event = Event::Begin;
         loop {
             event = match self.here(i, now, |here| request.step(event, here)) {
                 Next::Answer(answer) => return Ok(Some(answer)),
                 Next::NotLeading | Next::Over => return Ok(None),
+                // An end that is held back is waited for, nothing else.
+                Next::Wait(ms) if request.is_held() => {
+                    self.run(ms + STEP);
+                    now = self.now;
+                    Event::Waited
+                }
                 Next::Wait(_) => return Err(()),
                 Next::AskLeader => {
                     let status = self.leader_for(i, now).and_then(|l| {
@@ -432,7 +437,7 @@
                     let begin = Comes::Event(Event::Begin);
                     self.fly(l, f.ask.clone(), true, For::Flight(f.serial), now, begin);
                 }
-                let after = if there { 800 } else { 0 };
+                let after = if there { f.request.forward_limit() } else { 0 };
                 (after, Comes::Event(Event::Forwarded(None)))
             }
             Comes::Sent => return,
@@ -538,14 +543,16 @@
                         .push(format!("invented: {id} can't be accepted"));
                 }
                 self.submitted.entry(id.clone()).or_insert(self.now);
-                self.tell(&id, status.state, sent);
+                self.tell(&id, status.state);
             }
             Answer::Refused(status, why) => {
                 // A submission that is refused was never known.
+                // One may cross the acceptance, within the bound for answers.
                 let known = self.desk.said.get(&id).and_then(|s| s.accepted);
-                match known.is_some_and(|at| at < sent) {
+                let late = self.now.saturating_sub(FRESH + self.desk.way + 2 * STEP);
+                match known.is_some_and(|(order, at)| order < sent || at < late) {
                     true => self.broken.push(format!("forgotten: {id}: {status} {why}")),
-                    false => self.desk.overtaken += u32::from(known.is_some()),
+                    false => self.desk.refusals_overtaken += u32::from(known.is_some()),
                 }
                 if why.is_empty() || why.contains('\n') {
                     self.broken
@@ -570,30 +577,17 @@
         }
     }
 
-    /// A user was told so, as the answer to a question sent then. No answer
-    /// may be older than one that came before its question was sent.
-    fn tell(&mut self, id: &str, state: JobState, sent: u64) {
-        let order = self.desk.next();
-        let strict = self.desk.strict;
+    /// A user was told so. No answer may be older than one that was given
+    /// before it, by whatever node, also where the two questions overlapped.
+    fn tell(&mut self, id: &str, state: JobState) {
+        let (order, now) = (self.desk.next(), self.now);
         let said = self.desk.said.entry(id.to_owned()).or_default();
-        said.accepted.get_or_insert(order);
-        let older = match said.over {
-            Some((_, over)) if state.is_final() && over != state => Some((true, over)),
-            Some((at, over)) if !state.is_final() => Some((strict || at < sent, over)),
-            _ => None,
-        };
-        if state.is_final() {
-            said.over.get_or_insert((order, state));
-        }
-        match older {
-            Some((true, over)) => self
-                .broken
-                .push(format!("went_back: {id} {over:?} to {state:?}")),
-            Some((false, _)) => {
-                self.desk.overtaken += 1;
-                return;
-            }
-            None => {}
+        said.accepted.get_or_insert((order, now));
+        if let Some(over) = said.over.filter(|over| *over != state) {
+            let what = format!("went_back: {id} {over:?} to {state:?}");
+            self.broken.push(what);
+        } else if state.is_final() {
+            said.over = Some(state);
         }
         self.check_told(id, state);
         if state == JobState::Done {
@@ -677,8 +671,7 @@
     /// A user was told so, by whomever.
     pub fn told_cancelled(&mut self, id: &str) {
         self.cancelling.insert(id.to_owned());
-        let sent = self.desk.next();
-        self.tell(id, JobState::Cancelled, sent);
+        self.tell(id, JobState::Cancelled);
     }
 }
 
