--- a/src/coordination/answers/tests.rs
+++ b/src/coordination/answers/tests.rs
@@ -44,6 +44,11 @@
 
 /// At a node that does not lead.
 fn step(request: &mut Request, event: Event, finals: &mut Finals) -> Next {
+    step_at(0, request, event, finals)
+}
+
+/// The same at a time.
+fn step_at(now: Ms, request: &mut Request, event: Event, finals: &mut Finals) -> Next {
     request.step(
         event,
         &mut Here {
@@ -53,7 +58,7 @@
             settings: &settings(),
             types: &[],
             upgraded: true,
-            now: 0,
+            now,
             wall_ms: 0,
             read_in: None,
         },
@@ -148,3 +153,86 @@
     }
     assert!(matches!(Answer::relayed(200, b"<"), Answer::Later(_)));
 }
+
+/// The record as it was read at that time.
+fn read_at(began: Ms, state: JobState) -> Event {
+    Event::Read(Ok(Reading {
+        began,
+        ..reading(Some(state))
+    }))
+}
+
+/// Guards against an unfinished state that is given long after it was read: by
+/// then another node may have told the end.
+#[test]
+fn a_reading_that_is_too_old_is_read_again_and_not_for_ever() {
+    for late in [FRESH, FRESH + 1] {
+        let mut finals = Finals::default();
+        let mut poll = Request::poll(ID);
+        step_at(0, &mut poll, Event::Begin, &mut finals);
+        let told = told(Some(JobState::Running));
+        let next = step_at(late, &mut poll, told, &mut finals);
+        if late == FRESH {
+            assert_eq!(state_of(next), JobState::Running);
+            continue;
+        }
+        assert!(matches!(next, Next::ReadState), "{next:?}");
+        let again = read_at(late, JobState::Queued);
+        let next = step_at(late + FRESH, &mut poll, again, &mut finals);
+        assert_eq!(state_of(next), JobState::Queued);
+    }
+    let mut finals = Finals::default();
+    let mut poll = Request::poll(ID);
+    step_at(0, &mut poll, Event::Begin, &mut finals);
+    let (mut now, mut event) = (0, told(Some(JobState::Running)));
+    for _ in 0..MOST_STALE {
+        now += 2 * FRESH;
+        let next = step_at(now, &mut poll, event, &mut finals);
+        assert!(matches!(next, Next::ReadState), "{next:?}");
+        event = read_at(now, JobState::Running);
+    }
+    let next = step_at(now + 2 * FRESH, &mut poll, event, &mut finals);
+    assert!(matches!(next, Next::Answer(Answer::Later(_))), "{next:?}");
+}
+
+/// Guards against a job that was accepted while a refusal was on its way for
+/// long: it is looked up again.
+#[test]
+fn a_refusal_that_is_too_old_is_read_again() {
+    let mut finals = Finals::default();
+    let body = format!(r#"{{"ref":"{ID}"}}"#);
+    let mut submit = Request::submit(body.as_bytes(), false);
+    step_at(0, &mut submit, Event::Begin, &mut finals);
+    let refused = Answer::Refused(400, "pieces is missing".into());
+    let event = Event::Forwarded(Some(refused));
+    let next = step_at(FRESH + 1, &mut submit, event, &mut finals);
+    assert!(matches!(next, Next::ReadState), "{next:?}");
+    let known = read_at(FRESH + 1, JobState::Queued);
+    let next = step_at(FRESH + 10, &mut submit, known, &mut finals);
+    assert_eq!(state_of(next), JobState::Queued);
+}
+
+/// Guards against an end that is told while another node may still give an
+/// answer that it read before. What the leader says has been held back there.
+#[test]
+fn an_end_that_a_node_reads_is_held_back_and_then_told_at_once() {
+    let mut finals = Finals::default();
+    let mut poll = Request::poll(ID);
+    step_at(0, &mut poll, Event::Begin, &mut finals);
+    let read = read_at(0, JobState::Done);
+    let Next::Wait(held) = step_at(10, &mut poll, read, &mut finals) else {
+        panic!("told at once");
+    };
+    assert!(held > FRESH && poll.is_held());
+    let next = step_at(10 + held, &mut poll, Event::Waited, &mut finals);
+    assert_eq!(state_of(next), JobState::Done);
+    let mut again = Request::poll(ID);
+    let next = step_at(11 + held, &mut again, Event::Begin, &mut finals);
+    assert_eq!(state_of(next), JobState::Done);
+
+    let mut finals = Finals::default();
+    let mut poll = Request::poll(ID);
+    step_at(0, &mut poll, Event::Begin, &mut finals);
+    let next = step_at(10, &mut poll, told(Some(JobState::Done)), &mut finals);
+    assert_eq!(state_of(next), JobState::Done);
+}
