--- a/src/coordination/answers/mod.rs
+++ b/src/coordination/answers/mod.rs
@@ -11,17 +11,21 @@
 
 mod basis;
 mod poll;
+mod request;
 mod settle;
 mod submit;
 #[cfg(test)]
 mod tests;
+mod view;
 mod withdraw;
 
 pub use basis::{Basis, Reading, Source};
 pub use poll::polled;
+pub use request::Request;
+pub use view::NodeView;
 
 use super::{
-    bounds::{FRESH, hold},
+    bounds::{MAX_READING_AGE_MS, end_hold_ms},
     leader::Leader,
     polls::Finals,
 };
@@ -39,10 +43,6 @@
 };
 use std::collections::HashMap;
 
-/// See `Request::forward_limit`.
-const FORWARD: Ms = 800;
-const FORWARD_WITHDRAWAL: Ms = 2_000;
-
 const LOST: &str = "leadership is changing";
 const NO_LEADER: &str = "no leader can be reached";
 const UNREAD: &str = "a new leader is reading the records";
@@ -84,95 +84,6 @@
     }
 }
 
-/// What a node knows as a step is taken.
-pub struct Here<'a> {
-    /// The leader's state, whether or not this node may still act.
-    pub leader: Option<&'a mut Leader>,
-    /// This node leads, and may act right now.
-    pub acts: bool,
-    /// Final states that it has learned while it did not lead.
-    pub finals: &'a mut Finals,
-    pub settings: &'a Settings,
-    pub types: &'a [MachineType],
-    /// Every controller is known to run this version.
-    pub upgraded: bool,
-    pub now: Ms,
-    pub wall_ms: u64,
-    /// The term in which this node began the read of which the result is taken
-    /// in now; the request under way sets it.
-    pub read_in: Option<u64>,
-}
-
-impl Here<'_> {
-    fn acting(&mut self) -> Option<&mut Leader> {
-        let acts = self.acts;
-        self.leader.as_deref_mut().filter(|_| acts)
-    }
-
-    fn acting_term(&self) -> Option<u64> {
-        let leader = self.leader.as_deref().filter(|_| self.acts);
-        leader.map(|l| l.term)
-    }
-
-    /// For what was begun with authority in that term.
-    fn of_term(&mut self, term: u64) -> Option<&mut Leader> {
-        self.leader.as_deref_mut().filter(|l| l.term == term)
-    }
-
-    /// How the job ended, as far as this node has learned. It never changes.
-    fn end_of(&self, id: &str) -> Option<JobStatus> {
-        let led = self.leader.as_deref().and_then(|l| l.told(id));
-        led.filter(|s| s.state.is_final())
-            .or_else(|| self.finals.get(id))
-    }
-
-    /// All ends that this node remembers.
-    fn ends(&mut self) -> &mut Finals {
-        match self.leader.as_deref_mut() {
-            Some(l) => &mut l.finals,
-            None => self.finals,
-        }
-    }
-
-    /// It was learned now, by a read.
-    fn remember(&mut self, status: &JobStatus) {
-        let tell_at = self.now + hold();
-        self.ends().remember(status, tell_at);
-    }
-
-    /// For how long this end is held back yet. What the leader says has been.
-    fn held_for(&mut self, status: &JobStatus, source: Source) -> Ms {
-        let now = self.now;
-        match source {
-            Source::Leader => self.ends().remember(status, now),
-            _ => self.remember(status),
-        }
-        let tell_at = self.ends().tell_at(&status.id);
-        tell_at.unwrap_or(now).saturating_sub(now)
-    }
-
-    /// Takes in what was read of a job, and says how it stands by that. Into
-    /// the picture goes only what was read in its own term. Guards against a
-    /// job that ended under another leader while a slow read was under way.
-    fn learn(&mut self, id: &str, found: Found) -> Option<JobStatus> {
-        let status = match found {
-            Found::Live(record, version) => {
-                let status = record.status();
-                let (now, read_in) = (self.now, self.read_in);
-                let acting = self.acting().filter(|l| Some(l.term) == read_in);
-                if let Some(l) = acting.filter(|l| l.loaded()) {
-                    l.accepted(*record, version, now);
-                }
-                status
-            }
-            Found::Final(record, _) => final_status(id, &record),
-            Found::Nothing => return None,
-        };
-        self.remember(&status);
-        Some(status)
-    }
-}
-
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
     /// With 200, or 201 for a job that was not known before.
@@ -264,224 +175,10 @@
     Wait(Ms),
 }
 
-#[derive(Debug)]
-enum What {
-    Poll,
-    Submit(Box<submit::Submit>),
-    Withdraw(withdraw::Withdraw),
-    Settle(settle::Settle),
-}
-
-/// A request under way.
-#[derive(Debug)]
-pub struct Request {
-    /// The job that it names, if that is of the right form.
-    id: Option<String>,
-    /// Passed on by another node.
-    forwarded: bool,
-    what: What,
-    /// When something was last asked for elsewhere, and the term in which this
-    /// node led then.
-    asked: Ms,
-    asked_in: Option<u64>,
-    /// What the last answer rests on.
-    basis: Basis,
-    check: Check,
-    /// Readings that were too old as they came.
-    stale: u32,
-}
-
-/// What is seen to before an answer is given.
-#[derive(Debug, Default)]
-enum Check {
-    #[default]
-    None,
-    /// Its end is held back until older answers have been given.
-    Held(Answer),
-    /// Its reading was too old: it is read again.
-    Reread(Answer),
-}
-
-/// So many readings may be too old.
-const MOST_STALE: u32 = 3;
-const SLOW: &str = "its state could not be read in time";
-
-impl Request {
-    fn of(id: &str, forwarded: bool, what: What) -> Request {
-        let id = Some(id.to_owned()).filter(|id| valid_ref(id));
-        Request {
-            id,
-            forwarded,
-            what,
-            asked: 0,
-            asked_in: None,
-            basis: Basis::default(),
-            check: Check::None,
-            stale: 0,
-        }
-    }
-
-    pub fn poll(id: &str) -> Request {
-        Self::of(id, false, What::Poll)
-    }
-
-    pub fn submit(body: &[u8], forwarded: bool) -> Request {
-        let parsed = JobSpec::parse(body);
-        let id = match &parsed {
-            Ok(spec) => spec.id.clone(),
-            Err(_) => submit::named(body).unwrap_or_default(),
-        };
-        let what = What::Submit(Box::new(submit::Submit::new(parsed)));
-        Self::of(&id, forwarded, what)
-    }
-
-    pub fn withdraw(id: &str, forwarded: bool) -> Request {
-        Self::of(id, forwarded, What::Withdraw(Default::default()))
-    }
-
-    /// What remains to be done once this is answered.
-    pub fn left(&self) -> Option<Request> {
-        let (term, id) = match &self.what {
-            What::Submit(s) => (s.unsettled()?, self.id.as_deref()?),
-            _ => return None,
-        };
-        let what = What::Settle(settle::Settle::new(term));
-        Some(Self::of(id, false, what))
-    }
-
-    /// The job that it names, if that is of the right form.
-    pub fn id(&self) -> Option<&str> {
-        self.id.as_deref()
-    }
-
-    /// What the answer rests on that was given last.
-    pub fn basis(&self) -> Basis {
-        self.basis
-    }
-
-    /// For how long the leader's answer to it is waited for, where it is passed
-    /// on. A withdrawal's record is waited for, and then held back.
-    pub fn forward_limit(&self) -> Ms {
-        match self.what {
-            What::Withdraw(_) => FORWARD_WITHDRAWAL,
-            _ => FORWARD,
-        }
-    }
-
-    /// Whether it waits only as an end is held back.
-    pub fn is_held(&self) -> bool {
-        matches!(self.check, Check::Held(_))
-    }
-
-    pub fn step(&mut self, event: Event, here: &mut Here) -> Next {
-        self.basis = Basis::of(&event, self.asked, here.acts, here.now);
-        here.read_in = self.asked_in;
-        let next = match std::mem::take(&mut self.check) {
-            Check::None => self.go_on(event, here),
-            Check::Held(answer) => Next::Answer(answer),
-            Check::Reread(answer) => Next::Answer(reread(answer, event)),
-        };
-        let next = match next {
-            Next::Answer(answer) => self.give(answer, here),
-            next => next,
-        };
-        if !matches!(next, Next::Answer(_)) {
-            self.asked = here.now;
-            self.asked_in = here.acting_term();
-        }
-        next
-    }
-
-    fn go_on(&mut self, event: Event, here: &mut Here) -> Next {
-        let id = self.id.clone().unwrap_or_default();
-        match &mut self.what {
-            What::Poll => poll::step(&id, event, here),
-            What::Submit(s) => s.step(&id, self.forwarded, event, here),
-            What::Withdraw(w) => w.step(&id, self.forwarded, event, here),
-            What::Settle(s) => s.step(&id, event, here),
-        }
-    }
-
-    /// Gives an answer that is not too old, and an end not too soon: by the
-    /// time at which an end is told first, every node has given the older
-    /// answers that it may have read. Guards against one of those that is
-    /// given by another node after the end.
-    fn give(&mut self, answer: Answer, here: &mut Here) -> Next {
-        let answer = self.last_look(answer, here);
-        match &answer {
-            Answer::Later(_) => Next::Answer(answer),
-            Answer::State(_, status) if status.state.is_final() => {
-                match here.held_for(status, self.basis.source) {
-                    0 => Next::Answer(answer),
-                    left => {
-                        self.check = Check::Held(answer);
-                        Next::Wait(left)
-                    }
-                }
-            }
-            _ if self.id.is_none() || self.basis.age(here.now) <= FRESH => Next::Answer(answer),
-            _ => self.too_old(answer, here),
-        }
-    }
-
-    /// Its reading took too long: read it once more, a few times at most.
-    fn too_old(&mut self, answer: Answer, here: &mut Here) -> Next {
-        let id = self.id.as_deref().unwrap_or_default();
-        let led = here.acting().filter(|l| l.loaded());
-        if let Some(status) = led.and_then(|l| l.told(id)) {
-            self.basis = Basis::picture(here.now);
-            let answer = answer.with(status);
-            return self.give(answer, here);
-        }
-        self.stale += 1;
-        if self.stale > MOST_STALE {
-            return Next::Answer(Answer::later(SLOW));
-        }
-        self.check = Check::Reread(answer);
-        Next::ReadState
-    }
-
-    /// As late as can be. Guards against an answer that was read, or relayed,
-    /// before the job ended, and is given after this node has told that end.
-    fn last_look(&mut self, answer: Answer, here: &mut Here) -> Answer {
-        let Some(id) = self.id.as_deref() else {
-            return answer;
-        };
-        let told = match &answer {
-            Answer::Later(_) => None,
-            Answer::State(_, s) if s.state.is_final() => None,
-            Answer::State(..) => here.end_of(id),
-            // It may have been accepted while the records were read.
-            Answer::Refused(..) => {
-                let led = here.acting().and_then(|l| l.told(id));
-                led.or_else(|| here.end_of(id))
-            }
-        };
-        if told.is_some() {
-            self.basis = Basis::memory(here.now);
-        }
-        told.map_or(answer, Answer::known)
-    }
-}
-
-/// The same answer, by what was read again.
-fn reread(answer: Answer, event: Event) -> Answer {
-    match (event, answer) {
-        (Event::Read(Ok(reading)), answer) => match (reading.status, answer) {
-            (Some(status), answer) => answer.with(status),
-            // A job that was known can't be unknown: what says so is amiss.
-            (None, Answer::State(..)) => Answer::later(SLOW),
-            (None, refused) => refused,
-        },
-        (Event::Read(Err(e)), _) => Answer::Later(e),
-        _ => Answer::later(SLOW),
-    }
-}
-
 /// One look at how the job stands, by the one job that was looked up.
-fn looked(id: &str, mut looked: Looked, here: &mut Here) -> Result<Option<JobStatus>, Answer> {
+fn looked(id: &str, mut looked: Looked, view: &mut NodeView) -> Result<Option<JobStatus>, Answer> {
     match looked.remove(id) {
-        Some(Ok(found)) => Ok(here.learn(id, found)),
+        Some(Ok(found)) => Ok(view.learn(id, found)),
         Some(Err(e)) => Err(Answer::unread(&e)),
         None => Ok(None),
     }
--- a/src/coordination/answers/poll.rs
+++ b/src/coordination/answers/poll.rs
@@ -2,10 +2,10 @@
 
 use super::*;
 
-pub(super) fn step(id: &str, event: Event, here: &mut Here) -> Next {
+pub(super) fn step(id: &str, event: Event, view: &mut NodeView) -> Next {
     match event {
         Event::Begin if id.is_empty() => Next::Answer(Answer::Refused(404, NO_SUCH.into())),
-        Event::Begin => begin(id, here),
+        Event::Begin => begin(id, view),
         Event::Told(reading) => match reading.status {
             Some(status) => Next::Answer(Answer::known(status)),
             None => Next::ReadState,
@@ -19,11 +19,11 @@
     }
 }
 
-fn begin(id: &str, here: &mut Here) -> Next {
-    if let Some(status) = here.end_of(id) {
+fn begin(id: &str, view: &mut NodeView) -> Next {
+    if let Some(status) = view.end_of(id) {
         return Next::Answer(Answer::known(status));
     }
-    let Some(l) = here.acting() else {
+    let Some(l) = view.acting() else {
         return Next::AskLeader;
     };
     match l.loaded().then(|| l.told(id)).flatten() {
@@ -35,11 +35,11 @@
 }
 
 /// Polls at other nodes, as the leader answers them; `None`: it does not lead.
-pub fn polled(here: &mut Here, ids: &[String]) -> Option<Vec<Option<(JobState, u32, u32)>>> {
-    let now = here.now;
-    let l = here.acting().filter(|l| l.loaded())?;
+pub fn polled(view: &mut NodeView, ids: &[String]) -> Option<Vec<Option<(JobState, u32, u32)>>> {
+    let now = view.now;
+    let l = view.acting().filter(|l| l.loaded())?;
     let known = |id: &String| {
-        l.told_by_others(id, now)
+        l.tellable_by_peers(id, now)
             .map(|s| (s.state, s.done, s.running))
     };
     Some(ids.iter().map(known).collect())
--- a/src/coordination/answers/settle.rs
+++ b/src/coordination/answers/settle.rs
@@ -18,10 +18,10 @@
         Settle { term, looks: 0 }
     }
 
-    pub(super) fn step(&mut self, id: &str, event: Event, here: &mut Here) -> Next {
-        let now = here.now;
+    pub(super) fn step(&mut self, id: &str, event: Event, view: &mut NodeView) -> Next {
+        let now = view.now;
         // It leads no more: whoever does next reads the records.
-        let Some(l) = here.of_term(self.term) else {
+        let Some(l) = view.of_term(self.term) else {
             return Next::Over;
         };
         match event {
--- a/src/coordination/answers/submit.rs
+++ b/src/coordination/answers/submit.rs
@@ -70,50 +70,50 @@
         id: &str,
         forwarded: bool,
         event: Event,
-        here: &mut Here,
+        view: &mut NodeView,
     ) -> Next {
         match (std::mem::replace(&mut self.at, At::Start), event) {
-            (_, Event::Begin) => self.begin(id, forwarded, here),
-            (_, Event::Versions(true)) if self.led => self.needs(id, here),
+            (_, Event::Begin) => self.begin(id, forwarded, view),
+            (_, Event::Versions(true)) if self.led => self.needs(id, view),
             (_, Event::Versions(true)) => self.forward(),
             (_, Event::Versions(false)) => Next::Answer(Answer::later(NOT_UPGRADED)),
             (At::Forwarded, Event::Forwarded(Some(answer))) => Next::Answer(answer),
-            (At::Forwarded, Event::Forwarded(None)) => self.alone(id, here),
+            (At::Forwarded, Event::Forwarded(None)) => self.alone(id, view),
             (_, Event::OverBudget) => Next::Answer(Answer::later(BUSY)),
-            (_, Event::Looked(_)) if self.led && !here.acts => Next::Answer(Answer::later(LOST)),
+            (_, Event::Looked(_)) if self.led && !view.acts => Next::Answer(Answer::later(LOST)),
             (At::Known(otherwise), Event::Looked(found)) => {
-                Next::Answer(match looked(id, found, here) {
+                Next::Answer(match looked(id, found, view) {
                     Ok(Some(status)) => Answer::known(status),
                     Ok(None) => otherwise,
                     Err(answer) => answer,
                 })
             }
-            (At::Needs, Event::Looked(found)) => self.needs_found(id, found, here),
+            (At::Needs, Event::Looked(found)) => self.needs_found(id, found, view),
             (At::Pieces(term, pieces, left), Event::Wrote(TxnResult::Done(_))) => {
-                self.piece(term, pieces, left, true, here)
+                self.piece(term, pieces, left, true, view)
             }
             (At::Record(term, record), Event::Wrote(result)) => {
-                self.wrote(id, term, record, result, here)
+                self.wrote(id, term, record, result, view)
             }
             (_, Event::Wrote(_)) => Next::Answer(Answer::later(UNRECORDED)),
             (_, other) => out_of_place(&other),
         }
     }
 
-    fn begin(&mut self, id: &str, forwarded: bool, here: &mut Here) -> Next {
-        if let Some(status) = here.end_of(id) {
+    fn begin(&mut self, id: &str, forwarded: bool, view: &mut NodeView) -> Next {
+        if let Some(status) = view.end_of(id) {
             return Next::Answer(Answer::known(status));
         }
-        self.led = here.acts && here.leader.is_some();
-        let (led, upgraded) = (self.led, here.upgraded);
-        match here.acting().map(|l| l.loaded()) {
+        self.led = view.acts && view.leader.is_some();
+        let (led, upgraded) = (self.led, view.upgraded);
+        match view.acting().map(|l| l.loaded()) {
             Some(false) => return Next::Answer(Answer::later(UNREAD)),
             None if forwarded => return Next::NotLeading,
             _ => {}
         }
         let needs = self.parsed.as_ref().is_ok_and(|s| !s.needs.is_empty());
         match (led, needs && !upgraded) {
-            (true, _) => self.led_by(id, here),
+            (true, _) => self.led_by(id, view),
             // An older leader would take the job and start it at once.
             (false, true) => Next::Versions,
             (false, false) => self.forward(),
@@ -126,19 +126,19 @@
     }
 
     /// Status and reason with which a submission that isn't known is refused.
-    fn refusal(&self, here: &Here) -> Option<Answer> {
+    fn refusal(&self, view: &NodeView) -> Option<Answer> {
         match &self.parsed {
             Err(e) => Some(Answer::Refused(400, e.clone())),
-            Ok(spec) => admission::never_runs(here.settings, here.types, spec)
+            Ok(spec) => admission::never_runs(view.settings, view.types, spec)
                 .map(|why| Answer::Refused(422, why)),
         }
     }
 
     /// A known job is answered with its state, whatever the repeated body or
     /// the settings now say.
-    fn unless_known(&mut self, id: &str, otherwise: Answer, here: &mut Here) -> Next {
+    fn unless_known(&mut self, id: &str, otherwise: Answer, view: &mut NodeView) -> Next {
         if self.led {
-            let Some(l) = here.acting() else {
+            let Some(l) = view.acting() else {
                 return Next::Answer(Answer::later(LOST));
             };
             if let Some(status) = l.told(id) {
@@ -155,34 +155,34 @@
         Next::Look(vec![id.to_owned()])
     }
 
-    fn led_by(&mut self, id: &str, here: &mut Here) -> Next {
-        if let Some(status) = here.acting().and_then(|l| l.told(id)) {
+    fn led_by(&mut self, id: &str, view: &mut NodeView) -> Next {
+        if let Some(status) = view.acting().and_then(|l| l.told(id)) {
             return Next::Answer(Answer::known(status));
         }
-        if self.parsed.is_ok() && here.types.is_empty() {
+        if self.parsed.is_ok() && view.types.is_empty() {
             return Next::Answer(Answer::later("machine types are not known yet"));
         }
-        if let Some(refusal) = self.refusal(here) {
-            return self.unless_known(id, refusal, here);
+        if let Some(refusal) = self.refusal(view) {
+            return self.unless_known(id, refusal, view);
         }
         let needs = self.parsed.as_ref().is_ok_and(|s| !s.needs.is_empty());
-        match needs && !here.upgraded {
+        match needs && !view.upgraded {
             true => Next::Versions,
-            false => self.needs(id, here),
+            false => self.needs(id, view),
         }
     }
 
     /// Where this node leads: are the jobs known that it names?
-    fn needs(&mut self, id: &str, here: &mut Here) -> Next {
-        let (Ok(spec), Some(l)) = (&self.parsed, here.acting()) else {
+    fn needs(&mut self, id: &str, view: &mut NodeView) -> Next {
+        let (Ok(spec), Some(l)) = (&self.parsed, view.acting()) else {
             return Next::Answer(Answer::later(LOST));
         };
         if spec.needs.is_empty() {
-            return self.accept(here);
+            return self.accept(view);
         }
         match l.needs_unknown(spec) {
-            Err(service) => self.unless_known(id, is_service(&service), here),
-            Ok(unknown) if unknown.is_empty() => self.accept(here),
+            Err(service) => self.unless_known(id, is_service(&service), view),
+            Ok(unknown) if unknown.is_empty() => self.accept(view),
             Ok(unknown) => {
                 self.at = At::Needs;
                 Next::Look(unknown)
@@ -190,11 +190,11 @@
         }
     }
 
-    fn needs_found(&mut self, id: &str, mut found: Looked, here: &mut Here) -> Next {
+    fn needs_found(&mut self, id: &str, mut found: Looked, view: &mut NodeView) -> Next {
         let Ok(spec) = &self.parsed else {
             return Next::Answer(Answer::later(LOST));
         };
-        let asked: Vec<String> = match (self.led, here.acting()) {
+        let asked: Vec<String> = match (self.led, view.acting()) {
             (true, Some(l)) => l.needs_unknown(spec).unwrap_or_default(),
             _ => spec.needs.clone(),
         };
@@ -206,41 +206,41 @@
                 }
                 Some(Err(e)) => return Next::Answer(Answer::unread(&e)),
                 Some(Ok(known)) => {
-                    here.learn(&need, known);
+                    view.learn(&need, known);
                     continue;
                 }
             };
-            return self.unless_known(id, refusal, here);
+            return self.unless_known(id, refusal, view);
         }
         match self.led {
             // Among what it has learned meanwhile there may be services.
-            true => match here.acting().map(|l| l.needs_unknown(spec)) {
-                Some(Err(service)) => self.unless_known(id, is_service(&service), here),
-                Some(Ok(_)) => self.accept(here),
+            true => match view.acting().map(|l| l.needs_unknown(spec)) {
+                Some(Err(service)) => self.unless_known(id, is_service(&service), view),
+                Some(Ok(_)) => self.accept(view),
                 None => Next::Answer(Answer::later(LOST)),
             },
-            false => self.accept_alone(here),
+            false => self.accept_alone(view),
         }
     }
 
-    fn accept(&mut self, here: &mut Here) -> Next {
+    fn accept(&mut self, view: &mut NodeView) -> Next {
         let Ok(spec) = &self.parsed else {
             return Next::Answer(Answer::later(LOST));
         };
-        let most = here.settings.cluster.state.value_kb;
-        if !here.upgraded && !records::fits(records::whole_size(spec), most) {
+        let most = view.settings.cluster.state.value_kb;
+        if !view.upgraded && !records::fits(records::whole_size(spec), most) {
             let why = "so long a description waits until all controllers are upgraded";
             return Next::Answer(Answer::later(why));
         }
-        let upgraded = here.upgraded;
-        let Some(l) = here.acting() else {
+        let upgraded = view.upgraded;
+        let Some(l) = view.acting() else {
             return Next::Answer(Answer::later(LOST));
         };
         l.upgraded(upgraded);
         let term = l.term;
         match l.pieces_first(spec) {
-            Ok(None) => self.record(term, None, false, here),
-            Ok(Some((pieces, txns))) => self.piece(term, pieces, txns.into_iter(), false, here),
+            Ok(None) => self.record(term, None, false, view),
+            Ok(Some((pieces, txns))) => self.piece(term, pieces, txns.into_iter(), false, view),
             Err(_) => Next::Answer(Answer::later("it can't be kept")),
         }
     }
@@ -253,21 +253,27 @@
         pieces: Pieces,
         mut left: std::vec::IntoIter<Txn>,
         waits: bool,
-        here: &mut Here,
+        view: &mut NodeView,
     ) -> Next {
         match left.next() {
             Some(txn) => {
                 self.at = At::Pieces(term, pieces, left);
                 Next::Write(txn, waits)
             }
-            None => self.record(term, Some(pieces), true, here),
+            None => self.record(term, Some(pieces), true, view),
         }
     }
 
-    fn record(&mut self, term: u64, pieces: Option<Pieces>, waits: bool, here: &mut Here) -> Next {
-        let wall = here.wall_ms;
+    fn record(
+        &mut self,
+        term: u64,
+        pieces: Option<Pieces>,
+        waits: bool,
+        view: &mut NodeView,
+    ) -> Next {
+        let wall = view.wall_ms;
         // Of another term the pieces may just be cleared away as left over.
-        let (Some(l), Ok(spec)) = (here.acting().filter(|l| l.term == term), &self.parsed) else {
+        let (Some(l), Ok(spec)) = (view.acting().filter(|l| l.term == term), &self.parsed) else {
             return Next::Answer(Answer::later(LOST));
         };
         let (txn, record) = l.acceptance(spec, pieces, wall);
@@ -276,28 +282,28 @@
     }
 
     /// Without a leader: its record is what counts.
-    fn alone(&mut self, id: &str, here: &mut Here) -> Next {
-        if self.parsed.is_ok() && here.types.is_empty() {
+    fn alone(&mut self, id: &str, view: &mut NodeView) -> Next {
+        if self.parsed.is_ok() && view.types.is_empty() {
             return Next::Answer(Answer::later("machine types are not known yet"));
         }
-        if let Some(refusal) = self.refusal(here) {
-            return self.unless_known(id, refusal, here);
+        if let Some(refusal) = self.refusal(view) {
+            return self.unless_known(id, refusal, view);
         }
         match &self.parsed {
             Ok(spec) if !spec.needs.is_empty() => {
                 self.at = At::Needs;
                 Next::Look(spec.needs.clone())
             }
-            _ => self.accept_alone(here),
+            _ => self.accept_alone(view),
         }
     }
 
-    fn accept_alone(&mut self, here: &mut Here) -> Next {
+    fn accept_alone(&mut self, view: &mut NodeView) -> Next {
         let Ok(spec) = &self.parsed else {
             return Next::Answer(Answer::later(NO_LEADER));
         };
-        let state = &here.settings.cluster.state;
-        let most = match here.upgraded {
+        let state = &view.settings.cluster.state;
+        let most = match view.upgraded {
             true => state.always().value_kb,
             false => state.value_kb,
         };
@@ -305,7 +311,7 @@
             let why = "so long a description needs a leader";
             return Next::Answer(Answer::later(why));
         }
-        let record = JobRecord::new(spec.clone(), here.wall_ms);
+        let record = JobRecord::new(spec.clone(), view.wall_ms);
         let txn = acceptance_with_notice(&record);
         self.at = At::Record(None, Box::new(record));
         Next::Write(txn, false)
@@ -317,20 +323,20 @@
         term: Option<u64>,
         record: Box<JobRecord>,
         result: TxnResult,
-        here: &mut Here,
+        view: &mut NodeView,
     ) -> Next {
         match (result, term) {
             (TxnResult::Done(version), _) => {
                 // Whether or not this node still leads, it is recorded, and
                 // whoever leads next reads it.
-                let (status, now) = (record.status(), here.now);
-                if let Some(l) = term.and_then(|t| here.of_term(t)) {
+                let (status, now) = (record.status(), view.now);
+                if let Some(l) = term.and_then(|t| view.of_term(t)) {
                     l.accepted(*record, version, now);
                 }
                 Next::Answer(Answer::State(201, status))
             }
             (TxnResult::Conflict(failed), _) if !failed.iter().any(|k| k == LEADER) => {
-                self.unless_known(id, Answer::later("try again"), here)
+                self.unless_known(id, Answer::later("try again"), view)
             }
             (TxnResult::Unknown, Some(term)) => {
                 self.at = At::Unsettled(term);
--- a/src/coordination/answers/tests.rs
+++ b/src/coordination/answers/tests.rs
@@ -51,7 +51,7 @@
 fn step_at(now: Ms, request: &mut Request, event: Event, finals: &mut Finals) -> Next {
     request.step(
         event,
-        &mut Here {
+        &mut NodeView {
             leader: None,
             acts: false,
             finals,
@@ -166,32 +166,32 @@
 /// then another node may have told the end.
 #[test]
 fn a_reading_that_is_too_old_is_read_again_and_not_for_ever() {
-    for late in [FRESH, FRESH + 1] {
+    for late in [MAX_READING_AGE_MS, MAX_READING_AGE_MS + 1] {
         let mut finals = Finals::default();
         let mut poll = Request::poll(ID);
         step_at(0, &mut poll, Event::Begin, &mut finals);
         let told = told(Some(JobState::Running));
         let next = step_at(late, &mut poll, told, &mut finals);
-        if late == FRESH {
+        if late == MAX_READING_AGE_MS {
             assert_eq!(state_of(next), JobState::Running);
             continue;
         }
         assert!(matches!(next, Next::ReadState), "{next:?}");
         let again = read_at(late, JobState::Queued);
-        let next = step_at(late + FRESH, &mut poll, again, &mut finals);
+        let next = step_at(late + MAX_READING_AGE_MS, &mut poll, again, &mut finals);
         assert_eq!(state_of(next), JobState::Queued);
     }
     let mut finals = Finals::default();
     let mut poll = Request::poll(ID);
     step_at(0, &mut poll, Event::Begin, &mut finals);
     let (mut now, mut event) = (0, told(Some(JobState::Running)));
-    for _ in 0..MOST_STALE {
-        now += 2 * FRESH;
+    for _ in 0..request::MOST_STALE {
+        now += 2 * MAX_READING_AGE_MS;
         let next = step_at(now, &mut poll, event, &mut finals);
         assert!(matches!(next, Next::ReadState), "{next:?}");
         event = read_at(now, JobState::Running);
     }
-    let next = step_at(now + 2 * FRESH, &mut poll, event, &mut finals);
+    let next = step_at(now + 2 * MAX_READING_AGE_MS, &mut poll, event, &mut finals);
     assert!(matches!(next, Next::Answer(Answer::Later(_))), "{next:?}");
 }
 
@@ -205,10 +205,10 @@
     step_at(0, &mut submit, Event::Begin, &mut finals);
     let refused = Answer::Refused(400, "pieces is missing".into());
     let event = Event::Forwarded(Some(refused));
-    let next = step_at(FRESH + 1, &mut submit, event, &mut finals);
+    let next = step_at(MAX_READING_AGE_MS + 1, &mut submit, event, &mut finals);
     assert!(matches!(next, Next::ReadState), "{next:?}");
-    let known = read_at(FRESH + 1, JobState::Queued);
-    let next = step_at(FRESH + 10, &mut submit, known, &mut finals);
+    let known = read_at(MAX_READING_AGE_MS + 1, JobState::Queued);
+    let next = step_at(MAX_READING_AGE_MS + 10, &mut submit, known, &mut finals);
     assert_eq!(state_of(next), JobState::Queued);
 }
 
@@ -223,7 +223,7 @@
     let Next::Wait(held) = step_at(10, &mut poll, read, &mut finals) else {
         panic!("told at once");
     };
-    assert!(held > FRESH && poll.is_held());
+    assert!(held > MAX_READING_AGE_MS && poll.is_held());
     let next = step_at(10 + held, &mut poll, Event::Waited, &mut finals);
     assert_eq!(state_of(next), JobState::Done);
     let mut again = Request::poll(ID);
--- a/src/coordination/answers/withdraw.rs
+++ b/src/coordination/answers/withdraw.rs
@@ -18,53 +18,53 @@
         id: &str,
         forwarded: bool,
         event: Event,
-        here: &mut Here,
+        view: &mut NodeView,
     ) -> Next {
         match event {
             Event::Begin if id.is_empty() => Next::Answer(Answer::Refused(404, NO_SUCH.into())),
-            Event::Begin => match (here.end_of(id), here.acting()) {
+            Event::Begin => match (view.end_of(id), view.acting()) {
                 (Some(status), _) => Next::Answer(Answer::known(status)),
                 (None, Some(l)) if !l.loaded() => Next::Answer(Answer::later(UNREAD)),
-                (None, Some(_)) => self.look(id, here),
+                (None, Some(_)) => self.look(id, view),
                 (None, None) if forwarded => Next::NotLeading,
                 (None, None) => Next::Forward,
             },
             Event::Forwarded(Some(answer)) => Next::Answer(answer),
             Event::Forwarded(None) => Next::Answer(Answer::later(NO_LEADER)),
-            Event::Looked(found) => match (looked(id, found, here), here.acts) {
+            Event::Looked(found) => match (looked(id, found, view), view.acts) {
                 (_, false) => Next::Answer(Answer::later(LOST)),
                 (Ok(Some(status)), _) if status.state.is_final() => {
                     Next::Answer(Answer::known(status))
                 }
-                (Ok(Some(_)), _) => self.mark(id, here),
+                (Ok(Some(_)), _) => self.mark(id, view),
                 (Ok(None), _) => Next::Answer(Answer::Refused(404, NO_SUCH.into())),
                 (Err(answer), _) => Next::Answer(answer),
             },
-            Event::Waited => self.look(id, here),
+            Event::Waited => self.look(id, view),
             other => out_of_place(&other),
         }
     }
 
-    fn look(&mut self, id: &str, here: &mut Here) -> Next {
-        let Some(l) = here.acting() else {
+    fn look(&mut self, id: &str, view: &mut NodeView) -> Next {
+        let Some(l) = view.acting() else {
             return Next::Answer(Answer::later(LOST));
         };
         // Its end is on its way to the record: that is waited for.
         if l.is_closing(id) {
-            return self.mark(id, here);
+            return self.mark(id, view);
         }
         match l.told(id) {
             Some(status) if status.state.is_final() => Next::Answer(Answer::known(status)),
-            Some(_) => self.mark(id, here),
+            Some(_) => self.mark(id, view),
             None if l.is_withheld(id) => Next::Answer(Answer::later(WITHHELD)),
             None => Next::Look(vec![id.to_owned()]),
         }
     }
 
-    fn mark(&mut self, id: &str, here: &mut Here) -> Next {
-        let began = *self.began.get_or_insert(here.now);
-        let late = here.now > began + PATIENCE;
-        match here.acting() {
+    fn mark(&mut self, id: &str, view: &mut NodeView) -> Next {
+        let began = *self.began.get_or_insert(view.now);
+        let late = view.now > began + PATIENCE;
+        match view.acting() {
             Some(l) if !late => {
                 l.cancel(id);
                 Next::Wait(PAUSE)
--- a/src/coordination/bars.rs
+++ b/src/coordination/bars.rs
@@ -24,9 +24,9 @@
 
 /// Life of the lease behind the bars: as long as outages are to be outlasted,
 /// and how long a node may have to wait if it comes back alone.
-pub const LIFE: Ms = 25_000;
+pub const LEASE_LIFE_MS: Ms = 25_000;
 /// Between two renewals of it.
-const TOUCH: Ms = 4_000;
+const TOUCH_EVERY_MS: Ms = 4_000;
 
 /// What to do next about bars. Done one at a time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -147,8 +147,8 @@
             self.open.clear();
         }
         self.lease = Some(lease);
-        self.until = sent + at_least(LIFE);
-        self.touch_at = sent + TOUCH;
+        self.until = sent + at_least(LEASE_LIFE_MS);
+        self.touch_at = sent + TOUCH_EVERY_MS;
     }
 
     /// The lease has ended, and all bars with it.
@@ -221,9 +221,9 @@
         assert!(bars.stands(1, 9200) && !bars.stands(0, 9200));
         assert_eq!(bars.next(&reach, 9300), None);
         assert_eq!(bars.next(&reach, 13_000), Some(Step::Lease(Some(7))));
-        assert!(!bars.stands(1, 9000 + LIFE));
+        assert!(!bars.stands(1, 9000 + LEASE_LIFE_MS));
         bars.leased(7, 13_000);
-        assert!(bars.stands(1, 9000 + LIFE));
+        assert!(bars.stands(1, 9000 + LEASE_LIFE_MS));
         // It is back: not counted from before the key is dropped.
         reach.asked(1, 14_000);
         reach.ended(1, Contact::Answers, 14_000);
--- a/src/coordination/bounds.rs
+++ b/src/coordination/bounds.rs
@@ -11,12 +11,12 @@
 
 /// A state that is not final leaves a node no later than this after its reading
 /// was begun.
-pub const FRESH: Ms = 500;
+pub const MAX_READING_AGE_MS: Ms = 500;
 
 /// After a node has learned of a job's end, every older answer of any node has
 /// left that node by then, and reached its user over an ordinary way.
-pub fn hold() -> Ms {
-    at_most(FRESH)
+pub fn end_hold_ms() -> Ms {
+    at_most(MAX_READING_AGE_MS)
 }
 
 fn slack(span: Ms) -> Ms {
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -7,26 +7,26 @@
 use crate::bookkeeping::Ms;
 
 /// Life of the lease behind the leader's key.
-pub const LIFE: Ms = 4000;
+pub const LEASE_LIFE_MS: Ms = 4000;
 /// How long it holds what was last read or told of who leads.
-const HEARSAY: Ms = 2_000;
+const HEARSAY_MS: Ms = 2_000;
 /// How long a node that is placed poorly leaves the lead to others.
-const HESITATE: Ms = 500;
+const HESITATE_MS: Ms = 500;
 /// The same for one that gives up the lead for its place.
-const STAND_BACK: Ms = 1500;
-const ONCE_IN: Ms = 120_000;
+const STAND_BACK_MS: Ms = 1500;
+const STAND_BACK_EVERY_MS: Ms = 120_000;
 /// How long it waits for a standby to be warm first.
-const AWAIT_WARM: Ms = 5_000;
+const AWAIT_WARM_MS: Ms = 5_000;
 /// How long a promise not to seek leadership holds.
-pub const PROMISE: Ms = 1300;
+pub const PROMISE_MS: Ms = 1300;
 
 /// How long the answer to a renewal is waited for: where the state service is
 /// slow, others are asked meanwhile, and it counts from when it was sent.
-pub const RENEWAL: Ms = 2_500;
+pub const RENEWAL_TIMEOUT_MS: Ms = 2_500;
 /// How long a step of seeking the lead may take.
-pub const SEEK: Ms = 1_200;
+pub const SEEK_STEP_MS: Ms = 1_200;
 /// How long a node that is asked for a promise waits for the state service.
-pub const LOOK: Ms = 400;
+pub const PROMISE_CHECK_MS: Ms = 400;
 
 /// How another node answered, asked by a leader that can't reach the state
 /// service.
@@ -53,7 +53,7 @@
     /// refused alone.
     Alone,
     /// It may have missed withdrawals for as long as it may.
-    Blind,
+    WithdrawalsUnknown,
 }
 
 #[derive(Debug)]
@@ -188,7 +188,7 @@
         let newer = |a: &(String, u64), b: &Option<(String, u64)>| {
             b.as_ref().is_none_or(|(_, term)| a.1 >= *term)
         };
-        let stale = now > self.told_at + HEARSAY;
+        let stale = now > self.told_at + HEARSAY_MS;
         if let Some(leader) = leader.filter(|l| stale || newer(l, &self.told)) {
             self.told = Some(leader);
             self.told_at = now;
@@ -200,9 +200,9 @@
     /// is cut off from the state service and sends workers to any other,
     /// though that may be a leader which can't hear them.
     pub fn leader(&self, now: Ms) -> Option<(&str, u64)> {
-        let read = now <= self.seen_at + HEARSAY;
+        let read = now <= self.seen_at + HEARSAY_MS;
         let told = self.told.as_ref();
-        let told = told.filter(|_| !read && now <= self.told_at + HEARSAY);
+        let told = told.filter(|_| !read && now <= self.told_at + HEARSAY_MS);
         let latest = self.seen.iter().chain(told).max_by_key(|(_, term)| *term);
         latest.map(|(name, term)| (name.as_str(), *term))
     }
@@ -215,7 +215,7 @@
             || self.doubt.is_some()
             || now < self.promised_until
             || now < self.abstain_until
-            || now < self.started + at_most(PROMISE)
+            || now < self.started + at_most(PROMISE_MS)
         {
             return None;
         }
@@ -229,7 +229,7 @@
     /// Whether a node that may seek the lead leaves it to others first.
     pub fn hesitates(&mut self, now: Ms, poor_place: impl Fn() -> bool) -> bool {
         let since = *self.open_since.get_or_insert(now);
-        now < since + HESITATE && poor_place()
+        now < since + HESITATE_MS && poor_place()
     }
 
     /// A leader that is placed poorly lets another try, once in a while: if
@@ -241,14 +241,17 @@
             return false;
         }
         let since = *self.poor_since.get_or_insert(now);
-        if !warm && now < since + AWAIT_WARM {
+        if !warm && now < since + AWAIT_WARM_MS {
             return false;
         }
-        if self.stood_back.is_some_and(|at| now < at + ONCE_IN) {
+        if self
+            .stood_back
+            .is_some_and(|at| now < at + STAND_BACK_EVERY_MS)
+        {
             return false;
         }
         self.stood_back = Some(now);
-        self.abstain_until = now + STAND_BACK;
+        self.abstain_until = now + STAND_BACK_MS;
         true
     }
 
@@ -259,7 +262,7 @@
         self.lead = Some(Lead {
             term,
             lease,
-            until: lease_asked + at_least(LIFE),
+            until: lease_asked + at_least(LEASE_LIFE_MS),
             knows: lease_asked,
             others_served: None,
             right: Right::Renewal,
@@ -272,7 +275,7 @@
     pub fn renewed(&mut self, lease: u64, sent: Ms) {
         if let Some(l) = self.lead.as_mut().filter(|l| l.lease == lease) {
             self.led_at = self.led_at.max(sent);
-            l.until = l.until.max(sent + at_least(LIFE));
+            l.until = l.until.max(sent + at_least(LEASE_LIFE_MS));
             l.knows = l.knows.max(sent);
             l.others_served = None;
             l.right = Right::Renewal;
@@ -322,7 +325,7 @@
             if evident {
                 l.knows = l.knows.max(sent);
             }
-            let promised = (sent + at_least(PROMISE)).min(most);
+            let promised = (sent + at_least(PROMISE_MS)).min(most);
             let promised = promised.min(l.knows + blind);
             if promised > l.until {
                 l.until = promised;
@@ -333,7 +336,7 @@
         if acts && all {
             Extended::Yes
         } else if !acts && now >= l.knows + blind {
-            Extended::Blind
+            Extended::WithdrawalsUnknown
         } else {
             Extended::No
         }
@@ -369,7 +372,7 @@
         if !state_fails || term < self.highest || self.lead.is_some() || self.doubt.is_some() {
             return false;
         }
-        if for_ms > PROMISE {
+        if for_ms > PROMISE_MS {
             return false;
         }
         self.highest = term;
@@ -451,10 +454,13 @@
         assert!((49_000 + blind..50_200 + blind).contains(&end), "{end}");
         // Where the settings leave no time, none is given beyond the lease.
         let end = acts_until(&mut led(14.0), 10_000, |_| [OLD, YOUNG]);
-        assert!(end <= 10_000 + LIFE, "{end}");
+        assert!(end <= 10_000 + LEASE_LIFE_MS, "{end}");
         let mut e = led(35.0);
         acts_until(&mut e, 10_000, |_| [OLD, YOUNG]);
-        assert_eq!(e.extend(31_000, [OLD, OLD], 31_001), Extended::Blind);
+        assert_eq!(
+            e.extend(31_000, [OLD, OLD], 31_001),
+            Extended::WithdrawalsUnknown
+        );
         assert_eq!(e.authority(31_001), None);
     }
 
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -26,7 +26,7 @@
 mod zones;
 
 use super::{
-    bounds::{Bounds, hold},
+    bounds::{Bounds, end_hold_ms},
     dispatch,
     placement::{
         self, Policy,
@@ -517,12 +517,12 @@
 
     /// It was learned now.
     pub fn remember_final(&mut self, status: &JobStatus, now: Ms) {
-        self.finals.remember(status, now + hold());
+        self.finals.remember(status, now + end_hold_ms());
     }
 
     /// The job's state as another node may tell it at once. An end is held back
     /// for the time that older answers may take.
-    pub fn told_by_others(&mut self, id: &str, now: Ms) -> Option<JobStatus> {
+    pub fn tellable_by_peers(&mut self, id: &str, now: Ms) -> Option<JobStatus> {
         let status = self.told(id)?;
         self.remember_final(&status, now);
         let held = self.finals.tell_at(id).is_some_and(|at| now < at);
--- a/src/node/bars.rs
+++ b/src/node/bars.rs
@@ -5,7 +5,7 @@
     bookkeeping::records::{BARS, LEADER},
     coordination::{
         answers::TxnResult,
-        bars::{Bars, LIFE, Step, bar_txn, lift_txn},
+        bars::{Bars, LEASE_LIFE_MS, Step, bar_txn, lift_txn},
     },
     protocol::state::{LeaseGranted, Txn},
 };
@@ -58,7 +58,7 @@
         let sent = self.now();
         match step {
             Step::Lease(None) => {
-                let body = serde_json::json!({ "life_ms": LIFE }).to_string();
+                let body = serde_json::json!({ "life_ms": LEASE_LIFE_MS }).to_string();
                 let body = Some(body.into_bytes());
                 let answer = self.state(Method::Post, "/leases", body, USUAL).await;
                 let granted = answer
--- a/src/node/lead/keep.rs
+++ b/src/node/lead/keep.rs
@@ -3,11 +3,14 @@
 
 use super::{
     super::{Node, store::OVER_LIMIT},
-    PROBE, Stop,
+    PROBE_TIMEOUT, Stop,
 };
 use crate::{
     bookkeeping::records::LEADER,
-    coordination::election::{Election, Extended, LIFE, LOOK, Lead, PROMISE, Promised, RENEWAL},
+    coordination::election::{
+        Election, Extended, LEASE_LIFE_MS, Lead, PROMISE_CHECK_MS, PROMISE_MS, Promised,
+        RENEWAL_TIMEOUT_MS,
+    },
     protocol::peers::{Reply, Request},
     transport::{client::CallError, within},
 };
@@ -16,9 +19,9 @@
 use std::{rc::Rc, time::Duration};
 
 /// How long a node that was cut off lets the others lead, in milliseconds.
-const ABSTAIN: u64 = 15_000;
+const ABSTAIN_MS: u64 = 15_000;
 /// What the renewal may take that is tried last, once another node is served.
-const SECOND_TRY: Duration = Duration::from_millis(300);
+const SECOND_TRY_TIMEOUT: Duration = Duration::from_millis(300);
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Touch {
@@ -39,7 +42,7 @@
         // tried beside that: promises are too short to wait for it first.
         if !self.renewals_fail.get() {
             let mut renewal = self.renew(lead);
-            match within(PROBE, &mut renewal).await {
+            match within(PROBE_TIMEOUT, &mut renewal).await {
                 Some(Touch::Renewed) => return self.settle_in(lead).await,
                 Some(Touch::Lost) => return Duration::ZERO,
                 Some(Touch::Busy) => return Duration::from_millis(100),
@@ -73,7 +76,7 @@
         self.greet_other_zones(lead.term);
         if self.hears_nobody(lead.term).await {
             let now = self.now();
-            self.election.borrow_mut().abstain(now + ABSTAIN);
+            self.election.borrow_mut().abstain(now + ABSTAIN_MS);
             self.resign(lead.term, Stop::HearsNobody);
             return Duration::from_millis(500);
         }
@@ -85,7 +88,7 @@
             self.resign(lead.term, Stop::PoorPlace);
             return Duration::from_millis(500);
         }
-        Duration::from_millis(LIFE / 4)
+        Duration::from_millis(LEASE_LIFE_MS / 4)
     }
 
     /// Begins a renewal. What comes of it holds whoever waits for it, also if
@@ -126,7 +129,7 @@
         let ask = |peer| {
             let (node, request) = (self.clone(), request.clone());
             self.lanes
-                .spawn(async move { node.ask(peer, &request, PROBE).await })
+                .spawn(async move { node.ask(peer, &request, PROBE_TIMEOUT).await })
         };
         let peers = 0..self.settings.peers.len();
         peers.filter(|p| !but.contains(p)).map(ask).collect()
@@ -140,7 +143,11 @@
             let (node, zone) = (self.clone(), p.zone.clone());
             self.lanes
                 .spawn(async move {
-                    if node.ask(peer, &Request::greeting(), PROBE).await.is_ok() {
+                    if node
+                        .ask(peer, &Request::greeting(), PROBE_TIMEOUT)
+                        .await
+                        .is_ok()
+                    {
                         node.of_term(term, |l, now| l.controller_heard(&zone, now));
                     }
                 })
@@ -177,7 +184,7 @@
         let now = self.now();
         self.requests.borrow_mut().force(now, 1.0);
         let path = format!("/leases/{lease}/touch");
-        let limit = Duration::from_millis(RENEWAL);
+        let limit = Duration::from_millis(RENEWAL_TIMEOUT_MS);
         match self.state(Method::Post, &path, None, limit).await {
             Ok(a) if a.status == 200 => Touch::Renewed,
             Ok(a) if a.status == 404 => Touch::Lost,
@@ -201,7 +208,7 @@
         let request = Request::Promise {
             term: lead.term,
             leader: self.settings.name.clone(),
-            for_ms: PROMISE,
+            for_ms: PROMISE_MS,
         };
         // A barred node can't seek anything, and would take a time-out.
         let (barred, until) = {
@@ -232,16 +239,16 @@
                 log::debug!("promises are missing, or came too late");
                 again.detach();
             }
-            Extended::Blind => {
+            Extended::WithdrawalsUnknown => {
                 again.detach();
-                self.resign(lead.term, Stop::Blind);
+                self.resign(lead.term, Stop::WithdrawalsUnknown);
                 return Duration::from_millis(500);
             }
             Extended::Alone => {
                 again.detach();
                 let begun = self.now();
                 let mut last = self.renew(lead);
-                match within(SECOND_TRY, &mut last).await {
+                match within(SECOND_TRY_TIMEOUT, &mut last).await {
                     Some(Touch::Renewed | Touch::Lost | Touch::Busy) => {}
                     failed @ (Some(Touch::Failed) | None) => {
                         if failed.is_none() {
@@ -263,7 +270,7 @@
         let state_ok = {
             let now = self.now();
             self.requests.borrow_mut().force(now, 1.0);
-            let limit = Duration::from_millis(LOOK);
+            let limit = Duration::from_millis(PROMISE_CHECK_MS);
             match self.get(LEADER, limit).await {
                 Ok(_) => true,
                 Err(e) => {
--- a/src/node/lead/load.rs
+++ b/src/node/lead/load.rs
@@ -22,7 +22,7 @@
 };
 
 /// A watch waits for 20 s.
-const WATCH: Duration = Duration::from_secs(25);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 
 /// Reads the records of a new term.
 pub(super) async fn load(node: Rc<Node>, term: u64) {
@@ -48,7 +48,7 @@
             let now = self.now();
             self.requests.borrow_mut().force(now, 1.0);
             let answer = self
-                .state(Method::Get, &notices.path(20_000), None, WATCH)
+                .state(Method::Get, &notices.path(20_000), None, WATCH_TIMEOUT)
                 .await;
             let next = match &answer {
                 Ok(a) => notices.answered(a.status, &a.body),
--- a/src/node/lead/mod.rs
+++ b/src/node/lead/mod.rs
@@ -11,7 +11,7 @@
 use std::{rc::Rc, time::Duration};
 
 /// For a question to all other nodes, and for a renewal.
-const PROBE: Duration = Duration::from_millis(700);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Why a leader stops: for the log, `status` and the figures.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,7 +19,7 @@
     LeaseEnded,
     Replaced,
     RefusedAlone,
-    Blind,
+    WithdrawalsUnknown,
     HearsNobody,
     PoorPlace,
 }
@@ -30,7 +30,9 @@
             Stop::LeaseEnded => "its lease has ended",
             Stop::Replaced => "another node leads",
             Stop::RefusedAlone => "the state service fails this node alone",
-            Stop::Blind => "for too long nobody could show that it knows of all withdrawals",
+            Stop::WithdrawalsUnknown => {
+                "for too long nobody could show that it knows of all withdrawals"
+            }
             Stop::HearsNobody => "neither workers nor controllers are heard",
             Stop::PoorPlace => "the node that workers try after this one is silent",
         }
@@ -38,7 +40,10 @@
 
     /// Whether its key may be replaced at once: the others are told.
     fn is_told(self) -> bool {
-        matches!(self, Stop::RefusedAlone | Stop::Blind | Stop::PoorPlace)
+        matches!(
+            self,
+            Stop::RefusedAlone | Stop::WithdrawalsUnknown | Stop::PoorPlace
+        )
     }
 }
 
@@ -78,7 +83,7 @@
         let node = self.clone();
         self.lanes
             .spawn(async move {
-                node.end_lease(lead.lease, PROBE).await;
+                node.end_lease(lead.lease, PROBE_TIMEOUT).await;
             })
             .detach();
         if why.is_told() {
--- a/src/node/lead/seek.rs
+++ b/src/node/lead/seek.rs
@@ -1,12 +1,12 @@
 //! A node that does not lead: watches the leader's key, and takes the lead where
 //! nobody holds it.
 
-use super::{super::Node, PROBE, load::load};
+use super::{super::Node, PROBE_TIMEOUT, load::load};
 use crate::{
     bookkeeping::records::{self, LEADER, LeaderRecord},
     coordination::{
         answers::TxnResult,
-        election::{LIFE, SEEK},
+        election::{LEASE_LIFE_MS, SEEK_STEP_MS},
         leader::Leader,
     },
     protocol::state::{Guard, LeaseGranted, Txn, Write},
@@ -15,15 +15,15 @@
 use std::{rc::Rc, time::Duration};
 
 /// How long a barred node waits before it tries again, in milliseconds.
-const BARRED: u64 = 1_000;
+const BARRED_PAUSE_MS: u64 = 1_000;
 /// A step of seeking the lead.
-const STEP: Duration = Duration::from_millis(SEEK);
+const STEP_TIMEOUT: Duration = Duration::from_millis(SEEK_STEP_MS);
 
 impl Node {
     async fn read_leader(&self) -> Result<(), String> {
         let now = self.now();
         self.requests.borrow_mut().force(now, 1.0);
-        let item = self.get(LEADER, STEP).await?;
+        let item = self.get(LEADER, STEP_TIMEOUT).await?;
         let seen = item.and_then(|i| {
             let record: LeaderRecord = serde_json::from_value(i.value).ok()?;
             Some((record.node, i.version))
@@ -46,7 +46,7 @@
         let doubt = self.election.borrow().doubt;
         if let Some(lease) = doubt {
             // End the lease of the attempt, so that it can't succeed late.
-            if self.end_lease(lease, PROBE).await {
+            if self.end_lease(lease, PROBE_TIMEOUT).await {
                 self.election.borrow_mut().doubt = None;
             }
             return soon;
@@ -82,10 +82,13 @@
     async fn acquire(self: &Rc<Self>, version: u64) {
         let asked = self.now();
         self.requests.borrow_mut().force(asked, 2.0);
-        let body = serde_json::json!({ "life_ms": LIFE })
+        let body = serde_json::json!({ "life_ms": LEASE_LIFE_MS })
             .to_string()
             .into_bytes();
-        let granted = match self.state(Method::Post, "/leases", Some(body), STEP).await {
+        let granted = match self
+            .state(Method::Post, "/leases", Some(body), STEP_TIMEOUT)
+            .await
+        {
             Ok(a) if a.status == 200 => serde_json::from_slice::<LeaseGranted>(&a.body).ok(),
             _ => None,
         };
@@ -120,9 +123,9 @@
                 lease: Some(lease),
             }],
         };
-        let term = match self.txn(&txn, STEP).await {
+        let term = match self.txn(&txn, STEP_TIMEOUT).await {
             TxnResult::Done(revision) => Some(revision),
-            TxnResult::Unknown => match self.get(LEADER, STEP).await {
+            TxnResult::Unknown => match self.get(LEADER, STEP_TIMEOUT).await {
                 Ok(Some(i))
                     if serde_json::from_value::<LeaderRecord>(i.value.clone())
                         .is_ok_and(|r| r == record) =>
@@ -136,7 +139,7 @@
                 election.doubt = None;
                 if matches!(&other, TxnResult::Conflict(f) if f.contains(&bar)) {
                     log::info!("barred from leading, as this node hung");
-                    election.abstain(self.now() + BARRED);
+                    election.abstain(self.now() + BARRED_PAUSE_MS);
                 }
                 return;
             }
--- a/src/node/polls.rs
+++ b/src/node/polls.rs
@@ -201,7 +201,7 @@
     /// Polls at other nodes.
     pub(super) fn polled_here(&self, ids: &[String]) -> Reply {
         let ids = &ids[..ids.len().min(MOST)];
-        match self.here(|here| polled(here, ids)) {
+        match self.view(|view| polled(view, ids)) {
             Some(answers) => Reply::Polled(answers),
             None => Reply::NotLeader,
         }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::{
     bookkeeping::Ms,
-    coordination::answers::{Answer, Event, Here, Next, Request as Asked},
+    coordination::answers::{Answer, Event, Next, NodeView, Request as Asked},
     protocol::peers::{Reply, Request},
     transport::server::HttpResponse,
 };
@@ -137,15 +137,15 @@
     }
 
     fn step(&self, request: &mut Asked, event: Event) -> Next {
-        self.here(|here| request.step(event, here))
+        self.view(|view| request.step(event, view))
     }
 
     /// What this node knows now of what users ask.
-    pub(super) fn here<T>(&self, f: impl FnOnce(&mut Here) -> T) -> T {
+    pub(super) fn view<T>(&self, f: impl FnOnce(&mut NodeView) -> T) -> T {
         let (now, wall_ms) = (self.now(), self.wall_ms());
         let term = self.election.borrow().authority(now);
         let mut leader = self.leader.borrow_mut();
-        let result = f(&mut Here {
+        let result = f(&mut NodeView {
             acts: term.is_some() && leader.as_ref().map(|l| l.term) == term,
             leader: leader.as_mut(),
             finals: &mut self.finals.borrow_mut(),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -32,7 +32,10 @@
         answers::{Answer, TxnResult, final_status},
         bars::{self, Bars, Step, bar_txn, lift_txn},
         bounds::Bounds,
-        election::{Election, Extended, LIFE, LOOK, PROMISE, Promised, RENEWAL, SEEK},
+        election::{
+            Election, Extended, LEASE_LIFE_MS, PROMISE_CHECK_MS, PROMISE_MS, Promised,
+            RENEWAL_TIMEOUT_MS, SEEK_STEP_MS,
+        },
         leader::{CloudOp, Direct, DirectOutcome, Leader, Plan},
         notices::{self, Notices},
         polls::Finals,
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -287,10 +287,10 @@
                 self.resign(i, false);
                 return;
             }
-            if reaches && slow <= RENEWAL {
+            if reaches && slow <= RENEWAL_TIMEOUT_MS {
                 self.renewals.push((now + slow, i, lead.lease, now));
             }
-            if reaches && slow <= LOOK {
+            if reaches && slow <= PROMISE_CHECK_MS {
                 if slow == 0 {
                     self.nodes[i].election.renewed(lead.lease, now);
                 }
@@ -314,7 +314,7 @@
                         self.resign(i, true);
                     }
                 }
-                Extended::Blind => {
+                Extended::WithdrawalsUnknown => {
                     self.blind += 1;
                     self.resign(i, true);
                 }
@@ -322,7 +322,7 @@
             }
             return;
         }
-        if !reaches || self.store.slow > SEEK {
+        if !reaches || self.store.slow > SEEK_STEP_MS {
             return;
         }
         if let Some(lease) = self.nodes[i].election.doubt {
@@ -352,7 +352,7 @@
         {
             return;
         }
-        let lease = self.store.grant(now, LIFE);
+        let lease = self.store.grant(now, LEASE_LIFE_MS);
         let incarnation = self.nodes[i].election.incarnation;
         let value = serde_json::json!({"n": format!("n{i}"), "i": incarnation});
         let txn = Txn {
@@ -438,13 +438,13 @@
             let until = bars.until();
             return Promised::Barred { until };
         }
-        let fails = !self.reaches_state(j) || self.store.slow > LOOK;
+        let fails = !self.reaches_state(j) || self.store.slow > PROMISE_CHECK_MS;
         if self.contact(i, j) != Some(Contact::Answers) {
             return Promised::No;
         }
         let old = self.old.contains(&j);
         let election = &mut self.nodes[j].election;
-        match election.grant(now, term, PROMISE, fails) {
+        match election.grant(now, term, PROMISE_MS, fails) {
             true => Promised::Yes {
                 begun: (!old).then(|| Election::begun(election.running(now), now)),
             },
@@ -476,7 +476,7 @@
                         (Some(_), None) => self.nodes[i].bars.lost(),
                         (_, Some(lease)) => self.nodes[i].bars.leased(lease, now),
                         (None, None) => {
-                            let lease = self.store.grant(now, bars::LIFE);
+                            let lease = self.store.grant(now, bars::LEASE_LIFE_MS);
                             self.nodes[i].bars.leased(lease, now);
                         }
                     }
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -6,9 +6,9 @@
 use pathwinch::{
     bookkeeping::budget::share::{self, Role},
     coordination::answers::{
-        Event, Found, Here, Looked, Next, Reading, Request, TxnResult, polled,
+        Event, Found, Looked, Next, NodeView, Reading, Request, TxnResult, polled,
     },
-    coordination::bounds::FRESH,
+    coordination::bounds::MAX_READING_AGE_MS,
 };
 
 /// What a user asks.
@@ -142,11 +142,11 @@
 impl World {
     // ---- what nodes know and do ----
 
-    fn here<T>(&mut self, i: usize, now: Ms, f: impl FnOnce(&mut Here) -> T) -> T {
+    fn view<T>(&mut self, i: usize, now: Ms, f: impl FnOnce(&mut NodeView) -> T) -> T {
         let types = if self.no_types { Vec::new() } else { types() };
         let node = &mut self.nodes[i];
         let term = node.election.authority(now);
-        f(&mut Here {
+        f(&mut NodeView {
             acts: term.is_some() && node.leader.as_ref().map(|l| l.term) == term,
             leader: node.leader.as_mut(),
             finals: &mut node.finals,
@@ -267,7 +267,7 @@
         let mut now = self.now;
         let mut event = Event::Begin;
         loop {
-            event = match self.here(i, now, |here| request.step(event, here)) {
+            event = match self.view(i, now, |view| request.step(event, view)) {
                 Next::Answer(answer) => return Ok(Some(answer)),
                 Next::NotLeading | Next::Over => return Ok(None),
                 // An end that is held back is waited for, nothing else.
@@ -280,7 +280,7 @@
                 Next::AskLeader => {
                     let status = self.leader_for(i, now).and_then(|l| {
                         let ids = [ask.id().to_owned()];
-                        let known = self.here(l, now, |here| polled(here, &ids))?.pop()?;
+                        let known = self.view(l, now, |view| polled(view, &ids))?.pop()?;
                         known.map(|k| status_of(&ids[0], k))
                     });
                     told(now, status)
@@ -399,14 +399,14 @@
         let slow = self.store.slow;
         let (soon, next) = match std::mem::replace(&mut f.comes, Comes::Answer(None)) {
             Comes::Event(event) => {
-                let next = self.here(i, now, |here| f.request.step(event, here));
+                let next = self.view(i, now, |view| f.request.step(event, view));
                 self.asks_for(&mut f, next)
             }
             Comes::AtLeader(l, began) => {
                 let answers = self.reaches(l) && self.link(i, End::Node(l)) == Link::Up;
                 let ids = [f.ask.id().to_owned()];
                 let known = match answers {
-                    true => self.here(l, now, |here| polled(here, &ids)),
+                    true => self.view(l, now, |view| polled(view, &ids)),
                     false => None,
                 };
                 let known = known.and_then(|mut k| k.pop()?);
@@ -549,7 +549,9 @@
                 // A submission that is refused was never known.
                 // One may cross the acceptance, within the bound for answers.
                 let known = self.desk.said.get(&id).and_then(|s| s.accepted);
-                let late = self.now.saturating_sub(FRESH + self.desk.way + 2 * STEP);
+                let late = self
+                    .now
+                    .saturating_sub(MAX_READING_AGE_MS + self.desk.way + 2 * STEP);
                 match known.is_some_and(|(order, at)| order < sent || at < late) {
                     true => self.broken.push(format!("forgotten: {id}: {status} {why}")),
                     false => self.desk.refusals_overtaken += u32::from(known.is_some()),
