No connection is kept between requests as connections get scarce

Need: about 4,000 machines at controllers with the sockets of 600. Each worker holds a connection that it uses every few seconds; the others find none, are sent on with 503 and lose their leases or are never used.

Change: from nine tenths of its connections on the server answers with connection: close, so that those left serve all who call.

Test: thirty callers at a limit of ten, all answered.

--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -75,10 +75,23 @@
 struct Server<F> {
     lanes: Rc<Lanes>,
     limits: Limits,
+    used: Rc<Cell<usize>>,
     others: Rc<Cell<usize>>,
     handler: F,
 }
 
+/// From so many tenths of its connections on a server is crowded.
+const CROWDED_TENTHS: usize = 9;
+
+impl<F> Server<F> {
+    /// Few connections are left: none is kept between requests. Guards against
+    /// callers beyond the limit that never find one, while each of the others
+    /// holds one that it seldom uses.
+    fn is_crowded(&self) -> bool {
+        10 * self.used.get() >= CROWDED_TENTHS * self.limits.connections
+    }
+}
+
 pub async fn serve<F, Fut>(
     lanes: Rc<Lanes>,
     addr: SocketAddr,
@@ -111,6 +124,7 @@
     let server = Rc::new(Server {
         lanes,
         limits,
+        used: used.clone(),
         others: Rc::default(),
         handler,
     });
@@ -184,6 +198,7 @@
     loop {
         let (method, close) = (next.request.method, next.close);
         let answer = (server.handler)(next.request).await;
+        let close = close || server.is_crowded();
         match respond(&mut stream, answer, method, close).await {
             Ok(true) => {}
             Ok(false) => return,
