--- a/tests/scheduling_cycles.rs
+++ b/tests/scheduling_cycles.rs
@@ -1,58 +1,24 @@
 //! Stories of passes of placement that are interrupted: what happens in
 //! between is taken in, and nobody is served out of order.
 
+mod leader_fixtures;
+
+use leader_fixtures::{
+    CORES, accept, accept_with_cores, accept_with_priority, record, report, report_in_term, unheard,
+};
 use pathwinch::{
     control::leader::Leader,
-    options::Options,
-    protocol::{
-        settings::Settings,
-        users::JobSpec,
-        workers::{ExitReason, Heartbeat, TaskState, TaskStatus},
-    },
-    state::records::{JobRecord, MachineRecord},
+    protocol::workers::{ExitReason, TaskState, TaskStatus},
 };
-use std::{collections::BTreeSet, rc::Rc};
+use std::collections::BTreeSet;
 
 const MACHINES: usize = 40;
-/// Tasks of one core that a machine takes.
-const CORES: usize = 100;
 /// Steps that a pass makes before reports are answered.
 const STEPS: u32 = 1_000;
 
-fn settings() -> Settings {
-    Settings::parse(
-        r#"{"host_name":"n0","area":"a","listen":"127.0.0.1:1","back":"127.0.0.1:2",
-            "known":[],"outside":{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"},
-            "cluster":{"zones":["a"],"teams":[{"name":"t"}],
-            "workers":{"report_s":1.0,"lease_s":10.0,"gang_wait_s":45.0,
-                       "gang_peer_s":5.0,"cancel_s":35.0},
-            "state":{"rps":200.0,"write_rps":80.0,"value_kb":8.0,"txn_ops":12},
-            "cloud":{"rps":5.0,"list_lag_s":3.0},"quota":{"max_sockets":600}}}"#,
-    )
-    .unwrap()
-}
-
-fn machine(number: usize) -> String {
-    format!("i-{number:06}")
-}
-
-fn report(number: usize, tick: u64) -> Heartbeat {
-    report_in_term(1, number, tick)
-}
-
-fn report_in_term(term: u64, number: usize, tick: u64) -> Heartbeat {
-    let text = format!(
-        r#"{{"post":"{}","addr":"127.0.0.1:9","rig":"m","hall":"a","lendback":false,
-            "tenure":1,"tick":{tick},"baton":{},"reclaim_in_s":null,"pieces":[]}}"#,
-        machine(number),
-        term << 20,
-    );
-    serde_json::from_str(&text).unwrap()
-}
-
 /// A leader that has heard all its machines, which are empty.
 fn leader() -> Leader {
-    let mut l = unheard(1);
+    let mut l = unheard(1, MACHINES);
     l.finish_loading(0);
     for n in 0..MACHINES {
         assert!(l.on_heartbeat(&report(n, 1), 100).is_some());
@@ -61,64 +27,6 @@
     l
 }
 
-/// The leader of a term that reads its records.
-fn unheard(term: u64) -> Leader {
-    let types = format!(
-        r#"[{{"sku":"m","cores":{CORES},"memory_gb":1000.0,"local_gb":50.0,"fetch_gb_per_s":1.0,
-            "price":3.5,"market_price":1.4,"startup_s":20.0,"halls":["a"]}}]"#,
-    );
-    let types = serde_json::from_str(&types).unwrap();
-    let mut l = Leader::new(Rc::new(settings()), Options::default(), types, term, 0);
-    for n in 0..MACHINES {
-        let record = MachineRecord {
-            addr: "127.0.0.1:9".into(),
-            type_name: "m".into(),
-            zone: "a".into(),
-            spot: false,
-            releasing: false,
-            lease_expired: false,
-            quarantined: false,
-            images: Vec::new(),
-        };
-        l.load_machine(&machine(n), record, 1, 0);
-    }
-    l
-}
-
-/// Accepts a job of tasks of one core; returns its index.
-fn accept(l: &mut Leader, number: u32, run_shape: &str, tasks: u32) -> u32 {
-    accept_with_cores(l, number, run_shape, tasks, 1.0)
-}
-
-fn accept_with_cores(l: &mut Leader, number: u32, run_shape: &str, tasks: u32, cores: f64) -> u32 {
-    accept_with_priority(l, number, run_shape, "normal", tasks, cores)
-}
-
-fn accept_with_priority(
-    l: &mut Leader,
-    number: u32,
-    run_shape: &str,
-    urgency: &str,
-    tasks: u32,
-    cores: f64,
-) -> u32 {
-    let record = record(number, run_shape, urgency, tasks, cores);
-    let id = record.spec.id.clone();
-    l.accepted(record, 2, 200);
-    l.cluster.job_index(&id).unwrap()
-}
-
-fn record(number: u32, run_shape: &str, urgency: &str, tasks: u32, cores: f64) -> JobRecord {
-    let text = format!(
-        r#"{{"ref":"j-{number:06}","job_family":"c","owner_crew":"t","run_shape":"{run_shape}",
-            "urgency":"{urgency}","pieces":{tasks},"cores":{cores},"accelerators":0.0,
-            "memory_gb":1.0,"bundle":"image","image_gb":1.0,"same_place":false,"apart":false,
-            "lendback":false,"expected_s":35.0,"snapshot_every_s":0.0,"snapshot_cost_s":0.0}}"#,
-    );
-    let spec = JobSpec::parse(text.as_bytes()).unwrap();
-    JobRecord::new(spec, u64::from(number))
-}
-
 /// The machine of a job of one task, alone there, reports its end.
 fn end_task(l: &mut Leader, job: u32) {
     let has_it = |ix: &u32| {
@@ -288,7 +196,7 @@
     let job = accept(&mut first, 1, "array", 1_500);
     first.tick(200, 200);
     assert!(first.has_work() && placed(&first, job) < 1_000);
-    let mut next = unheard(2);
+    let mut next = unheard(2, MACHINES);
     let job = next.load_job(record(1, "array", "normal", 1_500, 1.0), 1, 0);
     next.finish_loading(0);
     for n in 0..MACHINES {
--- a/tests/simulation/election.rs
+++ b/tests/simulation/election.rs
@@ -16,6 +16,7 @@
         }
         // What it began is of no concern to a later term of the same node.
         node.indeterminate = None;
+        node.reads = lookups::ReadsInFlight::default();
         node.acceptance_feed = None;
         node.flushing = None;
         node.registry_reread_at = None;
--- /dev/null
+++ b/tests/simulation/lookups.rs
@@ -0,0 +1,209 @@
+//! Reads of the state service that the leader awaits while other events go on:
+//! final states of dependencies, jobs of the acceptance feed, and keys of a write
+//! without an answer. Each is read when it is sent and taken in when its answer
+//! arrives, which may be late; a dependency lookup may also be refused.
+//!
+//! What was read for one term is dropped when that ends, as `Node::of_term` does.
+
+use super::*;
+
+/// Pause before refused lookups are queued again, as `server::control_loop` has it.
+const LOOKUP_RETRY_PAUSE_MS: Millis = 500;
+
+/// How the leader's reads go wrong. All zero: each is answered in the same step.
+#[derive(Default)]
+pub struct ReadFaults {
+    /// Longest latency of an answer.
+    pub max_latency_ms: Millis,
+    /// So many dependency lookups are refused, the next ones.
+    pub refused_lookups: u32,
+    /// Percentage of dependency lookups that are refused.
+    pub refused_lookup_percent: u32,
+}
+
+/// What a lookup of one job found.
+enum FoundJob {
+    Live(serde_json::Value, u64),
+    Final(FinalRecord),
+    Nothing,
+}
+
+/// Keys as they were read: value and version, if they exist.
+type ReadItems = Vec<(String, Option<(serde_json::Value, u64)>)>;
+
+/// What was read, and when the answer arrives.
+struct Answer<T> {
+    arrives_at: Millis,
+    read: T,
+}
+
+/// Reads that a leader has sent.
+#[derive(Default)]
+pub(super) struct ReadsInFlight {
+    lookups: Option<Answer<Vec<(String, FoundJob)>>>,
+    refused_lookups: Vec<(Millis, Vec<String>)>,
+    feed: Option<Answer<ReadItems>>,
+    /// Keys of a write without an answer.
+    reread: Option<(WritePlan, Answer<ReadItems>)>,
+}
+
+impl Simulation {
+    fn read_latency(&mut self) -> Millis {
+        match self.read_faults.max_latency_ms {
+            0 => 0,
+            longest => self.rng.u64(0..=longest),
+        }
+    }
+
+    fn refuses_lookup(&mut self) -> bool {
+        let faults = &mut self.read_faults;
+        if faults.refused_lookups > 0 {
+            faults.refused_lookups -= 1;
+            return true;
+        }
+        let percent = faults.refused_lookup_percent;
+        percent > 0 && self.rng.u32(0..100) < percent
+    }
+
+    /// Reads the records of dependencies that the leader does not know, one batch
+    /// at a time.
+    pub(super) fn read_dependencies(&mut self, i: usize) {
+        self.requeue_refused_lookups(i);
+        if self.nodes[i].reads.lookups.is_none() {
+            self.send_lookups(i);
+        }
+        let now = self.now;
+        let lookups = &mut self.nodes[i].reads.lookups;
+        let Some(answer) = lookups.take_if(|answer| now >= answer.arrives_at) else {
+            return;
+        };
+        let Some(l) = self.nodes[i].leader.as_mut() else {
+            return;
+        };
+        for (id, found) in answer.read {
+            match found {
+                FoundJob::Live(value, version) => {
+                    l.accepted(self.store.job_record(&id, value), version, now);
+                }
+                FoundJob::Final(record) => l.dependency_ended(&final_status(&id, &record), now),
+                FoundJob::Nothing => l.requeue_dependency_lookups(vec![id]),
+            }
+        }
+    }
+
+    fn send_lookups(&mut self, i: usize) {
+        let Some(l) = self.nodes[i].leader.as_mut() else {
+            return;
+        };
+        let ids = l.dependencies_to_look_up();
+        if ids.is_empty() {
+            return;
+        }
+        if self.refuses_lookup() {
+            let again_at = self.now + LOOKUP_RETRY_PAUSE_MS;
+            self.nodes[i].reads.refused_lookups.push((again_at, ids));
+            return;
+        }
+        let arrives_at = self.now + self.read_latency();
+        let found = ids.into_iter().map(|id| {
+            let found = self.look_up(&id);
+            (id, found)
+        });
+        let read = found.collect();
+        self.nodes[i].reads.lookups = Some(Answer { arrives_at, read });
+    }
+
+    fn look_up(&self, id: &str) -> FoundJob {
+        if let Some((value, version)) = self.store.kv.get(&records::job_key(id)) {
+            return FoundJob::Live(value.clone(), *version);
+        }
+        match self.store.kv.get(&records::final_key(id)) {
+            Some((value, _)) => FoundJob::Final(serde_json::from_value(value.clone()).unwrap()),
+            None => FoundJob::Nothing,
+        }
+    }
+
+    fn requeue_refused_lookups(&mut self, i: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let Some(l) = node.leader.as_mut() else {
+            return;
+        };
+        node.reads.refused_lookups.retain_mut(|(at, ids)| {
+            let due = now >= *at;
+            if due {
+                l.requeue_dependency_lookups(std::mem::take(ids));
+            }
+            !due
+        });
+    }
+
+    /// Reads the feed of jobs that followers accepted.
+    pub(super) fn read_acceptance_feed(&mut self, i: usize) {
+        if self.nodes[i].reads.feed.is_none() {
+            self.read_new_feed_entries(i);
+        }
+        let now = self.now;
+        let feed = &mut self.nodes[i].reads.feed;
+        let Some(answer) = feed.take_if(|answer| now >= answer.arrives_at) else {
+            return;
+        };
+        let Some(l) = self.nodes[i].leader.as_mut() else {
+            return;
+        };
+        for (key, found) in answer.read {
+            if let Some((value, version)) = found {
+                let id = key.trim_start_matches(records::ACCEPTANCES);
+                l.accepted(self.store.job_record(id, value), version, now);
+            }
+            l.acceptance_handled(key);
+        }
+    }
+
+    fn read_new_feed_entries(&mut self, i: usize) {
+        let latency = self.read_latency();
+        let Some(feed) = self.nodes[i].acceptance_feed.as_mut() else {
+            return;
+        };
+        let Some(body) = self.store.feed_since(feed.from()) else {
+            return;
+        };
+        if let acceptance_feed::Next::Look(keys) = feed.answered(200, &body) {
+            let found = keys.into_iter().map(|key| {
+                let id = key.trim_start_matches(records::ACCEPTANCES);
+                let record = self.store.kv.get(&records::job_key(id)).cloned();
+                (key, record)
+            });
+            let read = found.collect();
+            let arrives_at = self.now + latency;
+            self.nodes[i].reads.feed = Some(Answer { arrives_at, read });
+        }
+    }
+
+    /// Reads the keys of a write without an answer.
+    pub(super) fn begin_reread(&mut self, i: usize, plan: WritePlan) {
+        let arrives_at = self.now + self.read_latency();
+        let found = Leader::keys_to_reread(&plan).into_iter().map(|key| {
+            let item = self.store.kv.get(&key).cloned();
+            (key, item)
+        });
+        let read = found.collect();
+        self.nodes[i].reads.reread = Some((plan, Answer { arrives_at, read }));
+    }
+
+    /// Takes in the answers to a reread. Returns whether one is still awaited.
+    pub(super) fn awaits_reread(&mut self, i: usize) -> bool {
+        let now = self.now;
+        let node = &mut self.nodes[i];
+        let reread = &mut node.reads.reread;
+        let Some((plan, answer)) = reread.take_if(|(_, answer)| now >= answer.arrives_at) else {
+            return reread.is_some();
+        };
+        let l = node.leader.as_mut().unwrap();
+        for (key, item) in answer.read {
+            l.reconcile_key(&key, item, now);
+        }
+        l.reconciled(&plan);
+        false
+    }
+}
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -25,6 +25,7 @@
 mod check;
 mod election;
 mod fixtures;
+mod lookups;
 mod net;
 mod nodes;
 mod requests;
@@ -117,6 +118,8 @@
     flushing: Option<(Millis, WritePlan, TxnResult)>,
     /// A write plan whose transaction had no answer, and when it is reread.
     indeterminate: Option<(Millis, WritePlan)>,
+    /// Reads of records that it awaits as leader.
+    reads: lookups::ReadsInFlight,
     /// Since when a probe of each peer has no answer.
     probes_open_since: Vec<Option<Millis>>,
 }
@@ -173,6 +176,8 @@
     paused_sender: Option<(usize, Millis)>,
     /// Longest latency of the answer to a leader's write.
     pub write_latency_ms: Millis,
+    /// How the leader's reads of records go wrong.
+    pub read_faults: lookups::ReadFaults,
     /// How long a new leader takes to read the records.
     pub load_ms: Millis,
     /// Heartbeats that a node relayed, by worker and sequence number.
@@ -281,6 +286,7 @@
             cuts: Vec::new(),
             paused_sender: None,
             write_latency_ms: 0,
+            read_faults: lookups::ReadFaults::default(),
             load_ms: 0,
             relaying: BTreeSet::new(),
             late_ops: Vec::new(),
@@ -376,6 +382,7 @@
             flush_at: 0,
             flushing: None,
             indeterminate: None,
+            reads: lookups::ReadsInFlight::default(),
             probes_open_since: vec![None; nodes],
         }
     }
--- a/tests/simulation/net.rs
+++ b/tests/simulation/net.rs
@@ -93,6 +93,7 @@
         n.leader = None;
         n.back_at = self.now + back;
         n.indeterminate = None;
+        n.reads = lookups::ReadsInFlight::default();
         n.registry_reread_at = None;
         self.traffic.forget_node(i);
     }
--- a/tests/simulation/nodes.rs
+++ b/tests/simulation/nodes.rs
@@ -96,49 +96,6 @@
         }
     }
 
-    /// Reads the records of dependencies that the leader does not know.
-    fn read_dependencies(&mut self, i: usize) {
-        let now = self.now;
-        let Some(l) = self.nodes[i].leader.as_mut() else {
-            return;
-        };
-        for id in l.dependencies_to_look_up() {
-            let live = self.store.kv.get(&records::job_key(&id));
-            let over = self.store.kv.get(&records::final_key(&id));
-            match (live, over) {
-                (Some((v, r)), _) => {
-                    l.accepted(self.store.job_record(&id, v.clone()), *r, now);
-                }
-                (None, Some((v, _))) => {
-                    let record: FinalRecord = serde_json::from_value(v.clone()).unwrap();
-                    l.dependency_ended(&final_status(&id, &record), now);
-                }
-                (None, None) => l.requeue_dependency_lookups(vec![id]),
-            }
-        }
-    }
-
-    /// Reads the feed of jobs that followers accepted.
-    fn read_acceptance_feed(&mut self, i: usize) {
-        let now = self.now;
-        let node = &mut self.nodes[i];
-        let Some(l) = node.leader.as_mut() else {
-            return;
-        };
-        if let Some(notices) = node.acceptance_feed.as_mut()
-            && let Some(body) = self.store.feed_since(notices.from())
-            && let acceptance_feed::Next::Look(keys) = notices.answered(200, &body)
-        {
-            for key in keys {
-                let id = key.trim_start_matches(records::ACCEPTANCES).to_owned();
-                if let Some((v, r)) = self.store.kv.get(&records::job_key(&id)) {
-                    l.accepted(self.store.job_record(&id, v.clone()), *r, now);
-                }
-                l.acceptance_handled(key);
-            }
-        }
-    }
-
     /// Sends the leader's direct commands, and its operations to the cloud.
     fn send_commands(
         &mut self,
@@ -242,11 +199,12 @@
                 node.indeterminate = Some((at, plan));
                 return;
             }
-            for key in Leader::keys_to_reread(&plan) {
-                l.reconcile_key(&key, self.store.kv.get(&key).cloned(), now);
-            }
-            l.reconciled(&plan);
+            self.begin_reread(i, plan);
         }
+        if self.awaits_reread(i) {
+            return;
+        }
+        let node = &mut self.nodes[i];
         if let Some((at, plan, result)) = node.flushing.take() {
             match now >= at {
                 true => self.flushed(i, plan, result),
