--- a/examples/limits/passes.rs
+++ b/examples/limits/passes.rs
@@ -152,7 +152,7 @@
             self.leader.accepted(record, 2, NOW);
             self.leader.tick(NOW, NOW);
             let id = format!("j-{number:06}");
-            let ix = self.leader.cluster.job_index(&id).context("not known")?;
+            let ix = self.leader.cluster.job_handle(&id).context("not known")?;
             let waiting = self
                 .leader
                 .cluster
--- a/src/control/leader/dependencies.rs
+++ b/src/control/leader/dependencies.rs
@@ -13,7 +13,7 @@
     },
     state::{
         Millis,
-        cluster::Job,
+        cluster::{Job, JobHandle},
         dependencies::{DependencyState, Readiness},
     },
 };
@@ -25,26 +25,26 @@
 impl Leader {
     /// The state of a job that another depends on.
     fn dependency_state(&self, id: &str) -> DependencyState {
-        let Some(ix) = self.cluster.job_index(id) else {
+        let Some(handle) = self.cluster.job_handle(id) else {
             return match self.final_states.get(id).map(|s| s.state) {
                 Some(JobState::Done) => DependencyState::Done,
                 Some(_) => DependencyState::Cancelled,
                 None => DependencyState::Unknown,
             };
         };
-        self.state_of_job(ix)
+        self.state_of_job(handle)
     }
 
-    fn state_of_job(&self, ix: u32) -> DependencyState {
-        match self.cluster.job(ix) {
-            Some(j) if !j.cancelled => DependencyState::Live(ix, j.spec.priority),
+    fn state_of_job(&self, handle: JobHandle) -> DependencyState {
+        match self.cluster.job(handle) {
+            Some(j) if !j.cancelled => DependencyState::Live(handle, j.spec.priority),
             _ => DependencyState::Cancelled,
         }
     }
 
     /// A job became known: links it to its dependencies and dependents.
-    pub(super) fn link(&mut self, ix: u32) {
-        let Some(j) = self.cluster.job(ix) else {
+    pub(super) fn link(&mut self, handle: JobHandle) {
+        let Some(j) = self.cluster.job(handle) else {
             return;
         };
         let (id, own) = (j.id.clone(), j.spec.priority);
@@ -53,14 +53,14 @@
             .map(|n| (n.as_str(), self.dependency_state(n)))
             .collect();
         if !needs.is_empty() {
-            self.dependencies.add(ix, own, needs);
+            self.dependencies.add(handle, own, needs);
         }
         if self.dependencies.is_awaited(&id) {
-            let need = self.state_of_job(ix);
+            let need = self.state_of_job(handle);
             self.dependencies.resolve(&id, need);
         }
-        let gate = self.dependencies.readiness(ix);
-        if let Some(j) = self.cluster.job_mut(ix) {
+        let gate = self.dependencies.readiness(handle);
+        if let Some(j) = self.cluster.job_mut(handle) {
             j.readiness = gate;
         }
     }
@@ -69,11 +69,11 @@
     /// never can.
     pub(super) fn apply_dependency_changes(&mut self, now: Millis) {
         let (changed, lost) = self.dependencies.take_changes();
-        for ix in changed {
-            let gate = self.dependencies.readiness(ix);
-            let rank = self.dependencies.effective_priority(ix);
+        for handle in changed {
+            let gate = self.dependencies.readiness(handle);
+            let rank = self.dependencies.effective_priority(handle);
             let wall = self.wall_ms;
-            let Some(j) = self.cluster.job_mut(ix) else {
+            let Some(j) = self.cluster.job_mut(handle) else {
                 continue;
             };
             if let Some(rank) = rank {
@@ -93,13 +93,13 @@
             j.known_since = now;
             j.reason = PendingReason::New;
             log::debug!("job {} is ready: all its dependencies are done", j.id);
-            self.record_arrival(ix, now);
+            self.record_arrival(handle, now);
         }
-        for ix in lost
+        for handle in lost
             .into_iter()
-            .filter(|ix| self.dependencies.must_cancel(*ix))
+            .filter(|handle| self.dependencies.must_cancel(*handle))
         {
-            if let Some(j) = self.cluster.job_mut(ix).filter(|j| !j.cancelled) {
+            if let Some(j) = self.cluster.job_mut(handle).filter(|j| !j.cancelled) {
                 log::info!("job {} is cancelled with a dependency", j.id);
                 j.cancel_requested = true;
             }
@@ -137,8 +137,8 @@
         for id in &spec.dependencies {
             match self
                 .cluster
-                .job_index(id)
-                .and_then(|ix| self.cluster.job(ix))
+                .job_handle(id)
+                .and_then(|handle| self.cluster.job(handle))
             {
                 Some(j) if j.spec.kind == Kind::Service => return Err(id.clone()),
                 Some(_) => {}
@@ -151,9 +151,9 @@
 
     /// By job, until when it has to be done for the jobs that depend on it, in wall-
     /// clock milliseconds.
-    pub(super) fn inherited_deadlines(&self) -> HashMap<u32, u64> {
-        self.dependencies.due_by(|ix| {
-            self.cluster.job(ix).map_or((None, 0), |j| {
+    pub(super) fn inherited_deadlines(&self) -> HashMap<JobHandle, u64> {
+        self.dependencies.due_by(|handle| {
+            self.cluster.job(handle).map_or((None, 0), |j| {
                 let due = j.spec.deadline_s.map(|d| j.accepted_at_ms + millis(d));
                 (due, millis(j.spec.estimate_s))
             })
@@ -163,10 +163,10 @@
     /// Unfinished dependencies with a text on each, and how many there are in all.
     pub(super) fn unfinished_dependencies(
         &self,
-        ix: u32,
+        handle: JobHandle,
         most: usize,
     ) -> (Vec<(String, String)>, usize) {
-        let (live, sought) = self.dependencies.unfinished_dependencies(ix);
+        let (live, sought) = self.dependencies.unfinished_dependencies(handle);
         let mut live: Vec<&Job> = live.filter_map(|b| self.cluster.job(b)).collect();
         live.sort_by(|a, b| a.id.cmp(&b.id));
         let all = live.len() + sought;
--- a/src/control/leader/expiry.rs
+++ b/src/control/leader/expiry.rs
@@ -9,7 +9,7 @@
     protocol::users::Kind,
     state::{
         Millis,
-        cluster::{NO_JOB, Phase, Registration},
+        cluster::{Phase, Registration},
     },
 };
 
@@ -117,8 +117,8 @@
                 .enumerate()
                 .filter(|(_, a)| a.phase == Phase::Running && a.stop_grace_s.is_none())
                 .filter(|(_, a)| {
-                    self.cluster
-                        .job(a.job)
+                    a.job
+                        .and_then(|job| self.cluster.job(job))
                         .is_some_and(|j| j.spec.checkpoint_interval_s > 0.0)
                 })
                 .map(|(at, _)| at)
@@ -132,17 +132,16 @@
     /// Stops tasks of cancelled jobs, and the rest of gangs that lost a task.
     pub(super) fn stop_cancelled_and_broken_gangs(&mut self) {
         let mut stop = Vec::new();
-        for (ix, job) in self.cluster.jobs.iter().enumerate() {
-            if let Some(j) = job
-                && j.live_count > 0
+        for (handle, j) in self.cluster.jobs.iter() {
+            if j.live_count > 0
                 && (j.cancelled
                     || j.cancel_indeterminate
                     || j.spec.kind == Kind::Gang
                         && j.waiting_count() > 0
-                        && self.hears_all_tasks_of(ix as u32)
-                        && self.gang_to_complete(ix as u32).is_none())
+                        && self.hears_all_tasks_of(handle)
+                        && self.gang_to_complete(handle).is_none())
             {
-                stop.push(ix as u32);
+                stop.push(handle);
             }
         }
         if stop.is_empty() {
@@ -150,10 +149,9 @@
         }
         for m in self.cluster.each_machine_mut() {
             for a in m.tasks.iter_mut() {
-                if a.job != NO_JOB
-                    && a.is_live()
+                if a.is_live()
                     && a.stop_grace_s.is_none()
-                    && stop.contains(&a.job)
+                    && a.job.is_some_and(|job| stop.contains(&job))
                 {
                     a.stop_grace_s = Some(0.0);
                 }
--- a/src/control/leader/failover.rs
+++ b/src/control/leader/failover.rs
@@ -18,7 +18,7 @@
     },
     state::{
         Millis,
-        cluster::{Phase, Placement},
+        cluster::{JobHandle, Phase, Placement},
         records::StandbyRecord,
     },
 };
@@ -67,11 +67,11 @@
 
     /// No task of the job is on a machine that is not confirmed yet, where its state is
     /// not known.
-    pub(super) fn hears_all_tasks_of(&self, job_ix: u32) -> bool {
+    pub(super) fn hears_all_tasks_of(&self, job_handle: JobHandle) -> bool {
         if self.recovery.settled || !self.recovery.failover.warm {
             return self.recovery.settled;
         }
-        let mut on = self.cluster.live_tasks_of(job_ix);
+        let mut on = self.cluster.live_tasks_of(job_handle);
         on.all(|(ix, _)| {
             self.cluster
                 .machine(ix)
@@ -125,7 +125,7 @@
         {
             let job = self
                 .cluster
-                .job_index(job)
+                .job_handle(job)
                 .and_then(|ix| self.cluster.job_mut(ix));
             if let Some(j) = job.filter(|j| *task < j.spec.tasks && !j.cancelled) {
                 j.mark_done(*task);
@@ -152,14 +152,14 @@
         now: Millis,
     ) -> bool {
         let ReplicatedTask(task, attempt, _, seen) = may_run;
-        let (Some(ix), Some(job_ix)) = (
+        let (Some(ix), Some(job_handle)) = (
             self.cluster.machine_index(machine),
-            self.cluster.job_index(job),
+            self.cluster.job_handle(job),
         ) else {
             return false;
         };
         let unheard = self.cluster.machine(ix).is_some_and(|m| m.contents_unknown);
-        let Some(j) = self.cluster.job_mut(job_ix).filter(|_| unheard) else {
+        let Some(j) = self.cluster.job_mut(job_handle).filter(|_| unheard) else {
             return false;
         };
         let phase = match seen {
@@ -172,7 +172,7 @@
             // It completed elsewhere while it was started again.
             Placement::Done => {
                 self.cluster
-                    .assign_duplicate(job_ix, task, ix, attempt, phase, now);
+                    .assign_duplicate(job_handle, task, ix, attempt, phase, now);
                 return true;
             }
             // Placed there later than here, so it was gone from here by then.
@@ -180,7 +180,8 @@
         }
         j.has_run = true;
         let gone = j.cancelled || j.cancel_requested;
-        self.cluster.assign(job_ix, task, ix, attempt, phase, now);
+        self.cluster
+            .assign(job_handle, task, ix, attempt, phase, now);
         if gone
             && let Some(a) = self
                 .cluster
--- a/src/control/leader/faults.rs
+++ b/src/control/leader/faults.rs
@@ -7,19 +7,22 @@
 use super::Leader;
 use crate::{
     protocol::workers::ExitReason,
-    state::{Millis, cluster::Job},
+    state::{
+        Millis,
+        cluster::{Job, JobHandle},
+    },
 };
 
 impl Leader {
     pub(super) fn on_task_ended(
         &mut self,
         machine: u32,
-        job_ix: u32,
+        job_handle: JobHandle,
         task: u32,
         why: ExitReason,
         now: Millis,
     ) {
-        let Some(job) = self.cluster.job_mut(job_ix) else {
+        let Some(job) = self.cluster.job_mut(job_handle) else {
             return;
         };
         match why {
@@ -33,11 +36,11 @@
                 if let Some(m) = self.cluster.machine_mut(machine).filter(|_| !suspected) {
                     m.failures.record_failure(&id, proven, 1, now);
                 }
-                if !proven && !self.events.suspects.contains(&job_ix) {
-                    self.events.suspects.push(job_ix);
+                if !proven && !self.events.suspects.contains(&job_handle) {
+                    self.events.suspects.push(job_handle);
                 }
                 self.reevaluate_machine(machine, now);
-                self.reevaluate_job(job_ix, now);
+                self.reevaluate_job(job_handle, now);
             }
             ExitReason::UnknownTask
             | ExitReason::Other
@@ -50,14 +53,15 @@
         let counts = |j: &&mut Job| {
             why != ExitReason::Done && (why != ExitReason::Error || j.failures.has_succeeded)
         };
-        if let Some(j) = self.cluster.job_mut(job_ix).filter(counts) {
+        if let Some(j) = self.cluster.job_mut(job_handle).filter(counts) {
             j.consecutive_refusals += 1;
             if j.consecutive_refusals > 2 {
                 j.backoff_until = now + (500 << j.consecutive_refusals.min(7));
             }
         }
         if why != ExitReason::Done
-            && let (Some(j), Some(m)) = (self.cluster.job(job_ix), self.cluster.machine(machine))
+            && let (Some(j), Some(m)) =
+                (self.cluster.job(job_handle), self.cluster.machine(machine))
         {
             let (task, machine) = (format!("{}/{task}", j.id), m.name.clone());
             log::debug!("task {task} failed on {machine}: {why:?}");
@@ -69,26 +73,25 @@
     pub(super) fn on_task_running(
         &mut self,
         machine: u32,
-        job_ix: u32,
+        job: Option<JobHandle>,
         started: Millis,
         now: Millis,
     ) {
         if let Some(m) = self.cluster.machine_mut(machine) {
             m.failures.record_success(started);
         }
-        if let Some(j) = self
-            .cluster
-            .job_mut(job_ix)
-            .filter(|j| !j.failures.has_succeeded)
+        if let Some(job_handle) = job
+            && let Some(j) = self.cluster.job_mut(job_handle)
+            && !j.failures.has_succeeded
         {
             let suspects = j.failures.failures().to_vec();
             let was = j.failures.suspected;
             j.failures.record_success();
             let id = j.id.clone();
             if was {
-                self.record_suspicion_change(job_ix);
+                self.record_suspicion_change(job_handle);
             }
-            self.events.suspects.retain(|a| *a != job_ix);
+            self.events.suspects.retain(|a| *a != job_handle);
             // It runs, so what failed it is the machine, unless one that was
             // started there later runs too.
             for f in suspects {
@@ -124,8 +127,8 @@
         self.events.suspects = suspects;
     }
 
-    fn reevaluate_job(&mut self, job_ix: u32, now: Millis) {
-        let Some(j) = self.cluster.job(job_ix) else {
+    fn reevaluate_job(&mut self, job_handle: JobHandle, now: Millis) {
+        let Some(j) = self.cluster.job(job_handle) else {
             return;
         };
         let mut file = j.failures.clone();
@@ -137,13 +140,13 @@
         });
         let (id, suspected) = (j.id.clone(), file.suspected);
         let suspects = file.failures().to_vec();
-        if let Some(j) = self.cluster.job_mut(job_ix) {
+        if let Some(j) = self.cluster.job_mut(job_handle) {
             j.failures = file;
         }
         if !changed {
             return;
         }
-        self.record_suspicion_change(job_ix);
+        self.record_suspicion_change(job_handle);
         for f in suspects.iter().filter(|_| suspected) {
             if let Some(m) = self.cluster.machine_mut(f.machine) {
                 m.failures.clear_job(&id);
@@ -153,9 +156,9 @@
     }
 
     /// Notes and records that a job is suspected, or no longer.
-    fn record_suspicion_change(&mut self, job_ix: u32) {
+    fn record_suspicion_change(&mut self, job_handle: JobHandle) {
         self.changed = true;
-        if let Some(j) = self.cluster.job_mut(job_ix) {
+        if let Some(j) = self.cluster.job_mut(job_handle) {
             match j.failures.suspected {
                 true => log::info!("job {} is suspected: it fails wherever it starts", j.id),
                 false => log::info!("job {} is no longer suspected", j.id),
--- a/src/control/leader/fleet_view.rs
+++ b/src/control/leader/fleet_view.rs
@@ -14,7 +14,7 @@
     protocol::users::Kind,
     state::{
         Millis,
-        cluster::{Job, Machine},
+        cluster::{Job, JobHandle, Machine},
         resources::Resources,
     },
 };
@@ -64,9 +64,9 @@
     }
 
     /// Machines with capacity for a task of the job, ranked, up to date.
-    pub(super) fn ranking_for(&mut self, job_ix: u32, now: Millis) -> Option<RankingId> {
+    pub(super) fn ranking_for(&mut self, job_handle: JobHandle, now: Millis) -> Option<RankingId> {
         self.refresh_fleet(now);
-        let request = self.request_of(self.cluster.job(job_ix)?, now);
+        let request = self.request_of(self.cluster.job(job_handle)?, now);
         Some(self.scheduling.fleet.ranking(&request, now))
     }
 
--- a/src/control/leader/gang_reservation.rs
+++ b/src/control/leader/gang_reservation.rs
@@ -11,7 +11,10 @@
 use crate::{
     control::placement::fleet::RankingId,
     protocol::users::Priority,
-    state::{Millis, cluster::Machine},
+    state::{
+        Millis,
+        cluster::{JobHandle, Machine},
+    },
 };
 
 /// After this long, where no objective for starting says otherwise, other work of the
@@ -21,14 +24,14 @@
 impl Leader {
     /// Zones that could take the missing tasks of a gang: the one its tasks
     /// are in already, if it must stay together. `None`: any mixture.
-    pub(super) fn gang_zones(&self, job_ix: u32) -> Vec<Option<usize>> {
-        let Some(j) = self.cluster.job(job_ix) else {
+    pub(super) fn gang_zones(&self, job_handle: JobHandle) -> Vec<Option<usize>> {
+        let Some(j) = self.cluster.job(job_handle) else {
             return Vec::new();
         };
         if !j.spec.single_zone {
             return vec![None];
         }
-        let there = self.cluster.live_tasks_by_zone(job_ix);
+        let there = self.cluster.live_tasks_by_zone(job_handle);
         let begun = there.iter().any(|n| *n > 0);
         (0..there.len())
             .filter(|z| !begun || there[*z] > 0)
@@ -37,16 +40,16 @@
     }
 
     /// Whether the gang waits for nothing but capacity.
-    pub(super) fn wants_room(&self, job_ix: u32) -> bool {
-        self.cluster.job(job_ix).is_some_and(|j| {
-            (j.live_count == 0 || self.gang_to_complete(job_ix).is_some())
+    pub(super) fn wants_room(&self, job_handle: JobHandle) -> bool {
+        self.cluster.job(job_handle).is_some_and(|j| {
+            (j.live_count == 0 || self.gang_to_complete(job_handle).is_some())
                 && self.within_limit(j.team, &j.need, i64::from(j.waiting_count()))
         })
     }
 
     /// A gang that has missed its aims for starting is not passed any more.
-    pub(super) fn has_waited_too_long(&self, job_ix: u32, now: Millis) -> bool {
-        self.cluster.job(job_ix).is_some_and(|j| {
+    pub(super) fn has_waited_too_long(&self, job_handle: JobHandle, now: Millis) -> bool {
+        self.cluster.job(job_handle).is_some_and(|j| {
             let aims =
                 self.settings.cluster.objectives.iter().filter(|o| {
                     o.kind == "wait" && o.class.as_deref() == Some(j.spec.class.as_str())
@@ -61,27 +64,27 @@
     /// that what comes after it can't break them up. Guards against gangs
     /// that never start, because each machine that comes up or falls free is
     /// filled with small tasks before there are enough of them.
-    pub(super) fn reserve_for_gang(&mut self, job_ix: u32, now: Millis) {
-        if !self.wants_room(job_ix) {
+    pub(super) fn reserve_for_gang(&mut self, job_handle: JobHandle, now: Millis) {
+        if !self.wants_room(job_handle) {
             return;
         }
-        let Some(ranking) = self.ranking_for(job_ix, now) else {
+        let Some(ranking) = self.ranking_for(job_handle, now) else {
             return;
         };
-        let Some(j) = self.cluster.job(job_ix) else {
+        let Some(j) = self.cluster.job(job_handle) else {
             return;
         };
         let (need, missing) = (j.need, i64::from(j.waiting_count()));
-        let zones = self.gang_zones(job_ix);
+        let zones = self.gang_zones(job_handle);
         let found = |zone: &Option<usize>| -> i64 {
-            let rooms = self.candidates_for_gang(job_ix, *zone, ranking, now);
+            let rooms = self.candidates_for_gang(job_handle, *zone, ranking, now);
             rooms.iter().map(|(_, n)| n).sum::<i64>().min(missing)
         };
         let Some(zone) = zones.into_iter().max_by_key(found) else {
             return;
         };
         let mut left = missing;
-        for (machine, tasks) in self.candidates_for_gang(job_ix, zone, ranking, now) {
+        for (machine, tasks) in self.candidates_for_gang(job_handle, zone, ranking, now) {
             let tasks = tasks.min(left);
             if tasks > 0 {
                 self.scheduling.fleet.withhold(machine, need.scaled(tasks));
@@ -94,18 +97,18 @@
     /// many.
     fn candidates_for_gang(
         &self,
-        job_ix: u32,
+        job_handle: JobHandle,
         zone: Option<usize>,
         ranking: RankingId,
         now: Millis,
     ) -> Vec<(u32, i64)> {
-        let Some(j) = self.cluster.job(job_ix) else {
+        let Some(j) = self.cluster.job(job_handle) else {
             return Vec::new();
         };
         let fleet = &self.scheduling.fleet;
         let open = |machine: &u32| {
             let m = self.cluster.machine(*machine);
-            m.is_some_and(|m| j.allows(m) && m.available_to(job_ix, now))
+            m.is_some_and(|m| j.allows(m) && m.available_to(job_handle, now))
         };
         let machines = fleet.ranked(ranking, |z| zone.is_none_or(|only| only == z));
         let with_room = machines.into_iter().filter(open).filter_map(|machine| {
@@ -119,22 +122,22 @@
     /// admits, where the least work is lost.
     pub(super) fn gang_candidates(
         &self,
-        job_ix: u32,
+        job_handle: JobHandle,
         now: Millis,
         there: impl Fn(&Machine) -> bool,
     ) -> Option<(i64, Vec<Preemption>)> {
-        let j = self.cluster.job(job_ix).filter(|j| !j.spec.spread)?;
+        let j = self.cluster.job(job_handle).filter(|j| !j.spec.spread)?;
         let (missing, priority, need) =
             (i64::from(j.waiting_count()), j.effective_priority, j.need);
         let guaranteed = self.within_guarantee(j, now);
         let mut best: Option<(i64, Vec<Preemption>)> = None;
-        for zone in self.gang_zones(job_ix) {
+        for zone in self.gang_zones(job_handle) {
             let mut rooms: Vec<Preemption> = (self.cluster.machine_range())
                 .filter(|ix| {
                     let m = self.cluster.machine(*ix);
                     m.is_some_and(|m| zone.is_none_or(|z| z == m.zone) && there(m))
                 })
-                .filter_map(|ix| self.preemption_on(ix, job_ix, priority, guaranteed, now))
+                .filter_map(|ix| self.preemption_on(ix, job_handle, priority, guaranteed, now))
                 .collect();
             rooms.sort_by_key(|r| (r.lost, r.fetch));
             let (mut left, mut lost, mut n) = (missing, 0, 0);
@@ -163,12 +166,12 @@
     /// lesser loss. Returns whether the gang is to wait for that.
     pub(super) fn reserve_gang_where_image_is(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         chosen: &[u32],
         now: Millis,
     ) -> bool {
-        let held = |m: &Machine| m.is_reserved_for(job_ix, now);
-        let Some(j) = self.cluster.job(job_ix) else {
+        let held = |m: &Machine| m.is_reserved_for(job_handle, now);
+        let Some(j) = self.cluster.job(job_handle) else {
             return false;
         };
         let high = j.effective_priority >= Priority::High && !j.failures.suspected;
@@ -181,7 +184,7 @@
         {
             return false;
         }
-        if self.has_reservation(job_ix, now) {
+        if self.has_reservation(job_handle, now) {
             return true;
         }
         let rate = chosen
@@ -191,9 +194,9 @@
             .fold(f64::INFINITY, f64::min)
             .max(0.001);
         let worth = (victims::fetch_worth(j, rate) + victims::WORTH) * chosen.len() as f64;
-        match self.gang_candidates(job_ix, now, |m| m.images.contains(&image)) {
+        match self.gang_candidates(job_handle, now, |m| m.images.contains(&image)) {
             Some((lost, rooms)) if lost as f64 <= worth => {
-                self.preempt_all(job_ix, rooms, now);
+                self.preempt_all(job_handle, rooms, now);
                 true
             }
             _ => false,
@@ -202,14 +205,14 @@
 
     pub(super) fn preempt_all(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         rooms: Vec<Preemption>,
         now: Millis,
     ) -> usize {
         let mut stopped = 0;
         for room in rooms {
             stopped += usize::from(!room.victims.is_empty());
-            self.preempt(job_ix, room, now);
+            self.preempt(job_handle, room, now);
         }
         stopped
     }
--- a/src/control/leader/headroom.rs
+++ b/src/control/leader/headroom.rs
@@ -9,7 +9,7 @@
     protocol::users::{JobSpec, Kind, Priority},
     state::{
         Millis,
-        cluster::{Assignment, Machine},
+        cluster::{Assignment, JobHandle, Machine},
         resources::Resources,
     },
 };
@@ -73,8 +73,8 @@
 }
 
 impl Leader {
-    pub(super) fn record_arrival(&mut self, ix: u32, now: Millis) {
-        let Some(j) = self.cluster.job(ix) else {
+    pub(super) fn record_arrival(&mut self, handle: JobHandle, now: Millis) {
+        let Some(j) = self.cluster.job(handle) else {
             return;
         };
         let class = Class {
@@ -129,9 +129,13 @@
             for m in self.cluster.each_machine() {
                 let of_class = |a: &&Assignment| {
                     a.is_live()
-                        && self.cluster.job(a.job).is_some_and(|j| {
-                            j.spec.kind == Kind::Service && j.need == c.need && j.types == c.types
-                        })
+                        && a.job
+                            .and_then(|job| self.cluster.job(job))
+                            .is_some_and(|j| {
+                                j.spec.kind == Kind::Service
+                                    && j.need == c.need
+                                    && j.types == c.types
+                            })
                 };
                 most = most.max(m.tasks.iter().filter(of_class).count() as i64);
                 if m.schedulable() && r.covers(m.type_ix, m.spot) {
@@ -152,9 +156,8 @@
     pub(super) fn held_by_batches(&self, m: &Machine) -> Resources {
         let mut held = Resources::default();
         for a in m.tasks.iter().filter(|a| a.is_live()) {
-            if self
-                .cluster
-                .job(a.job)
+            if a.job
+                .and_then(|job| self.cluster.job(job))
                 .is_some_and(|j| j.spec.kind == Kind::Array)
             {
                 held += a.need;
--- a/src/control/leader/heartbeats.rs
+++ b/src/control/leader/heartbeats.rs
@@ -69,8 +69,8 @@
         {
             self.zone_responded(m.zone, now);
         }
-        for job_ix in effects.started_jobs {
-            if let Some(j) = self.cluster.job_mut(job_ix).filter(|j| !j.has_run) {
+        for job_handle in effects.started_jobs {
+            if let Some(j) = self.cluster.job_mut(job_handle).filter(|j| !j.has_run) {
                 j.has_run = true;
                 let waited = (now - j.known_since) as f64 / 1000.0;
                 self.events.tally.waits.push((j.spec.class.clone(), waited));
--- a/src/control/leader/inventory.rs
+++ b/src/control/leader/inventory.rs
@@ -426,7 +426,7 @@
         let long = now >= from.last_batch_activity + 3 * millis(self.options.idle_s);
         let mut moved: Vec<(u32, Resources)> = Vec::new();
         for a in from.tasks.iter().filter(|a| a.is_live()) {
-            let job = self.cluster.job(a.job)?;
+            let job = self.cluster.job(a.job?)?;
             if a.phase != Phase::Running || job.cancelled || job.cancel_requested {
                 return None;
             }
--- a/src/control/leader/job_status.rs
+++ b/src/control/leader/job_status.rs
@@ -18,7 +18,7 @@
     }
 
     fn live_status(&self, id: &str) -> Option<JobStatus> {
-        let ix = self.cluster.job_index(id)?;
+        let ix = self.cluster.job_handle(id)?;
         self.cluster.job(ix).map(Job::status)
     }
 
@@ -37,7 +37,7 @@
     /// A dependency is cancelled, so this job will be. Until that is recorded
     /// its state in the cluster state is no longer reported.
     pub fn is_cancelled_with_dependency(&self, id: &str) -> bool {
-        let ix = self.cluster.job_index(id);
+        let ix = self.cluster.job_handle(id);
         ix.is_some_and(|ix| {
             self.dependencies.must_cancel(ix) && self.cluster.job(ix).is_some_and(|j| !j.cancelled)
         })
@@ -47,7 +47,7 @@
     pub fn is_ending(&self, id: &str) -> bool {
         let job = self
             .cluster
-            .job_index(id)
+            .job_handle(id)
             .and_then(|ix| self.cluster.job(ix));
         job.is_some_and(Job::is_ending)
     }
@@ -69,7 +69,7 @@
     pub fn cancel(&mut self, id: &str) {
         if let Some(job) = self
             .cluster
-            .job_index(id)
+            .job_handle(id)
             .and_then(|ix| self.cluster.job_mut(ix))
         {
             job.cancel_requested = true;
--- a/src/control/leader/loading.rs
+++ b/src/control/leader/loading.rs
@@ -9,7 +9,7 @@
     protocol::status::PendingReason,
     state::{
         Millis,
-        cluster::{NewJob, NewMachine, Registration},
+        cluster::{JobHandle, NewJob, NewMachine, Registration},
         dependencies::Readiness,
         fault_attribution::{JobFailures, MachineFailures},
         offload::OffloadState,
@@ -19,7 +19,7 @@
 
 impl Leader {
     /// Adds the job of a record, with the tasks it lists as completed.
-    pub fn load_job(&mut self, record: JobRecord, version: u64, now: Millis) -> u32 {
+    pub fn load_job(&mut self, record: JobRecord, version: u64, now: Millis) -> JobHandle {
         let mut done = TaskBitmap::with_len(record.spec.tasks);
         done.load(0, &record.completed);
         self.learn_shape(&record.spec);
@@ -34,8 +34,8 @@
             completed: done,
             cancelled: record.cancelled,
         };
-        let ix = self.cluster.insert_job(new, now);
-        if let Some(j) = self.cluster.job_mut(ix) {
+        let handle = self.cluster.insert_job(new, now);
+        if let Some(j) = self.cluster.job_mut(handle) {
             j.accepted_this_term |= version > self.term;
             if j.record_version == version {
                 j.spec_chunks = pieces;
@@ -48,23 +48,23 @@
                 j.failures = JobFailures::inherited_suspicion(now);
             }
         }
-        self.link(ix);
+        self.link(handle);
         let age = self.wall_ms.saturating_sub(at_ms);
         if self
             .cluster
-            .job(ix)
+            .job(handle)
             .is_some_and(|j| j.readiness == Readiness::Ready)
         {
-            self.record_arrival(ix, now.saturating_sub(age));
+            self.record_arrival(handle, now.saturating_sub(age));
         }
-        ix
+        handle
     }
 
     /// Adds a completion bitmap segment; one whose job is gone is deleted.
     pub fn load_segment(&mut self, id: &str, chunk: usize, text: &str) {
         let Some(job) = self
             .cluster
-            .job_index(id)
+            .job_handle(id)
             .and_then(|ix| self.cluster.job_mut(ix))
         else {
             self.write_queue
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -189,8 +189,7 @@
         let backoff = self
             .cluster
             .jobs
-            .iter()
-            .flatten()
+            .values()
             .any(|j| j.backoff_until != 0 && j.backoff_until <= now);
         self.retry_quarantined(now);
         // Arrival rates and reservations change with time alone, so a cycle runs
--- a/src/control/leader/offload.rs
+++ b/src/control/leader/offload.rs
@@ -18,7 +18,7 @@
         users::{JobSpec, Kind},
     },
     state::{
-        cluster::Job,
+        cluster::{Job, JobHandle},
         offload::{OffloadState, OffloadTarget},
         records::{award_key, job_key},
     },
@@ -47,12 +47,10 @@
         if !self.recovery.settled {
             return Vec::new();
         }
-        let jobs = self.cluster.jobs.iter().enumerate();
-        let mut candidates: Vec<(usize, &Job)> = jobs
-            .filter_map(|(ix, job)| Some((ix, job.as_ref()?)))
-            .filter(|(_, job)| may_be_offered(job))
-            .collect();
-        candidates.sort_by_key(|(ix, job)| (job.accepted_at_ms, *ix));
+        let jobs = self.cluster.jobs.iter();
+        let mut candidates: Vec<(JobHandle, &Job)> =
+            jobs.filter(|(_, job)| may_be_offered(job)).collect();
+        candidates.sort_by_key(|(handle, job)| (job.accepted_at_ms, *handle));
         let (mut offers, mut bytes) = (Vec::new(), 0);
         for (_, job) in candidates.into_iter().take(max_offers) {
             let offer = self.offer(job);
@@ -131,8 +129,8 @@
         let needed = |id: &str, award: u64| {
             let job = self
                 .cluster
-                .job_index(id)
-                .and_then(|ix| self.cluster.job(ix));
+                .job_handle(id)
+                .and_then(|handle| self.cluster.job(handle));
             job.is_some_and(|job| {
                 !job.cancelled
                     && !job.cancel_requested
@@ -146,10 +144,10 @@
     /// Asks for the target to be recorded, or whether it is. `version`: of the
     /// award's record, which the write is on condition of.
     pub fn lend(&mut self, id: &str, target: OffloadTarget, version: u64) -> OffloadMark {
-        let Some(ix) = self.cluster.job_index(id) else {
+        let Some(handle) = self.cluster.job_handle(id) else {
             return OffloadMark::No;
         };
-        let Some(job) = self.cluster.job(ix) else {
+        let Some(job) = self.cluster.job(handle) else {
             return OffloadMark::No;
         };
         match &job.offload {
@@ -171,10 +169,10 @@
         if !may_leave {
             return OffloadMark::No;
         }
-        if let Some(job) = self.cluster.job_mut(ix) {
+        if let Some(job) = self.cluster.job_mut(handle) {
             job.offload = OffloadState::Offloading { target, version };
             job.reason = PendingReason::Lent;
-            self.write_queue.offload_changes.push(ix);
+            self.write_queue.offload_changes.push(handle);
             self.changed = true;
         }
         OffloadMark::NotYet
@@ -187,10 +185,10 @@
         if completed.iter().any(|(first, last)| first > last) {
             return false;
         }
-        let Some(ix) = self.cluster.job_index(id) else {
+        let Some(handle) = self.cluster.job_handle(id) else {
             return true;
         };
-        let Some(job) = self.cluster.job_mut(ix) else {
+        let Some(job) = self.cluster.job_mut(handle) else {
             return true;
         };
         match &job.offload {
@@ -199,7 +197,7 @@
                 mark_completed_ranges(job, completed);
                 job.offload = OffloadState::Returning(target);
                 job.reason = PendingReason::New;
-                self.write_queue.offload_changes.push(ix);
+                self.write_queue.offload_changes.push(handle);
                 self.changed = true;
                 false
             }
@@ -225,8 +223,8 @@
         let max_writes = max_writes.min(limits.txn_ops);
         let value_kb = limits.value_kb;
         let mut bytes = 0;
-        for ix in &self.write_queue.offload_changes {
-            let job = self.cluster.job_mut(*ix);
+        for handle in &self.write_queue.offload_changes {
+            let job = self.cluster.job_mut(*handle);
             let Some(job) = job.filter(|job| !job.write_in_flight) else {
                 continue;
             };
@@ -251,14 +249,11 @@
                 value,
                 lease: None,
             });
-            plan.intents.push(WriteIntent::Offload {
-                job: *ix,
-                id: job.id.clone(),
-            });
+            plan.intents.push(WriteIntent::Offload { job: *handle });
             job.write_in_flight = true;
         }
-        self.write_queue.offload_changes.retain(|ix| {
-            let job = self.cluster.job(*ix);
+        self.write_queue.offload_changes.retain(|handle| {
+            let job = self.cluster.job(*handle);
             job.is_some_and(|job| job.offload.has_pending_change())
         });
         self.write_queue.offloads_went_last = !plan.intents.is_empty();
@@ -268,8 +263,8 @@
     /// Targets to be removed, once all that came back is recorded.
     pub(super) fn plan_offload_removals(&mut self, plan: &mut WritePlan, budget: &WriteBudget) {
         let value_kb = self.settings.cluster.state.always().value_kb;
-        for ix in &self.write_queue.offload_changes {
-            let Some(job) = self.cluster.job_mut(*ix) else {
+        for handle in &self.write_queue.offload_changes {
+            let Some(job) = self.cluster.job_mut(*handle) else {
                 continue;
             };
             let due = matches!(job.offload, OffloadState::Returning(_))
@@ -285,10 +280,7 @@
                     value: persistence::job_record(job, false, None),
                     lease: None,
                 });
-                plan.intents.push(WriteIntent::EndOffload {
-                    job: *ix,
-                    id: job.id.clone(),
-                });
+                plan.intents.push(WriteIntent::EndOffload { job: *handle });
                 job.write_in_flight = true;
             }
         }
@@ -299,8 +291,8 @@
     pub(super) fn award_seen(&mut self, id: &str, found: u64) {
         if let Some(job) = self
             .cluster
-            .job_index(id)
-            .and_then(|ix| self.cluster.job_mut(ix))
+            .job_handle(id)
+            .and_then(|handle| self.cluster.job_mut(handle))
             && let OffloadState::Offloading { version, .. } = job.offload
             && version != found
         {
--- a/src/control/leader/persistence.rs
+++ b/src/control/leader/persistence.rs
@@ -16,7 +16,7 @@
     },
     state::{
         Millis,
-        cluster::{Job, Machine, Registration},
+        cluster::{Job, JobHandle, Machine, Registration},
         offload::OffloadTarget,
         records::{
             self as keys, FinalRecord, JobRecord, LEADER, MachineRecord, StoredJob, final_key,
@@ -35,35 +35,31 @@
 const IMAGE_LIST_BYTES: usize = 20;
 
 /// What one part of a transaction is to do, so that its outcome can be applied
-/// to the cluster state. Jobs and machines by index, and by id or name, as an
-/// index may be given to another one meanwhile.
+/// to the cluster state. Machines by index and by name, as an index may be given
+/// to another one meanwhile.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WriteIntent {
     /// Records a cancellation in the job's record.
     Cancel {
-        /// Index of the job.
-        job: u32,
+        /// The job.
+        job: JobHandle,
         /// Its id.
         id: String,
     },
     /// Records that the job is offloaded.
     Offload {
-        /// Index of the job.
-        job: u32,
-        /// Its id.
-        id: String,
+        /// The job.
+        job: JobHandle,
     },
     /// Records that the job is not offloaded any more.
     EndOffload {
-        /// Index of the job.
-        job: u32,
-        /// Its id.
-        id: String,
+        /// The job.
+        job: JobHandle,
     },
     /// Replaces the job's record by that of its terminal state.
     Finish {
-        /// Index of the job.
-        job: u32,
+        /// The job.
+        job: JobHandle,
         /// Its id.
         id: String,
         /// The terminal state.
@@ -71,10 +67,8 @@
     },
     /// Records complete tasks.
     RecordProgress {
-        /// Index of the job.
-        job: u32,
-        /// Its id.
-        id: String,
+        /// The job.
+        job: JobHandle,
         /// Segments of the completion bitmap that are written.
         segments: Vec<usize>,
     },
@@ -106,10 +100,8 @@
     },
     /// Writes chunks of the job's spec.
     UploadSpec {
-        /// Index of the job.
-        job: u32,
-        /// Its id.
-        id: String,
+        /// The job.
+        job: JobHandle,
         /// How many chunks are written after it.
         chunks_written: usize,
     },
@@ -272,19 +264,18 @@
     fn plan_job_writes(&mut self, pass: JobPass, plan: &mut WritePlan, budget: &mut WriteBudget) {
         let value_kb = self.settings.cluster.state.always().value_kb;
         let knows_all = self.recovery.knows_all_tasks();
-        for (ix, job) in self.cluster.jobs.iter_mut().enumerate() {
+        for (handle, job) in self.cluster.jobs.iter_mut() {
             if !budget.has_job(plan) {
                 break;
             }
-            let Some(job) = job.as_mut().filter(|job| !job.write_in_flight) else {
+            if job.write_in_flight {
                 continue;
-            };
-            let ix = ix as u32;
+            }
             let (due, write) = JobWrite::due(job, knows_all);
             // The record can't be written as it is: first the spec chunks.
             if write.keeps_record(job) && self.spec_uploads.is_due(job, value_kb) {
                 if pass == JobPass::Cancellations {
-                    self.spec_uploads.plan(ix, job, plan, budget);
+                    self.spec_uploads.plan(handle, job, plan, budget);
                 }
                 continue;
             }
@@ -292,10 +283,10 @@
                 continue;
             }
             match write {
-                JobWrite::Cancel => plan_cancellation(ix, job, plan, budget),
-                JobWrite::End(state) => plan_ending(ix, job, state, plan, budget),
+                JobWrite::Cancel => plan_cancellation(handle, job, plan, budget),
+                JobWrite::End(state) => plan_ending(handle, job, state, plan, budget),
                 JobWrite::Progress if job.is_dirty() && !job.cancelled => {
-                    plan_progress(ix, job, plan, budget);
+                    plan_progress(handle, job, plan, budget);
                 }
                 JobWrite::Progress => {}
             }
@@ -414,12 +405,7 @@
         record
     }
 
-    /// The job with this index, if the index was not given to another since.
-    pub(super) fn job_of(&mut self, ix: u32, id: &str) -> Option<&mut Job> {
-        self.cluster.job_mut(ix).filter(|job| job.id == id)
-    }
-
-    /// The machine with this index, under the same rule.
+    /// The machine with this index, if the index was not given to another since.
     fn machine_of(&mut self, ix: u32, name: &str) -> Option<&mut Machine> {
         self.cluster.machine_mut(ix).filter(|m| m.name == name)
     }
@@ -431,15 +417,15 @@
                 WriteIntent::Cancel { job, id } => {
                     self.cancellation_applied(*job, id, revision, now);
                 }
-                WriteIntent::Offload { job, id } => {
-                    if let Some(job) = self.job_of(*job, id) {
+                WriteIntent::Offload { job } => {
+                    if let Some(job) = self.cluster.job_mut(*job) {
                         job.record_version = revision;
                         job.write_in_flight = false;
                         job.offload.mark_recorded();
                     }
                 }
-                WriteIntent::EndOffload { job, id } => {
-                    if let Some(job) = self.job_of(*job, id) {
+                WriteIntent::EndOffload { job } => {
+                    if let Some(job) = self.cluster.job_mut(*job) {
                         job.record_version = revision;
                         job.write_in_flight = false;
                         job.offload.mark_removed();
@@ -448,8 +434,8 @@
                 WriteIntent::Finish { job, id, state } => {
                     self.job_ended(*job, id, *state, revision, now);
                 }
-                WriteIntent::RecordProgress { job, id, segments } => {
-                    if let Some(job) = self.job_of(*job, id) {
+                WriteIntent::RecordProgress { job, segments } => {
+                    if let Some(job) = self.cluster.job_mut(*job) {
                         job.write_in_flight = false;
                         if segments.contains(&0) {
                             job.record_version = revision;
@@ -472,18 +458,17 @@
                 }
                 WriteIntent::UploadSpec {
                     job,
-                    id,
                     chunks_written,
-                } => self.spec_chunks_written(*job, id, *chunks_written),
+                } => self.spec_chunks_written(*job, *chunks_written),
                 WriteIntent::Delete { .. } => {}
             }
         }
         self.changed = true;
     }
 
-    fn cancellation_applied(&mut self, ix: u32, id: &str, revision: u64, now: Millis) {
+    fn cancellation_applied(&mut self, handle: JobHandle, id: &str, revision: u64, now: Millis) {
         let term = self.term;
-        let Some(job) = self.job_of(ix, id) else {
+        let Some(job) = self.cluster.job_mut(handle) else {
             return;
         };
         job.record_version = revision;
@@ -495,20 +480,20 @@
         job.offload.mark_refused();
         log::info!("job {id} cancelled, by its record at revision {revision} in term {term}");
         self.final_states.learn(&status, now);
-        self.dependencies.job_cancelled(ix);
+        self.dependencies.job_cancelled(handle);
     }
 
     /// The record of its terminal state is in force, at this revision.
     pub(super) fn job_ended(
         &mut self,
-        ix: u32,
+        handle: JobHandle,
         id: &str,
         state: JobState,
         revision: u64,
         now: Millis,
     ) {
         let term = self.term;
-        let Some(job) = self.job_of(ix, id) else {
+        let Some(job) = self.cluster.job_mut(handle) else {
             return;
         };
         let status = JobStatus {
@@ -527,10 +512,10 @@
         if let Some(spec_chunks) = spec_chunks {
             deletes.extend(spec_chunks.keys(id));
         }
-        self.drop_spec_upload(ix);
-        self.cluster.remove_job(ix);
+        self.drop_spec_upload(handle);
+        self.cluster.remove_job(handle);
         self.remember_final_state(&status, now);
-        self.dependencies.job_ended(ix, state == JobState::Done);
+        self.dependencies.job_ended(handle, state == JobState::Done);
         self.changed = true;
     }
 
@@ -546,12 +531,12 @@
             describe_endings(plan).unwrap_or_else(|| "it ends no job".to_owned())
         );
         for intent in &plan.intents {
-            let (job, id, cancels) = match intent {
-                WriteIntent::Cancel { job, id } => (*job, id, true),
-                WriteIntent::Finish { job, id, state } => (*job, id, *state == JobState::Cancelled),
+            let (job, cancels) = match intent {
+                WriteIntent::Cancel { job, .. } => (*job, true),
+                WriteIntent::Finish { job, state, .. } => (*job, *state == JobState::Cancelled),
                 _ => continue,
             };
-            if let Some(job) = self.job_of(job, id) {
+            if let Some(job) = self.cluster.job_mut(job) {
                 job.end_indeterminate = true;
                 job.cancel_indeterminate |= cancels;
             }
@@ -592,24 +577,24 @@
     ) {
         if let Some((value, version)) = found
             && let Ok(record) = serde_json::from_value::<FinalRecord>(value)
-            && let Some(ix) = self.cluster.job_index(id)
+            && let Some(handle) = self.cluster.job_handle(id)
         {
-            self.job_ended(ix, id, record.state, version, now);
+            self.job_ended(handle, id, record.state, version, now);
         }
     }
 
     fn reconcile_job_record(&mut self, id: &str, found: Option<(serde_json::Value, u64)>) {
         if let Some((value, version)) = found
             && let Ok(record) = serde_json::from_value::<StoredJob>(value)
-            && let Some(ix) = self.cluster.job_index(id)
-            && let Some(job) = self.cluster.job_mut(ix)
+            && let Some(handle) = self.cluster.job_handle(id)
+            && let Some(job) = self.cluster.job_mut(handle)
         {
             job.record_version = version;
             job.spec_chunks = record.spec_chunks;
             job.cancelled |= record.cancelled;
             job.offload.reread(record.offloaded_to.as_ref());
             if job.cancelled {
-                self.dependencies.job_cancelled(ix);
+                self.dependencies.job_cancelled(handle);
             }
         }
     }
@@ -670,19 +655,19 @@
         self.changed = true;
         for intent in &plan.intents {
             match intent {
-                WriteIntent::Cancel { job, id } | WriteIntent::Finish { job, id, .. } => {
-                    if let Some(job) = self.job_of(*job, id) {
+                WriteIntent::Cancel { job, .. } | WriteIntent::Finish { job, .. } => {
+                    if let Some(job) = self.cluster.job_mut(*job) {
                         job.write_in_flight = false;
                         job.ending_in_flight = false;
                     }
                 }
-                WriteIntent::Offload { job, id } | WriteIntent::EndOffload { job, id } => {
-                    if let Some(job) = self.job_of(*job, id) {
+                WriteIntent::Offload { job } | WriteIntent::EndOffload { job } => {
+                    if let Some(job) = self.cluster.job_mut(*job) {
                         job.write_in_flight = false;
                     }
                 }
-                WriteIntent::RecordProgress { job, id, segments } => {
-                    if let Some(job) = self.job_of(*job, id) {
+                WriteIntent::RecordProgress { job, segments } => {
+                    if let Some(job) = self.cluster.job_mut(*job) {
                         job.write_in_flight = false;
                         for segment in segments {
                             job.dirty_segments[*segment] = true;
@@ -756,12 +741,17 @@
     }
 }
 
-fn plan_cancellation(ix: u32, job: &mut Job, plan: &mut WritePlan, budget: &mut WriteBudget) {
+fn plan_cancellation(
+    handle: JobHandle,
+    job: &mut Job,
+    plan: &mut WritePlan,
+    budget: &mut WriteBudget,
+) {
     plan.txn.conditions.push(job.record_condition());
     let record = job_record(job, true, job.offload.recorded_target());
     budget.put(plan, job_key(&job.id), record);
     plan.intents.push(WriteIntent::Cancel {
-        job: ix,
+        job: handle,
         id: job.id.clone(),
     });
     job.write_in_flight = true;
@@ -769,7 +759,7 @@
 }
 
 fn plan_ending(
-    ix: u32,
+    handle: JobHandle,
     job: &mut Job,
     state: JobState,
     plan: &mut WritePlan,
@@ -790,7 +780,7 @@
         key: job_key(&job.id),
     });
     plan.intents.push(WriteIntent::Finish {
-        job: ix,
+        job: handle,
         id: job.id.clone(),
         state,
     });
@@ -801,7 +791,7 @@
 /// The job's record goes with its dirty segments, as many as the budget
 /// allows, so that its version moves on: an older state of a segment that is
 /// applied late can't overwrite a newer one.
-fn plan_progress(ix: u32, job: &mut Job, plan: &mut WritePlan, budget: &mut WriteBudget) {
+fn plan_progress(handle: JobHandle, job: &mut Job, plan: &mut WritePlan, budget: &mut WriteBudget) {
     plan.txn.conditions.push(job.record_condition());
     let record = job_record(job, false, job.offload.recorded_target());
     budget.put(plan, job_key(&job.id), record);
@@ -818,8 +808,7 @@
         job.dirty_segments[*segment] = false;
     }
     plan.intents.push(WriteIntent::RecordProgress {
-        job: ix,
-        id: job.id.clone(),
+        job: handle,
         segments,
     });
     job.write_in_flight = true;
--- a/src/control/leader/preemption.rs
+++ b/src/control/leader/preemption.rs
@@ -7,7 +7,11 @@
 use super::{Leader, millis, victims::GUARANTEE_S};
 use crate::{
     protocol::users::{Kind, Priority},
-    state::{Millis, cluster::Job, resources::Resources},
+    state::{
+        Millis,
+        cluster::{Job, JobHandle},
+        resources::Resources,
+    },
 };
 use std::collections::HashMap;
 
@@ -57,12 +61,12 @@
 impl Leader {
     /// Preempts tasks of lower priority where a job of high priority found no capacity,
     /// and reserves what becomes free for it.
-    pub(super) fn preempt_for_waiting(&mut self, wanting: &[u32], now: Millis) {
+    pub(super) fn preempt_for_waiting(&mut self, wanting: &[JobHandle], now: Millis) {
         let holding = self.jobs_with_reservations(now);
         let mut failed_searches = FailedSearches::default();
         let mut begun = 0;
-        for &job_ix in wanting {
-            let Some(j) = self.cluster.job(job_ix) else {
+        for &job_handle in wanting {
+            let Some(j) = self.cluster.job(job_handle) else {
                 continue;
             };
             if begun >= MAX_PREEMPTED_MACHINES {
@@ -71,15 +75,15 @@
             let several = j.spec.kind == Kind::Gang && j.spec.tasks > 1;
             let starts_over = j.spec.kind == Kind::Gang
                 && j.live_count > 0
-                && self.gang_to_complete(job_ix).is_none();
+                && self.gang_to_complete(job_handle).is_none();
             if starts_over
                 || j.effective_priority < Priority::High && !self.within_guarantee(j, now)
             {
                 continue;
             }
             if several {
-                if !holding.contains(&job_ix) {
-                    begun += self.preempt_for_gang(job_ix, &mut failed_searches, now);
+                if !holding.contains(&job_handle) {
+                    begun += self.preempt_for_gang(job_handle, &mut failed_searches, now);
                 }
                 continue;
             }
@@ -87,8 +91,8 @@
                 // Not planned for here: such a job waits for capacity.
                 continue;
             }
-            let holds = holding.contains(&job_ix);
-            begun += self.preempt_for_tasks(job_ix, holds, begun, &mut failed_searches, now);
+            let holds = holding.contains(&job_handle);
+            begun += self.preempt_for_tasks(job_handle, holds, begun, &mut failed_searches, now);
         }
     }
 
@@ -113,13 +117,13 @@
     /// Preempts for tasks one by one. Returns on how many machines.
     fn preempt_for_tasks(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         holds: bool,
         begun: usize,
         failed_searches: &mut FailedSearches,
         now: Millis,
     ) -> usize {
-        let Some(j) = self.cluster.job(job_ix) else {
+        let Some(j) = self.cluster.job(job_handle) else {
             return 0;
         };
         let (need, team, priority) = (j.need, j.team, j.effective_priority);
@@ -127,17 +131,17 @@
         let key = self.search_key(j, now);
         let mut tasks = i64::from(j.waiting_count());
         if holds {
-            tasks -= self.tasks_that_held_room_takes(job_ix, &need, now);
+            tasks -= self.tasks_that_held_room_takes(job_handle, &need, now);
         }
         // Where zones are counted, another job may find what this one can't.
         if half.is_none() && failed_searches.covers(&key, 1) {
             return 0;
         }
-        let mut zones = self.cluster.live_tasks_by_zone(job_ix);
+        let mut zones = self.cluster.live_tasks_by_zone(job_handle);
         let mut own = 0;
         while tasks > 0 && begun + own < MAX_PREEMPTED_MACHINES && self.within_limit(team, &need, 1)
         {
-            let found = self.cheapest_preemption(job_ix, priority, now, |z| {
+            let found = self.cheapest_preemption(job_handle, priority, now, |z| {
                 half.is_none_or(|h| zones.get(z).copied().unwrap_or(0) < h)
             });
             let Some(room) = found else {
@@ -151,14 +155,19 @@
             if let Some(m) = self.cluster.machine(room.machine) {
                 zones[m.zone] += 1;
             }
-            self.preempt(job_ix, room, now);
+            self.preempt(job_handle, room, now);
         }
         own
     }
 
-    fn tasks_that_held_room_takes(&self, job_ix: u32, need: &Resources, now: Millis) -> i64 {
+    fn tasks_that_held_room_takes(
+        &self,
+        job_handle: JobHandle,
+        need: &Resources,
+        now: Millis,
+    ) -> i64 {
         let held = self.cluster.each_machine();
-        let held = held.filter(|m| m.is_reserved_for(job_ix, now));
+        let held = held.filter(|m| m.is_reserved_for(job_handle, now));
         held.map(|m| m.capacity.count(need)).sum()
     }
 
@@ -166,14 +175,14 @@
     /// Returns on how many machines tasks were stopped.
     fn preempt_for_gang(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         failed_searches: &mut FailedSearches,
         now: Millis,
     ) -> usize {
-        if !self.wants_room(job_ix) {
+        if !self.wants_room(job_handle) {
             return 0;
         }
-        let Some(j) = self.cluster.job(job_ix) else {
+        let Some(j) = self.cluster.job(job_handle) else {
             return 0;
         };
         // Tasks that are there already may bind the rest to their zone.
@@ -182,8 +191,8 @@
         if alone && failed_searches.covers(&key, missing) {
             return 0;
         }
-        match self.gang_candidates(job_ix, now, |_| true) {
-            Some((_, rooms)) => self.preempt_all(job_ix, rooms, now),
+        match self.gang_candidates(job_handle, now, |_| true) {
+            Some((_, rooms)) => self.preempt_all(job_handle, rooms, now),
             None => {
                 if alone {
                     failed_searches.record(key, missing);
--- a/src/control/leader/queue.rs
+++ b/src/control/leader/queue.rs
@@ -10,31 +10,33 @@
         settings::Objective,
         users::{JobSpec, Kind},
     },
-    state::{Millis, cluster::Job, resources::Resources},
+    state::{
+        Millis,
+        cluster::{Job, JobHandle},
+        resources::Resources,
+    },
 };
 
 impl Leader {
     /// Waiting jobs in the order in which they are served.
-    pub(super) fn queue(&mut self, now: Millis) -> Vec<u32> {
+    pub(super) fn queue(&mut self, now: Millis) -> Vec<JobHandle> {
         self.refresh_fleet(now);
         let mut order = std::mem::take(&mut self.scheduling.queue_buffer);
         order.clear();
-        for (ix, job) in self.cluster.jobs.iter().enumerate() {
-            if job.as_ref().is_some_and(is_schedulable_job) {
-                order.push(ix as u32);
-            }
-        }
+        let jobs = self.cluster.jobs.iter();
+        let schedulable = jobs.filter(|(_, job)| is_schedulable_job(job));
+        order.extend(schedulable.map(|(handle, _)| handle));
         let jobs = &self.cluster.jobs;
         let (objectives, wall) = (&self.settings.cluster.objectives, self.wall_ms);
         let fleet = self.scheduling.fleet.capacity();
-        order.sort_by_cached_key(|ix| {
-            jobs[*ix as usize].as_ref().map(|j| {
+        order.sort_by_cached_key(|handle| {
+            jobs.get(*handle).map(|j| {
                 let begun = !self.is_starving(j);
                 let band =
                     deadline_band(&j.spec, objectives, wall.saturating_sub(j.accepted_at_ms));
                 let rank = std::cmp::Reverse(j.effective_priority);
                 let turn = j.queued_since_ms.saturating_add(yield_time_ms(j, &fleet));
-                (j.failures.suspected, begun, rank, band, turn, *ix)
+                (j.failures.suspected, begun, rank, band, turn, *handle)
             })
         });
         order
--- a/src/control/leader/quotas.rs
+++ b/src/control/leader/quotas.rs
@@ -17,7 +17,7 @@
         self.scheduling
             .unconfirmed_usage
             .resize(self.cluster.teams.len(), Resources::default());
-        for j in self.cluster.jobs.iter().flatten() {
+        for j in self.cluster.jobs.values() {
             if !self.job_settled(j)
                 && let Some(u) = self.scheduling.unconfirmed_usage.get_mut(j.team)
             {
--- a/src/control/leader/recovery.rs
+++ b/src/control/leader/recovery.rs
@@ -132,7 +132,7 @@
     /// Batches do not count: they may wait for minutes on any day.
     fn has_urgent_starts(&self) -> bool {
         let since = self.recovery.since;
-        self.cluster.jobs.iter().flatten().any(|j| {
+        self.cluster.jobs.values().any(|j| {
             j.spec.kind != Kind::Array
                 && j.waiting_count() > 0
                 && j.known_since <= since
--- a/src/control/leader/scale_out.rs
+++ b/src/control/leader/scale_out.rs
@@ -16,7 +16,7 @@
     },
     state::{
         Millis,
-        cluster::{Job, Machine, NewMachine, Registration},
+        cluster::{Job, JobHandle, Machine, NewMachine, Registration},
         records::machine_key,
         resources::Resources,
     },
@@ -118,7 +118,7 @@
 
 /// A job, and the index of the demand that it is part of, if any.
 struct JobDemandIndex {
-    job: u32,
+    job: JobHandle,
     demand: Option<usize>,
 }
 
@@ -137,12 +137,15 @@
 }
 
 impl JobDemand {
-    fn add(&mut self, ix: u32, job: &Job, count: i64) {
+    fn add(&mut self, handle: JobHandle, job: &Job, count: i64) {
         let demand = match count {
             1.. => self.add_demand(job, count),
             _ => None,
         };
-        self.jobs.push(JobDemandIndex { job: ix, demand });
+        self.jobs.push(JobDemandIndex {
+            job: handle,
+            demand,
+        });
     }
 
     /// The index of the demand; `None`: there are too many already.
--- a/src/control/leader/scheduling.rs
+++ b/src/control/leader/scheduling.rs
@@ -8,7 +8,7 @@
 use super::{headroom::Class, scheduling_cycle::SchedulingCycle};
 use crate::{
     control::placement::{Policy, fleet::Fleet},
-    state::{Millis, resources::Resources},
+    state::{Millis, cluster::JobHandle, resources::Resources},
 };
 use std::collections::{BTreeSet, VecDeque};
 
@@ -16,7 +16,7 @@
 pub(super) struct Scheduling {
     pub(super) policy: Policy,
     pub(super) seen_shapes: Vec<(Resources, u64)>,
-    pub(super) queue_buffer: Vec<u32>,
+    pub(super) queue_buffer: Vec<JobHandle>,
     /// Recent arrivals: time, index into `classes`, tasks.
     pub(super) arrivals: VecDeque<(Millis, usize, u32)>,
     pub(super) classes: Vec<Class>,
--- a/src/control/leader/scheduling_cycle.rs
+++ b/src/control/leader/scheduling_cycle.rs
@@ -16,7 +16,11 @@
         status::PendingReason,
         users::{Kind, Priority},
     },
-    state::{Millis, cluster::Job, resources::Resources},
+    state::{
+        Millis,
+        cluster::{Job, JobHandle},
+        resources::Resources,
+    },
 };
 use std::collections::HashSet;
 
@@ -24,13 +28,6 @@
 /// milliseconds.
 const MAX_CYCLE_STEPS: u32 = 1_000;
 
-/// A job by its index, with the generation that tells it from a later one there.
-#[derive(Debug, Clone, Copy)]
-struct Waiting {
-    job: u32,
-    serial: u64,
-}
-
 /// What tasks ask of machines, for jobs that find no capacity.
 #[derive(Debug, PartialEq)]
 struct Shape {
@@ -42,18 +39,18 @@
 
 /// A cycle that has begun.
 pub(super) struct SchedulingCycle {
-    order: Vec<Waiting>,
+    order: Vec<JobHandle>,
     next: usize,
     headroom: Vec<Headroom>,
     /// Jobs with a reservation.
-    jobs_with_reservations: HashSet<u32>,
+    jobs_with_reservations: HashSet<JobHandle>,
     /// Jobs that found no capacity.
-    unplaced_jobs: Vec<u32>,
+    unplaced_jobs: Vec<JobHandle>,
     /// Shapes that found no capacity in this cycle; the rest of the queue need not be
     /// tried for them.
     full_shapes: Vec<Shape>,
     /// Gangs that wait for capacity, and their priority.
-    waiting_gangs: Vec<u32>,
+    waiting_gangs: Vec<JobHandle>,
     waiting_gangs_priority: Priority,
     /// The job at hand may start one task under its team's limit.
     may_start_one: bool,
@@ -70,15 +67,15 @@
         };
         let Some(mut cycle) = cycle else { return };
         while let Some(waiting) = cycle.order.get(cycle.next).copied() {
-            let there = self.cluster.job(waiting.job);
-            let still =
-                there.is_some_and(|j| j.generation == waiting.serial && is_schedulable_job(j));
-            if still && (!self.take_step() || !self.place_job(waiting.job, &mut cycle, now)) {
+            // It may be over, or cancelled, since the cycle began.
+            let still = self.cluster.job(waiting).is_some_and(is_schedulable_job);
+            if still && (!self.take_step() || !self.place_job(waiting, &mut cycle, now)) {
                 self.scheduling.interrupted_cycle = Some(cycle);
                 return;
             }
             cycle.next += 1;
         }
+        self.scheduling.queue_buffer = std::mem::take(&mut cycle.order);
         // Capacity that became free meanwhile is offered to nobody yet.
         self.refresh_fleet(now);
         if self.recovery.heard_from_most(now) {
@@ -98,8 +95,8 @@
     fn begin_cycle(&mut self, now: Millis) -> Option<SchedulingCycle> {
         let order = self.queue(now);
         if self.scheduling.fleet.is_empty() {
-            for ix in &order {
-                self.set_reason(*ix, PendingReason::NoRoom);
+            for handle in &order {
+                self.set_reason(*handle, PendingReason::NoRoom);
             }
             self.scheduling.queue_buffer = order;
             return None;
@@ -107,15 +104,9 @@
         let keep = millis(self.options.keep_s);
         let headroom = self.headroom(ARRIVAL_WINDOW_MS, keep, now);
         let held = self.jobs_with_reservations(now);
-        let waiting = |ix: &u32| {
-            let serial = self.cluster.job(*ix)?.generation;
-            Some(Waiting { job: *ix, serial })
-        };
-        let jobs = order.iter().filter_map(waiting).collect();
         self.scheduling.in_cycle = true;
-        self.scheduling.queue_buffer = order;
         Some(SchedulingCycle {
-            order: jobs,
+            order,
             next: 0,
             headroom,
             jobs_with_reservations: held,
@@ -128,19 +119,24 @@
     }
 
     /// Places what it can of one job; `false`: the cycle was interrupted.
-    fn place_job(&mut self, job_ix: u32, cycle: &mut SchedulingCycle, now: Millis) -> bool {
-        let Some(job) = self.cluster.job(job_ix) else {
+    fn place_job(
+        &mut self,
+        job_handle: JobHandle,
+        cycle: &mut SchedulingCycle,
+        now: Millis,
+    ) -> bool {
+        let Some(job) = self.cluster.job(job_handle) else {
             return true;
         };
         // One try at a time.
         let tried = job.failures.suspected && job.live_count > 0;
         if job.backoff_until > now || job.failures.is_backing_off(now) || tried {
-            self.set_reason(job_ix, PendingReason::FailsEverywhere);
+            self.set_reason(job_handle, PendingReason::FailsEverywhere);
             return true;
         }
         let suspected = job.failures.suspected;
         if !self.job_settled(job) {
-            self.set_reason(job_ix, PendingReason::Settling);
+            self.set_reason(job_handle, PendingReason::Settling);
             return true;
         }
         let shape = Shape {
@@ -154,73 +150,82 @@
                 self.reserve_for_gang(gang, now);
             }
         }
-        let held = cycle.jobs_with_reservations.contains(&job_ix);
+        let held = cycle.jobs_with_reservations.contains(&job_handle);
         // No free capacity; some may be reserved or preempted for it still.
         if cycle.full_shapes.contains(&shape) && !held {
-            self.set_reason(job_ix, PendingReason::NoRoom);
-            cycle.unplaced_jobs.push(job_ix);
+            self.set_reason(job_handle, PendingReason::NoRoom);
+            cycle.unplaced_jobs.push(job_handle);
             return true;
         }
         if suspected {
             // Only where capacity is free: nothing is preempted or reserved for it.
-            if let Some(ranking) = self.ranking_for(job_ix, now) {
-                self.place_try(job_ix, ranking, &mut cycle.headroom, now);
+            if let Some(ranking) = self.ranking_for(job_handle, now) {
+                self.place_try(job_handle, ranking, &mut cycle.headroom, now);
             }
             return true;
         }
         self.refresh_fleet(now);
         // Guards against a ranking for every shape that waits while the fleet
         // is full.
-        if !self.may_fit(job_ix) {
-            self.record_pending_reason(job_ix, held);
-            cycle.unplaced_jobs.push(job_ix);
+        if !self.may_fit(job_handle) {
+            self.record_pending_reason(job_handle, held);
+            cycle.unplaced_jobs.push(job_handle);
             return true;
         }
-        match self.place_tasks(job_ix, cycle, now) {
+        match self.place_tasks(job_handle, cycle, now) {
             Outcome::Placed => true,
             Outcome::Interrupted => false,
             Outcome::Left => {
-                self.record_pending_reason(job_ix, held);
-                cycle.unplaced_jobs.push(job_ix);
-                self.record_no_capacity(job_ix, shape, cycle, now);
+                self.record_pending_reason(job_handle, held);
+                cycle.unplaced_jobs.push(job_handle);
+                self.record_no_capacity(job_handle, shape, cycle, now);
                 true
             }
         }
     }
 
-    fn may_fit(&self, job_ix: u32) -> bool {
-        self.cluster.job(job_ix).is_some_and(|job| {
+    fn may_fit(&self, job_handle: JobHandle) -> bool {
+        self.cluster.job(job_handle).is_some_and(|job| {
             let allows = |type_ix, zone, spot| job.allows_kind(type_ix, zone, spot);
             self.scheduling.fleet.may_fit(&job.need, allows)
         })
     }
 
     /// Places what it can of a job for which there may be capacity.
-    fn place_tasks(&mut self, job_ix: u32, cycle: &mut SchedulingCycle, now: Millis) -> Outcome {
-        let Some(job) = self.cluster.job(job_ix) else {
+    fn place_tasks(
+        &mut self,
+        job_handle: JobHandle,
+        cycle: &mut SchedulingCycle,
+        now: Millis,
+    ) -> Outcome {
+        let Some(job) = self.cluster.job(job_handle) else {
             return Outcome::Placed;
         };
         let gang = job.spec.kind == Kind::Gang;
         let (team, need) = (job.team, job.need);
         let is_starving = self.is_starving(job);
         cycle.may_start_one = self.within_limit(team, &need, 1);
-        let Some(ranking) = self.ranking_for(job_ix, now) else {
+        let Some(ranking) = self.ranking_for(job_handle, now) else {
             return Outcome::Placed;
         };
         let headroom = &mut cycle.headroom;
         if gang {
-            return match self.place_gang(job_ix, ranking, headroom, now) {
+            return match self.place_gang(job_handle, ranking, headroom, now) {
                 true => Outcome::Placed,
                 false => Outcome::Left,
             };
         }
         if !is_starving {
-            return self.place_some(job_ix, u32::MAX, ranking, headroom, now);
+            return self.place_some(job_handle, u32::MAX, ranking, headroom, now);
         }
         // One task is a beginning; the rest takes its turn.
-        let outcome = self.place_some(job_ix, 1, ranking, headroom, now);
+        let outcome = self.place_some(job_handle, 1, ranking, headroom, now);
         // Guards against a cycle at every event while it finds no capacity.
-        if self.cluster.job(job_ix).is_some_and(|j| j.live_count > 0) {
+        if self
+            .cluster
+            .job(job_handle)
+            .is_some_and(|j| j.live_count > 0)
+        {
             self.changed = true;
             return Outcome::Placed;
         }
@@ -230,21 +235,21 @@
     /// Reserves what a gang finds, or records that the shape has no capacity.
     fn record_no_capacity(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         shape: Shape,
         cycle: &mut SchedulingCycle,
         now: Millis,
     ) {
-        let Some(job) = self.cluster.job(job_ix) else {
+        let Some(job) = self.cluster.job(job_handle) else {
             return;
         };
         let (team, priority) = (job.team, job.effective_priority);
         let bound = job.spec.single_zone || job.spec.spread || job.spec.kind == Kind::Gang;
         if job.spec.kind == Kind::Gang {
-            if self.is_starving(job) || self.has_waited_too_long(job_ix, now) {
-                self.reserve_for_gang(job_ix, now);
+            if self.is_starving(job) || self.has_waited_too_long(job_handle, now) {
+                self.reserve_for_gang(job_handle, now);
             } else {
-                cycle.waiting_gangs.push(job_ix);
+                cycle.waiting_gangs.push(job_handle);
                 cycle.waiting_gangs_priority = priority;
             }
         }
@@ -254,13 +259,13 @@
     }
 
     /// Records why the rest of a job was not placed in this cycle.
-    fn record_pending_reason(&mut self, job_ix: u32, held: bool) {
-        let Some(j) = self.cluster.job(job_ix) else {
+    fn record_pending_reason(&mut self, job_handle: JobHandle, held: bool) {
+        let Some(j) = self.cluster.job(job_handle) else {
             return;
         };
         let gang = j.spec.kind == Kind::Gang;
         let at_once = if gang { j.waiting_count() } else { 1 };
-        let reason = if gang && j.live_count > 0 && self.gang_to_complete(job_ix).is_none() {
+        let reason = if gang && j.live_count > 0 && self.gang_to_complete(job_handle).is_none() {
             PendingReason::OldAttempt
         } else if !self.within_limit(j.team, &j.need, i64::from(at_once)) {
             PendingReason::TeamLimit
@@ -271,7 +276,7 @@
         } else {
             PendingReason::NoRoom
         };
-        self.set_reason(job_ix, reason);
+        self.set_reason(job_handle, reason);
     }
 }
 
--- a/src/control/leader/spec_chunks.rs
+++ b/src/control/leader/spec_chunks.rs
@@ -16,19 +16,18 @@
         users::JobSpec,
     },
     state::{
-        cluster::Job,
+        cluster::{Job, JobHandle},
         records as keys,
         spec_chunks::{self, SpecChunks},
     },
 };
-use std::collections::HashMap;
+use std::collections::{HashMap, hash_map::Entry};
 
 /// Chunks in one transaction, which then stays well under 64 KiB.
 const MAX_CHUNKS_PER_TRANSACTION: usize = 24;
 
 /// A spec of which chunks are being written.
 struct SpecUpload {
-    id: String,
     spec_chunks: SpecChunks,
     /// Keys and values of the chunks, in order.
     values: Vec<(String, String)>,
@@ -42,7 +41,7 @@
     /// Every controller can read chunks.
     pub(super) allowed: bool,
     /// By job.
-    open: HashMap<u32, SpecUpload>,
+    open: HashMap<JobHandle, SpecUpload>,
 }
 
 impl SpecUploads {
@@ -54,27 +53,21 @@
     /// Adds the next chunks of a job's spec to what is to be written.
     pub(super) fn plan(
         &mut self,
-        ix: u32,
+        handle: JobHandle,
         job: &Job,
         plan: &mut WritePlan,
         budget: &mut WriteBudget,
     ) {
-        if self.open.get(&ix).is_none_or(|upload| upload.id != job.id) {
-            match spec_chunks::cut(&job.spec) {
-                Ok((spec_chunks, values)) => {
-                    let upload = SpecUpload {
-                        id: job.id.clone(),
-                        spec_chunks,
-                        values,
-                        written: 0,
-                    };
-                    self.open.insert(ix, upload);
-                }
+        let upload = match self.open.entry(handle) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(place) => match spec_chunks::cut(&job.spec) {
+                Ok((spec_chunks, values)) => place.insert(SpecUpload {
+                    spec_chunks,
+                    values,
+                    written: 0,
+                }),
                 Err(e) => return log::error!("job {}: {e}", job.id),
-            }
-        }
-        let Some(upload) = self.open.get(&ix) else {
-            return;
+            },
         };
         let chunks_written = upload
             .values
@@ -85,8 +78,7 @@
         }
         if chunks_written > upload.written {
             plan.intents.push(WriteIntent::UploadSpec {
-                job: ix,
-                id: job.id.clone(),
+                job: handle,
                 chunks_written,
             });
         }
@@ -100,26 +92,27 @@
     }
 
     /// So many chunks of the job's spec are written.
-    pub(super) fn spec_chunks_written(&mut self, ix: u32, id: &str, chunks_written: usize) {
+    pub(super) fn spec_chunks_written(&mut self, handle: JobHandle, chunks_written: usize) {
         let uploads = &mut self.spec_uploads.open;
-        let Some(upload) = uploads.get_mut(&ix).filter(|upload| upload.id == id) else {
+        let Some(upload) = uploads.get_mut(&handle) else {
             return;
         };
         upload.written = upload.written.max(chunks_written);
         if upload.written < upload.values.len() {
             return;
         }
-        let Some(upload) = uploads.remove(&ix) else {
+        let Some(upload) = uploads.remove(&handle) else {
             return;
         };
-        if let Some(job) = self.job_of(ix, id).filter(|job| job.spec_chunks.is_none()) {
+        let job = self.cluster.job_mut(handle);
+        if let Some(job) = job.filter(|job| job.spec_chunks.is_none()) {
             job.spec_chunks = Some(upload.spec_chunks);
         }
     }
 
     /// The job is over: chunks of an upload that is not complete are deleted.
-    pub(super) fn drop_spec_upload(&mut self, ix: u32) {
-        if let Some(upload) = self.spec_uploads.open.remove(&ix) {
+    pub(super) fn drop_spec_upload(&mut self, handle: JobHandle) {
+        if let Some(upload) = self.spec_uploads.open.remove(&handle) {
             let keys = upload.values.into_iter().map(|(key, _)| key);
             self.write_queue
                 .unconditional_deletes
@@ -158,14 +151,15 @@
     /// being written: then it must not be deleted as left over, even if it once
     /// was.
     pub(super) fn spec_chunk_in_use(&self, key: &str) -> bool {
-        let Some(ix) = SpecChunks::job_of(key).and_then(|id| self.cluster.job_index(id)) else {
+        let Some(handle) = SpecChunks::job_of(key).and_then(|id| self.cluster.job_handle(id))
+        else {
             return false;
         };
-        let upload = self.spec_uploads.open.get(&ix);
+        let upload = self.spec_uploads.open.get(&handle);
         if upload.is_some_and(|upload| upload.values.iter().any(|(other, _)| other == key)) {
             return true;
         }
-        self.cluster.job(ix).is_some_and(|job| {
+        self.cluster.job(handle).is_some_and(|job| {
             let spec_chunks = job.spec_chunks.as_ref();
             spec_chunks.is_some_and(|chunks| chunks.names(&job.id, key))
         })
@@ -178,7 +172,7 @@
             let id = SpecChunks::job_of(&key).unwrap_or_default();
             let job = self
                 .cluster
-                .job_index(id)
+                .job_handle(id)
                 .and_then(|ix| self.cluster.job(ix));
             let spec_chunks = job.and_then(|job| job.spec_chunks.as_ref());
             if !spec_chunks.is_some_and(|chunks| chunks.names(id, &key)) {
--- a/src/control/leader/status.rs
+++ b/src/control/leader/status.rs
@@ -15,7 +15,12 @@
         },
         workers::ExitReason,
     },
-    state::{Millis, cluster::Job, dependencies::Readiness, offload::OffloadState},
+    state::{
+        Millis,
+        cluster::{Job, JobHandle},
+        dependencies::Readiness,
+        offload::OffloadState,
+    },
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -25,7 +30,7 @@
     pub(super) tally: Tally,
     pub(super) recent_failures: VecDeque<Failed>,
     /// Jobs of which a task failed and none has run.
-    pub(super) suspects: Vec<u32>,
+    pub(super) suspects: Vec<JobHandle>,
 }
 
 /// Recent failures kept for operators.
@@ -71,8 +76,8 @@
 }
 
 impl Leader {
-    pub(super) fn set_reason(&mut self, job_ix: u32, reason: PendingReason) {
-        if let Some(j) = self.cluster.job_mut(job_ix) {
+    pub(super) fn set_reason(&mut self, job_handle: JobHandle, reason: PendingReason) {
+        if let Some(j) = self.cluster.job_mut(job_handle) {
             j.reason = reason;
         }
     }
@@ -110,9 +115,14 @@
 
     /// Seconds until it has to be done: by its own deadline, or by that of a job that
     /// depends on it, whichever is sooner.
-    fn left_s(&self, ix: u32, job: &Job, in_chains: &HashMap<u32, u64>) -> Option<f64> {
+    fn left_s(
+        &self,
+        handle: JobHandle,
+        job: &Job,
+        in_chains: &HashMap<JobHandle, u64>,
+    ) -> Option<f64> {
         let own = job.spec.deadline_s.map(|d| d - self.age_s(job));
-        let chain = in_chains.get(&ix);
+        let chain = in_chains.get(&handle);
         let chain = chain.map(|due| (*due as f64 - self.wall_ms as f64) / 1000.0);
         own.into_iter().chain(chain).min_by(f64::total_cmp)
     }
@@ -182,8 +192,7 @@
     fn groups(&self) -> Vec<JobGroup> {
         let mut groups: HashMap<(&str, &str), JobGroup> = HashMap::new();
         let in_chains = self.inherited_deadlines();
-        let jobs = self.cluster.jobs.iter().enumerate();
-        for (ix, j) in jobs.filter_map(|(ix, j)| Some((ix as u32, j.as_ref()?))) {
+        for (handle, j) in self.cluster.jobs.iter() {
             let key = (j.spec.class.as_str(), j.spec.team.as_str());
             let g = groups.entry(key).or_insert_with(|| JobGroup {
                 class: clipped(&j.spec.class),
@@ -191,7 +200,7 @@
                 ..JobGroup::default()
             });
             g.running += j.running_count;
-            match self.due_of(j, self.left_s(ix, j, &in_chains)) {
+            match self.due_of(j, self.left_s(handle, j, &in_chains)) {
                 Some(Due::Late) => g.late_jobs += 1,
                 Some(Due::AtRisk) => g.at_risk_jobs += 1,
                 _ => {}
@@ -290,8 +299,7 @@
         for lent in self
             .cluster
             .jobs
-            .iter()
-            .flatten()
+            .values()
             .filter_map(|j| j.offload.target())
         {
             *list.entry(&lent.market).or_default() += 1;
@@ -338,14 +346,14 @@
 
     /// The state of one job, for `explain`. `None`: not a live job.
     pub fn explain(&self, id: &str, now: Millis) -> Option<JobExplanation> {
-        let ix = self.cluster.job_index(id)?;
-        let j = self.cluster.job(ix)?;
+        let handle = self.cluster.job_handle(id)?;
+        let j = self.cluster.job(handle)?;
         let waiting = j.waiting_count();
-        let (needs, needs_all) = self.unfinished_dependencies(ix, NEEDS);
-        let left_s = self.left_s(ix, j, &self.inherited_deadlines());
+        let (needs, needs_all) = self.unfinished_dependencies(handle, NEEDS);
+        let left_s = self.left_s(handle, j, &self.inherited_deadlines());
         let held = !j.offload.is_local() || j.readiness != Readiness::Ready;
         let places = self.cluster.each_machine().flat_map(|m| {
-            let own = m.tasks.iter().filter(|a| a.job == ix);
+            let own = m.tasks.iter().filter(|a| a.job == Some(handle));
             own.map(|a| {
                 let stop = if a.stop_grace_s.is_some() {
                     ", to stop"
--- a/src/control/leader/task_placement.rs
+++ b/src/control/leader/task_placement.rs
@@ -14,7 +14,7 @@
     protocol::{status::PendingReason, users::Kind},
     state::{
         Millis,
-        cluster::{Job, Phase, Placement},
+        cluster::{Job, JobHandle, Phase, Placement},
         resources::Resources,
     },
 };
@@ -39,14 +39,15 @@
     /// Whether the machine takes this task now.
     fn admits(
         &self,
-        job_ix: u32,
+        job_handle: JobHandle,
         task: u32,
         machine: u32,
         room: &MachineView,
         headroom: &[Headroom],
         now: Millis,
     ) -> bool {
-        let (Some(job), Some(m)) = (self.cluster.job(job_ix), self.cluster.machine(machine)) else {
+        let (Some(job), Some(m)) = (self.cluster.job(job_handle), self.cluster.machine(machine))
+        else {
             return false;
         };
         let leaves_headroom = |r: &Headroom| {
@@ -58,29 +59,30 @@
                 }
         };
         (now >= m.closed_to_batches_until || job.spec.kind != Kind::Array)
-            && m.available_to(job_ix, now)
+            && m.available_to(job_handle, now)
             && headroom.iter().all(leaves_headroom)
             && job.allows(m)
             // An old attempt still listed there would refuse it.
-            && !m.tasks.iter().any(|a| a.job == job_ix && a.task == task)
+            && !m.tasks.iter().any(|a| a.job == Some(job_handle) && a.task == task)
     }
 
     /// The machine for a task, from the ranking for its job.
     fn choose(
         &self,
-        job_ix: u32,
+        job_handle: JobHandle,
         task: u32,
         ranking: RankingId,
         headroom: &[Headroom],
         now: Millis,
         zone_ok: impl Fn(usize) -> bool,
     ) -> Option<Choice> {
-        let job = self.cluster.job(job_ix)?;
+        let job = self.cluster.job(job_handle)?;
         let zone_ok = |zone| job.zone.is_none_or(|only| only == zone) && zone_ok(zone);
         // Where the job has failed, the fault may be there.
         let failed = |machine| job.failures.failed_on(machine);
-        let admits =
-            |machine, room: &MachineView| self.admits(job_ix, task, machine, room, headroom, now);
+        let admits = |machine, room: &MachineView| {
+            self.admits(job_handle, task, machine, room, headroom, now)
+        };
         let chosen = self
             .scheduling
             .fleet
@@ -124,19 +126,22 @@
     /// A try of a suspected job: one task, or a whole gang.
     pub(super) fn place_try(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         ranking: RankingId,
         headroom: &mut [Headroom],
         now: Millis,
     ) {
-        self.set_reason(job_ix, PendingReason::FailsEverywhere);
-        let gang = self.cluster.job(job_ix).map(|j| j.spec.kind == Kind::Gang);
+        self.set_reason(job_handle, PendingReason::FailsEverywhere);
+        let gang = self
+            .cluster
+            .job(job_handle)
+            .map(|j| j.spec.kind == Kind::Gang);
         match gang {
             Some(true) => {
-                self.place_gang(job_ix, ranking, headroom, now);
+                self.place_gang(job_handle, ranking, headroom, now);
             }
             _ => {
-                self.place_some(job_ix, 1, ranking, headroom, now);
+                self.place_some(job_handle, 1, ranking, headroom, now);
             }
         }
     }
@@ -144,26 +149,30 @@
     /// Tasks of an array or a service, at most so many.
     pub(super) fn place_some(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         most: u32,
         ranking: RankingId,
         headroom: &mut [Headroom],
         now: Millis,
     ) -> Outcome {
-        let Some(job) = self.cluster.job(job_ix) else {
+        let Some(job) = self.cluster.job(job_handle) else {
             return Outcome::Placed;
         };
         let (need, team, one_zone, spread) =
             (job.need, job.team, job.spec.single_zone, job.spec.spread);
         let half = job.spec.tasks.div_ceil(2);
         let mut zones = if one_zone || spread {
-            self.cluster.live_tasks_by_zone(job_ix)
+            self.cluster.live_tasks_by_zone(job_handle)
         } else {
             Vec::new()
         };
         let mut placed = 0;
         loop {
-            let Some(task) = self.cluster.job_mut(job_ix).and_then(|j| j.next_waiting()) else {
+            let Some(task) = self
+                .cluster
+                .job_mut(job_handle)
+                .and_then(|j| j.next_waiting())
+            else {
                 return Outcome::Placed;
             };
             if placed >= most {
@@ -176,7 +185,7 @@
             if !self.take_step() {
                 return Outcome::Interrupted;
             }
-            let chosen = self.choose(job_ix, task, ranking, headroom, now, |z| {
+            let chosen = self.choose(job_handle, task, ranking, headroom, now, |z| {
                 (!one_zone || zones.iter().enumerate().all(|(i, n)| *n == 0 || i == z))
                     && (!spread || zones.get(z).copied().unwrap_or(0) < half)
             });
@@ -184,7 +193,7 @@
                 return Outcome::Left;
             };
             if !one_zone
-                && self.reserve_where_image_is(job_ix, choice, now, |z| {
+                && self.reserve_where_image_is(job_handle, choice, now, |z| {
                     !spread || zones.get(z).copied().unwrap_or(0) < half
                 })
             {
@@ -196,15 +205,15 @@
                 *n += 1;
             }
             let attempt = self.attempt();
-            self.start(job_ix, task, choice.machine, attempt, now);
+            self.start(job_handle, task, choice.machine, attempt, now);
         }
     }
 
     /// The attempt of a gang that lost a task before it started: the others
     /// wait on, and a replacement under the same number completes it.
-    pub(super) fn gang_to_complete(&self, job_ix: u32) -> Option<u64> {
+    pub(super) fn gang_to_complete(&self, job_handle: JobHandle) -> Option<u64> {
         let mut attempt = None;
-        for (ix, at) in self.cluster.live_tasks_of(job_ix) {
+        for (ix, at) in self.cluster.live_tasks_of(job_handle) {
             if let Some(a) = self.cluster.machine(ix).and_then(|m| m.tasks.get(at)) {
                 let begun = matches!(a.phase, Phase::Running | Phase::Saving);
                 if begun || a.stop_grace_s.is_some() || attempt.is_some_and(|n| n != a.attempt) {
@@ -219,12 +228,12 @@
     /// Places all tasks of a gang in one cycle, or none. Returns whether it was placed.
     pub(super) fn place_gang(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         ranking: RankingId,
         headroom: &mut [Headroom],
         now: Millis,
     ) -> bool {
-        let Some(job) = self.cluster.job(job_ix) else {
+        let Some(job) = self.cluster.job(job_handle) else {
             return true;
         };
         let (n, need, team) = (job.spec.tasks, job.need, job.team);
@@ -234,25 +243,26 @@
         let again = match job.live_count {
             0 => None,
             // Tasks of an attempt that had started must be gone first.
-            _ => match self.gang_to_complete(job_ix) {
-                Some(attempt) if self.hears_all_tasks_of(job_ix) => Some(attempt),
+            _ => match self.gang_to_complete(job_handle) {
+                Some(attempt) if self.hears_all_tasks_of(job_handle) => Some(attempt),
                 _ => return false,
             },
         };
         if !self.within_limit(team, &need, missing.len() as i64) {
             return false;
         }
-        for only in self.gang_zones(job_ix) {
-            let Some(chosen) = self.try_gang(job_ix, &missing, only, ranking, headroom, now) else {
+        for only in self.gang_zones(job_handle) {
+            let Some(chosen) = self.try_gang(job_handle, &missing, only, ranking, headroom, now)
+            else {
                 continue;
             };
-            if self.gang_waits_for_image(job_ix, &chosen, only, now) {
+            if self.gang_waits_for_image(job_handle, &chosen, only, now) {
                 return false;
             }
             let attempt = again.unwrap_or_else(|| self.attempt());
             for (task, choice) in missing.iter().zip(chosen) {
                 self.scheduling.fleet.take(ranking, choice.machine);
-                self.start(job_ix, *task, choice.machine, attempt, now);
+                self.start(job_handle, *task, choice.machine, attempt, now);
             }
             return true;
         }
@@ -263,22 +273,22 @@
     /// was chosen is not taken.
     fn try_gang(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         missing: &[u32],
         only: Option<usize>,
         ranking: RankingId,
         headroom: &mut [Headroom],
         now: Millis,
     ) -> Option<Vec<Choice>> {
-        let job = self.cluster.job(job_ix)?;
+        let job = self.cluster.job(job_handle)?;
         let (need, spread, half) = (job.need, job.spec.spread, job.spec.tasks.div_ceil(2));
-        let mut per_zone = self.cluster.live_tasks_by_zone(job_ix);
+        let mut per_zone = self.cluster.live_tasks_by_zone(job_handle);
         let mut trial = Vec::with_capacity(missing.len());
         let mut chosen = Vec::with_capacity(missing.len());
         for &task in missing {
             // A gang is never interrupted; it counts for what comes after.
             self.take_step();
-            let pick = self.choose(job_ix, task, ranking, headroom, now, |z| {
+            let pick = self.choose(job_handle, task, ranking, headroom, now, |z| {
                 only.is_none_or(|o| o == z) && (!spread || per_zone[z] < half)
             });
             let Some(choice) = pick else { break };
@@ -294,32 +304,36 @@
     /// Whether the gang is to wait for capacity where its image is.
     fn gang_waits_for_image(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         chosen: &[Choice],
         only: Option<usize>,
         now: Millis,
     ) -> bool {
-        let several = self.cluster.job(job_ix).is_some_and(|j| j.spec.tasks > 1);
+        let several = self
+            .cluster
+            .job(job_handle)
+            .is_some_and(|j| j.spec.tasks > 1);
         if several {
             let machines: Vec<u32> = chosen.iter().map(|c| c.machine).collect();
             return chosen.iter().any(|c| c.late)
-                && self.reserve_gang_where_image_is(job_ix, &machines, now);
+                && self.reserve_gang_where_image_is(job_handle, &machines, now);
         }
         let zone_ok = |z| only.is_none_or(|o| o == z);
         let one = chosen.first().copied();
-        one.is_some_and(|c| self.reserve_where_image_is(job_ix, c, now, zone_ok))
+        one.is_some_and(|c| self.reserve_where_image_is(job_handle, c, now, zone_ok))
     }
 
     pub(super) fn start(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         task: u32,
         machine: u32,
         attempt: u64,
         now: Millis,
     ) {
         if log::log_enabled!(log::Level::Debug)
-            && let (Some(j), Some(m)) = (self.cluster.job(job_ix), self.cluster.machine(machine))
+            && let (Some(j), Some(m)) =
+                (self.cluster.job(job_handle), self.cluster.machine(machine))
         {
             let with_image = self.cluster.each_machine();
             let with_image = with_image.filter(|o| o.images.contains(&j.image));
@@ -341,12 +355,12 @@
         }
         // Its reservation is used; the rest of the machine is open again.
         if let Some(m) = self.cluster.machine_mut(machine)
-            && m.reserved_for.is_some_and(|(of, _)| of == job_ix)
+            && m.reserved_for.is_some_and(|(of, _)| of == job_handle)
         {
             m.reserved_for = None;
         }
         self.cluster
-            .assign(job_ix, task, machine, attempt, Phase::New, now);
+            .assign(job_handle, task, machine, attempt, Phase::New, now);
         self.standbys.start_wanted();
     }
 }
--- a/src/control/leader/victims.rs
+++ b/src/control/leader/victims.rs
@@ -13,7 +13,7 @@
     },
     state::{
         Millis,
-        cluster::{Assignment, Job, Machine},
+        cluster::{Assignment, Job, JobHandle, Machine},
         resources::Resources,
     },
 };
@@ -61,30 +61,30 @@
 
 impl Leader {
     /// Jobs with a reservation.
-    pub(super) fn jobs_with_reservations(&self, now: Millis) -> HashSet<u32> {
+    pub(super) fn jobs_with_reservations(&self, now: Millis) -> HashSet<JobHandle> {
         let held = self.cluster.each_machine().filter_map(|m| m.reserved_for);
         let held = held.filter(|(_, until)| now < *until);
         held.map(|(job, _)| job).collect()
     }
 
     /// The job has a reservation.
-    pub(super) fn has_reservation(&self, job_ix: u32, now: Millis) -> bool {
-        let held = |m: &Machine| m.is_reserved_for(job_ix, now);
+    pub(super) fn has_reservation(&self, job_handle: JobHandle, now: Millis) -> bool {
+        let held = |m: &Machine| m.is_reserved_for(job_handle, now);
         self.cluster.each_machine().any(held)
     }
 
     /// The machine on which the least work is lost by preempting for a task.
     pub(super) fn cheapest_preemption(
         &self,
-        job_ix: u32,
+        job_handle: JobHandle,
         priority: Priority,
         now: Millis,
         zone_ok: impl Fn(usize) -> bool,
     ) -> Option<Preemption> {
-        let guaranteed = self.within_guarantee(self.cluster.job(job_ix)?, now);
+        let guaranteed = self.within_guarantee(self.cluster.job(job_handle)?, now);
         (self.cluster.machine_range())
             .filter(|ix| self.cluster.machine(*ix).is_some_and(|m| zone_ok(m.zone)))
-            .filter_map(|ix| self.preemption_on(ix, job_ix, priority, guaranteed, now))
+            .filter_map(|ix| self.preemption_on(ix, job_handle, priority, guaranteed, now))
             .filter(|r| !r.victims.is_empty())
             .min_by_key(|r| (r.fetch, r.lost))
     }
@@ -93,12 +93,12 @@
     pub(super) fn preemption_on(
         &self,
         ix: u32,
-        job_ix: u32,
+        job_handle: JobHandle,
         priority: Priority,
         guaranteed: bool,
         now: Millis,
     ) -> Option<Preemption> {
-        let job = self.cluster.job(job_ix)?;
+        let job = self.cluster.job(job_handle)?;
         let m = self.cluster.machine(ix)?;
         let allowed = m.schedulable()
             && !self.scheduling.machines_with_gain.contains(&ix)
@@ -151,7 +151,7 @@
     /// The work in core-seconds that is lost if this task is stopped for the
     /// job; `None`: it may not be stopped for it.
     fn loss_of(&self, a: &Assignment, search: &Search) -> Option<i64> {
-        let v = self.cluster.job(a.job)?;
+        let v = self.cluster.job(a.job?)?;
         if !a.is_live() || a.stop_grace_s.is_some() || v.spec.kind == Kind::Service {
             return None;
         }
@@ -183,7 +183,7 @@
     /// that.
     pub(super) fn reserve_where_image_is(
         &mut self,
-        job_ix: u32,
+        job_handle: JobHandle,
         at: Choice,
         now: Millis,
         zone_ok: impl Fn(usize) -> bool,
@@ -191,21 +191,21 @@
         if !at.late {
             return false;
         }
-        let Some(job) = self.cluster.job(job_ix) else {
+        let Some(job) = self.cluster.job(job_handle) else {
             return false;
         };
         let priority = job.effective_priority;
         if priority < Priority::High || job.failures.suspected {
             return false;
         }
-        let held = |m: &Machine| m.is_reserved_for(job_ix, now);
+        let held = |m: &Machine| m.is_reserved_for(job_handle, now);
         // The reservation is on this machine. Guards against a service that waited until
         // its reservation expired, as machines without its image looked like capacity
         // still to come.
         if self.cluster.machine(at.machine).is_some_and(held) {
             return false;
         }
-        if self.has_reservation(job_ix, now) {
+        if self.has_reservation(job_handle, now) {
             return true;
         }
         let rate = self.cluster.machine(at.machine).map_or(1.0, |m| {
@@ -216,19 +216,19 @@
             _ => WORTH,
         };
         let worth = fetch_worth(job, rate) + least;
-        let Some(room) = self.cheapest_preemption(job_ix, priority, now, zone_ok) else {
+        let Some(room) = self.cheapest_preemption(job_handle, priority, now, zone_ok) else {
             return false;
         };
         if room.fetch || room.lost as f64 > worth {
             return false;
         }
-        self.preempt(job_ix, room, now);
+        self.preempt(job_handle, room, now);
         true
     }
 
-    pub(super) fn preempt(&mut self, job_ix: u32, room: Preemption, now: Millis) {
-        let id = self.cluster.job(job_ix).map(|j| j.id.clone());
-        self.set_reason(job_ix, PendingReason::RoomBeingMade);
+    pub(super) fn preempt(&mut self, job_handle: JobHandle, room: Preemption, now: Millis) {
+        let id = self.cluster.job(job_handle).map(|j| j.id.clone());
+        self.set_reason(job_handle, PendingReason::RoomBeingMade);
         self.events.tally.preempted += room.victims.len() as u64;
         let Some(m) = self.cluster.machine_mut(room.machine) else {
             return;
@@ -241,7 +241,7 @@
                 id.unwrap_or_default()
             );
         }
-        m.reserved_for = Some((job_ix, now + RESERVATION_MS));
+        m.reserved_for = Some((job_handle, now + RESERVATION_MS));
         for at in room.victims {
             self.stop_gracefully(room.machine, at);
         }
@@ -253,17 +253,17 @@
         let Some(a) = self.cluster.machine(machine).and_then(|m| m.tasks.get(at)) else {
             return;
         };
-        let job_ix = a.job;
-        let (whole, grace) = match self.cluster.job(job_ix) {
+        let handle = a.job;
+        let (whole, grace) = match handle.and_then(|handle| self.cluster.job(handle)) {
             Some(j) if j.spec.checkpoint_interval_s > 0.0 => {
                 (j.spec.kind == Kind::Gang, j.spec.checkpoint_cost_s)
             }
             Some(j) => (j.spec.kind == Kind::Gang, 0.0),
             None => (false, 0.0),
         };
-        let own: Vec<(u32, usize)> = match whole {
-            true => self.cluster.live_tasks_of(job_ix).collect(),
-            false => vec![(machine, at)],
+        let own: Vec<(u32, usize)> = match handle.filter(|_| whole) {
+            Some(handle) => self.cluster.live_tasks_of(handle).collect(),
+            None => vec![(machine, at)],
         };
         for (ix, at) in own {
             let a = self
@@ -299,7 +299,7 @@
             return false;
         }
         let mut all = Resources::default();
-        for j in self.cluster.jobs.iter().flatten() {
+        for j in self.cluster.jobs.values() {
             if j.team == job.team && !j.cancelled {
                 all += j.need.scaled(i64::from(j.waiting_count() + j.live_count));
             }
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -13,7 +13,8 @@
     },
     state::{
         Millis,
-        cluster::{Assignment, ClusterState, Job, Machine, NO_JOB, Phase, Placement},
+        cluster::{Assignment, ClusterState, Job, JobHandle, Machine, Phase, Placement},
+        slot_table::SlotTable,
     },
 };
 use std::collections::HashSet;
@@ -24,8 +25,8 @@
 /// A task that ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndedTask {
-    /// Index of its job.
-    pub job: u32,
+    /// Its job.
+    pub job: JobHandle,
     /// Its number within the job.
     pub task: u32,
     /// Why it ended.
@@ -35,8 +36,8 @@
 /// A task that was seen to run for a while, or to complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfirmedTask {
-    /// Index of its job.
-    pub job: u32,
+    /// Its job; `None`: that is over.
+    pub job: Option<JobHandle>,
     /// When it was assigned.
     pub since: Millis,
 }
@@ -50,7 +51,7 @@
     /// Tasks that ended.
     pub ended_tasks: Vec<EndedTask>,
     /// Jobs of tasks that began to run.
-    pub started_jobs: Vec<u32>,
+    pub started_jobs: Vec<JobHandle>,
     /// Tasks that are confirmed to run, or have completed.
     pub confirmed_running: Vec<ConfirmedTask>,
     /// Starts in a response that the machine did not receive.
@@ -252,10 +253,11 @@
     }
     let (job, task) = (assignment.job, assignment.task);
     if phase == Phase::Running {
-        effects.started_jobs.push(job);
+        effects.started_jobs.extend(job);
     }
     if let Phase::Ended(reason) = phase {
-        effects.ended_tasks.push(EndedTask { job, task, reason });
+        let ended = job.map(|job| EndedTask { job, task, reason });
+        effects.ended_tasks.extend(ended);
     }
     effects.cluster_changed = true;
     log::debug!("task {}: {phase:?}", reported.task);
@@ -374,12 +376,12 @@
 fn adopt_task(cluster: &mut ClusterState, ix: u32, reported: &TaskStatus, now: Millis) {
     let (name, attempt) = (reported.task.as_str(), reported.attempt);
     let phase = phase_of(reported);
-    let known = parse_task_name(name).and_then(|(id, task)| Some((cluster.job_index(id)?, task)));
-    let Some((job_ix, task)) = known else {
+    let known = parse_task_name(name).and_then(|(id, task)| Some((cluster.job_handle(id)?, task)));
+    let Some((job_handle, task)) = known else {
         cluster.assign_orphan(ix, name, attempt, phase, now);
         return;
     };
-    let Some(job) = cluster.job_mut(job_ix) else {
+    let Some(job) = cluster.job_mut(job_handle) else {
         return;
     };
     let of_job = task < job.spec.tasks;
@@ -388,7 +390,7 @@
     }
     if phase.is_live() && of_job && job.placement(task) == Placement::Unplaced {
         let cancelled = job.cancelled || job.cancel_requested;
-        cluster.assign(job_ix, task, ix, attempt, phase, now);
+        cluster.assign(job_handle, task, ix, attempt, phase, now);
         if cancelled && let Some(assignment) = last_assignment(cluster, ix) {
             assignment.stop_grace_s = Some(0.0);
         }
@@ -399,7 +401,7 @@
     if !phase.is_live()
         && let Some(assignment) = last_assignment(cluster, ix)
     {
-        assignment.job = job_ix;
+        assignment.job = Some(job_handle);
         assignment.task = task;
     }
 }
@@ -472,15 +474,14 @@
     assignment: &Assignment,
     reason: ExitReason,
     seen_token: u64,
-    jobs: &[Option<Job>],
+    jobs: &SlotTable<JobHandle, Job>,
 ) -> bool {
     let start_pending =
         assignment.indeterminate_token != 0 && seen_token <= assignment.indeterminate_token;
     let recorded = reason != ExitReason::Done
-        || assignment.job == NO_JOB
-        || jobs
-            .get(assignment.job as usize)
-            .and_then(Option::as_ref)
+        || assignment
+            .job
+            .and_then(|handle| jobs.get(handle))
             .is_none_or(|job| !job.is_dirty() && !job.write_in_flight);
     !start_pending && recorded
 }
--- a/src/state/cluster/assignments.rs
+++ b/src/state/cluster/assignments.rs
@@ -5,7 +5,7 @@
 //! Called by the scheduler, by reconciliation of heartbeats and after a
 //! failover. Must never release resources while the task may still run.
 
-use super::{Assignment, ClusterState, NO_JOB, Phase};
+use super::{Assignment, ClusterState, JobHandle, Phase};
 use crate::{
     protocol::{users::Kind, workers::ExitReason},
     state::Millis,
@@ -15,14 +15,14 @@
     /// Adds a task to a machine's list and counts what it takes.
     pub fn assign(
         &mut self,
-        job_ix: u32,
+        handle: JobHandle,
         task: u32,
         machine: u32,
         attempt: u64,
         phase: Phase,
         now: Millis,
     ) {
-        let Some(job) = self.jobs.get_mut(job_ix as usize).and_then(Option::as_mut) else {
+        let Some(job) = self.jobs.get_mut(handle) else {
             return;
         };
         job.occupy(task, machine);
@@ -40,7 +40,7 @@
         if let Some(machine) = self.machine_mut(machine) {
             machine.used += need;
             machine.tasks.push(Assignment {
-                job: job_ix,
+                job: Some(handle),
                 task,
                 team,
                 need,
@@ -72,14 +72,14 @@
     /// counts there and for its team until it is gone, and is stopped.
     pub fn assign_duplicate(
         &mut self,
-        job_ix: u32,
+        handle: JobHandle,
         task: u32,
         machine: u32,
         attempt: u64,
         phase: Phase,
         now: Millis,
     ) {
-        let Some(job) = self.job_mut(job_ix) else {
+        let Some(job) = self.job_mut(handle) else {
             return;
         };
         job.running_count += u32::from(phase == Phase::Running);
@@ -93,7 +93,7 @@
         if let Some(machine) = self.machine_mut(machine) {
             machine.used += need;
             if let Some(assignment) = machine.tasks.last_mut() {
-                assignment.job = job_ix;
+                assignment.job = Some(handle);
                 assignment.task = task;
                 assignment.change_number = change_number;
                 assignment.team = team;
@@ -112,7 +112,7 @@
         if before == phase {
             return;
         }
-        let (job_ix, task) = (assignment.job, assignment.task);
+        let (handle, task) = (assignment.job, assignment.task);
         let (team, need) = (assignment.team, assignment.need);
         let ends = before.is_live() && !phase.is_live();
         if ends {
@@ -122,7 +122,7 @@
                 *usage -= need;
             }
         }
-        let Some(job) = self.job_mut(job_ix) else {
+        let Some(job) = handle.and_then(|handle| self.job_mut(handle)) else {
             return;
         };
         if before == Phase::Running {
@@ -160,7 +160,7 @@
         if let Some(usage) = self.team_usage.get_mut(assignment.team) {
             *usage -= assignment.need;
         }
-        if let Some(job) = self.job_mut(assignment.job) {
+        if let Some(job) = assignment.job.and_then(|handle| self.job_mut(handle)) {
             if assignment.phase == Phase::Running {
                 job.running_count -= 1;
             }
@@ -185,7 +185,7 @@
     fn new(name: String, attempt: u64, phase: Phase, now: Millis) -> Self {
         Assignment {
             name,
-            job: NO_JOB,
+            job: None,
             task: 0,
             attempt,
             team: usize::MAX,
--- a/src/state/cluster/job.rs
+++ b/src/state/cluster/job.rs
@@ -34,7 +34,7 @@
     On(u32),
 }
 
-/// A job as it was accepted or read, before it has an index.
+/// A job as it was accepted or read, before it has a handle.
 #[derive(Debug)]
 pub struct NewJob {
     /// What the user submitted.
@@ -118,8 +118,6 @@
     pub failures: JobFailures,
     /// A task of it has run since this leader knows of it.
     pub has_run: bool,
-    /// Unlike its index, never used for another job of this leader.
-    pub generation: u64,
     /// Why waiting tasks don't run, as the scheduler last decided.
     pub reason: PendingReason,
     /// The same by scale-out: machines requested, or none to be had.
@@ -139,7 +137,7 @@
 }
 
 impl Job {
-    pub(super) fn new(new: NewJob, names: ResolvedNames, generation: u64, now: Millis) -> Self {
+    pub(super) fn new(new: NewJob, names: ResolvedNames, now: Millis) -> Self {
         let (spec, completed) = (new.spec, new.completed);
         let task_slots = (0..spec.tasks)
             .map(|task| match completed.get(task) {
@@ -175,7 +173,6 @@
             backoff_until: 0,
             failures: JobFailures::default(),
             has_run: false,
-            generation,
             reason: PendingReason::New,
             supply_reason: None,
             offload: OffloadState::Local,
--- a/src/state/cluster/machine.rs
+++ b/src/state/cluster/machine.rs
@@ -5,6 +5,7 @@
 //! through `assignments.rs`, which keeps the counts. Must never take a machine
 //! for empty before its lease has expired.
 
+use super::JobHandle;
 use crate::{
     protocol::{
         cloud::{ListedMachine, MachineType},
@@ -65,8 +66,8 @@
 pub struct Assignment {
     /// The task's name on the wire: job id and task number.
     pub name: String,
-    /// Index of its job, or `NO_JOB`.
-    pub job: u32,
+    /// Its job; `None`: that is over or unknown.
+    pub job: Option<JobHandle>,
     /// Its number within the job.
     pub task: u32,
     /// Which start of the task this is.
@@ -261,7 +262,7 @@
     /// Its services are being moved off, then it is released.
     pub draining: bool,
     /// Reserved for this job until then, while others are preempted on it.
-    pub reserved_for: Option<(u32, Millis)>,
+    pub reserved_for: Option<(JobHandle, Millis)>,
 }
 
 impl Machine {
@@ -340,13 +341,13 @@
     }
 
     /// It is reserved for this job.
-    pub fn is_reserved_for(&self, job: u32, now: Millis) -> bool {
+    pub fn is_reserved_for(&self, job: JobHandle, now: Millis) -> bool {
         self.reserved_for
             .is_some_and(|(of, until)| of == job && now < until)
     }
 
     /// It is not reserved for another job.
-    pub fn available_to(&self, job: u32, now: Millis) -> bool {
+    pub fn available_to(&self, job: JobHandle, now: Millis) -> bool {
         self.reserved_for
             .is_none_or(|(of, until)| of == job || now >= until)
     }
--- a/src/state/cluster/machines.rs
+++ b/src/state/cluster/machines.rs
@@ -6,8 +6,11 @@
 //! scheduler. Must never remove a machine that may still run something; the
 //! caller has to know that it is gone.
 
-use super::{Assignment, ClusterState, Job, Machine, machine::NewMachine};
-use crate::{protocol::users::Kind, state::Millis};
+use super::{Assignment, ClusterState, Job, JobHandle, Machine, machine::NewMachine};
+use crate::{
+    protocol::users::Kind,
+    state::{Millis, slot_table::SlotTable},
+};
 
 impl ClusterState {
     /// The index of the machine type with this name.
@@ -34,7 +37,10 @@
     }
 
     /// The machine with this index, to be changed, beside the jobs.
-    pub fn machine_with_jobs(&mut self, ix: u32) -> Option<(&mut Machine, &[Option<Job>])> {
+    pub fn machine_with_jobs(
+        &mut self,
+        ix: u32,
+    ) -> Option<(&mut Machine, &SlotTable<JobHandle, Job>)> {
         self.count_inspections(1);
         self.stale_machines.mark(ix);
         let machine = self.machines.get_mut(ix as usize)?.as_mut()?;
@@ -97,7 +103,7 @@
         self.count_inspections(self.machines.len());
         let jobs = &self.jobs;
         let is_batch = |a: &Assignment| {
-            let job = jobs.get(a.job as usize).and_then(Option::as_ref);
+            let job = a.job.and_then(|job| jobs.get(job));
             a.is_live() && job.is_none_or(|j| j.spec.kind != Kind::Service)
         };
         // Nothing that the scheduler goes by changes: no machine gets stale.
--- a/src/state/cluster/mod.rs
+++ b/src/state/cluster/mod.rs
@@ -6,8 +6,8 @@
 //! `machines` the tables, `assignments` what is where and the counts that
 //! follow, `quota` the limits of teams, `images` the caches of machines,
 //! `replication` what standbys receive, `stale` which machines to look at
-//! again. Names are mapped to dense indices (`Interner`) as they come in;
-//! everything inside uses those.
+//! again. Names are mapped to dense indices (`Interner`) or handles
+//! (`SlotTable`) as they come in; everything inside uses those.
 //!
 //! Called by the leader, its scheduler and reconciliation, all of one thread.
 //! Must never do I/O, read a clock or write a record.
@@ -30,7 +30,10 @@
 };
 use stale::StaleMachines;
 
-use super::resources::Resources;
+use super::{
+    resources::Resources,
+    slot_table::{SlotTable, handle_type},
+};
 use crate::protocol::{
     cloud::MachineType,
     settings::{Settings, Team},
@@ -40,8 +43,10 @@
     collections::{BTreeSet, HashMap},
 };
 
-/// In place of a job's index in an assignment whose job is over or unknown.
-pub const NO_JOB: u32 = u32::MAX;
+handle_type! {
+    /// Names a job of this leader, and never another one.
+    JobHandle
+}
 
 /// Jobs and machines, and what is or may be running where.
 #[derive(Debug, Default)]
@@ -60,12 +65,9 @@
     pub images: Interner,
     /// Sizes of `images`, as far as known.
     image_gb: Vec<f64>,
-    /// Jobs by index; `None` where the index is free.
-    pub jobs: Vec<Option<Job>>,
-    free_jobs: Vec<u32>,
-    /// Of the job that was inserted last.
-    last_generation: u64,
-    job_index_by_id: HashMap<String, u32>,
+    /// Jobs that are not over.
+    pub jobs: SlotTable<JobHandle, Job>,
+    job_handle_by_id: HashMap<String, JobHandle>,
     machines: Vec<Option<Machine>>,
     /// Machines looked at, one by one or in a pass over all: tests bound the
     /// work per event by it.
--- a/src/state/cluster/replication.rs
+++ b/src/state/cluster/replication.rs
@@ -3,7 +3,7 @@
 //! Owns which machines changed since the last replication. Called by the
 //! leader's replication stream. Must never change what is on a machine.
 
-use super::{ClusterState, Phase};
+use super::{ClusterState, JobHandle, Phase};
 use crate::protocol::{
     peers::{MachineTasks, ReplicatedPhase, ReplicatedTask},
     workers::ExitReason,
@@ -21,7 +21,7 @@
     pub fn tasks_on(&self, name: &str) -> MachineTasks {
         let machine = self.machine_index(name).and_then(|ix| self.machine(ix));
         let mut jobs: Vec<(String, Vec<ReplicatedTask>)> = Vec::new();
-        let mut job_indices: Vec<u32> = Vec::new();
+        let mut listed: Vec<JobHandle> = Vec::new();
         for assignment in machine.map_or(&[][..], |m| &m.tasks) {
             let seen = match assignment.phase {
                 Phase::Running => ReplicatedPhase::Running,
@@ -29,12 +29,15 @@
                 Phase::Ended(_) => continue,
                 _ => ReplicatedPhase::Sent,
             };
-            let Some(job) = self.job(assignment.job) else {
+            let Some(handle) = assignment.job else {
                 continue;
             };
-            let known = job_indices.iter().position(|ix| *ix == assignment.job);
+            let Some(job) = self.job(handle) else {
+                continue;
+            };
+            let known = listed.iter().position(|other| *other == handle);
             let at = known.unwrap_or_else(|| {
-                job_indices.push(assignment.job);
+                listed.push(handle);
                 jobs.push((job.id.clone(), Vec::new()));
                 jobs.len() - 1
             });
--- a/src/state/dependencies.rs
+++ b/src/state/dependencies.rs
@@ -7,14 +7,15 @@
 //! what is not durable yet: a job must not start, or be cancelled, by a state
 //! that a failover may undo.
 
+use super::cluster::JobHandle;
 use crate::protocol::users::Priority;
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// The state of a job that another depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DependencyState {
-    /// Not over: its index, and its own priority.
-    Live(u32, Priority),
+    /// Not over: its handle, and its own priority.
+    Live(JobHandle, Priority),
     /// Its final record says so.
     Done,
     /// It is recorded as cancelled, or surely will be.
@@ -39,13 +40,13 @@
 #[derive(Debug, Default)]
 struct DependencyNode {
     /// Live jobs that it depends on.
-    dependencies: HashSet<u32>,
+    dependencies: HashSet<JobHandle>,
     /// How many dependencies nothing is known of yet.
     unresolved: usize,
     /// A dependency was cancelled.
     must_cancel: bool,
     /// Live jobs that depend on it.
-    dependents: HashSet<u32>,
+    dependents: HashSet<JobHandle>,
     /// How many of those have which effective priority.
     dependent_priorities: [u32; 4],
     own_priority: Option<Priority>,
@@ -63,22 +64,24 @@
 /// Live jobs and what they depend on.
 #[derive(Debug, Default)]
 pub struct DependencyGraph {
-    /// By index of live jobs.
-    nodes: HashMap<u32, DependencyNode>,
-    /// Which jobs depend on an unknown job, by its id.
-    waiting_for_unknown: HashMap<String, Vec<u32>>,
+    /// Of live jobs.
+    nodes: HashMap<JobHandle, DependencyNode>,
+    /// Which jobs depend on an unknown job, by its id. One may be over by the time
+    /// that is looked up, and its index another job's: kept as handles, as a late
+    /// answer once cancelled the other job.
+    waiting_for_unknown: HashMap<String, Vec<JobHandle>>,
     /// Ids to be looked up.
     lookups: VecDeque<String>,
     /// Jobs whose readiness or priority may have changed.
-    changed: Vec<u32>,
-    newly_cancelled: Vec<u32>,
+    changed: Vec<JobHandle>,
+    newly_cancelled: Vec<JobHandle>,
 }
 
 impl DependencyGraph {
     /// Adds a live job with its dependencies and their states.
     pub fn add<'a>(
         &mut self,
-        job: u32,
+        job: JobHandle,
         own: Priority,
         dependencies: impl IntoIterator<Item = (&'a str, DependencyState)>,
     ) {
@@ -101,7 +104,7 @@
         self.changed.push(job);
     }
 
-    fn set_own_priority(&mut self, job: u32, own: Priority) {
+    fn set_own_priority(&mut self, job: JobHandle, own: Priority) {
         let node = self.nodes.entry(job).or_default();
         node.own_priority = Some(own);
         self.update_priority(job);
@@ -153,17 +156,17 @@
 
     /// A live job's cancellation is durable, or follows from what is: so does
     /// that of all that depend on it, directly or not.
-    pub fn job_cancelled(&mut self, job: u32) {
+    pub fn job_cancelled(&mut self, job: JobHandle) {
         let Some(node) = self.nodes.get(&job) else {
             return;
         };
-        let dependents: Vec<u32> = node.dependents.iter().copied().collect();
+        let dependents: Vec<JobHandle> = node.dependents.iter().copied().collect();
         for dependent in dependents {
             self.cancel_with_dependents(dependent);
         }
     }
 
-    fn cancel_with_dependents(&mut self, job: u32) {
+    fn cancel_with_dependents(&mut self, job: JobHandle) {
         let mut pending = vec![job];
         while let Some(job) = pending.pop() {
             if let Some(node) = self.nodes.get_mut(&job)
@@ -176,7 +179,7 @@
     }
 
     /// The job's terminal state is durable: it is not live any more.
-    pub fn job_ended(&mut self, job: u32, done: bool) {
+    pub fn job_ended(&mut self, job: JobHandle, done: bool) {
         if !done {
             self.job_cancelled(job);
         }
@@ -201,7 +204,7 @@
     }
 
     /// `job` depends on `on`, which has this priority of its own.
-    fn add_edge(&mut self, on: u32, own: Priority, job: u32) {
+    fn add_edge(&mut self, on: JobHandle, own: Priority, job: JobHandle) {
         self.set_own_priority(on, own);
         let priority = self.nodes.get(&job).and_then(|n| n.effective_priority);
         let node = self.nodes.entry(on).or_default();
@@ -221,7 +224,7 @@
 
     /// Computes a job's effective priority again, and that of its dependencies
     /// as far as it changes.
-    fn update_priority(&mut self, job: u32) {
+    fn update_priority(&mut self, job: JobHandle) {
         let mut pending = vec![job];
         while let Some(job) = pending.pop() {
             let Some(node) = self.nodes.get_mut(&job) else {
@@ -238,7 +241,7 @@
                 continue;
             }
             self.changed.push(job);
-            let dependencies: Vec<u32> = node.dependencies.iter().copied().collect();
+            let dependencies: Vec<JobHandle> = node.dependencies.iter().copied().collect();
             for dependency in dependencies {
                 if let Some(on) = self.nodes.get_mut(&dependency) {
                     if let Some(previous) = previous {
@@ -254,7 +257,7 @@
     }
 
     /// Whether the job's dependencies let it start.
-    pub fn readiness(&self, job: u32) -> Readiness {
+    pub fn readiness(&self, job: JobHandle) -> Readiness {
         match self.nodes.get(&job) {
             Some(node) if node.must_cancel || !node.dependencies.is_empty() => Readiness::Blocked,
             Some(node) if node.unresolved > 0 => Readiness::Unresolved,
@@ -263,17 +266,18 @@
     }
 
     /// Its own priority, or that of a dependent, whichever is higher.
-    pub fn effective_priority(&self, job: u32) -> Option<Priority> {
+    pub fn effective_priority(&self, job: JobHandle) -> Option<Priority> {
         self.nodes.get(&job)?.effective_priority
     }
 
     /// When each job has to be done so that it and all that depend on it meet
     /// their deadlines, if any of them has one: along the longest path, by the
     /// estimates. `own`: a job's own deadline, and how long it takes.
-    pub fn due_by(&self, own: impl Fn(u32) -> (Option<u64>, u64)) -> HashMap<u32, u64> {
-        let mut due: HashMap<u32, Option<u64>> = HashMap::new();
+    pub fn due_by(&self, own: impl Fn(JobHandle) -> (Option<u64>, u64)) -> HashMap<JobHandle, u64> {
+        let mut due: HashMap<JobHandle, Option<u64>> = HashMap::new();
         // Depth first; `true`: its dependents are in `due`.
-        let mut pending: Vec<(u32, bool)> = self.nodes.keys().map(|job| (*job, false)).collect();
+        let mut pending: Vec<(JobHandle, bool)> =
+            self.nodes.keys().map(|job| (*job, false)).collect();
         while let Some((job, dependents_done)) = pending.pop() {
             if due.contains_key(&job) {
                 continue;
@@ -298,12 +302,15 @@
     }
 
     /// Whether it is to be cancelled, as a dependency was.
-    pub fn must_cancel(&self, job: u32) -> bool {
+    pub fn must_cancel(&self, job: JobHandle) -> bool {
         self.nodes.get(&job).is_some_and(|node| node.must_cancel)
     }
 
     /// Live jobs that it depends on, and how many dependencies are not known.
-    pub fn unfinished_dependencies(&self, job: u32) -> (impl Iterator<Item = u32>, usize) {
+    pub fn unfinished_dependencies(
+        &self,
+        job: JobHandle,
+    ) -> (impl Iterator<Item = JobHandle>, usize) {
         let node = self.nodes.get(&job);
         let live = node
             .into_iter()
@@ -311,9 +318,8 @@
         (live, node.map_or(0, |node| node.unresolved))
     }
 
-    /// Jobs to look at again, and jobs that are to be cancelled if they are
-    /// still the same (`must_cancel`), as indices are used again.
-    pub fn take_changes(&mut self) -> (Vec<u32>, Vec<u32>) {
+    /// Jobs to look at again, and jobs that are to be cancelled (`must_cancel`).
+    pub fn take_changes(&mut self) -> (Vec<JobHandle>, Vec<JobHandle>) {
         (
             std::mem::take(&mut self.changed),
             std::mem::take(&mut self.newly_cancelled),
--- a/src/state/dependencies/tests.rs
+++ b/src/state/dependencies/tests.rs
@@ -1,22 +1,44 @@
 use super::*;
+use crate::state::slot_table::SlotTable;
 use Priority::*;
+use std::sync::LazyLock;
+
+const MAX_JOBS: usize = 20_001;
+
+/// Handles of the first jobs, by index.
+static HANDLES: LazyLock<Vec<JobHandle>> = LazyLock::new(|| {
+    let mut jobs: SlotTable<JobHandle, ()> = SlotTable::default();
+    (0..MAX_JOBS).map(|_| jobs.insert(())).collect()
+});
+
+fn handle(index: u32) -> JobHandle {
+    HANDLES[index as usize]
+}
 
 fn readiness_of(c: &DependencyGraph, jobs: &[u32]) -> Vec<Readiness> {
-    jobs.iter().map(|j| c.readiness(*j)).collect()
+    jobs.iter().map(|j| c.readiness(handle(*j))).collect()
 }
 
 #[test]
 fn job_is_ready_once_last_dependency_of_a_diamond_is_done() {
     let mut c = DependencyGraph::default();
-    c.add(0, Low, []);
-    c.add(1, Low, [("j-000000", DependencyState::Live(0, Low))]);
-    c.add(2, Low, [("j-000000", DependencyState::Live(0, Low))]);
+    c.add(handle(0), Low, []);
+    c.add(
+        handle(1),
+        Low,
+        [("j-000000", DependencyState::Live(handle(0), Low))],
+    );
+    c.add(
+        handle(2),
+        Low,
+        [("j-000000", DependencyState::Live(handle(0), Low))],
+    );
     c.add(
-        3,
+        handle(3),
         High,
         [
-            ("j-000001", DependencyState::Live(1, Low)),
-            ("j-000002", DependencyState::Live(2, Low)),
+            ("j-000001", DependencyState::Live(handle(1), Low)),
+            ("j-000002", DependencyState::Live(handle(2), Low)),
         ],
     );
     assert_eq!(
@@ -24,33 +46,40 @@
         [Readiness::Blocked; 3]
     );
     // All of it has the priority of its end, until that is over.
-    assert_eq!(c.effective_priority(0), Some(High));
-    c.job_ended(0, true);
+    assert_eq!(c.effective_priority(handle(0)), Some(High));
+    c.job_ended(handle(0), true);
     assert_eq!(
         readiness_of(&c, &[1, 2, 3]),
         [Readiness::Ready, Readiness::Ready, Readiness::Blocked]
     );
-    c.job_ended(1, true);
-    assert_eq!(c.readiness(3), Readiness::Blocked);
-    c.job_ended(2, true);
-    assert_eq!(c.readiness(3), Readiness::Ready);
-    assert_eq!(c.take_changes().1, Vec::<u32>::new());
+    c.job_ended(handle(1), true);
+    assert_eq!(c.readiness(handle(3)), Readiness::Blocked);
+    c.job_ended(handle(2), true);
+    assert_eq!(c.readiness(handle(3)), Readiness::Ready);
+    assert_eq!(c.take_changes().1, Vec::<JobHandle>::new());
 }
 
 #[test]
 fn inherited_priority_falls_when_the_dependent_ends() {
     let mut c = DependencyGraph::default();
-    c.add(0, Low, []);
-    c.add(1, Normal, [("j-000000", DependencyState::Live(0, Low))]);
+    c.add(handle(0), Low, []);
+    c.add(
+        handle(1),
+        Normal,
+        [("j-000000", DependencyState::Live(handle(0), Low))],
+    );
     c.add(
-        2,
+        handle(2),
         Production,
-        [("j-000001", DependencyState::Live(1, Normal))],
+        [("j-000001", DependencyState::Live(handle(1), Normal))],
     );
-    assert_eq!(c.effective_priority(0), Some(Production));
-    c.job_ended(2, false);
+    assert_eq!(c.effective_priority(handle(0)), Some(Production));
+    c.job_ended(handle(2), false);
     assert_eq!(
-        (c.effective_priority(1), c.effective_priority(0)),
+        (
+            c.effective_priority(handle(1)),
+            c.effective_priority(handle(0))
+        ),
         (Some(Normal), Some(Normal))
     );
 }
@@ -58,33 +87,51 @@
 #[test]
 fn job_keeps_own_priority_when_its_dependents_have_less() {
     let mut c = DependencyGraph::default();
-    c.add(1, Low, [("j-000000", DependencyState::Live(0, High))]);
-    assert_eq!(c.effective_priority(0), Some(High));
+    c.add(
+        handle(1),
+        Low,
+        [("j-000000", DependencyState::Live(handle(0), High))],
+    );
+    assert_eq!(c.effective_priority(handle(0)), Some(High));
 }
 
 #[test]
 fn dependency_is_due_before_longest_path_to_a_deadline() {
     let mut c = DependencyGraph::default();
-    c.add(1, Low, [("j-000000", DependencyState::Live(0, Low))]);
-    c.add(2, Low, [("j-000000", DependencyState::Live(0, Low))]);
+    c.add(
+        handle(1),
+        Low,
+        [("j-000000", DependencyState::Live(handle(0), Low))],
+    );
+    c.add(
+        handle(2),
+        Low,
+        [("j-000000", DependencyState::Live(handle(0), Low))],
+    );
     let last = [
-        ("j-000001", DependencyState::Live(1, Low)),
-        ("j-000002", DependencyState::Live(2, Low)),
+        ("j-000001", DependencyState::Live(handle(1), Low)),
+        ("j-000002", DependencyState::Live(handle(2), Low)),
     ];
-    c.add(3, High, last);
-    let own = |job| match job {
+    c.add(handle(3), High, last);
+    let own = |job: JobHandle| match job.index() {
         1 => (None, 40),
         2 => (Some(70), 10),
         3 => (Some(100), 20),
         _ => (None, 5),
     };
     let due = c.due_by(own);
-    assert_eq!((due[&3], due[&1], due[&2]), (100, 80, 70));
-    assert_eq!(due[&0], 40);
+    assert_eq!(
+        (due[&handle(3)], due[&handle(1)], due[&handle(2)]),
+        (100, 80, 70)
+    );
+    assert_eq!(due[&handle(0)], 40);
     // With the last one over, only the other's own deadline counts.
-    c.job_ended(3, false);
+    c.job_ended(handle(3), false);
     let due = c.due_by(own);
-    assert_eq!((due.get(&1), due[&2], due[&0]), (None, 70, 60));
+    assert_eq!(
+        (due.get(&handle(1)), due[&handle(2)], due[&handle(0)]),
+        (None, 70, 60)
+    );
 }
 
 #[test]
@@ -93,33 +140,37 @@
     // Deep enough to end a stack.
     for n in (1..20_000u32).rev() {
         let id = format!("j-{:06}", n - 1);
-        c.add(n, Low, [(id.as_str(), DependencyState::Unknown)]);
-        c.resolve(&format!("j-{n:06}"), DependencyState::Live(n, Low));
+        c.add(handle(n), Low, [(id.as_str(), DependencyState::Unknown)]);
+        c.resolve(&format!("j-{n:06}"), DependencyState::Live(handle(n), Low));
     }
     assert_eq!(
-        (c.readiness(1), c.readiness(2)),
+        (c.readiness(handle(1)), c.readiness(handle(2))),
         (Readiness::Unresolved, Readiness::Blocked)
     );
     assert!(c.is_awaited("j-000000"));
     c.resolve("j-000000", DependencyState::Cancelled);
     assert_eq!(c.take_changes().1.len(), 19_999);
     // A dependent added later is cancelled with it, and stays blocked.
-    c.add(20_000, Low, [("j-000005", DependencyState::Live(5, Low))]);
-    assert_eq!(c.take_changes().1, [20_000]);
-    c.job_ended(5, false);
-    assert_eq!(c.readiness(20_000), Readiness::Blocked);
+    c.add(
+        handle(20_000),
+        Low,
+        [("j-000005", DependencyState::Live(handle(5), Low))],
+    );
+    assert_eq!(c.take_changes().1, [handle(20_000)]);
+    c.job_ended(handle(5), false);
+    assert_eq!(c.readiness(handle(20_000)), Readiness::Blocked);
 }
 
 #[test]
 fn unknown_dependency_is_looked_up_once_until_resolved() {
     let mut c = DependencyGraph::default();
-    c.add(1, Low, [("j-000007", DependencyState::Unknown)]);
+    c.add(handle(1), Low, [("j-000007", DependencyState::Unknown)]);
     c.add(
-        2,
+        handle(2),
         Low,
         [
             ("j-000007", DependencyState::Unknown),
-            ("j-000001", DependencyState::Live(1, Low)),
+            ("j-000001", DependencyState::Live(handle(1), Low)),
         ],
     );
     let ids = c.take_lookups(9);
@@ -129,7 +180,29 @@
     assert_eq!(c.take_lookups(9).len(), 1);
     c.resolve("j-000007", DependencyState::Done);
     assert_eq!(
-        (c.readiness(1), c.readiness(2)),
+        (c.readiness(handle(1)), c.readiness(handle(2))),
         (Readiness::Ready, Readiness::Blocked)
     );
 }
+
+/// Guards against a late answer that is taken for a job which has the index of the
+/// one that waited: it was cancelled, or started too early.
+#[test]
+fn late_resolution_reaches_no_job_that_took_the_index() {
+    for found in [DependencyState::Cancelled, DependencyState::Done] {
+        let mut jobs: SlotTable<JobHandle, ()> = SlotTable::default();
+        let mut c = DependencyGraph::default();
+        let first = jobs.insert(());
+        c.add(first, Low, [("j-000007", DependencyState::Unknown)]);
+        c.job_ended(first, false);
+        jobs.remove(first);
+        let second = jobs.insert(());
+        assert_eq!(second.index(), first.index());
+        c.add(second, Low, [("j-000008", DependencyState::Unknown)]);
+        c.resolve("j-000007", found);
+        assert!(!c.must_cancel(second), "{found:?}");
+        assert_eq!(c.readiness(second), Readiness::Unresolved, "{found:?}");
+        c.resolve("j-000008", DependencyState::Done);
+        assert_eq!(c.readiness(second), Readiness::Ready, "{found:?}");
+    }
+}
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -24,7 +24,7 @@
 fn suspected(w: &mut Simulation, id: &str) -> bool {
     let Some(i) = w.leader() else { return false };
     let l = w.nodes[i].leader.as_ref().unwrap();
-    let j = l.cluster.job_index(id).and_then(|ix| l.cluster.job(ix));
+    let j = l.cluster.job_handle(id).and_then(|ix| l.cluster.job(ix));
     j.is_some_and(|j| j.failures.suspected)
 }
 
--- a/tests/leader_fixtures/mod.rs
+++ b/tests/leader_fixtures/mod.rs
@@ -5,7 +5,10 @@
     control::leader::Leader,
     options::Options,
     protocol::{settings::Settings, users::JobSpec, workers::Heartbeat},
-    state::records::{JobRecord, MachineRecord},
+    state::{
+        cluster::JobHandle,
+        records::{JobRecord, MachineRecord},
+    },
 };
 use std::rc::Rc;
 
@@ -67,8 +70,8 @@
     l
 }
 
-/// Accepts a job of tasks of one core; returns its index.
-pub fn accept(l: &mut Leader, number: u32, run_shape: &str, tasks: u32) -> u32 {
+/// Accepts a job of tasks of one core; returns its handle.
+pub fn accept(l: &mut Leader, number: u32, run_shape: &str, tasks: u32) -> JobHandle {
     accept_with_cores(l, number, run_shape, tasks, 1.0)
 }
 
@@ -78,7 +81,7 @@
     run_shape: &str,
     tasks: u32,
     cores: f64,
-) -> u32 {
+) -> JobHandle {
     accept_with_priority(l, number, run_shape, "normal", tasks, cores)
 }
 
@@ -89,11 +92,11 @@
     urgency: &str,
     tasks: u32,
     cores: f64,
-) -> u32 {
+) -> JobHandle {
     let record = record(number, run_shape, urgency, tasks, cores);
     let id = record.spec.id.clone();
     l.accepted(record, 2, 200);
-    l.cluster.job_index(&id).unwrap()
+    l.cluster.job_handle(&id).unwrap()
 }
 
 pub fn record(number: u32, run_shape: &str, urgency: &str, tasks: u32, cores: f64) -> JobRecord {
--- a/tests/partitioned_leaders.rs
+++ b/tests/partitioned_leaders.rs
@@ -347,7 +347,7 @@
             w.request_cancellation(&id(1));
         } else {
             let l = w.nodes[leader].leader.as_mut().unwrap();
-            let ix = l.cluster.job_index(&id(1)).unwrap();
+            let ix = l.cluster.job_handle(&id(1)).unwrap();
             (0..4).for_each(|t| l.cluster.job_mut(ix).unwrap().mark_done(t));
             w.finished.extend((0..4).map(|t| format!("{}/{t}", id(1))));
         }
@@ -378,7 +378,7 @@
     w.run(2_000);
     let done = |w: &mut Simulation, task: u32| {
         let l = w.nodes[leader].leader.as_mut().unwrap();
-        let ix = l.cluster.job_index(&id(3)).unwrap();
+        let ix = l.cluster.job_handle(&id(3)).unwrap();
         l.cluster.job_mut(ix).unwrap().mark_done(task);
         l.plan_writes(12).expect("progress is to be written")
     };
--- a/tests/placement_scenarios.rs
+++ b/tests/placement_scenarios.rs
@@ -380,7 +380,7 @@
         assert!(l.on_heartbeat(&again, now).is_some());
     }
     let reports = l.cluster.inspections() - before;
-    let job = l.cluster.job_index("j-000002").unwrap();
+    let job = l.cluster.job_handle("j-000002").unwrap();
     let before = l.cluster.inspections();
     // Something changed: the next tick is a whole pass.
     l.reconciled(&WritePlan {
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -381,7 +381,7 @@
         assert!(l.settled());
         assert_eq!(
             l.cluster
-                .job(l.cluster.job_index("j-000001").unwrap())
+                .job(l.cluster.job_handle("j-000001").unwrap())
                 .unwrap()
                 .running_count,
             2 * machines
--- a/tests/reused_indices.rs
+++ b/tests/reused_indices.rs
@@ -44,7 +44,7 @@
 }
 
 fn is_suspected(l: &Leader, id: &str) -> bool {
-    let ix = l.cluster.job_index(id).unwrap();
+    let ix = l.cluster.job_handle(id).unwrap();
     l.cluster.job(ix).unwrap().failures.suspected
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -268,7 +268,7 @@
     // The last chunk is written too, and read back by the next leader.
     for t in 99_990..100_000 {
         let l = w.nodes[old].leader.as_mut().unwrap();
-        let ix = l.cluster.job_index("j-000001").unwrap();
+        let ix = l.cluster.job_handle("j-000001").unwrap();
         l.cluster.job_mut(ix).unwrap().mark_done(t);
     }
     w.run(2_000);
--- a/tests/scheduling_cycles.rs
+++ b/tests/scheduling_cycles.rs
@@ -9,6 +9,7 @@
 use pathwinch::{
     control::leader::Leader,
     protocol::workers::{ExitReason, TaskState, TaskStatus},
+    state::cluster::JobHandle,
 };
 use std::collections::BTreeSet;
 
@@ -28,10 +29,10 @@
 }
 
 /// The machine of a job of one task, alone there, reports its end.
-fn end_task(l: &mut Leader, job: u32) {
+fn end_task(l: &mut Leader, job: JobHandle) {
     let has_it = |ix: &u32| {
         let m = l.cluster.machine(*ix).unwrap();
-        m.tasks.iter().any(|a| a.job == job)
+        m.tasks.iter().any(|a| a.job == Some(job))
     };
     let ix = (0..MACHINES as u32).find(has_it).unwrap();
     let task = &l.cluster.machine(ix).unwrap().tasks[0];
@@ -46,7 +47,7 @@
     assert!(l.on_heartbeat(&ended, 215).is_some());
 }
 
-fn placed(l: &Leader, job: u32) -> u32 {
+fn placed(l: &Leader, job: JobHandle) -> u32 {
     l.cluster.job(job).map_or(0, |j| j.live_count)
 }
 
@@ -112,7 +113,8 @@
     assert!(placed(&l, first) < 1_500);
     l.cluster.remove_job(second);
     let late = accept(&mut l, 4, "array", 900);
-    assert_eq!(late, second, "its index is used again");
+    assert_eq!(late.index(), second.index(), "its index is used again");
+    assert!(l.cluster.job(second).is_none());
     let mut now = 220;
     while placed(&l, late) == 0 {
         l.tick(now, now);
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -502,7 +502,7 @@
     fn print_leader(&mut self) {
         if let Some(i) = self.leader() {
             let l = self.nodes[i].leader.as_ref().unwrap();
-            for j in l.cluster.jobs.iter().flatten() {
+            for j in l.cluster.jobs.values() {
                 eprintln!(
                     "{} done {} live {} waiting {} writing {} dirty {} version {} cancelled {} wanted {} backoff {} (now {}) settled {}",
                     j.id,
