--- a/src/control/leader/direct_commands.rs
+++ b/src/control/leader/direct_commands.rs
@@ -44,7 +44,10 @@
             return out;
         }
         let confirmed = self.standbys.confirmed_change();
-        for ix in self.cluster.machine_range() {
+        for index in self.cluster.machine_range() {
+            let Some(ix) = self.cluster.machine_handle_at(index) else {
+                continue;
+            };
             let ready = self
                 .cluster
                 .machine(ix)
@@ -86,7 +89,7 @@
         outcome: DirectDeliveryOutcome,
         now: Millis,
     ) {
-        let Some(ix) = self.cluster.machine_index(machine) else {
+        let Some(ix) = self.cluster.machine_handle(machine) else {
             return;
         };
         let retry = millis(self.settings.cluster.workers.report_s) * 2;
--- a/src/control/leader/expiry.rs
+++ b/src/control/leader/expiry.rs
@@ -52,7 +52,10 @@
         let resumed = self.recovery.resumed_at;
         let mut silent = vec![0; self.cluster.zones.len()];
         let (mut up, mut overdue_now, mut unheard) = (0, 0, 0);
-        for ix in self.cluster.machine_range() {
+        for index in self.cluster.machine_range() {
+            let Some(ix) = self.cluster.machine_handle_at(index) else {
+                continue;
+            };
             let Some(m) = self.cluster.machine(ix) else {
                 continue;
             };
@@ -107,7 +110,10 @@
     /// The cloud reclaims a machine: tasks with checkpoints save now, as the notice may
     /// be half as long as it says. The others may yet complete.
     pub(super) fn checkpoint_before_reclaim(&mut self) {
-        for ix in self.cluster.machine_range() {
+        for index in self.cluster.machine_range() {
+            let Some(ix) = self.cluster.machine_handle_at(index) else {
+                continue;
+            };
             let Some(m) = self.cluster.machine(ix).filter(|m| m.reclaim_at.is_some()) else {
                 continue;
             };
@@ -157,7 +163,10 @@
                 }
             }
         }
-        for ix in self.cluster.machine_range() {
+        for index in self.cluster.machine_range() {
+            let Some(ix) = self.cluster.machine_handle_at(index) else {
+                continue;
+            };
             let Some(m) = self.cluster.machine(ix) else {
                 continue;
             };
--- a/src/control/leader/failover.rs
+++ b/src/control/leader/failover.rs
@@ -153,7 +153,7 @@
     ) -> bool {
         let ReplicatedTask(task, attempt, _, seen) = may_run;
         let (Some(ix), Some(job_handle)) = (
-            self.cluster.machine_index(machine),
+            self.cluster.machine_handle(machine),
             self.cluster.job_handle(job),
         ) else {
             return false;
--- a/src/control/leader/faults.rs
+++ b/src/control/leader/faults.rs
@@ -9,14 +9,14 @@
     protocol::workers::ExitReason,
     state::{
         Millis,
-        cluster::{Job, JobHandle},
+        cluster::{Job, JobHandle, MachineHandle},
     },
 };
 
 impl Leader {
     pub(super) fn on_task_ended(
         &mut self,
-        machine: u32,
+        machine: MachineHandle,
         job_handle: JobHandle,
         task: u32,
         why: ExitReason,
@@ -72,7 +72,7 @@
     /// A task of the job, started then, runs there or has completed.
     pub(super) fn on_task_running(
         &mut self,
-        machine: u32,
+        machine: MachineHandle,
         job: Option<JobHandle>,
         started: Millis,
         now: Millis,
@@ -112,7 +112,7 @@
     }
 
     /// Judges again all jobs that failed on the machine.
-    fn reevaluate_suspects(&mut self, machine: u32, now: Millis) {
+    fn reevaluate_suspects(&mut self, machine: MachineHandle, now: Millis) {
         let mut suspects = std::mem::take(&mut self.events.suspects);
         suspects.retain(|j| {
             let job = self.cluster.job(*j);
@@ -170,7 +170,7 @@
         }
     }
 
-    fn reevaluate_machine(&mut self, machine: u32, now: Millis) {
+    fn reevaluate_machine(&mut self, machine: MachineHandle, now: Millis) {
         let Some(m) = self.cluster.machine_mut(machine) else {
             return;
         };
@@ -197,9 +197,9 @@
 
     /// Machines that are quarantined, but can't be returned, are retried.
     pub(super) fn retry_quarantined(&mut self, now: Millis) {
-        let all = self.cluster.indexed_machines();
+        let all = self.cluster.machines_by_handle();
         let aside = all.filter(|(_, m)| m.failures.quarantined && m.live_tasks() > 0);
-        let aside: Vec<u32> = aside.map(|(ix, _)| ix).collect();
+        let aside: Vec<MachineHandle> = aside.map(|(ix, _)| ix).collect();
         for ix in aside {
             if let Some(m) = self.cluster.machine_mut(ix)
                 && m.failures.end_quarantine_if_due(now)
--- a/src/control/leader/fleet_view.rs
+++ b/src/control/leader/fleet_view.rs
@@ -42,13 +42,16 @@
     pub(super) fn refresh_fleet(&mut self, now: Millis) {
         let planning = &mut self.scheduling;
         planning.fleet.set_policy(&planning.policy);
-        for ix in self.cluster.take_stale() {
-            let usable = self.cluster.machine(ix).filter(|m| m.schedulable());
-            let room = usable.map(machine_view);
+        // The fleet has the machines at the indices of the cluster state, and is
+        // brought up to date before each use.
+        for index in self.cluster.take_stale() {
+            let machine = self.cluster.machine_handle_at(index);
+            let usable = machine.and_then(|machine| self.cluster.machine(machine));
+            let room = usable.filter(|m| m.schedulable()).map(machine_view);
             if !planning.in_cycle {
-                planning.fleet.set(ix, room, now);
-            } else if planning.fleet.set_without_gain(ix, room, now) {
-                planning.machines_with_gain.insert(ix);
+                planning.fleet.set(index, room, now);
+            } else if planning.fleet.set_without_gain(index, room, now) {
+                planning.machines_with_gain.extend(machine);
             }
         }
         planning.fleet.advance(now);
--- a/src/control/leader/gang_reservation.rs
+++ b/src/control/leader/gang_reservation.rs
@@ -13,7 +13,7 @@
     protocol::users::Priority,
     state::{
         Millis,
-        cluster::{JobHandle, Machine},
+        cluster::{JobHandle, Machine, MachineHandle},
     },
 };
 
@@ -87,7 +87,8 @@
         for (machine, tasks) in self.candidates_for_gang(job_handle, zone, ranking, now) {
             let tasks = tasks.min(left);
             if tasks > 0 {
-                self.scheduling.fleet.withhold(machine, need.scaled(tasks));
+                let index = machine.index();
+                self.scheduling.fleet.withhold(index, need.scaled(tasks));
             }
             left -= tasks;
         }
@@ -101,18 +102,21 @@
         zone: Option<usize>,
         ranking: RankingId,
         now: Millis,
-    ) -> Vec<(u32, i64)> {
+    ) -> Vec<(MachineHandle, i64)> {
         let Some(j) = self.cluster.job(job_handle) else {
             return Vec::new();
         };
         let fleet = &self.scheduling.fleet;
-        let open = |machine: &u32| {
+        let open = |machine: &MachineHandle| {
             let m = self.cluster.machine(*machine);
             m.is_some_and(|m| j.allows(m) && m.available_to(job_handle, now))
         };
-        let machines = fleet.ranked(ranking, |z| zone.is_none_or(|only| only == z));
-        let with_room = machines.into_iter().filter(open).filter_map(|machine| {
-            let tasks = fleet.machine_view(machine)?.free.count(&j.need);
+        let ranked = fleet.ranked(ranking, |z| zone.is_none_or(|only| only == z));
+        let machines = ranked
+            .into_iter()
+            .filter_map(|index| self.cluster.machine_handle_at(index));
+        let with_room = machines.filter(open).filter_map(|machine| {
+            let tasks = fleet.machine_view(machine.index())?.free.count(&j.need);
             Some((machine, tasks.min(i64::from(j.waiting_count()))))
         });
         with_room.collect()
@@ -133,6 +137,7 @@
         let mut best: Option<(i64, Vec<Preemption>)> = None;
         for zone in self.gang_zones(job_handle) {
             let mut rooms: Vec<Preemption> = (self.cluster.machine_range())
+                .filter_map(|index| self.cluster.machine_handle_at(index))
                 .filter(|ix| {
                     let m = self.cluster.machine(*ix);
                     m.is_some_and(|m| zone.is_none_or(|z| z == m.zone) && there(m))
@@ -167,7 +172,7 @@
     pub(super) fn reserve_gang_where_image_is(
         &mut self,
         job_handle: JobHandle,
-        chosen: &[u32],
+        chosen: &[MachineHandle],
         now: Millis,
     ) -> bool {
         let held = |m: &Machine| m.is_reserved_for(job_handle, now);
--- a/src/control/leader/heartbeats.rs
+++ b/src/control/leader/heartbeats.rs
@@ -12,7 +12,7 @@
         safety_bounds::SafetyBounds,
     },
     protocol::workers::{Command, Heartbeat, HeartbeatResponse},
-    state::Millis,
+    state::{Millis, cluster::MachineHandle},
 };
 
 impl Leader {
@@ -54,7 +54,7 @@
 
     pub(super) fn apply_heartbeat(
         &mut self,
-        ix: u32,
+        ix: MachineHandle,
         report: &Heartbeat,
         source: StatusSource,
         now: Millis,
--- a/src/control/leader/inventory.rs
+++ b/src/control/leader/inventory.rs
@@ -10,7 +10,7 @@
     protocol::cloud::{ListedMachine, ListedState, MachineRequest},
     state::{
         Millis,
-        cluster::{Machine, Phase, Registration},
+        cluster::{Machine, MachineHandle, Phase, Registration},
         resources::Resources,
     },
 };
@@ -56,7 +56,7 @@
 
 /// A machine that services may move to.
 struct MoveTarget {
-    machine: u32,
+    machine: MachineHandle,
     free: Resources,
     price: f64,
 }
@@ -90,8 +90,8 @@
         if self.recovery.settled || asked < self.list_reliable_from() {
             return;
         }
-        let machines = self.cluster.indexed_machines();
-        let gone: Vec<u32> = machines
+        let machines = self.cluster.machines_by_handle();
+        let gone: Vec<MachineHandle> = machines
             .filter(|(_, m)| m.contents_unknown && m.last_listed < asked)
             .map(|(ix, _)| ix)
             .collect();
@@ -117,7 +117,7 @@
                 continue;
             }
             if l.state == ListedState::Failed {
-                if let Some(ix) = self.cluster.machine_index(&l.id) {
+                if let Some(ix) = self.cluster.machine_handle(&l.id) {
                     // It stopped by itself: nothing runs there any more.
                     self.cluster.clear_machine(ix);
                     self.release(ix, "failed", now);
@@ -142,7 +142,7 @@
         }
     }
 
-    pub(super) fn release(&mut self, ix: u32, why: &str, now: Millis) {
+    pub(super) fn release(&mut self, ix: MachineHandle, why: &str, now: Millis) {
         if let Some(m) = self.cluster.machine_mut(ix)
             && !m.releasing
         {
@@ -187,9 +187,9 @@
                 && !m.write_in_flight
                 && m.live_tasks() == 0
         };
-        let all = self.cluster.indexed_machines();
+        let all = self.cluster.machines_by_handle();
         let all = all.filter(|(_, m)| due(m)).map(|(ix, _)| ix);
-        let due: Vec<u32> = all.take(MAX_RELEASED_MACHINES).collect();
+        let due: Vec<MachineHandle> = all.take(MAX_RELEASED_MACHINES).collect();
         let mut names = Vec::with_capacity(due.len());
         for ix in due {
             if let Some(m) = self.cluster.machine_mut(ix) {
@@ -234,7 +234,10 @@
         let mut headroom = self.headroom(IDLE_ARRIVAL_WINDOW_MS, KEEP_IDLE_MS, now);
         headroom.extend(self.spare_capacity());
         let mut gone = Vec::new();
-        for ix in self.cluster.machine_range() {
+        for index in self.cluster.machine_range() {
+            let Some(ix) = self.cluster.machine_handle_at(index) else {
+                continue;
+            };
             let Some(machine) = self.cluster.machine(ix) else {
                 continue;
             };
@@ -327,7 +330,7 @@
             && now > machine.state_since + unlisted_ms
     }
 
-    fn remove_gone_machine(&mut self, ix: u32, now: Millis) {
+    fn remove_gone_machine(&mut self, ix: MachineHandle, now: Millis) {
         // Names are never used again: a heartbeat of one that ran is late.
         if let Some(machine) = self
             .cluster
@@ -347,8 +350,8 @@
         }
         self.scheduling.next_drain_at = now + DRAIN_INTERVAL_MS;
         let idle = millis(self.options.idle_s);
-        let mut order: Vec<u32> = Vec::new();
-        for (ix, m) in self.cluster.indexed_machines() {
+        let mut order: Vec<MachineHandle> = Vec::new();
+        for (ix, m) in self.cluster.machines_by_handle() {
             if m.draining && m.up && !m.releasing {
                 // One at a time.
                 if m.live_tasks() > 0 {
@@ -365,7 +368,7 @@
             }
         }
         order.sort_by(|a, b| {
-            let key = |ix: &u32| {
+            let key = |ix: &MachineHandle| {
                 self.cluster
                     .machine(*ix)
                     .map_or((0.0, 0), |m| (self.price(m), m.live_tasks()))
@@ -405,10 +408,10 @@
 
     /// Machines that services may move to.
     fn move_targets(&self) -> Vec<MoveTarget> {
-        let all = self.cluster.indexed_machines();
+        let all = self.cluster.machines_by_handle();
         let open =
             all.filter(|(_, m)| m.schedulable() && m.reserved_for.is_none() && m.live_tasks() > 0);
-        let target = |(machine, m): (u32, &Machine)| MoveTarget {
+        let target = |(machine, m): (MachineHandle, &Machine)| MoveTarget {
             machine,
             free: m.free(),
             price: self.price(m),
@@ -417,14 +420,19 @@
     }
 
     /// Where the services of a machine would go, if all of them can.
-    fn can_empty(&self, ix: u32, targets: &[MoveTarget], now: Millis) -> Option<Vec<u32>> {
+    fn can_empty(
+        &self,
+        ix: MachineHandle,
+        targets: &[MoveTarget],
+        now: Millis,
+    ) -> Option<Vec<MachineHandle>> {
         let from = self.cluster.machine(ix)?;
         let price = self.price(from);
         // One that has long been of no other use, and is dear, may cost its
         // services a short fetch. Between machines of one price that was
         // tried: 4 s of two replicas are 2% of what the worst 30 s counts.
         let long = now >= from.last_batch_activity + 3 * millis(self.options.idle_s);
-        let mut moved: Vec<(u32, Resources)> = Vec::new();
+        let mut moved: Vec<(MachineHandle, Resources)> = Vec::new();
         for a in from.tasks.iter().filter(|a| a.is_live()) {
             let job = self.cluster.job(a.job?)?;
             if a.phase != Phase::Running || job.cancelled || job.cancel_requested {
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -46,7 +46,11 @@
 use crate::{
     options::Options,
     protocol::{cloud::MachineType, settings::Settings},
-    state::{Millis, cluster::ClusterState, dependencies::DependencyGraph},
+    state::{
+        Millis,
+        cluster::{ClusterState, MachineHandle},
+        dependencies::DependencyGraph,
+    },
 };
 use inventory::WORKER_REDIRECT_MS;
 use scale_out::Scaling;
@@ -137,7 +141,7 @@
         self.term << MACHINE_TOKEN_BITS
     }
 
-    fn fencing_token(&self, ix: u32) -> u64 {
+    fn fencing_token(&self, ix: MachineHandle) -> u64 {
         self.term_token() | self.cluster.machine(ix).map_or(0, |m| m.token_epoch)
     }
 
--- a/src/control/leader/partitions.rs
+++ b/src/control/leader/partitions.rs
@@ -9,7 +9,10 @@
 use crate::{
     control::reconciliation,
     protocol::workers::Heartbeat,
-    state::{Millis, cluster::Phase},
+    state::{
+        Millis,
+        cluster::{MachineHandle, Phase},
+    },
 };
 
 /// So many heartbeats in a row without a token of this term, each sent after the one
@@ -22,7 +25,12 @@
 impl Leader {
     /// Checks a heartbeat before it is applied. `false`: it gets no response, so that
     /// the lease surely expires and a new leader need not wait for ever for the machine.
-    pub(super) fn accepts_heartbeat(&mut self, ix: u32, report: &Heartbeat, now: Millis) -> bool {
+    pub(super) fn accepts_heartbeat(
+        &mut self,
+        ix: MachineHandle,
+        report: &Heartbeat,
+        now: Millis,
+    ) -> bool {
         let (floor, token) = (self.term_token(), self.fencing_token(ix));
         // By then the lease of a machine without a response in this term has expired, so
         // nothing is lost. Guards against a leader that is too slow for a while, and
@@ -72,7 +80,7 @@
 
     /// Nothing new is placed there before it shows a token that is newer than
     /// all it can have seen.
-    pub(super) fn require_new_token(&mut self, ix: u32) {
+    pub(super) fn require_new_token(&mut self, ix: MachineHandle) {
         let token = self.fencing_token(ix);
         if let Some(m) = self.cluster.machine_mut(ix) {
             m.required_token = token;
@@ -82,7 +90,7 @@
     /// Called after a heartbeat was applied.
     pub(super) fn detect_one_way_partition(
         &mut self,
-        ix: u32,
+        ix: MachineHandle,
         effects: &reconciliation::HeartbeatEffects,
     ) {
         // Had its lease expired for lack of heartbeats, it would not count as up.
@@ -107,7 +115,7 @@
     }
 
     /// Orders that were given and are surely not carried out, last first.
-    fn never_delivered(&self, ix: u32) -> Vec<usize> {
+    fn never_delivered(&self, ix: MachineHandle) -> Vec<usize> {
         let tasks = self.cluster.machine(ix).map_or(&[][..], |m| &m.tasks);
         let new = tasks.iter().enumerate();
         let new = new.filter(|(_, a)| a.phase == Phase::New && a.indeterminate_token == 0);
--- a/src/control/leader/persistence.rs
+++ b/src/control/leader/persistence.rs
@@ -16,7 +16,7 @@
     },
     state::{
         Millis,
-        cluster::{Job, JobHandle, Machine, Registration},
+        cluster::{Job, JobHandle, MachineHandle, Registration},
         offload::OffloadTarget,
         records::{
             self as keys, FinalRecord, JobRecord, LEADER, MachineRecord, StoredJob, final_key,
@@ -35,8 +35,7 @@
 const IMAGE_LIST_BYTES: usize = 20;
 
 /// What one part of a transaction is to do, so that its outcome can be applied
-/// to the cluster state. Machines by index and by name, as an index may be given
-/// to another one meanwhile.
+/// to the cluster state.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WriteIntent {
     /// Records a cancellation in the job's record.
@@ -74,24 +73,18 @@
     },
     /// Writes the record of a machine that is in use.
     Registration {
-        /// Index of the machine.
-        machine: u32,
-        /// Its name.
-        name: String,
+        /// The machine.
+        machine: MachineHandle,
     },
     /// Records that the machine's lease has expired.
     ExpireMachine {
-        /// Index of the machine.
-        machine: u32,
-        /// Its name.
-        name: String,
+        /// The machine.
+        machine: MachineHandle,
     },
     /// Records that the machine is being released.
     MarkReleasing {
-        /// Index of the machine.
-        machine: u32,
-        /// Its name.
-        name: String,
+        /// The machine.
+        machine: MachineHandle,
     },
     /// Deletes a key that no record names.
     Delete {
@@ -301,12 +294,15 @@
         plan: &mut WritePlan,
         budget: &WriteBudget,
         rate_to_spare: bool,
-    ) -> Vec<u32> {
+    ) -> Vec<MachineHandle> {
         let mut expired = Vec::new();
-        for ix in self.cluster.machine_range() {
+        for index in self.cluster.machine_range() {
             if !budget.has_write(plan) {
                 return expired;
             }
+            let Some(ix) = self.cluster.machine_handle_at(index) else {
+                continue;
+            };
             let Some(machine) = self.cluster.machine(ix).filter(|m| !m.write_in_flight) else {
                 continue;
             };
@@ -344,7 +340,7 @@
     }
 
     /// Adds a machine's record to what is to be written.
-    fn plan_machine(&mut self, ix: u32, plan: &mut WritePlan) {
+    fn plan_machine(&mut self, ix: MachineHandle, plan: &mut WritePlan) {
         let Some(machine) = self.cluster.machine(ix) else {
             return;
         };
@@ -372,11 +368,10 @@
             value: serde_json::to_value(record).unwrap_or_default(),
             lease: None,
         });
-        let name = machine.name.clone();
         plan.intents.push(match (lease_expired, machine.releasing) {
-            (true, _) => WriteIntent::ExpireMachine { machine: ix, name },
-            (false, true) => WriteIntent::MarkReleasing { machine: ix, name },
-            (false, false) => WriteIntent::Registration { machine: ix, name },
+            (true, _) => WriteIntent::ExpireMachine { machine: ix },
+            (false, true) => WriteIntent::MarkReleasing { machine: ix },
+            (false, false) => WriteIntent::Registration { machine: ix },
         });
         if let Some(machine) = self.cluster.machine_mut(ix) {
             machine.write_in_flight = true;
@@ -405,11 +400,6 @@
         record
     }
 
-    /// The machine with this index, if the index was not given to another since.
-    fn machine_of(&mut self, ix: u32, name: &str) -> Option<&mut Machine> {
-        self.cluster.machine_mut(ix).filter(|m| m.name == name)
-    }
-
     /// The transaction was applied at this revision.
     pub fn writes_applied(&mut self, plan: &WritePlan, revision: u64, now: Millis) {
         for intent in &plan.intents {
@@ -442,10 +432,10 @@
                         }
                     }
                 }
-                WriteIntent::Registration { machine, name }
-                | WriteIntent::MarkReleasing { machine, name }
-                | WriteIntent::ExpireMachine { machine, name } => {
-                    if let Some(machine) = self.machine_of(*machine, name) {
+                WriteIntent::Registration { machine }
+                | WriteIntent::MarkReleasing { machine }
+                | WriteIntent::ExpireMachine { machine } => {
+                    if let Some(machine) = self.cluster.machine_mut(*machine) {
                         machine.write_in_flight = false;
                         machine.registration = Registration::Present;
                         machine.record_version = revision;
@@ -607,7 +597,7 @@
     ) {
         let machine = self
             .cluster
-            .machine_index(name)
+            .machine_handle(name)
             .and_then(|ix| self.cluster.machine_mut(ix));
         match (machine, found) {
             (Some(machine), Some((value, version))) => {
@@ -674,10 +664,10 @@
                         }
                     }
                 }
-                WriteIntent::Registration { machine, name }
-                | WriteIntent::MarkReleasing { machine, name }
-                | WriteIntent::ExpireMachine { machine, name } => {
-                    if let Some(machine) = self.machine_of(*machine, name) {
+                WriteIntent::Registration { machine }
+                | WriteIntent::MarkReleasing { machine }
+                | WriteIntent::ExpireMachine { machine } => {
+                    if let Some(machine) = self.cluster.machine_mut(*machine) {
                         machine.write_in_flight = false;
                         machine.quarantine_unrecorded |= machine.failures.quarantined;
                     }
--- a/src/control/leader/scale_out.rs
+++ b/src/control/leader/scale_out.rs
@@ -16,7 +16,7 @@
     },
     state::{
         Millis,
-        cluster::{Job, JobHandle, Machine, NewMachine, Registration},
+        cluster::{Job, JobHandle, Machine, MachineHandle, NewMachine, Registration},
         records::machine_key,
         resources::Resources,
     },
@@ -104,7 +104,7 @@
 /// A machine that still boots, and the index of its bin.
 struct BootingBin {
     bin: usize,
-    machine: u32,
+    machine: MachineHandle,
 }
 
 /// Demand of waiting jobs, in the order in which it is planned for.
@@ -244,7 +244,7 @@
     /// Capacity of the machines that exist, or are expected to come up.
     fn supply(&self, now: Millis) -> Supply {
         let mut supply = Supply::default();
-        for (ix, machine) in self.cluster.indexed_machines() {
+        for (ix, machine) in self.cluster.machines_by_handle() {
             let booting = self.is_expected_to_boot(machine, now);
             if !booting && !self.counts_as_supply(machine, now) {
                 continue;
@@ -478,7 +478,7 @@
     /// The cloud answered a release; if `ok`, the machines are gone.
     pub fn released(&mut self, names: &[String], ok: bool, now: Millis) {
         for name in names {
-            let Some(ix) = self.cluster.machine_index(name) else {
+            let Some(ix) = self.cluster.machine_handle(name) else {
                 continue;
             };
             if !ok {
--- a/src/control/leader/scheduling.rs
+++ b/src/control/leader/scheduling.rs
@@ -8,7 +8,11 @@
 use super::{headroom::Class, scheduling_cycle::SchedulingCycle};
 use crate::{
     control::placement::{Policy, fleet::Fleet},
-    state::{Millis, cluster::JobHandle, resources::Resources},
+    state::{
+        Millis,
+        cluster::{JobHandle, MachineHandle},
+        resources::Resources,
+    },
 };
 use std::collections::{BTreeSet, VecDeque};
 
@@ -33,7 +37,7 @@
     /// A cycle is under way, or was interrupted.
     pub(super) in_cycle: bool,
     /// Machines with capacity that became free since it began.
-    pub(super) machines_with_gain: BTreeSet<u32>,
+    pub(super) machines_with_gain: BTreeSet<MachineHandle>,
     /// Steps that the cycle may make before it is interrupted.
     pub(super) steps_left: u32,
 }
--- a/src/control/leader/task_placement.rs
+++ b/src/control/leader/task_placement.rs
@@ -9,16 +9,25 @@
 use crate::{
     control::placement::{
         self,
-        fleet::{Choice, MachineView, RankingId},
+        fleet::{MachineView, RankingId},
     },
     protocol::{status::PendingReason, users::Kind},
     state::{
         Millis,
-        cluster::{Job, JobHandle, Phase, Placement},
+        cluster::{Job, JobHandle, MachineHandle, Phase, Placement},
         resources::Resources,
     },
 };
 
+/// A machine that was chosen for a task.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ChosenMachine {
+    pub(super) machine: MachineHandle,
+    zone: usize,
+    /// Its fetch of the image would miss the objective for starting.
+    pub(super) late: bool,
+}
+
 /// The outcome of placing the tasks of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Outcome {
@@ -41,7 +50,7 @@
         &self,
         job_handle: JobHandle,
         task: u32,
-        machine: u32,
+        machine: MachineHandle,
         room: &MachineView,
         headroom: &[Headroom],
         now: Millis,
@@ -75,28 +84,34 @@
         headroom: &[Headroom],
         now: Millis,
         zone_ok: impl Fn(usize) -> bool,
-    ) -> Option<Choice> {
+    ) -> Option<ChosenMachine> {
         let job = self.cluster.job(job_handle)?;
         let zone_ok = |zone| job.zone.is_none_or(|only| only == zone) && zone_ok(zone);
         // Where the job has failed, the fault may be there.
-        let failed = |machine| job.failures.failed_on(machine);
-        let admits = |machine, room: &MachineView| {
-            self.admits(job_handle, task, machine, room, headroom, now)
+        let handle_at = |index| self.cluster.machine_handle_at(index);
+        let failed = |index| handle_at(index).is_some_and(|m| job.failures.failed_on(m));
+        let admits = |index, room: &MachineView| {
+            handle_at(index)
+                .is_some_and(|machine| self.admits(job_handle, task, machine, room, headroom, now))
         };
-        let chosen = self
+        let choice = self
             .scheduling
             .fleet
-            .choose(ranking, zone_ok, failed, admits);
-        if log::log_enabled!(log::Level::Debug)
-            && let Some(c) = chosen
-        {
-            self.log_choice(job, task, c);
+            .choose(ranking, zone_ok, failed, admits)?;
+        let chosen = ChosenMachine {
+            machine: handle_at(choice.machine)?,
+            zone: choice.zone,
+            late: choice.late,
+        };
+        if log::log_enabled!(log::Level::Debug) {
+            self.log_choice(job, task, chosen);
         }
-        chosen
+        Some(chosen)
     }
 
-    fn log_choice(&self, job: &Job, task: u32, choice: Choice) {
-        let Some(room) = self.scheduling.fleet.machine_view(choice.machine) else {
+    fn log_choice(&self, job: &Job, task: u32, choice: ChosenMachine) {
+        let index = choice.machine.index();
+        let Some(room) = self.scheduling.fleet.machine_view(index) else {
             return;
         };
         let policy = &self.scheduling.policy;
@@ -113,8 +128,8 @@
         );
     }
 
-    fn take_headroom(&self, headroom: &mut [Headroom], machine: u32, need: &Resources) {
-        if let Some(room) = self.scheduling.fleet.machine_view(machine) {
+    fn take_headroom(&self, headroom: &mut [Headroom], machine: MachineHandle, need: &Resources) {
+        if let Some(room) = self.scheduling.fleet.machine_view(machine.index()) {
             for r in headroom.iter_mut() {
                 if r.covers(room.type_ix, room.spot) {
                     r.fits -= r.loss(&room.free, need);
@@ -200,7 +215,7 @@
                 return Outcome::Left;
             }
             self.take_headroom(headroom, choice.machine, &need);
-            self.scheduling.fleet.take(ranking, choice.machine);
+            self.scheduling.fleet.take(ranking, choice.machine.index());
             if let Some(n) = zones.get_mut(choice.zone) {
                 *n += 1;
             }
@@ -261,7 +276,7 @@
             }
             let attempt = again.unwrap_or_else(|| self.attempt());
             for (task, choice) in missing.iter().zip(chosen) {
-                self.scheduling.fleet.take(ranking, choice.machine);
+                self.scheduling.fleet.take(ranking, choice.machine.index());
                 self.start(job_handle, *task, choice.machine, attempt, now);
             }
             return true;
@@ -279,7 +294,7 @@
         ranking: RankingId,
         headroom: &mut [Headroom],
         now: Millis,
-    ) -> Option<Vec<Choice>> {
+    ) -> Option<Vec<ChosenMachine>> {
         let job = self.cluster.job(job_handle)?;
         let (need, spread, half) = (job.need, job.spec.spread, job.spec.tasks.div_ceil(2));
         let mut per_zone = self.cluster.live_tasks_by_zone(job_handle);
@@ -293,7 +308,7 @@
             });
             let Some(choice) = pick else { break };
             self.take_headroom(headroom, choice.machine, &need);
-            trial.push(self.scheduling.fleet.take(ranking, choice.machine));
+            trial.push(self.scheduling.fleet.take(ranking, choice.machine.index()));
             per_zone[choice.zone] += 1;
             chosen.push(choice);
         }
@@ -305,7 +320,7 @@
     fn gang_waits_for_image(
         &mut self,
         job_handle: JobHandle,
-        chosen: &[Choice],
+        chosen: &[ChosenMachine],
         only: Option<usize>,
         now: Millis,
     ) -> bool {
@@ -314,7 +329,7 @@
             .job(job_handle)
             .is_some_and(|j| j.spec.tasks > 1);
         if several {
-            let machines: Vec<u32> = chosen.iter().map(|c| c.machine).collect();
+            let machines: Vec<MachineHandle> = chosen.iter().map(|c| c.machine).collect();
             return chosen.iter().any(|c| c.late)
                 && self.reserve_gang_where_image_is(job_handle, &machines, now);
         }
@@ -327,7 +342,7 @@
         &mut self,
         job_handle: JobHandle,
         task: u32,
-        machine: u32,
+        machine: MachineHandle,
         attempt: u64,
         now: Millis,
     ) {
--- a/src/control/leader/victims.rs
+++ b/src/control/leader/victims.rs
@@ -4,16 +4,15 @@
 //! Called by preemption, gang reservation and placement. It must never stop a service,
 //! nor a task that is stopping already.
 
-use super::{Leader, millis};
+use super::{Leader, millis, task_placement::ChosenMachine};
 use crate::{
-    control::placement::fleet::Choice,
     protocol::{
         status::PendingReason,
         users::{Kind, Priority},
     },
     state::{
         Millis,
-        cluster::{Assignment, Job, JobHandle, Machine},
+        cluster::{Assignment, Job, JobHandle, Machine, MachineHandle},
         resources::Resources,
     },
 };
@@ -42,7 +41,7 @@
 
 /// Capacity that stopping some tasks would free.
 pub(super) struct Preemption {
-    pub(super) machine: u32,
+    pub(super) machine: MachineHandle,
     pub(super) victims: Vec<usize>,
     /// The image would have to be fetched there.
     pub(super) fetch: bool,
@@ -83,6 +82,7 @@
     ) -> Option<Preemption> {
         let guaranteed = self.within_guarantee(self.cluster.job(job_handle)?, now);
         (self.cluster.machine_range())
+            .filter_map(|index| self.cluster.machine_handle_at(index))
             .filter(|ix| self.cluster.machine(*ix).is_some_and(|m| zone_ok(m.zone)))
             .filter_map(|ix| self.preemption_on(ix, job_handle, priority, guaranteed, now))
             .filter(|r| !r.victims.is_empty())
@@ -92,7 +92,7 @@
     /// The preemption for a task on one machine, at the least loss there.
     pub(super) fn preemption_on(
         &self,
-        ix: u32,
+        ix: MachineHandle,
         job_handle: JobHandle,
         priority: Priority,
         guaranteed: bool,
@@ -184,7 +184,7 @@
     pub(super) fn reserve_where_image_is(
         &mut self,
         job_handle: JobHandle,
-        at: Choice,
+        at: ChosenMachine,
         now: Millis,
         zone_ok: impl Fn(usize) -> bool,
     ) -> bool {
@@ -249,7 +249,7 @@
 
     /// Stops a task, with the time it needs for a checkpoint; a gang is stopped as a
     /// whole, or the checkpoint would fail.
-    pub(super) fn stop_gracefully(&mut self, machine: u32, at: usize) {
+    pub(super) fn stop_gracefully(&mut self, machine: MachineHandle, at: usize) {
         let Some(a) = self.cluster.machine(machine).and_then(|m| m.tasks.get(at)) else {
             return;
         };
@@ -261,7 +261,7 @@
             Some(j) => (j.spec.kind == Kind::Gang, 0.0),
             None => (false, 0.0),
         };
-        let own: Vec<(u32, usize)> = match handle.filter(|_| whole) {
+        let own: Vec<(MachineHandle, usize)> = match handle.filter(|_| whole) {
             Some(handle) => self.cluster.live_tasks_of(handle).collect(),
             None => vec![(machine, at)],
         };
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -13,7 +13,9 @@
     },
     state::{
         Millis,
-        cluster::{Assignment, ClusterState, Job, JobHandle, Machine, Phase, Placement},
+        cluster::{
+            Assignment, ClusterState, Job, JobHandle, Machine, MachineHandle, Phase, Placement,
+        },
         slot_table::SlotTable,
     },
 };
@@ -95,7 +97,7 @@
 /// leader may still be carried out after it.
 pub fn apply_heartbeat(
     cluster: &mut ClusterState,
-    ix: u32,
+    ix: MachineHandle,
     heartbeat: &Heartbeat,
     term_floor: u64,
     source: StatusSource,
@@ -222,7 +224,7 @@
 /// Applies the reported state of a task that is in the machine's list.
 fn update_task(
     cluster: &mut ClusterState,
-    ix: u32,
+    ix: MachineHandle,
     at: usize,
     reported: &TaskStatus,
     effects: &mut HeartbeatEffects,
@@ -268,7 +270,7 @@
 /// is gone, or a start of it was lost, or is still on its way.
 fn resolve_unlisted_task(
     cluster: &mut ClusterState,
-    ix: u32,
+    ix: MachineHandle,
     at: usize,
     heartbeat_seq: u64,
     source: StatusSource,
@@ -329,7 +331,7 @@
 /// The agent has restarted, and has seen this token: all that is known of the
 /// machine is gone, but for direct starts that it may still carry out, as
 /// incarnations count from one again as well.
-fn forget_previous_process(cluster: &mut ClusterState, ix: u32, token: u64) {
+fn forget_previous_process(cluster: &mut ClusterState, ix: MachineHandle, token: u64) {
     let Some(machine) = cluster.machine(ix) else {
         return;
     };
@@ -344,7 +346,7 @@
 /// The first heartbeat of the machine in this term, so it has seen this term's
 /// token: of what an earlier leader had there, or had sent there, only what it
 /// lists is there or will ever be.
-fn drop_unlisted_tasks(cluster: &mut ClusterState, ix: u32, heartbeat: &Heartbeat) {
+fn drop_unlisted_tasks(cluster: &mut ClusterState, ix: MachineHandle, heartbeat: &Heartbeat) {
     let Some(machine) = cluster.machine(ix).filter(|m| !m.tasks.is_empty()) else {
         return;
     };
@@ -365,7 +367,7 @@
     tasks.filter(|(_, a)| holds(a)).map(|(at, _)| at).collect()
 }
 
-fn remove_tasks(cluster: &mut ClusterState, ix: u32, places: Vec<usize>) {
+fn remove_tasks(cluster: &mut ClusterState, ix: MachineHandle, places: Vec<usize>) {
     // From the end, as a removal moves the last entry into its place.
     for at in places.into_iter().rev() {
         cluster.unassign(ix, at);
@@ -373,7 +375,7 @@
 }
 
 /// A task that is not in the machine's list: an earlier leader started it.
-fn adopt_task(cluster: &mut ClusterState, ix: u32, reported: &TaskStatus, now: Millis) {
+fn adopt_task(cluster: &mut ClusterState, ix: MachineHandle, reported: &TaskStatus, now: Millis) {
     let (name, attempt) = (reported.task.as_str(), reported.attempt);
     let phase = phase_of(reported);
     let known = parse_task_name(name).and_then(|(id, task)| Some((cluster.job_handle(id)?, task)));
@@ -406,7 +408,7 @@
     }
 }
 
-fn last_assignment(cluster: &mut ClusterState, ix: u32) -> Option<&mut Assignment> {
+fn last_assignment(cluster: &mut ClusterState, ix: MachineHandle) -> Option<&mut Assignment> {
     cluster.machine_mut(ix).and_then(|m| m.tasks.last_mut())
 }
 
@@ -416,7 +418,7 @@
 /// over does not have them.
 pub fn commands(
     cluster: &mut ClusterState,
-    ix: u32,
+    ix: MachineHandle,
     direct: Option<u64>,
     seq: u64,
     confirmed: u64,
@@ -488,7 +490,12 @@
 
 /// A direct command was answered, or surely not carried out: what it starts is
 /// no longer indeterminate.
-pub fn resolve_direct_commands(cluster: &mut ClusterState, ix: u32, token: u64, executed: bool) {
+pub fn resolve_direct_commands(
+    cluster: &mut ClusterState,
+    ix: MachineHandle,
+    token: u64,
+    executed: bool,
+) {
     let Some(machine) = cluster.machine_mut(ix) else {
         return;
     };
@@ -503,7 +510,7 @@
 
 /// Whether there is a command for the machine that shouldn't wait for its next
 /// heartbeat.
-pub fn needs_direct_commands(cluster: &ClusterState, ix: u32, confirmed: u64) -> bool {
+pub fn needs_direct_commands(cluster: &ClusterState, ix: MachineHandle, confirmed: u64) -> bool {
     cluster.machine(ix).is_some_and(|machine| {
         machine.up
             && machine.addr.is_some()
--- a/src/state/cluster/assignments.rs
+++ b/src/state/cluster/assignments.rs
@@ -5,7 +5,7 @@
 //! Called by the scheduler, by reconciliation of heartbeats and after a
 //! failover. Must never release resources while the task may still run.
 
-use super::{Assignment, ClusterState, JobHandle, Phase};
+use super::{Assignment, ClusterState, JobHandle, MachineHandle, Phase};
 use crate::{
     protocol::{users::Kind, workers::ExitReason},
     state::Millis,
@@ -17,7 +17,7 @@
         &mut self,
         handle: JobHandle,
         task: u32,
-        machine: u32,
+        machine: MachineHandle,
         attempt: u64,
         phase: Phase,
         now: Millis,
@@ -54,7 +54,7 @@
     /// not be there: it is stopped, or reaped if it has ended.
     pub fn assign_orphan(
         &mut self,
-        machine: u32,
+        machine: MachineHandle,
         name: &str,
         attempt: u64,
         phase: Phase,
@@ -74,7 +74,7 @@
         &mut self,
         handle: JobHandle,
         task: u32,
-        machine: u32,
+        machine: MachineHandle,
         attempt: u64,
         phase: Phase,
         now: Millis,
@@ -103,7 +103,7 @@
     }
 
     /// The task at this place of the machine's list is now in this phase.
-    pub fn set_phase(&mut self, machine: u32, at: usize, phase: Phase) {
+    pub fn set_phase(&mut self, machine: MachineHandle, at: usize, phase: Phase) {
         let Some(on) = self.machine_mut(machine) else {
             return;
         };
@@ -141,7 +141,7 @@
     }
 
     /// Takes an entry off the machine's list: it is not there.
-    pub fn unassign(&mut self, machine: u32, at: usize) {
+    pub fn unassign(&mut self, machine: MachineHandle, at: usize) {
         let Some(on) = self.machine_mut(machine) else {
             return;
         };
@@ -153,7 +153,7 @@
     }
 
     /// The live task, already off the machine's list, takes nothing any more.
-    pub(super) fn release_resources(&mut self, machine: u32, assignment: &Assignment) {
+    pub(super) fn release_resources(&mut self, machine: MachineHandle, assignment: &Assignment) {
         if let Some(on) = self.machine_mut(machine) {
             on.used -= assignment.need;
         }
@@ -169,10 +169,10 @@
     }
 
     /// What is, or may be, on the machine has changed.
-    pub(super) fn record_change(&mut self, machine: u32) {
+    pub(super) fn record_change(&mut self, machine: MachineHandle) {
         self.change_count += 1;
         if let Some(changed) = &mut self.changed_machines
-            && let Some(Some(machine)) = self.machines.get(machine as usize)
+            && let Some(machine) = self.machines.get(machine)
             && !changed.contains(&machine.name)
         {
             changed.insert(machine.name.clone());
--- a/src/state/cluster/images.rs
+++ b/src/state/cluster/images.rs
@@ -4,7 +4,7 @@
 //! first. Called whenever a task is assigned. An estimate only: nothing may
 //! rely on an image being there.
 
-use super::ClusterState;
+use super::{ClusterState, MachineHandle};
 
 /// Images that are noted of a machine, so that its record stays small.
 const MAX_IMAGES_PER_MACHINE: usize = 32;
@@ -13,16 +13,12 @@
     /// The machine has the image, or fetches it: it becomes the most recently
     /// used of its cache, and the oldest that no longer fit are gone. By size,
     /// as a large image stays while many small ones come.
-    pub(super) fn record_image_use(&mut self, machine: u32, image: u32, size_gb: f64) {
+    pub(super) fn record_image_use(&mut self, machine: MachineHandle, image: u32, size_gb: f64) {
         if self.image_gb.len() <= image as usize {
             self.image_gb.resize(image as usize + 1, 0.0);
         }
         self.image_gb[image as usize] = size_gb;
-        let Some(machine) = self
-            .machines
-            .get_mut(machine as usize)
-            .and_then(Option::as_mut)
-        else {
+        let Some(machine) = self.machines.get_mut(machine) else {
             return;
         };
         if machine.images.last() == Some(&image) {
--- a/src/state/cluster/job.rs
+++ b/src/state/cluster/job.rs
@@ -5,7 +5,7 @@
 //! keeps the counts of machines and teams in step. Must never take a task for
 //! waiting while it may be on a machine.
 
-use super::Machine;
+use super::{Machine, MachineHandle};
 use crate::{
     protocol::{
         state::Condition,
@@ -30,8 +30,8 @@
     Unplaced,
     /// Complete.
     Done,
-    /// It is, or may be, on the machine with this index.
-    On(u32),
+    /// It is, or may be, on this machine.
+    On(MachineHandle),
 }
 
 /// A job as it was accepted or read, before it has a handle.
@@ -276,14 +276,14 @@
     }
 
     /// The task is on this machine now.
-    pub(super) fn occupy(&mut self, task: u32, machine: u32) {
+    pub(super) fn occupy(&mut self, task: u32, machine: MachineHandle) {
         debug_assert_eq!(self.task_slots[task as usize], Placement::Unplaced);
         self.task_slots[task as usize] = Placement::On(machine);
         self.live_count += 1;
     }
 
     /// The task is not on this machine any more, if it was.
-    pub(super) fn vacate(&mut self, task: u32, machine: u32) {
+    pub(super) fn vacate(&mut self, task: u32, machine: MachineHandle) {
         if self.task_slots[task as usize] == Placement::On(machine) {
             self.task_slots[task as usize] = Placement::Unplaced;
             self.live_count -= 1;
--- a/src/state/cluster/jobs.rs
+++ b/src/state/cluster/jobs.rs
@@ -5,7 +5,7 @@
 //! noted of a job in the cluster state once the job is removed.
 
 use super::{
-    ClusterState, Job, JobHandle, Placement,
+    ClusterState, Job, JobHandle, MachineHandle, Placement,
     job::{NewJob, ResolvedNames},
 };
 use crate::{protocol::users::JobSpec, state::Millis};
@@ -72,7 +72,7 @@
             return;
         };
         self.job_handle_by_id.remove(&job.id);
-        for machine in self.machines.iter_mut().flatten() {
+        for machine in self.machines.values_mut() {
             if machine.reserved_for.is_some_and(|(of, _)| of == handle) {
                 machine.reserved_for = None;
             }
@@ -86,9 +86,9 @@
     }
 
     /// Where the job's live tasks are: machine, and place in its list.
-    pub fn live_tasks_of(&self, job: JobHandle) -> impl Iterator<Item = (u32, usize)> {
+    pub fn live_tasks_of(&self, job: JobHandle) -> impl Iterator<Item = (MachineHandle, usize)> {
         let slots = self.job(job).map_or(&[][..], |j| &j.task_slots);
-        let mut machines: Vec<u32> = slots
+        let mut machines: Vec<MachineHandle> = slots
             .iter()
             .filter_map(|slot| match slot {
                 Placement::On(machine) => Some(*machine),
--- a/src/state/cluster/mod.rs
+++ b/src/state/cluster/mod.rs
@@ -48,6 +48,11 @@
     JobHandle
 }
 
+handle_type! {
+    /// Names a machine of this leader, and never another one.
+    MachineHandle
+}
+
 /// Jobs and machines, and what is or may be running where.
 #[derive(Debug, Default)]
 pub struct ClusterState {
@@ -68,14 +73,13 @@
     /// Jobs that are not over.
     pub jobs: SlotTable<JobHandle, Job>,
     job_handle_by_id: HashMap<String, JobHandle>,
-    machines: Vec<Option<Machine>>,
+    machines: SlotTable<MachineHandle, Machine>,
     /// Machines looked at, one by one or in a pass over all: tests bound the
     /// work per event by it.
     inspections: Cell<u64>,
-    free_machines: Vec<u32>,
     /// Machines that may have changed since `take_stale`.
     stale_machines: StaleMachines,
-    machine_index_by_name: HashMap<String, u32>,
+    machine_handle_by_name: HashMap<String, MachineHandle>,
     /// Changes of what is, or may be, on machines.
     pub change_count: u64,
     /// The latest change of which a start was sent.
--- a/src/state/cluster/replication.rs
+++ b/src/state/cluster/replication.rs
@@ -19,7 +19,8 @@
 
     /// What a standby receives of a machine: its tasks, grouped by job.
     pub fn tasks_on(&self, name: &str) -> MachineTasks {
-        let machine = self.machine_index(name).and_then(|ix| self.machine(ix));
+        let machine = self.machine_handle(name);
+        let machine = machine.and_then(|handle| self.machine(handle));
         let mut jobs: Vec<(String, Vec<ReplicatedTask>)> = Vec::new();
         let mut listed: Vec<JobHandle> = Vec::new();
         for assignment in machine.map_or(&[][..], |m| &m.tasks) {
--- a/src/state/fault_attribution.rs
+++ b/src/state/fault_attribution.rs
@@ -10,7 +10,7 @@
 //! suspicion, delay of retries, quarantine. Called by the leader as tasks end or
 //! are confirmed to run. Must never suspect a job that has run.
 
-use super::Millis;
+use super::{Millis, cluster::MachineHandle};
 
 /// Failures that are remembered of a job or a machine.
 const MAX_REMEMBERED_FAILURES: usize = 8;
@@ -28,8 +28,9 @@
 /// A job's failures on one machine, as the job keeps them.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FailuresOnMachine {
-    /// Index of the machine.
-    pub machine: u32,
+    /// The machine, which may be gone: never one that took its index, as that would
+    /// be held against the job.
+    pub machine: MachineHandle,
     /// When the last one was.
     pub last_failure: Millis,
     /// How many there were.
@@ -87,7 +88,7 @@
     }
 
     /// Whether it failed there: other machines are tried first.
-    pub fn failed_on(&self, machine: u32) -> bool {
+    pub fn failed_on(&self, machine: MachineHandle) -> bool {
         self.by_machine.iter().any(|f| f.machine == machine)
     }
 
@@ -97,7 +98,7 @@
     }
 
     /// A task of it failed on the machine.
-    pub fn record_failure(&mut self, machine: u32, now: Millis) {
+    pub fn record_failure(&mut self, machine: MachineHandle, now: Millis) {
         let known = self.by_machine.iter().position(|f| f.machine == machine);
         let count = known.map_or(0, |at| self.by_machine.remove(at).count);
         if self.by_machine.len() >= MAX_REMEMBERED_FAILURES {
@@ -111,7 +112,7 @@
     }
 
     /// The machine was at fault for what failed there.
-    pub fn clear_machine(&mut self, machine: u32) {
+    pub fn clear_machine(&mut self, machine: MachineHandle) {
         self.by_machine.retain(|f| f.machine != machine);
     }
 
@@ -129,7 +130,7 @@
     pub fn reevaluate(
         &mut self,
         now: Millis,
-        machine: impl Fn(u32) -> (bool, Option<Millis>),
+        machine: impl Fn(MachineHandle) -> (bool, Option<Millis>),
     ) -> bool {
         let weight: u32 = self
             .by_machine
--- a/src/state/fault_attribution/tests.rs
+++ b/src/state/fault_attribution/tests.rs
@@ -1,23 +1,31 @@
 use super::*;
+use crate::state::slot_table::SlotTable;
+
+/// The handle of the machine with this index.
+fn machine(index: usize) -> MachineHandle {
+    let mut machines: SlotTable<MachineHandle, ()> = SlotTable::default();
+    let handles: Vec<_> = (0..=index).map(|_| machines.insert(())).collect();
+    handles[index]
+}
 
 #[test]
 fn job_is_suspected_after_two_machines_unless_one_is_at_fault() {
     let mut j = JobFailures::default();
-    j.record_failure(1, 100);
-    j.record_failure(1, 200);
+    j.record_failure(machine(1), 100);
+    j.record_failure(machine(1), 200);
     assert!(
         !j.reevaluate(200, |_| (false, None)),
         "one machine is no proof"
     );
-    j.record_failure(2, 300);
+    j.record_failure(machine(2), 300);
     let mut other = j.clone();
-    assert!(!other.reevaluate(300, |m| (m == 1, None)));
+    assert!(!other.reevaluate(300, |m| (m == machine(1), None)));
     assert!(j.reevaluate(300, |_| (false, None)) && j.suspected);
     // The machine is quarantined later: the job is cleared.
-    assert!(j.reevaluate(400, |m| (m == 1, None)) && !j.suspected);
+    assert!(j.reevaluate(400, |m| (m == machine(1), None)) && !j.suspected);
     // A new leader goes by the record, as it doesn't have the failures.
     let mut j = JobFailures::inherited_suspicion(0);
-    j.record_failure(1, 9_000);
+    j.record_failure(machine(1), 9_000);
     assert!(!j.reevaluate(9_000, |_| (false, None)) && j.suspected);
     j.record_success();
     assert!(!j.suspected);
@@ -26,7 +34,7 @@
 #[test]
 fn job_is_suspected_and_retried_slowly_when_it_fails_where_others_run() {
     let mut j = JobFailures::default();
-    j.record_failure(1, 1_000);
+    j.record_failure(machine(1), 1_000);
     assert!(!j.reevaluate(1_000, |_| (false, Some(900))));
     assert!(j.reevaluate(1_500, |_| (false, Some(1_400))) && j.suspected);
     let mut at = 1_500;
@@ -41,8 +49,8 @@
     j.record_success();
     assert!(!j.suspected && !j.is_backing_off(at));
     // Proven, it is never suspected again.
-    j.record_failure(1, at);
-    j.record_failure(2, at);
+    j.record_failure(machine(1), at);
+    j.record_failure(machine(2), at);
     assert!(!j.reevaluate(at, |_| (false, None)));
 }
 
--- a/tests/job_liveness.rs
+++ b/tests/job_liveness.rs
@@ -109,7 +109,7 @@
     let up = |w: &mut Simulation| {
         let leader = w.leader().unwrap();
         let l = w.nodes[leader].leader.as_ref().unwrap();
-        let ix = l.cluster.machine_index(&name);
+        let ix = l.cluster.machine_handle(&name);
         ix.and_then(|ix| l.cluster.machine(ix))
             .is_some_and(|m| m.up)
     };
@@ -155,7 +155,7 @@
     let now = w.now;
     let l = w.nodes[i].leader.as_mut().unwrap();
     l.on_heartbeat(&lost, now);
-    let ix = l.cluster.machine_index(&lost.machine).unwrap();
+    let ix = l.cluster.machine_handle(&lost.machine).unwrap();
     assert!(
         l.cluster
             .machine(ix)
@@ -203,7 +203,7 @@
     let l = w.nodes[i].leader.as_mut().unwrap();
     assert!(l.on_heartbeat(&copy, now).is_none());
     let machine = |l: &pathwinch::control::leader::Leader| {
-        let ix = l.cluster.machine_index(&copy.machine).unwrap();
+        let ix = l.cluster.machine_handle(&copy.machine).unwrap();
         l.cluster.machine(ix).map(|m| (m.up, m.incarnation))
     };
     assert_eq!(machine(l), Some((true, 1)));
--- a/tests/reused_indices.rs
+++ b/tests/reused_indices.rs
@@ -23,7 +23,7 @@
 
 /// All tasks on the machine are reported in this state.
 fn report_tasks(l: &mut Leader, number: usize, tick: u64, state: TaskState, now: u64) {
-    let ix = l.cluster.machine_index(&machine(number)).unwrap();
+    let ix = l.cluster.machine_handle(&machine(number)).unwrap();
     let mut heartbeat = report(number, tick);
     let tasks = l.cluster.machine(ix).unwrap().tasks.iter();
     heartbeat.tasks.extend(tasks.map(|a| TaskStatus {
--- a/tests/scheduling_cycles.rs
+++ b/tests/scheduling_cycles.rs
@@ -9,7 +9,7 @@
 use pathwinch::{
     control::leader::Leader,
     protocol::workers::{ExitReason, TaskState, TaskStatus},
-    state::cluster::JobHandle,
+    state::cluster::{JobHandle, Machine},
 };
 use std::collections::BTreeSet;
 
@@ -31,11 +31,11 @@
 /// The machine of a job of one task, alone there, reports its end.
 fn end_task(l: &mut Leader, job: JobHandle) {
     let has_it = |ix: &u32| {
-        let m = l.cluster.machine(*ix).unwrap();
+        let m = machine_at(l, *ix);
         m.tasks.iter().any(|a| a.job == Some(job))
     };
     let ix = (0..MACHINES as u32).find(has_it).unwrap();
-    let task = &l.cluster.machine(ix).unwrap().tasks[0];
+    let task = &machine_at(l, ix).tasks[0];
     let mut ended = report(ix as usize, 2);
     ended.tasks.push(TaskStatus {
         task: task.name.clone(),
@@ -47,6 +47,12 @@
     assert!(l.on_heartbeat(&ended, 215).is_some());
 }
 
+/// The machine with this number, which is also its index.
+fn machine_at(l: &Leader, number: u32) -> &Machine {
+    let handle = l.cluster.machine_handle_at(number).unwrap();
+    l.cluster.machine(handle).unwrap()
+}
+
 fn placed(l: &Leader, job: JobHandle) -> u32 {
     l.cluster.job(job).map_or(0, |j| j.live_count)
 }
@@ -85,10 +91,10 @@
     assert!(placed(&l, first) < 1_500);
     // The machine that would take the next task is to be taken away.
     let next = (0..MACHINES as u32)
-        .filter(|ix| l.cluster.machine(*ix).unwrap().live_tasks() < CORES)
-        .max_by_key(|ix| l.cluster.machine(*ix).unwrap().live_tasks())
+        .filter(|ix| machine_at(&l, *ix).live_tasks() < CORES)
+        .max_by_key(|ix| machine_at(&l, *ix).live_tasks())
         .unwrap();
-    let had = l.cluster.machine(next).unwrap().live_tasks();
+    let had = machine_at(&l, next).live_tasks();
     let mut leaving = report(next as usize, 2);
     leaving.reclaim_in_s = Some(60.0);
     assert!(l.on_heartbeat(&leaving, 210).is_some());
@@ -98,7 +104,7 @@
     }
     assert_eq!(placed(&l, second), 0);
     assert_eq!((placed(&l, first), placed(&l, third)), (1_500, 900));
-    assert!(l.cluster.machine(next).unwrap().live_tasks() <= had);
+    assert!(machine_at(&l, next).live_tasks() <= had);
 }
 
 /// Guards against a place in the order that a later job inherits with the
@@ -203,7 +209,7 @@
     next.finish_loading(0);
     for n in 0..MACHINES {
         let mut report = report_in_term(2, n, 9);
-        let placed = &first.cluster.machine(n as u32).unwrap().tasks;
+        let placed = &machine_at(&first, n as u32).tasks;
         report.tasks.extend(placed.iter().map(|a| TaskStatus {
             task: a.name.clone(),
             attempt: a.attempt,
--- a/tests/simulation/standbys.rs
+++ b/tests/simulation/standbys.rs
@@ -220,7 +220,7 @@
             for w in &self.workers {
                 let m = l
                     .cluster
-                    .machine_index(&w.name)
+                    .machine_handle(&w.name)
                     .and_then(|ix| l.cluster.machine(ix));
                 for (name, attempt) in live(w) {
                     let known = m.is_some_and(|m| {
--- a/tests/simulation/workers.rs
+++ b/tests/simulation/workers.rs
@@ -14,7 +14,7 @@
     pub fn leader_token(&mut self, w: usize) -> u64 {
         let i = self.leader().expect("somebody leads");
         let l = self.nodes[i].leader.as_ref().unwrap();
-        let ix = l.cluster.machine_index(&self.workers[w].name);
+        let ix = l.cluster.machine_handle(&self.workers[w].name);
         let fence = ix
             .and_then(|ix| l.cluster.machine(ix))
             .map_or(0, |m| m.token_epoch);
--- a/tests/warm_takeover.rs
+++ b/tests/warm_takeover.rs
@@ -68,7 +68,7 @@
 }
 
 fn tasks_on(l: &Leader, n: u32) -> Vec<(u32, u64)> {
-    let m = l.cluster.machine_index(&machine(n));
+    let m = l.cluster.machine_handle(&machine(n));
     let m = m.and_then(|ix| l.cluster.machine(ix)).unwrap();
     m.tasks.iter().map(|a| (a.task, a.attempt)).collect()
 }
@@ -117,7 +117,7 @@
     l.tick(50, 50);
     l.tick(5_000, 5_000);
     assert!(tasks_on(&l, 1).is_empty());
-    let ix = l.cluster.machine_index(&machine(0)).unwrap();
+    let ix = l.cluster.machine_handle(&machine(0)).unwrap();
     let m = l.cluster.machine(ix).unwrap();
     assert!(m.tasks.len() == 2 && m.tasks.iter().all(|a| a.stop_grace_s.is_none()));
 }
