--- a/src/control/leader/dependencies.rs
+++ b/src/control/leader/dependencies.rs
@@ -14,7 +14,7 @@
     state::{
         Millis,
         cluster::{Job, JobHandle},
-        dependencies::{DependencyState, Readiness},
+        dependencies::{DependencyChanges, DependencyState, DependentCancellation, Readiness},
     },
 };
 use std::collections::HashMap;
@@ -68,7 +68,10 @@
     /// Applies changes of the graph: jobs that became ready, and jobs to cancel as they
     /// never can.
     pub(super) fn apply_dependency_changes(&mut self, now: Millis) {
-        let (changed, lost) = self.dependencies.take_changes();
+        let DependencyChanges {
+            changed,
+            cancellations,
+        } = self.dependencies.take_changes();
         for handle in changed {
             let gate = self.dependencies.readiness(handle);
             let rank = self.dependencies.effective_priority(handle);
@@ -95,13 +98,11 @@
             log::debug!("job {} is ready: all its dependencies are done", j.id);
             self.record_arrival(handle, now);
         }
-        for handle in lost
-            .into_iter()
-            .filter(|handle| self.dependencies.must_cancel(*handle))
-        {
-            if let Some(j) = self.cluster.job_mut(handle).filter(|j| !j.cancelled) {
-                log::info!("job {} is cancelled with a dependency", j.id);
+        for DependentCancellation { job, dependency } in cancellations {
+            if let Some(j) = self.cluster.job_mut(job).filter(|j| !j.cancelled) {
+                log::info!("job {} is cancelled with its dependency {dependency}", j.id);
                 j.cancel_requested = true;
+                self.events.tally.cancelled_with_dependency += 1;
             }
         }
     }
@@ -119,8 +120,17 @@
         self.dependencies.requeue_lookups(ids);
     }
 
-    /// A dependency that was looked up has this final state.
-    pub fn dependency_ended(&mut self, status: &JobStatus, now: Millis) {
+    /// A dependency that was looked up has this final state, by its record at this
+    /// revision.
+    pub fn dependency_ended(&mut self, status: &JobStatus, revision: u64, now: Millis) {
+        log::info!(
+            "dependency {} is {}, by its record at revision {revision}, read in term {}: \
+             {} jobs depend on it",
+            status.id,
+            status.state,
+            self.term,
+            self.dependencies.awaiting(&status.id),
+        );
         self.remember_final_state(status, now);
         let need = match status.state {
             JobState::Done => DependencyState::Done,
--- a/src/control/leader/direct_commands.rs
+++ b/src/control/leader/direct_commands.rs
@@ -45,21 +45,28 @@
         }
         let confirmed = self.standbys.confirmed_change();
         for index in self.cluster.machine_range() {
-            let Some(ix) = self.cluster.machine_handle_at(index) else {
+            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
                 continue;
             };
             let ready = self
                 .cluster
-                .machine(ix)
+                .machine(machine_handle)
                 .is_some_and(|m| m.up && !m.command_in_flight && now >= m.command_retry_at);
-            if !ready || !reconciliation::needs_direct_commands(&self.cluster, ix, confirmed) {
+            if !ready
+                || !reconciliation::needs_direct_commands(&self.cluster, machine_handle, confirmed)
+            {
                 continue;
             }
-            let token = self.fencing_token(ix);
-            let commands =
-                reconciliation::commands(&mut self.cluster, ix, Some(token), 0, confirmed);
+            let token = self.fencing_token(machine_handle);
+            let commands = reconciliation::commands(
+                &mut self.cluster,
+                machine_handle,
+                Some(token),
+                0,
+                confirmed,
+            );
             self.count_commands(&commands);
-            if let Some(m) = self.cluster.machine_mut(ix)
+            if let Some(m) = self.cluster.machine_mut(machine_handle)
                 && let Some(addr) = m.addr
             {
                 m.command_in_flight = true;
@@ -89,11 +96,11 @@
         outcome: DirectDeliveryOutcome,
         now: Millis,
     ) {
-        let Some(ix) = self.cluster.machine_handle(machine) else {
+        let Some(machine_handle) = self.cluster.machine_handle(machine) else {
             return;
         };
         let retry = millis(self.settings.cluster.workers.report_s) * 2;
-        if let Some(m) = self.cluster.machine_mut(ix) {
+        if let Some(m) = self.cluster.machine_mut(machine_handle) {
             m.command_in_flight = false;
             if let Some(sent) = m.start_sent_at.take() {
                 match &outcome {
@@ -111,32 +118,47 @@
         }
         match outcome {
             DirectDeliveryOutcome::Executed(report) => {
-                reconciliation::resolve_direct_commands(&mut self.cluster, ix, token, true);
-                self.apply_heartbeat(ix, &report, StatusSource::DirectCommand, now);
+                reconciliation::resolve_direct_commands(
+                    &mut self.cluster,
+                    machine_handle,
+                    token,
+                    true,
+                );
+                self.apply_heartbeat(machine_handle, &report, StatusSource::DirectCommand, now);
             }
             DirectDeliveryOutcome::Refused(report) => {
-                reconciliation::resolve_direct_commands(&mut self.cluster, ix, token, false);
-                if let Some(m) = self.cluster.machine_mut(ix) {
+                reconciliation::resolve_direct_commands(
+                    &mut self.cluster,
+                    machine_handle,
+                    token,
+                    false,
+                );
+                if let Some(m) = self.cluster.machine_mut(machine_handle) {
                     m.command_retry_at = now + retry;
                 }
                 if let Some(report) = report {
-                    self.apply_heartbeat(ix, &report, StatusSource::DirectCommand, now);
+                    self.apply_heartbeat(machine_handle, &report, StatusSource::DirectCommand, now);
                 }
             }
             DirectDeliveryOutcome::NotSent => {
-                reconciliation::resolve_direct_commands(&mut self.cluster, ix, token, false);
-                if let Some(m) = self.cluster.machine_mut(ix) {
+                reconciliation::resolve_direct_commands(
+                    &mut self.cluster,
+                    machine_handle,
+                    token,
+                    false,
+                );
+                if let Some(m) = self.cluster.machine_mut(machine_handle) {
                     m.command_retry_at = now + retry;
                 }
             }
             DirectDeliveryOutcome::NoAnswer => {
                 // It may be executed minutes later: raise the fencing token, so
                 // that the machine refuses it once it has seen the new one.
-                if let Some(m) = self.cluster.machine_mut(ix) {
+                if let Some(m) = self.cluster.machine_mut(machine_handle) {
                     m.token_epoch += 1;
                     m.command_retry_at = now + retry;
                 }
-                self.require_new_token(ix);
+                self.require_new_token(machine_handle);
             }
         }
         self.changed = true;
--- a/src/control/leader/expiry.rs
+++ b/src/control/leader/expiry.rs
@@ -53,10 +53,10 @@
         let mut silent = vec![0; self.cluster.zones.len()];
         let (mut up, mut overdue_now, mut unheard) = (0, 0, 0);
         for index in self.cluster.machine_range() {
-            let Some(ix) = self.cluster.machine_handle_at(index) else {
+            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
                 continue;
             };
-            let Some(m) = self.cluster.machine(ix) else {
+            let Some(m) = self.cluster.machine(machine_handle) else {
                 continue;
             };
             let suspect = m.up && now > m.last_heartbeat.max(resumed) + overdue;
@@ -72,7 +72,7 @@
             if !changed && !lapsed {
                 continue;
             }
-            let Some(m) = self.cluster.machine_mut(ix) else {
+            let Some(m) = self.cluster.machine_mut(machine_handle) else {
                 continue;
             };
             if changed {
@@ -94,7 +94,7 @@
             // Also for one whose heartbeats were all out of date.
             m.min_incarnation = m.incarnation.max(m.latest_heartbeat.0) + 1;
             m.state_since = now;
-            self.cluster.clear_machine(ix);
+            self.cluster.clear_machine(machine_handle);
             self.changed = true;
         }
         (
@@ -111,10 +111,14 @@
     /// be half as long as it says. The others may yet complete.
     pub(super) fn checkpoint_before_reclaim(&mut self) {
         for index in self.cluster.machine_range() {
-            let Some(ix) = self.cluster.machine_handle_at(index) else {
+            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
                 continue;
             };
-            let Some(m) = self.cluster.machine(ix).filter(|m| m.reclaim_at.is_some()) else {
+            let Some(m) = self
+                .cluster
+                .machine(machine_handle)
+                .filter(|m| m.reclaim_at.is_some())
+            else {
                 continue;
             };
             let saving: Vec<usize> = m
@@ -130,7 +134,7 @@
                 .map(|(at, _)| at)
                 .collect();
             for at in saving {
-                self.stop_gracefully(ix, at);
+                self.stop_gracefully(machine_handle, at);
             }
         }
     }
@@ -164,20 +168,20 @@
             }
         }
         for index in self.cluster.machine_range() {
-            let Some(ix) = self.cluster.machine_handle_at(index) else {
+            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
                 continue;
             };
-            let Some(m) = self.cluster.machine(ix) else {
+            let Some(m) = self.cluster.machine(machine_handle) else {
                 continue;
             };
             // Never sent, and of no unknown outcome: simply not launched.
             for at in (0..m.tasks.len()).rev() {
-                let drop = self.cluster.machine(ix).is_some_and(|m| {
+                let drop = self.cluster.machine(machine_handle).is_some_and(|m| {
                     let a = &m.tasks[at];
                     a.phase == Phase::New && a.stop_grace_s.is_some() && a.indeterminate_token == 0
                 });
                 if drop {
-                    self.cluster.unassign(ix, at);
+                    self.cluster.unassign(machine_handle, at);
                     self.changed = true;
                 }
             }
--- a/src/control/leader/failover.rs
+++ b/src/control/leader/failover.rs
@@ -72,9 +72,9 @@
             return self.recovery.settled;
         }
         let mut on = self.cluster.live_tasks_of(job_handle);
-        on.all(|(ix, _)| {
+        on.all(|(machine_handle, _)| {
             self.cluster
-                .machine(ix)
+                .machine(machine_handle)
                 .is_some_and(|m| !m.contents_unknown)
         })
     }
@@ -126,7 +126,7 @@
             let job = self
                 .cluster
                 .job_handle(job)
-                .and_then(|ix| self.cluster.job_mut(ix));
+                .and_then(|handle| self.cluster.job_mut(handle));
             if let Some(j) = job.filter(|j| *task < j.spec.tasks && !j.cancelled) {
                 j.mark_done(*task);
             }
@@ -152,13 +152,16 @@
         now: Millis,
     ) -> bool {
         let ReplicatedTask(task, attempt, _, seen) = may_run;
-        let (Some(ix), Some(job_handle)) = (
+        let (Some(machine_handle), Some(job_handle)) = (
             self.cluster.machine_handle(machine),
             self.cluster.job_handle(job),
         ) else {
             return false;
         };
-        let unheard = self.cluster.machine(ix).is_some_and(|m| m.contents_unknown);
+        let unheard = self
+            .cluster
+            .machine(machine_handle)
+            .is_some_and(|m| m.contents_unknown);
         let Some(j) = self.cluster.job_mut(job_handle).filter(|_| unheard) else {
             return false;
         };
@@ -171,8 +174,14 @@
             Placement::Unplaced => {}
             // It completed elsewhere while it was started again.
             Placement::Done => {
-                self.cluster
-                    .assign_duplicate(job_handle, task, ix, attempt, phase, now);
+                self.cluster.assign_duplicate(
+                    job_handle,
+                    task,
+                    machine_handle,
+                    attempt,
+                    phase,
+                    now,
+                );
                 return true;
             }
             // Placed there later than here, so it was gone from here by then.
@@ -181,11 +190,11 @@
         j.has_run = true;
         let gone = j.cancelled || j.cancel_requested;
         self.cluster
-            .assign(job_handle, task, ix, attempt, phase, now);
+            .assign(job_handle, task, machine_handle, attempt, phase, now);
         if gone
             && let Some(a) = self
                 .cluster
-                .machine_mut(ix)
+                .machine_mut(machine_handle)
                 .and_then(|m| m.tasks.last_mut())
         {
             a.stop_grace_s = Some(0.0);
--- a/src/control/leader/faults.rs
+++ b/src/control/leader/faults.rs
@@ -199,9 +199,9 @@
     pub(super) fn retry_quarantined(&mut self, now: Millis) {
         let all = self.cluster.machines_by_handle();
         let aside = all.filter(|(_, m)| m.failures.quarantined && m.live_tasks() > 0);
-        let aside: Vec<MachineHandle> = aside.map(|(ix, _)| ix).collect();
-        for ix in aside {
-            if let Some(m) = self.cluster.machine_mut(ix)
+        let aside: Vec<MachineHandle> = aside.map(|(machine_handle, _)| machine_handle).collect();
+        for machine_handle in aside {
+            if let Some(m) = self.cluster.machine_mut(machine_handle)
                 && m.failures.end_quarantine_if_due(now)
             {
                 log::info!("machine {} leaves quarantine on probation", m.name);
--- a/src/control/leader/fleet_view.rs
+++ b/src/control/leader/fleet_view.rs
@@ -61,8 +61,8 @@
     pub(super) fn end_cycle(&mut self) {
         self.scheduling.in_cycle = false;
         self.scheduling.fleet.release_withheld();
-        for ix in std::mem::take(&mut self.scheduling.machines_with_gain) {
-            self.cluster.mark_stale(ix);
+        for machine in std::mem::take(&mut self.scheduling.machines_with_gain) {
+            self.cluster.mark_stale(machine);
         }
     }
 
--- a/src/control/leader/gang_reservation.rs
+++ b/src/control/leader/gang_reservation.rs
@@ -138,11 +138,13 @@
         for zone in self.gang_zones(job_handle) {
             let mut rooms: Vec<Preemption> = (self.cluster.machine_range())
                 .filter_map(|index| self.cluster.machine_handle_at(index))
-                .filter(|ix| {
-                    let m = self.cluster.machine(*ix);
+                .filter(|machine_handle| {
+                    let m = self.cluster.machine(*machine_handle);
                     m.is_some_and(|m| zone.is_none_or(|z| z == m.zone) && there(m))
                 })
-                .filter_map(|ix| self.preemption_on(ix, job_handle, priority, guaranteed, now))
+                .filter_map(|machine_handle| {
+                    self.preemption_on(machine_handle, job_handle, priority, guaranteed, now)
+                })
                 .collect();
             rooms.sort_by_key(|r| (r.lost, r.fetch));
             let (mut left, mut lost, mut n) = (missing, 0, 0);
@@ -184,7 +186,7 @@
         if !high
             || chosen
                 .iter()
-                .filter_map(|ix| self.cluster.machine(*ix))
+                .filter_map(|machine_handle| self.cluster.machine(*machine_handle))
                 .any(held)
         {
             return false;
@@ -194,7 +196,7 @@
         }
         let rate = chosen
             .iter()
-            .filter_map(|ix| self.cluster.machine(*ix))
+            .filter_map(|machine_handle| self.cluster.machine(*machine_handle))
             .map(|m| self.cluster.types[m.type_ix].fetch_gb_per_s)
             .fold(f64::INFINITY, f64::min)
             .max(0.001);
--- a/src/control/leader/heartbeats.rs
+++ b/src/control/leader/heartbeats.rs
@@ -30,41 +30,52 @@
         if self.scaling.released.contains_key(&report.machine) {
             return None;
         }
-        let ix = self.cluster.insert_machine(report.into(), now)?;
-        if !self.accepts_heartbeat(ix, report, now) {
+        let machine_handle = self.cluster.insert_machine(report.into(), now)?;
+        if !self.accepts_heartbeat(machine_handle, report, now) {
             return None;
         }
-        self.apply_heartbeat(ix, report, StatusSource::Heartbeat, now);
-        let m = self.cluster.machine_mut(ix)?;
+        self.apply_heartbeat(machine_handle, report, StatusSource::Heartbeat, now);
+        let m = self.cluster.machine_mut(machine_handle)?;
         let fresh = m.up && (report.incarnation, report.seq) == (m.incarnation, m.heartbeat_seq);
         let commands = if fresh {
             let confirmed = self.standbys.confirmed_change();
-            let commands =
-                reconciliation::commands(&mut self.cluster, ix, None, report.seq, confirmed);
+            let commands = reconciliation::commands(
+                &mut self.cluster,
+                machine_handle,
+                None,
+                report.seq,
+                confirmed,
+            );
             self.count_commands(&commands);
             commands
         } else {
             Vec::new()
         };
         Some(HeartbeatResponse {
-            fencing_token: self.fencing_token(ix),
+            fencing_token: self.fencing_token(machine_handle),
             commands,
         })
     }
 
     pub(super) fn apply_heartbeat(
         &mut self,
-        ix: MachineHandle,
+        machine_handle: MachineHandle,
         report: &Heartbeat,
         source: StatusSource,
         now: Millis,
     ) {
         let floor = self.term_token();
-        let effects =
-            reconciliation::apply_heartbeat(&mut self.cluster, ix, report, floor, source, now);
+        let effects = reconciliation::apply_heartbeat(
+            &mut self.cluster,
+            machine_handle,
+            report,
+            floor,
+            source,
+            now,
+        );
         self.changed |= effects.cluster_changed;
-        self.detect_one_way_partition(ix, &effects);
-        if let Some(m) = self.cluster.machine(ix)
+        self.detect_one_way_partition(machine_handle, &effects);
+        if let Some(m) = self.cluster.machine(machine_handle)
             && m.last_heartbeat == now
         {
             self.zone_responded(m.zone, now);
@@ -77,10 +88,10 @@
             }
         }
         for task in effects.confirmed_running {
-            self.on_task_running(ix, task.job, task.since, now);
+            self.on_task_running(machine_handle, task.job, task.since, now);
         }
         for ended in effects.ended_tasks {
-            self.on_task_ended(ix, ended.job, ended.task, ended.reason, now);
+            self.on_task_ended(machine_handle, ended.job, ended.task, ended.reason, now);
         }
     }
 
--- a/src/control/leader/inventory.rs
+++ b/src/control/leader/inventory.rs
@@ -93,15 +93,15 @@
         let machines = self.cluster.machines_by_handle();
         let gone: Vec<MachineHandle> = machines
             .filter(|(_, m)| m.contents_unknown && m.last_listed < asked)
-            .map(|(ix, _)| ix)
+            .map(|(machine_handle, _)| machine_handle)
             .collect();
-        for ix in &gone {
-            if let Some(m) = self.cluster.machine_mut(*ix) {
+        for machine_handle in &gone {
+            if let Some(m) = self.cluster.machine_mut(*machine_handle) {
                 m.contents_unknown = false;
                 m.state_since = now;
             }
             // What an earlier leader placed there.
-            self.cluster.clear_machine(*ix);
+            self.cluster.clear_machine(*machine_handle);
         }
         if !gone.is_empty() {
             let gone = gone.len();
@@ -117,23 +117,25 @@
                 continue;
             }
             if l.state == ListedState::Failed {
-                if let Some(ix) = self.cluster.machine_handle(&l.id) {
+                if let Some(machine_handle) = self.cluster.machine_handle(&l.id) {
                     // It stopped by itself: nothing runs there any more.
-                    self.cluster.clear_machine(ix);
-                    self.release(ix, "failed", now);
-                    if let Some(m) = self.cluster.machine_mut(ix) {
+                    self.cluster.clear_machine(machine_handle);
+                    self.release(machine_handle, "failed", now);
+                    if let Some(m) = self.cluster.machine_mut(machine_handle) {
                         m.up = false;
                         m.contents_unknown = false;
                         m.min_incarnation = m.incarnation + 1;
                     }
                     self.changed = true;
-                } else if let Some(ix) = self.cluster.insert_machine(l.into(), now) {
-                    self.release(ix, "failed", now);
+                } else if let Some(machine_handle) = self.cluster.insert_machine(l.into(), now) {
+                    self.release(machine_handle, "failed", now);
                 }
                 continue;
             }
-            let ix = self.cluster.insert_machine(l.into(), now);
-            if let Some(m) = ix.and_then(|ix| self.cluster.machine_mut(ix)) {
+            let machine_handle = self.cluster.insert_machine(l.into(), now);
+            if let Some(m) =
+                machine_handle.and_then(|machine_handle| self.cluster.machine_mut(machine_handle))
+            {
                 m.last_listed = now;
                 if m.state_since == now && l.state == ListedState::Booting {
                     m.state_since = now.saturating_sub(millis(l.age_s));
@@ -142,8 +144,8 @@
         }
     }
 
-    pub(super) fn release(&mut self, ix: MachineHandle, why: &str, now: Millis) {
-        if let Some(m) = self.cluster.machine_mut(ix)
+    pub(super) fn release(&mut self, machine_handle: MachineHandle, why: &str, now: Millis) {
+        if let Some(m) = self.cluster.machine_mut(machine_handle)
             && !m.releasing
         {
             log::info!("machine {} to be released: {why}", m.name);
@@ -188,11 +190,13 @@
                 && m.live_tasks() == 0
         };
         let all = self.cluster.machines_by_handle();
-        let all = all.filter(|(_, m)| due(m)).map(|(ix, _)| ix);
+        let all = all
+            .filter(|(_, m)| due(m))
+            .map(|(machine_handle, _)| machine_handle);
         let due: Vec<MachineHandle> = all.take(MAX_RELEASED_MACHINES).collect();
         let mut names = Vec::with_capacity(due.len());
-        for ix in due {
-            if let Some(m) = self.cluster.machine_mut(ix) {
+        for machine_handle in due {
+            if let Some(m) = self.cluster.machine_mut(machine_handle) {
                 m.release_requested = true;
                 names.push(m.name.clone());
             }
@@ -235,10 +239,10 @@
         headroom.extend(self.spare_capacity());
         let mut gone = Vec::new();
         for index in self.cluster.machine_range() {
-            let Some(ix) = self.cluster.machine_handle_at(index) else {
+            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
                 continue;
             };
-            let Some(machine) = self.cluster.machine(ix) else {
+            let Some(machine) = self.cluster.machine(machine_handle) else {
                 continue;
             };
             if machine.releasing || machine.contents_unknown {
@@ -249,13 +253,13 @@
                 false => self.reason_to_release_down(machine, now),
             };
             if let Some(reason) = reason {
-                self.release(ix, reason, now);
+                self.release(machine_handle, reason, now);
             } else if self.is_gone(machine, now) {
-                gone.push(ix);
+                gone.push(machine_handle);
             }
         }
-        for ix in gone {
-            self.remove_gone_machine(ix, now);
+        for machine_handle in gone {
+            self.remove_gone_machine(machine_handle, now);
         }
     }
 
@@ -330,16 +334,16 @@
             && now > machine.state_since + unlisted_ms
     }
 
-    fn remove_gone_machine(&mut self, ix: MachineHandle, now: Millis) {
+    fn remove_gone_machine(&mut self, machine_handle: MachineHandle, now: Millis) {
         // Names are never used again: a heartbeat of one that ran is late.
         if let Some(machine) = self
             .cluster
-            .machine(ix)
+            .machine(machine_handle)
             .filter(|machine| machine.latest_heartbeat.0 > 0)
         {
             self.scaling.released.insert(machine.name.clone(), now);
         }
-        self.cluster.remove_machine(ix);
+        self.cluster.remove_machine(machine_handle);
     }
 
     /// Drains a machine that runs nothing but a few services, if these fit on machines
@@ -351,7 +355,7 @@
         self.scheduling.next_drain_at = now + DRAIN_INTERVAL_MS;
         let idle = millis(self.options.idle_s);
         let mut order: Vec<MachineHandle> = Vec::new();
-        for (ix, m) in self.cluster.machines_by_handle() {
+        for (machine_handle, m) in self.cluster.machines_by_handle() {
             if m.draining && m.up && !m.releasing {
                 // One at a time.
                 if m.live_tasks() > 0 {
@@ -364,21 +368,21 @@
                 && now >= m.last_batch_activity + idle
                 && !m.command_in_flight
             {
-                order.push(ix);
+                order.push(machine_handle);
             }
         }
         order.sort_by(|a, b| {
-            let key = |ix: &MachineHandle| {
+            let key = |machine_handle: &MachineHandle| {
                 self.cluster
-                    .machine(*ix)
+                    .machine(*machine_handle)
                     .map_or((0.0, 0), |m| (self.price(m), m.live_tasks()))
             };
             let (a, b) = (key(a), key(b));
             b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
         });
         let targets = self.move_targets();
-        for ix in order {
-            if let Some(targets) = self.can_empty(ix, &targets, now) {
+        for machine_handle in order {
+            if let Some(targets) = self.can_empty(machine_handle, &targets, now) {
                 // Otherwise batch tasks take the capacity with the image while the
                 // services stop, and these have to fetch.
                 for to in targets {
@@ -386,7 +390,7 @@
                         m.closed_to_batches_until = now + SERVICE_MOVE_MS;
                     }
                 }
-                if let Some(m) = self.cluster.machine_mut(ix) {
+                if let Some(m) = self.cluster.machine_mut(machine_handle) {
                     log::info!(
                         "machine {} drained: {} services move",
                         m.name,
@@ -422,11 +426,11 @@
     /// Where the services of a machine would go, if all of them can.
     fn can_empty(
         &self,
-        ix: MachineHandle,
+        machine_handle: MachineHandle,
         targets: &[MoveTarget],
         now: Millis,
     ) -> Option<Vec<MachineHandle>> {
-        let from = self.cluster.machine(ix)?;
+        let from = self.cluster.machine(machine_handle)?;
         let price = self.price(from);
         // One that has long been of no other use, and is dear, may cost its
         // services a short fetch. Between machines of one price that was
@@ -455,7 +459,7 @@
                 a.need.fits(&free)
             };
             let found = targets.iter().find(|to| {
-                to.machine != ix
+                to.machine != machine_handle
                     && to.price <= price * SAME_PRICE_RATIO
                     && a.need.fits(&to.free)
                     && has_room(to)
--- a/src/control/leader/job_status.rs
+++ b/src/control/leader/job_status.rs
@@ -18,8 +18,8 @@
     }
 
     fn live_status(&self, id: &str) -> Option<JobStatus> {
-        let ix = self.cluster.job_handle(id)?;
-        self.cluster.job(ix).map(Job::status)
+        let handle = self.cluster.job_handle(id)?;
+        self.cluster.job(handle).map(Job::status)
     }
 
     /// The job's state as a user may be answered. `None` while its end is being
@@ -37,9 +37,10 @@
     /// A dependency is cancelled, so this job will be. Until that is recorded
     /// its state in the cluster state is no longer reported.
     pub fn is_cancelled_with_dependency(&self, id: &str) -> bool {
-        let ix = self.cluster.job_handle(id);
-        ix.is_some_and(|ix| {
-            self.dependencies.must_cancel(ix) && self.cluster.job(ix).is_some_and(|j| !j.cancelled)
+        let handle = self.cluster.job_handle(id);
+        handle.is_some_and(|handle| {
+            self.dependencies.must_cancel(handle)
+                && self.cluster.job(handle).is_some_and(|j| !j.cancelled)
         })
     }
 
@@ -48,7 +49,7 @@
         let job = self
             .cluster
             .job_handle(id)
-            .and_then(|ix| self.cluster.job(ix));
+            .and_then(|handle| self.cluster.job(handle));
         job.is_some_and(Job::is_ending)
     }
 
@@ -70,7 +71,7 @@
         if let Some(job) = self
             .cluster
             .job_handle(id)
-            .and_then(|ix| self.cluster.job_mut(ix))
+            .and_then(|handle| self.cluster.job_mut(handle))
         {
             job.cancel_requested = true;
         }
--- a/src/control/leader/loading.rs
+++ b/src/control/leader/loading.rs
@@ -65,7 +65,7 @@
         let Some(job) = self
             .cluster
             .job_handle(id)
-            .and_then(|ix| self.cluster.job_mut(ix))
+            .and_then(|handle| self.cluster.job_mut(handle))
         else {
             self.write_queue
                 .unconditional_deletes
@@ -93,8 +93,10 @@
             zone: &record.zone,
             spot: record.spot,
         };
-        let ix = self.cluster.insert_machine(new, now);
-        if let Some(m) = ix.and_then(|ix| self.cluster.machine_mut(ix)) {
+        let machine_handle = self.cluster.insert_machine(new, now);
+        if let Some(m) =
+            machine_handle.and_then(|machine_handle| self.cluster.machine_mut(machine_handle))
+        {
             m.registration = Registration::Present;
             m.record_version = version;
             m.releasing = record.releasing && !record.lease_expired;
@@ -108,13 +110,13 @@
             m.contents_unknown = !record.releasing;
             m.last_answered = self.recovery.elected_at;
         }
-        if let Some(ix) = ix {
+        if let Some(machine_handle) = machine_handle {
             let images: Vec<u32> = record
                 .images
                 .iter()
                 .map(|i| self.cluster.images.intern(i))
                 .collect();
-            if let Some(m) = self.cluster.machine_mut(ix) {
+            if let Some(m) = self.cluster.machine_mut(machine_handle) {
                 m.images = images;
             }
         }
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -141,8 +141,12 @@
         self.term << MACHINE_TOKEN_BITS
     }
 
-    fn fencing_token(&self, ix: MachineHandle) -> u64 {
-        self.term_token() | self.cluster.machine(ix).map_or(0, |m| m.token_epoch)
+    fn fencing_token(&self, machine_handle: MachineHandle) -> u64 {
+        self.term_token()
+            | self
+                .cluster
+                .machine(machine_handle)
+                .map_or(0, |m| m.token_epoch)
     }
 
     fn lease_expiry(&self) -> Millis {
--- a/src/control/leader/partitions.rs
+++ b/src/control/leader/partitions.rs
@@ -27,16 +27,16 @@
     /// the lease surely expires and a new leader need not wait for ever for the machine.
     pub(super) fn accepts_heartbeat(
         &mut self,
-        ix: MachineHandle,
+        machine_handle: MachineHandle,
         report: &Heartbeat,
         now: Millis,
     ) -> bool {
-        let (floor, token) = (self.term_token(), self.fencing_token(ix));
+        let (floor, token) = (self.term_token(), self.fencing_token(machine_handle));
         // By then the lease of a machine without a response in this term has expired, so
         // nothing is lost. Guards against a leader that is too slow for a while, and
         // would give up machines that receive its responses.
         let over = self.recovery.elected_at + self.lease_expiry();
-        let Some(m) = self.cluster.machine_mut(ix) else {
+        let Some(m) = self.cluster.machine_mut(machine_handle) else {
             return false;
         };
         let this = (report.incarnation, report.seq);
@@ -80,9 +80,9 @@
 
     /// Nothing new is placed there before it shows a token that is newer than
     /// all it can have seen.
-    pub(super) fn require_new_token(&mut self, ix: MachineHandle) {
-        let token = self.fencing_token(ix);
-        if let Some(m) = self.cluster.machine_mut(ix) {
+    pub(super) fn require_new_token(&mut self, machine_handle: MachineHandle) {
+        let token = self.fencing_token(machine_handle);
+        if let Some(m) = self.cluster.machine_mut(machine_handle) {
             m.required_token = token;
         }
     }
@@ -90,12 +90,12 @@
     /// Called after a heartbeat was applied.
     pub(super) fn detect_one_way_partition(
         &mut self,
-        ix: MachineHandle,
+        machine_handle: MachineHandle,
         effects: &reconciliation::HeartbeatEffects,
     ) {
         // Had its lease expired for lack of heartbeats, it would not count as up.
         let lost = effects.lost_commands > 0 || effects.new_incarnation;
-        let Some(m) = self.cluster.machine_mut(ix) else {
+        let Some(m) = self.cluster.machine_mut(machine_handle) else {
             return;
         };
         if !lost || m.misses_responses() {
@@ -106,17 +106,20 @@
             m.name
         );
         m.token_epoch += 1;
-        self.require_new_token(ix);
+        self.require_new_token(machine_handle);
         self.changed = true;
         // What was ordered in an answer that it did not get never runs there.
-        for at in self.never_delivered(ix) {
-            self.cluster.unassign(ix, at);
+        for at in self.never_delivered(machine_handle) {
+            self.cluster.unassign(machine_handle, at);
         }
     }
 
     /// Orders that were given and are surely not carried out, last first.
-    fn never_delivered(&self, ix: MachineHandle) -> Vec<usize> {
-        let tasks = self.cluster.machine(ix).map_or(&[][..], |m| &m.tasks);
+    fn never_delivered(&self, machine_handle: MachineHandle) -> Vec<usize> {
+        let tasks = self
+            .cluster
+            .machine(machine_handle)
+            .map_or(&[][..], |m| &m.tasks);
         let new = tasks.iter().enumerate();
         let new = new.filter(|(_, a)| a.phase == Phase::New && a.indeterminate_token == 0);
         let mut at: Vec<usize> = new.map(|(at, _)| at).collect();
--- a/src/control/leader/persistence.rs
+++ b/src/control/leader/persistence.rs
@@ -239,9 +239,9 @@
         self.plan_job_writes(JobPass::Endings, &mut plan, &mut budget);
         self.plan_job_writes(JobPass::Progress, &mut plan, &mut budget);
         self.plan_offload_removals(&mut plan, &budget);
-        for ix in expired {
+        for machine_handle in expired {
             if budget.has_write(&plan) && budget.has_bytes() {
-                self.plan_machine(ix, &mut plan);
+                self.plan_machine(machine_handle, &mut plan);
             }
         }
         while budget.has_write(&plan)
@@ -300,14 +300,18 @@
             if !budget.has_write(plan) {
                 return expired;
             }
-            let Some(ix) = self.cluster.machine_handle_at(index) else {
+            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
                 continue;
             };
-            let Some(machine) = self.cluster.machine(ix).filter(|m| !m.write_in_flight) else {
+            let Some(machine) = self
+                .cluster
+                .machine(machine_handle)
+                .filter(|m| !m.write_in_flight)
+            else {
                 continue;
             };
             if machine.lease_expired() && !machine.releasing && !machine.recorded_empty {
-                expired.push(ix);
+                expired.push(machine_handle);
                 continue;
             }
             let registered = machine.registration == Registration::Present;
@@ -316,7 +320,7 @@
             let images = machine.images_unrecorded && machine.up && rate_to_spare;
             let update = release || images || machine.quarantine_unrecorded;
             if machine.awaits_record() || registered && update {
-                self.plan_machine(ix, plan);
+                self.plan_machine(machine_handle, plan);
             }
         }
         self.plan_conditional_deletes(plan, budget);
@@ -340,8 +344,8 @@
     }
 
     /// Adds a machine's record to what is to be written.
-    fn plan_machine(&mut self, ix: MachineHandle, plan: &mut WritePlan) {
-        let Some(machine) = self.cluster.machine(ix) else {
+    fn plan_machine(&mut self, machine_handle: MachineHandle, plan: &mut WritePlan) {
+        let Some(machine) = self.cluster.machine(machine_handle) else {
             return;
         };
         let key = machine_key(&machine.name);
@@ -369,11 +373,17 @@
             lease: None,
         });
         plan.intents.push(match (lease_expired, machine.releasing) {
-            (true, _) => WriteIntent::ExpireMachine { machine: ix },
-            (false, true) => WriteIntent::MarkReleasing { machine: ix },
-            (false, false) => WriteIntent::Registration { machine: ix },
+            (true, _) => WriteIntent::ExpireMachine {
+                machine: machine_handle,
+            },
+            (false, true) => WriteIntent::MarkReleasing {
+                machine: machine_handle,
+            },
+            (false, false) => WriteIntent::Registration {
+                machine: machine_handle,
+            },
         });
-        if let Some(machine) = self.cluster.machine_mut(ix) {
+        if let Some(machine) = self.cluster.machine_mut(machine_handle) {
             machine.write_in_flight = true;
             machine.images_unrecorded = false;
             machine.quarantine_unrecorded = false;
@@ -598,7 +608,7 @@
         let machine = self
             .cluster
             .machine_handle(name)
-            .and_then(|ix| self.cluster.machine_mut(ix));
+            .and_then(|machine_handle| self.cluster.machine_mut(machine_handle));
         match (machine, found) {
             (Some(machine), Some((value, version))) => {
                 machine.registration = Registration::Present;
--- a/src/control/leader/scale_out.rs
+++ b/src/control/leader/scale_out.rs
@@ -244,14 +244,17 @@
     /// Capacity of the machines that exist, or are expected to come up.
     fn supply(&self, now: Millis) -> Supply {
         let mut supply = Supply::default();
-        for (ix, machine) in self.cluster.machines_by_handle() {
+        for (handle, machine) in self.cluster.machines_by_handle() {
             let booting = self.is_expected_to_boot(machine, now);
             if !booting && !self.counts_as_supply(machine, now) {
                 continue;
             }
             if booting {
                 let bin = supply.bins.len();
-                supply.booting.push(BootingBin { bin, machine: ix });
+                supply.booting.push(BootingBin {
+                    bin,
+                    machine: handle,
+                });
             }
             supply.held_by_batches.push(self.held_by_batches(machine));
             supply.bins.push(Bin {
@@ -324,8 +327,8 @@
         let order = self.queue(now);
         let mut demand = WaitingDemand::default();
         let mut planned_usage: HashMap<usize, Resources> = HashMap::new();
-        for &ix in &order {
-            let Some(job) = self.cluster.job(ix) else {
+        for &handle in &order {
+            let Some(job) = self.cluster.job(handle) else {
                 continue;
             };
             if job.failures.suspected || job.consecutive_refusals > MAX_CONSECUTIVE_REFUSALS {
@@ -340,9 +343,9 @@
             }
             if job.spec.kind == Kind::Array {
                 let at_once = self.batch_parallelism(job, count, wall_ms);
-                demand.batches.add(ix, job, at_once);
+                demand.batches.add(handle, job, at_once);
             } else {
-                demand.urgent.add(ix, job, count);
+                demand.urgent.add(handle, job, count);
             }
         }
         self.scheduling.queue_buffer = order;
@@ -478,16 +481,16 @@
     /// The cloud answered a release; if `ok`, the machines are gone.
     pub fn released(&mut self, names: &[String], ok: bool, now: Millis) {
         for name in names {
-            let Some(ix) = self.cluster.machine_handle(name) else {
+            let Some(handle) = self.cluster.machine_handle(name) else {
                 continue;
             };
             if !ok {
-                if let Some(m) = self.cluster.machine_mut(ix) {
+                if let Some(m) = self.cluster.machine_mut(handle) {
                     m.release_requested = false;
                 }
                 continue;
             }
-            if let Some(m) = self.cluster.machine(ix)
+            if let Some(m) = self.cluster.machine(handle)
                 && m.registration == Registration::Present
             {
                 self.write_queue
@@ -495,7 +498,7 @@
                     .push((machine_key(name), m.record_version));
             }
             self.events.tally.released += 1;
-            self.cluster.remove_machine(ix);
+            self.cluster.remove_machine(handle);
             self.scaling.released.insert(name.clone(), now);
             self.changed = true;
         }
--- a/src/control/leader/spec_chunks.rs
+++ b/src/control/leader/spec_chunks.rs
@@ -173,7 +173,7 @@
             let job = self
                 .cluster
                 .job_handle(id)
-                .and_then(|ix| self.cluster.job(ix));
+                .and_then(|handle| self.cluster.job(handle));
             let spec_chunks = job.and_then(|job| job.spec_chunks.as_ref());
             if !spec_chunks.is_some_and(|chunks| chunks.names(id, &key)) {
                 self.write_queue.conditional_deletes.push((key, version));
--- a/src/control/leader/status.rs
+++ b/src/control/leader/status.rs
@@ -57,6 +57,8 @@
     pub phases: Vec<(&'static str, f64)>,
     /// How this leader took over: `warm`, or why not.
     pub took_over: Option<&'static str>,
+    /// Jobs cancelled as a job that they depend on was.
+    pub cancelled_with_dependency: u64,
     /// Start commands sent.
     pub starts: u64,
     /// Stop commands sent.
--- a/src/control/leader/task_placement.rs
+++ b/src/control/leader/task_placement.rs
@@ -228,8 +228,12 @@
     /// wait on, and a replacement under the same number completes it.
     pub(super) fn gang_to_complete(&self, job_handle: JobHandle) -> Option<u64> {
         let mut attempt = None;
-        for (ix, at) in self.cluster.live_tasks_of(job_handle) {
-            if let Some(a) = self.cluster.machine(ix).and_then(|m| m.tasks.get(at)) {
+        for (machine_handle, at) in self.cluster.live_tasks_of(job_handle) {
+            if let Some(a) = self
+                .cluster
+                .machine(machine_handle)
+                .and_then(|m| m.tasks.get(at))
+            {
                 let begun = matches!(a.phase, Phase::Running | Phase::Saving);
                 if begun || a.stop_grace_s.is_some() || attempt.is_some_and(|n| n != a.attempt) {
                     return None;
--- a/src/control/leader/victims.rs
+++ b/src/control/leader/victims.rs
@@ -83,8 +83,14 @@
         let guaranteed = self.within_guarantee(self.cluster.job(job_handle)?, now);
         (self.cluster.machine_range())
             .filter_map(|index| self.cluster.machine_handle_at(index))
-            .filter(|ix| self.cluster.machine(*ix).is_some_and(|m| zone_ok(m.zone)))
-            .filter_map(|ix| self.preemption_on(ix, job_handle, priority, guaranteed, now))
+            .filter(|machine_handle| {
+                self.cluster
+                    .machine(*machine_handle)
+                    .is_some_and(|m| zone_ok(m.zone))
+            })
+            .filter_map(|machine_handle| {
+                self.preemption_on(machine_handle, job_handle, priority, guaranteed, now)
+            })
             .filter(|r| !r.victims.is_empty())
             .min_by_key(|r| (r.fetch, r.lost))
     }
@@ -92,16 +98,16 @@
     /// The preemption for a task on one machine, at the least loss there.
     pub(super) fn preemption_on(
         &self,
-        ix: MachineHandle,
+        machine_handle: MachineHandle,
         job_handle: JobHandle,
         priority: Priority,
         guaranteed: bool,
         now: Millis,
     ) -> Option<Preemption> {
         let job = self.cluster.job(job_handle)?;
-        let m = self.cluster.machine(ix)?;
+        let m = self.cluster.machine(machine_handle)?;
         let allowed = m.schedulable()
-            && !self.scheduling.machines_with_gain.contains(&ix)
+            && !self.scheduling.machines_with_gain.contains(&machine_handle)
             && m.reserved_for.is_none_or(|(_, until)| now >= until)
             && job.allows(m)
             && job.need.fits(&m.capacity);
@@ -141,7 +147,7 @@
             chosen.push(at);
         }
         Some(Preemption {
-            machine: ix,
+            machine: machine_handle,
             victims: chosen,
             fetch,
             lost,
@@ -265,10 +271,10 @@
             Some(handle) => self.cluster.live_tasks_of(handle).collect(),
             None => vec![(machine, at)],
         };
-        for (ix, at) in own {
+        for (machine_handle, at) in own {
             let a = self
                 .cluster
-                .machine_mut(ix)
+                .machine_mut(machine_handle)
                 .and_then(|m| m.tasks.get_mut(at));
             if let Some(a) = a.filter(|a| a.stop_grace_s.is_none() && a.is_live()) {
                 a.stop_grace_s = Some(grace);
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -97,14 +97,14 @@
 /// leader may still be carried out after it.
 pub fn apply_heartbeat(
     cluster: &mut ClusterState,
-    ix: MachineHandle,
+    machine_handle: MachineHandle,
     heartbeat: &Heartbeat,
     term_floor: u64,
     source: StatusSource,
     now: Millis,
 ) -> HeartbeatEffects {
     let mut effects = HeartbeatEffects::default();
-    let Some(machine) = cluster.machine_mut(ix) else {
+    let Some(machine) = cluster.machine_mut(machine_handle) else {
         return effects;
     };
     match freshness(machine, heartbeat, term_floor) {
@@ -112,11 +112,11 @@
         Freshness::Newer => {}
         Freshness::Restarted => {
             note_restart(machine, heartbeat, now);
-            forget_previous_process(cluster, ix, heartbeat.acknowledged_token);
+            forget_previous_process(cluster, machine_handle, heartbeat.acknowledged_token);
             effects.cluster_changed = true;
         }
     }
-    let Some(machine) = cluster.machine_mut(ix) else {
+    let Some(machine) = cluster.machine_mut(machine_handle) else {
         return effects;
     };
     if heartbeat.acknowledged_token >= machine.restart_token {
@@ -126,41 +126,48 @@
     if effects.new_incarnation && !machine.tasks.is_empty() {
         // Everything of the old incarnation is gone, including commands still
         // on their way, which name it.
-        cluster.clear_machine(ix);
+        cluster.clear_machine(machine_handle);
         effects.cluster_changed = true;
     }
-    if cluster.machine(ix).is_some_and(|m| !m.up) {
-        drop_unlisted_tasks(cluster, ix, heartbeat);
+    if cluster.machine(machine_handle).is_some_and(|m| !m.up) {
+        drop_unlisted_tasks(cluster, machine_handle, heartbeat);
     }
-    let Some(machine) = cluster.machine_mut(ix) else {
+    let Some(machine) = cluster.machine_mut(machine_handle) else {
         return effects;
     };
     effects.cluster_changed |= update_machine(machine, heartbeat, now);
 
     let mut listed = vec![false; machine.tasks.len()];
     for reported in &heartbeat.tasks {
-        let known = cluster.machine(ix).and_then(|m| {
+        let known = cluster.machine(machine_handle).and_then(|m| {
             m.tasks
                 .iter()
                 .position(|a| a.attempt == reported.attempt && a.name == reported.task)
         });
         let Some(at) = known else {
             effects.cluster_changed = true;
-            adopt_task(cluster, ix, reported, now);
+            adopt_task(cluster, machine_handle, reported, now);
             continue;
         };
         if let Some(listed) = listed.get_mut(at) {
             *listed = true;
         }
-        update_task(cluster, ix, at, reported, &mut effects);
+        update_task(cluster, machine_handle, at, reported, &mut effects);
     }
     // From the end, as a removal moves the last entry into its place.
     for at in (0..listed.len()).rev() {
         if !listed[at] {
-            resolve_unlisted_task(cluster, ix, at, heartbeat.seq, source, &mut effects);
+            resolve_unlisted_task(
+                cluster,
+                machine_handle,
+                at,
+                heartbeat.seq,
+                source,
+                &mut effects,
+            );
         }
     }
-    if let Some(machine) = cluster.machine_mut(ix)
+    if let Some(machine) = cluster.machine_mut(machine_handle)
         && machine.live_tasks() > 0
     {
         machine.idle_since = now;
@@ -224,13 +231,16 @@
 /// Applies the reported state of a task that is in the machine's list.
 fn update_task(
     cluster: &mut ClusterState,
-    ix: MachineHandle,
+    machine_handle: MachineHandle,
     at: usize,
     reported: &TaskStatus,
     effects: &mut HeartbeatEffects,
 ) {
     let phase = phase_of(reported);
-    let Some(assignment) = cluster.machine(ix).and_then(|m| m.tasks.get(at)) else {
+    let Some(assignment) = cluster
+        .machine(machine_handle)
+        .and_then(|m| m.tasks.get(at))
+    else {
         return;
     };
     // Reported running once only, it may be about to fail.
@@ -243,11 +253,14 @@
             job: assignment.job,
             since: assignment.since,
         });
-        if let Some(machine) = cluster.machine_mut(ix) {
+        if let Some(machine) = cluster.machine_mut(machine_handle) {
             machine.tasks[at].seen_running = true;
         }
     }
-    let Some(assignment) = cluster.machine(ix).and_then(|m| m.tasks.get(at)) else {
+    let Some(assignment) = cluster
+        .machine(machine_handle)
+        .and_then(|m| m.tasks.get(at))
+    else {
         return;
     };
     if assignment.phase == phase || !assignment.is_live() {
@@ -263,28 +276,31 @@
     }
     effects.cluster_changed = true;
     log::debug!("task {}: {phase:?}", reported.task);
-    cluster.set_phase(ix, at, phase);
+    cluster.set_phase(machine_handle, at, phase);
 }
 
 /// Decides on a task in the machine's list that the heartbeat does not have: it
 /// is gone, or a start of it was lost, or is still on its way.
 fn resolve_unlisted_task(
     cluster: &mut ClusterState,
-    ix: MachineHandle,
+    machine_handle: MachineHandle,
     at: usize,
     heartbeat_seq: u64,
     source: StatusSource,
     effects: &mut HeartbeatEffects,
 ) {
-    let Some(assignment) = cluster.machine(ix).and_then(|m| m.tasks.get(at)) else {
+    let Some(assignment) = cluster
+        .machine(machine_handle)
+        .and_then(|m| m.tasks.get(at))
+    else {
         return;
     };
-    let Some(machine) = cluster.machine(ix) else {
+    let Some(machine) = cluster.machine(machine_handle) else {
         return;
     };
     match assignment.phase {
         // Ended and reaped.
-        Phase::Ended(_) => cluster.unassign(ix, at),
+        Phase::Ended(_) => cluster.unassign(machine_handle, at),
         Phase::New | Phase::Sent => {
             // A direct start without an answer may come yet, unless the machine
             // has seen a higher token. One in a response can't any more once a
@@ -301,9 +317,9 @@
             }
             let cancelled = assignment.stop_grace_s.is_some();
             if cancelled {
-                cluster.unassign(ix, at);
+                cluster.unassign(machine_handle, at);
                 effects.cluster_changed = true;
-            } else if let Some(machine) = cluster.machine_mut(ix) {
+            } else if let Some(machine) = cluster.machine_mut(machine_handle) {
                 let assignment = &mut machine.tasks[at];
                 let sent_in_response =
                     assignment.phase == Phase::Sent && assignment.indeterminate_token == 0;
@@ -316,7 +332,7 @@
         // in the protocol does this; the newest status is to be believed.
         _ => {
             log::error!("task {} vanished from a live incarnation", assignment.name);
-            cluster.unassign(ix, at);
+            cluster.unassign(machine_handle, at);
             effects.cluster_changed = true;
         }
     }
@@ -331,8 +347,8 @@
 /// The agent has restarted, and has seen this token: all that is known of the
 /// machine is gone, but for direct starts that it may still carry out, as
 /// incarnations count from one again as well.
-fn forget_previous_process(cluster: &mut ClusterState, ix: MachineHandle, token: u64) {
-    let Some(machine) = cluster.machine(ix) else {
+fn forget_previous_process(cluster: &mut ClusterState, machine_handle: MachineHandle, token: u64) {
+    let Some(machine) = cluster.machine(machine_handle) else {
         return;
     };
     let gone = machine_tasks_where(machine, |assignment| {
@@ -340,14 +356,21 @@
             && assignment.indeterminate_token != 0
             && direct_start_pending(assignment, machine, token))
     });
-    remove_tasks(cluster, ix, gone);
+    remove_tasks(cluster, machine_handle, gone);
 }
 
 /// The first heartbeat of the machine in this term, so it has seen this term's
 /// token: of what an earlier leader had there, or had sent there, only what it
 /// lists is there or will ever be.
-fn drop_unlisted_tasks(cluster: &mut ClusterState, ix: MachineHandle, heartbeat: &Heartbeat) {
-    let Some(machine) = cluster.machine(ix).filter(|m| !m.tasks.is_empty()) else {
+fn drop_unlisted_tasks(
+    cluster: &mut ClusterState,
+    machine_handle: MachineHandle,
+    heartbeat: &Heartbeat,
+) {
+    let Some(machine) = cluster
+        .machine(machine_handle)
+        .filter(|m| !m.tasks.is_empty())
+    else {
         return;
     };
     let listed: HashSet<(&str, u64)> = heartbeat
@@ -358,7 +381,7 @@
     let unlisted = machine_tasks_where(machine, |assignment| {
         !listed.contains(&(assignment.name.as_str(), assignment.attempt))
     });
-    remove_tasks(cluster, ix, unlisted);
+    remove_tasks(cluster, machine_handle, unlisted);
 }
 
 /// Places in the machine's list, in order.
@@ -367,20 +390,25 @@
     tasks.filter(|(_, a)| holds(a)).map(|(at, _)| at).collect()
 }
 
-fn remove_tasks(cluster: &mut ClusterState, ix: MachineHandle, places: Vec<usize>) {
+fn remove_tasks(cluster: &mut ClusterState, machine_handle: MachineHandle, places: Vec<usize>) {
     // From the end, as a removal moves the last entry into its place.
     for at in places.into_iter().rev() {
-        cluster.unassign(ix, at);
+        cluster.unassign(machine_handle, at);
     }
 }
 
 /// A task that is not in the machine's list: an earlier leader started it.
-fn adopt_task(cluster: &mut ClusterState, ix: MachineHandle, reported: &TaskStatus, now: Millis) {
+fn adopt_task(
+    cluster: &mut ClusterState,
+    machine_handle: MachineHandle,
+    reported: &TaskStatus,
+    now: Millis,
+) {
     let (name, attempt) = (reported.task.as_str(), reported.attempt);
     let phase = phase_of(reported);
     let known = parse_task_name(name).and_then(|(id, task)| Some((cluster.job_handle(id)?, task)));
     let Some((job_handle, task)) = known else {
-        cluster.assign_orphan(ix, name, attempt, phase, now);
+        cluster.assign_orphan(machine_handle, name, attempt, phase, now);
         return;
     };
     let Some(job) = cluster.job_mut(job_handle) else {
@@ -392,24 +420,29 @@
     }
     if phase.is_live() && of_job && job.placement(task) == Placement::Unplaced {
         let cancelled = job.cancelled || job.cancel_requested;
-        cluster.assign(job_handle, task, ix, attempt, phase, now);
-        if cancelled && let Some(assignment) = last_assignment(cluster, ix) {
+        cluster.assign(job_handle, task, machine_handle, attempt, phase, now);
+        if cancelled && let Some(assignment) = last_assignment(cluster, machine_handle) {
             assignment.stop_grace_s = Some(0.0);
         }
         return;
     }
-    cluster.assign_orphan(ix, name, attempt, phase, now);
+    cluster.assign_orphan(machine_handle, name, attempt, phase, now);
     // An ended task keeps its job, so that it is reaped only once recorded.
     if !phase.is_live()
-        && let Some(assignment) = last_assignment(cluster, ix)
+        && let Some(assignment) = last_assignment(cluster, machine_handle)
     {
         assignment.job = Some(job_handle);
         assignment.task = task;
     }
 }
 
-fn last_assignment(cluster: &mut ClusterState, ix: MachineHandle) -> Option<&mut Assignment> {
-    cluster.machine_mut(ix).and_then(|m| m.tasks.last_mut())
+fn last_assignment(
+    cluster: &mut ClusterState,
+    machine_handle: MachineHandle,
+) -> Option<&mut Assignment> {
+    cluster
+        .machine_mut(machine_handle)
+        .and_then(|m| m.tasks.last_mut())
 }
 
 /// Commands for a machine; what they start is marked as sent. `direct`: the
@@ -418,14 +451,14 @@
 /// over does not have them.
 pub fn commands(
     cluster: &mut ClusterState,
-    ix: MachineHandle,
+    machine_handle: MachineHandle,
     direct: Option<u64>,
     seq: u64,
     confirmed: u64,
 ) -> Vec<Command> {
     let mut commands = Vec::new();
     let mut latest_sent = 0;
-    let Some((machine, jobs)) = cluster.machine_with_jobs(ix) else {
+    let Some((machine, jobs)) = cluster.machine_with_jobs(machine_handle) else {
         return commands;
     };
     let seen_token = machine.acknowledged_token;
@@ -492,11 +525,11 @@
 /// no longer indeterminate.
 pub fn resolve_direct_commands(
     cluster: &mut ClusterState,
-    ix: MachineHandle,
+    machine_handle: MachineHandle,
     token: u64,
     executed: bool,
 ) {
-    let Some(machine) = cluster.machine_mut(ix) else {
+    let Some(machine) = cluster.machine_mut(machine_handle) else {
         return;
     };
     let sent = machine.tasks.iter_mut();
@@ -510,8 +543,12 @@
 
 /// Whether there is a command for the machine that shouldn't wait for its next
 /// heartbeat.
-pub fn needs_direct_commands(cluster: &ClusterState, ix: MachineHandle, confirmed: u64) -> bool {
-    cluster.machine(ix).is_some_and(|machine| {
+pub fn needs_direct_commands(
+    cluster: &ClusterState,
+    machine_handle: MachineHandle,
+    confirmed: u64,
+) -> bool {
+    cluster.machine(machine_handle).is_some_and(|machine| {
         machine.up
             && machine.addr.is_some()
             && machine
--- a/src/server/control_loop.rs
+++ b/src/server/control_loop.rs
@@ -57,6 +57,19 @@
     machine_lists: SingleFlight,
 }
 
+/// A dependency whose record was not read, and why.
+struct UnreadDependency {
+    id: String,
+    reason: String,
+}
+
+impl UnreadDependency {
+    fn new(id: String, reason: &str) -> Self {
+        let reason = reason.to_owned();
+        UnreadDependency { id, reason }
+    }
+}
+
 /// What one round wants done.
 struct RoundPlan {
     term: u64,
@@ -238,26 +251,40 @@
     ) {
         let mut results = self.lookup_all(&ids).await;
         let unresolved = self.of_term(term, |leader, now| {
+            let metrics = self.metrics.borrow();
             let mut unresolved = Vec::new();
             for id in ids {
                 match results.remove(&id) {
                     Some(Ok(Found::Live(record, version))) => {
+                        metrics.dependency_looked_up("live");
                         leader.accepted(*record, version, now);
                     }
-                    Some(Ok(Found::Final(record, _))) => {
-                        leader.dependency_ended(&final_status(&id, &record), now);
+                    Some(Ok(Found::Final(record, version))) => {
+                        metrics.dependency_looked_up(record.state.name());
+                        leader.dependency_ended(&final_status(&id, &record), version, now);
                     }
-                    Some(Ok(Found::Nothing) | Err(_)) | None => unresolved.push(id),
+                    Some(Ok(Found::Nothing)) | None => {
+                        unresolved.push(UnreadDependency::new(id, "no record"));
+                    }
+                    Some(Err(e)) => unresolved.push(UnreadDependency::new(id, &e)),
                 }
             }
             unresolved
         });
-        let unresolved = unresolved.unwrap_or_default();
+        let Some(unresolved) = unresolved else {
+            log::info!("lookups of dependencies dropped: term {term} has ended");
+            return;
+        };
         if unresolved.is_empty() {
             return;
         }
+        for _ in &unresolved {
+            self.metrics.borrow().dependency_looked_up("unread");
+        }
         // Only the jobs that depend on them wait.
-        log::info!("dependencies could not be read: {unresolved:?}");
+        let reason = unresolved[0].reason.clone();
+        let unresolved: Vec<String> = unresolved.into_iter().map(|unread| unread.id).collect();
+        log::info!("dependencies could not be read in term {term}: {unresolved:?}, {reason}");
         let node = self.clone();
         let retry = async move {
             Timer::after(LOOKUP_RETRY_PAUSE).await;
--- a/src/server/leadership/load_state.rs
+++ b/src/server/leadership/load_state.rs
@@ -120,6 +120,7 @@
         if machines.revision < term {
             return Err(StoreError::BeforeTerm(machines.revision));
         }
+        let revision = machines.revision;
         let jobs = self.list(records::JOBS).await?;
         let segments = self.list(records::SEGMENTS).await?;
         let chunks = self.list(spec_chunks::SPEC_CHUNKS).await?;
@@ -141,6 +142,11 @@
                 leader.acceptance_handled(entry.key);
             }
             leader.finish_loading(now);
+            log::info!(
+                "term {term} read {} jobs and {} machines, as of revision {revision} or later",
+                leader.cluster.live_jobs(),
+                leader.cluster.machine_count(),
+            );
         });
         Ok(())
     }
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -54,6 +54,12 @@
     right: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct DependencyLookupLabel {
+    /// `done`, `cancelled`, `live`, or `unread`.
+    found: &'static str,
+}
+
 type Histograms<L> = Family<L, Histogram, fn() -> Histogram>;
 
 pub(super) struct Metrics {
@@ -84,6 +90,8 @@
     authority: Family<AuthorityLabel, Counter>,
     pub(super) indeterminate_writes: Counter,
     pub(super) lines_left_out: Counter,
+    dependency_lookups: Family<DependencyLookupLabel, Counter>,
+    cancelled_with_dependency: Counter,
 }
 
 fn answer_times() -> Histogram {
@@ -132,6 +140,8 @@
             authority: Family::default(),
             indeterminate_writes: Counter::default(),
             lines_left_out: Counter::default(),
+            dependency_lookups: Family::default(),
+            cancelled_with_dependency: Counter::default(),
         };
         let r = &mut m.registry;
         let help = "Time to answer users, in seconds";
@@ -180,6 +190,11 @@
         r.register("writes_in_doubt", help, m.indeterminate_writes.clone());
         let help = "Lines on answers that were left out of the log, past its bound";
         r.register("log_lines_left_out", help, m.lines_left_out.clone());
+        let help = "Lookups of dependencies that only the records know, by what was found";
+        r.register("dependency_lookups", help, m.dependency_lookups.clone());
+        let help = "Jobs cancelled as a job that they depend on was";
+        let cancelled = m.cancelled_with_dependency.clone();
+        r.register("cancelled_with_dependency", help, cancelled);
         m
     }
 
@@ -221,6 +236,13 @@
         more(&self.peer_bytes, bytes);
     }
 
+    /// A dependency was looked up in the records.
+    pub(super) fn dependency_looked_up(&self, found: &'static str) {
+        self.dependency_lookups
+            .get_or_create(&DependencyLookupLabel { found })
+            .inc();
+    }
+
     pub(super) fn stepped_down(&self, why: &'static str) {
         self.step_downs.get_or_create(&StepDownLabel { why }).inc();
     }
@@ -230,6 +252,8 @@
         self.preemptions.inc_by(tally.preempted);
         self.rentals.inc_by(tally.rented);
         self.releases.inc_by(tally.released);
+        self.cancelled_with_dependency
+            .inc_by(tally.cancelled_with_dependency);
         for (phase, seconds) in tally.phases {
             let phase = RecoveryPhaseLabel { phase };
             self.recoveries.get_or_create(&phase).observe(seconds);
--- a/src/state/cluster/jobs.rs
+++ b/src/state/cluster/jobs.rs
@@ -97,10 +97,12 @@
             .collect();
         machines.sort_unstable();
         machines.dedup();
-        machines.into_iter().flat_map(move |ix| {
-            let tasks = self.machine(ix).map_or(&[][..], |m| &m.tasks);
+        machines.into_iter().flat_map(move |handle| {
+            let tasks = self.machine(handle).map_or(&[][..], |m| &m.tasks);
             let own = tasks.iter().enumerate();
-            own.filter_map(move |(at, a)| (a.job == Some(job) && a.is_live()).then_some((ix, at)))
+            own.filter_map(move |(at, a)| {
+                (a.job == Some(job) && a.is_live()).then_some((handle, at))
+            })
         })
     }
 
@@ -108,7 +110,7 @@
     pub fn live_tasks_by_zone(&self, job: JobHandle) -> Vec<u32> {
         let mut counts = vec![0; self.zones.len()];
         for (ix, _) in self.live_tasks_of(job) {
-            if let Some(machine) = self.machine(ix) {
+            if let Some(machine) = self.machine(handle) {
                 counts[machine.zone] += 1;
             }
         }
--- a/src/state/dependencies.rs
+++ b/src/state/dependencies.rs
@@ -9,7 +9,10 @@
 
 use super::cluster::JobHandle;
 use crate::protocol::users::Priority;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    rc::Rc,
+};
 
 /// The state of a job that another depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,8 +40,28 @@
     Blocked,
 }
 
+/// A live job that is to be cancelled, as a job that it depends on was.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DependentCancellation {
+    /// The job.
+    pub job: JobHandle,
+    /// The id of the job whose cancellation reached it, directly or through others.
+    pub dependency: Rc<str>,
+}
+
+/// What follows from the latest changes of the graph.
+#[derive(Debug, Default)]
+pub struct DependencyChanges {
+    /// Jobs whose readiness or priority may have changed.
+    pub changed: Vec<JobHandle>,
+    /// Jobs that are to be cancelled (`must_cancel`).
+    pub cancellations: Vec<DependentCancellation>,
+}
+
 #[derive(Debug, Default)]
 struct DependencyNode {
+    /// Its id, once another job depends on it.
+    id: Rc<str>,
     /// Live jobs that it depends on.
     dependencies: HashSet<JobHandle>,
     /// How many dependencies nothing is known of yet.
@@ -72,9 +95,7 @@
     waiting_for_unknown: HashMap<String, Vec<JobHandle>>,
     /// Ids to be looked up.
     lookups: VecDeque<String>,
-    /// Jobs whose readiness or priority may have changed.
-    changed: Vec<JobHandle>,
-    newly_cancelled: Vec<JobHandle>,
+    changes: DependencyChanges,
 }
 
 impl DependencyGraph {
@@ -89,8 +110,8 @@
         for (id, state) in dependencies {
             match state {
                 DependencyState::Done => {}
-                DependencyState::Live(on, own) => self.add_edge(on, own, job),
-                DependencyState::Cancelled => self.cancel_with_dependents(job),
+                DependencyState::Live(on, own) => self.add_edge(id, on, own, job),
+                DependencyState::Cancelled => self.cancel_with_dependents(job, &id.into()),
                 DependencyState::Unknown => {
                     self.nodes.entry(job).or_default().unresolved += 1;
                     let waiting = self.waiting_for_unknown.entry(id.to_owned()).or_default();
@@ -101,7 +122,7 @@
                 }
             }
         }
-        self.changed.push(job);
+        self.changes.changed.push(job);
     }
 
     fn set_own_priority(&mut self, job: JobHandle, own: Priority) {
@@ -116,6 +137,11 @@
         self.waiting_for_unknown.contains_key(id)
     }
 
+    /// How many jobs depend on an unknown job with this id.
+    pub fn awaiting(&self, id: &str) -> usize {
+        self.waiting_for_unknown.get(id).map_or(0, Vec::len)
+    }
+
     /// The state of a job that was unknown.
     pub fn resolve(&mut self, id: &str, state: DependencyState) {
         let Some(waiting) = self.waiting_for_unknown.remove(id) else {
@@ -128,11 +154,11 @@
             };
             node.unresolved = node.unresolved.saturating_sub(1);
             match state {
-                DependencyState::Live(on, own) => self.add_edge(on, own, job),
-                DependencyState::Cancelled => self.cancel_with_dependents(job),
+                DependencyState::Live(on, own) => self.add_edge(id, on, own, job),
+                DependencyState::Cancelled => self.cancel_with_dependents(job, &id.into()),
                 DependencyState::Done | DependencyState::Unknown => {}
             }
-            self.changed.push(job);
+            self.changes.changed.push(job);
         }
     }
 
@@ -161,18 +187,22 @@
             return;
         };
         let dependents: Vec<JobHandle> = node.dependents.iter().copied().collect();
+        let dependency = node.id.clone();
         for dependent in dependents {
-            self.cancel_with_dependents(dependent);
+            self.cancel_with_dependents(dependent, &dependency);
         }
     }
 
-    fn cancel_with_dependents(&mut self, job: JobHandle) {
+    fn cancel_with_dependents(&mut self, job: JobHandle, dependency: &Rc<str>) {
         let mut pending = vec![job];
         while let Some(job) = pending.pop() {
             if let Some(node) = self.nodes.get_mut(&job)
                 && !std::mem::replace(&mut node.must_cancel, true)
             {
-                self.newly_cancelled.push(job);
+                self.changes.cancellations.push(DependentCancellation {
+                    job,
+                    dependency: dependency.clone(),
+                });
                 pending.extend(node.dependents.iter().copied());
             }
         }
@@ -186,7 +216,7 @@
         let Some(node) = self.nodes.remove(&job) else {
             return;
         };
-        self.changed.extend(&node.dependents);
+        self.changes.changed.extend(&node.dependents);
         for dependent in &node.dependents {
             if let Some(dependent) = self.nodes.get_mut(dependent) {
                 dependent.dependencies.remove(&job);
@@ -203,8 +233,8 @@
         }
     }
 
-    /// `job` depends on `on`, which has this priority of its own.
-    fn add_edge(&mut self, on: JobHandle, own: Priority, job: JobHandle) {
+    /// `job` depends on `on`, which has this id, and this priority of its own.
+    fn add_edge(&mut self, id: &str, on: JobHandle, own: Priority, job: JobHandle) {
         self.set_own_priority(on, own);
         let priority = self.nodes.get(&job).and_then(|n| n.effective_priority);
         let node = self.nodes.entry(on).or_default();
@@ -214,11 +244,14 @@
         if let Some(priority) = priority {
             node.dependent_priorities[priority as usize] += 1;
         }
-        let must_cancel = node.must_cancel;
+        if node.id.is_empty() {
+            node.id = id.into();
+        }
+        let inherited_cancellation = node.must_cancel.then(|| node.id.clone());
         self.nodes.entry(job).or_default().dependencies.insert(on);
         self.update_priority(on);
-        if must_cancel {
-            self.cancel_with_dependents(job);
+        if let Some(dependency) = inherited_cancellation {
+            self.cancel_with_dependents(job, &dependency);
         }
     }
 
@@ -240,7 +273,7 @@
             if previous == priority {
                 continue;
             }
-            self.changed.push(job);
+            self.changes.changed.push(job);
             let dependencies: Vec<JobHandle> = node.dependencies.iter().copied().collect();
             for dependency in dependencies {
                 if let Some(on) = self.nodes.get_mut(&dependency) {
@@ -318,12 +351,9 @@
         (live, node.map_or(0, |node| node.unresolved))
     }
 
-    /// Jobs to look at again, and jobs that are to be cancelled (`must_cancel`).
-    pub fn take_changes(&mut self) -> (Vec<JobHandle>, Vec<JobHandle>) {
-        (
-            std::mem::take(&mut self.changed),
-            std::mem::take(&mut self.newly_cancelled),
-        )
+    /// What follows from the changes since the last call.
+    pub fn take_changes(&mut self) -> DependencyChanges {
+        std::mem::take(&mut self.changes)
     }
 }
 
--- a/src/state/dependencies/tests.rs
+++ b/src/state/dependencies/tests.rs
@@ -56,7 +56,7 @@
     assert_eq!(c.readiness(handle(3)), Readiness::Blocked);
     c.job_ended(handle(2), true);
     assert_eq!(c.readiness(handle(3)), Readiness::Ready);
-    assert_eq!(c.take_changes().1, Vec::<JobHandle>::new());
+    assert_eq!(c.take_changes().cancellations, []);
 }
 
 #[test]
@@ -149,14 +149,16 @@
     );
     assert!(c.is_awaited("j-000000"));
     c.resolve("j-000000", DependencyState::Cancelled);
-    assert_eq!(c.take_changes().1.len(), 19_999);
+    assert_eq!(c.take_changes().cancellations.len(), 19_999);
     // A dependent added later is cancelled with it, and stays blocked.
     c.add(
         handle(20_000),
         Low,
         [("j-000005", DependencyState::Live(handle(5), Low))],
     );
-    assert_eq!(c.take_changes().1, [handle(20_000)]);
+    let cancellations = c.take_changes().cancellations;
+    let jobs: Vec<JobHandle> = cancellations.iter().map(|c| c.job).collect();
+    assert_eq!(jobs, [handle(20_000)]);
     c.job_ended(handle(5), false);
     assert_eq!(c.readiness(handle(20_000)), Readiness::Blocked);
 }
@@ -206,3 +208,23 @@
         assert_eq!(c.readiness(second), Readiness::Ready, "{found:?}");
     }
 }
+
+#[test]
+fn cancellation_names_the_dependency_that_it_came_from() {
+    let mut c = DependencyGraph::default();
+    c.add(handle(1), Low, [("j-000000", DependencyState::Unknown)]);
+    let first = DependencyState::Live(handle(1), Low);
+    c.add(handle(2), Low, [("j-000001", first)]);
+    c.resolve("j-000000", DependencyState::Cancelled);
+    let of = |job| DependentCancellation {
+        job: handle(job),
+        dependency: "j-000000".into(),
+    };
+    assert_eq!(c.take_changes().cancellations, [of(1), of(2)]);
+    let live = DependencyState::Live(handle(3), Low);
+    c.add(handle(4), Low, [("j-000003", live)]);
+    c.job_ended(handle(3), false);
+    let cancellations = c.take_changes().cancellations;
+    assert_eq!(cancellations[0].job, handle(4));
+    assert_eq!(&*cancellations[0].dependency, "j-000003");
+}
--- a/tests/simulation/lookups.rs
+++ b/tests/simulation/lookups.rs
@@ -24,7 +24,7 @@
 /// What a lookup of one job found.
 enum FoundJob {
     Live(serde_json::Value, u64),
-    Final(FinalRecord),
+    Final(FinalRecord, u64),
     Nothing,
 }
 
@@ -85,7 +85,9 @@
                 FoundJob::Live(value, version) => {
                     l.accepted(self.store.job_record(&id, value), version, now);
                 }
-                FoundJob::Final(record) => l.dependency_ended(&final_status(&id, &record), now),
+                FoundJob::Final(record, version) => {
+                    l.dependency_ended(&final_status(&id, &record), version, now);
+                }
                 FoundJob::Nothing => l.requeue_dependency_lookups(vec![id]),
             }
         }
@@ -118,7 +120,9 @@
             return FoundJob::Live(value.clone(), *version);
         }
         match self.store.kv.get(&records::final_key(id)) {
-            Some((value, _)) => FoundJob::Final(serde_json::from_value(value.clone()).unwrap()),
+            Some((value, version)) => {
+                FoundJob::Final(serde_json::from_value(value.clone()).unwrap(), *version)
+            }
             None => FoundJob::Nothing,
         }
     }
