--- a/src/state/cluster/jobs.rs
+++ b/src/state/cluster/jobs.rs
@@ -109,7 +109,7 @@
     /// Live tasks of a job per zone.
     pub fn live_tasks_by_zone(&self, job: JobHandle) -> Vec<u32> {
         let mut counts = vec![0; self.zones.len()];
-        for (ix, _) in self.live_tasks_of(job) {
+        for (handle, _) in self.live_tasks_of(job) {
             if let Some(machine) = self.machine(handle) {
                 counts[machine.zone] += 1;
             }
