One look at a machine where a pass made two

Cause: passes over all machines asked for the handle at an index, and then for the machine of that handle.

Change: the table gives both at once; whether direct commands are due is asked of the machine itself, and a chosen machine is admitted by what was looked up.

--- a/src/control/leader/direct_commands.rs
+++ b/src/control/leader/direct_commands.rs
@@ -45,16 +45,11 @@
         }
         let confirmed = self.standbys.confirmed_change();
         for index in self.cluster.machine_range() {
-            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
+            let Some((machine_handle, m)) = self.cluster.machine_at(index) else {
                 continue;
             };
-            let ready = self
-                .cluster
-                .machine(machine_handle)
-                .is_some_and(|m| m.up && !m.command_in_flight && now >= m.command_retry_at);
-            if !ready
-                || !reconciliation::needs_direct_commands(&self.cluster, machine_handle, confirmed)
-            {
+            let ready = m.up && !m.command_in_flight && now >= m.command_retry_at;
+            if !ready || !reconciliation::needs_direct_commands(m, confirmed) {
                 continue;
             }
             let token = self.fencing_token(machine_handle);
--- a/src/control/leader/expiry.rs
+++ b/src/control/leader/expiry.rs
@@ -53,10 +53,7 @@
         let mut silent = vec![0; self.cluster.zones.len()];
         let (mut up, mut overdue_now, mut unheard) = (0, 0, 0);
         for index in self.cluster.machine_range() {
-            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
-                continue;
-            };
-            let Some(m) = self.cluster.machine(machine_handle) else {
+            let Some((machine_handle, m)) = self.cluster.machine_at(index) else {
                 continue;
             };
             let suspect = m.up && now > m.last_heartbeat.max(resumed) + overdue;
@@ -111,14 +108,8 @@
     /// be half as long as it says. The others may yet complete.
     pub(super) fn checkpoint_before_reclaim(&mut self) {
         for index in self.cluster.machine_range() {
-            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
-                continue;
-            };
-            let Some(m) = self
-                .cluster
-                .machine(machine_handle)
-                .filter(|m| m.reclaim_at.is_some())
-            else {
+            let machine = self.cluster.machine_at(index);
+            let Some((machine_handle, m)) = machine.filter(|(_, m)| m.reclaim_at.is_some()) else {
                 continue;
             };
             let saving: Vec<usize> = m
@@ -168,10 +159,7 @@
             }
         }
         for index in self.cluster.machine_range() {
-            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
-                continue;
-            };
-            let Some(m) = self.cluster.machine(machine_handle) else {
+            let Some((machine_handle, m)) = self.cluster.machine_at(index) else {
                 continue;
             };
             // Never sent, and of no unknown outcome: simply not launched.
--- a/src/control/leader/gang_reservation.rs
+++ b/src/control/leader/gang_reservation.rs
@@ -107,15 +107,13 @@
             return Vec::new();
         };
         let fleet = &self.scheduling.fleet;
-        let open = |machine: &MachineHandle| {
-            let m = self.cluster.machine(*machine);
-            m.is_some_and(|m| j.allows(m) && m.available_to(job_handle, now))
-        };
+        let open =
+            |(_, m): &(MachineHandle, &Machine)| j.allows(m) && m.available_to(job_handle, now);
         let ranked = fleet.ranked(ranking, |z| zone.is_none_or(|only| only == z));
         let machines = ranked
             .into_iter()
-            .filter_map(|index| self.cluster.machine_handle_at(index));
-        let with_room = machines.filter(open).filter_map(|machine| {
+            .filter_map(|index| self.cluster.machine_at(index));
+        let with_room = machines.filter(open).filter_map(|(machine, _)| {
             let tasks = fleet.machine_view(machine.index())?.free.count(&j.need);
             Some((machine, tasks.min(i64::from(j.waiting_count()))))
         });
@@ -137,12 +135,9 @@
         let mut best: Option<(i64, Vec<Preemption>)> = None;
         for zone in self.gang_zones(job_handle) {
             let mut rooms: Vec<Preemption> = (self.cluster.machine_range())
-                .filter_map(|index| self.cluster.machine_handle_at(index))
-                .filter(|machine_handle| {
-                    let m = self.cluster.machine(*machine_handle);
-                    m.is_some_and(|m| zone.is_none_or(|z| z == m.zone) && there(m))
-                })
-                .filter_map(|machine_handle| {
+                .filter_map(|index| self.cluster.machine_at(index))
+                .filter(|(_, m)| zone.is_none_or(|z| z == m.zone) && there(m))
+                .filter_map(|(machine_handle, _)| {
                     self.preemption_on(machine_handle, job_handle, priority, guaranteed, now)
                 })
                 .collect();
--- a/src/control/leader/inventory.rs
+++ b/src/control/leader/inventory.rs
@@ -239,10 +239,7 @@
         headroom.extend(self.spare_capacity());
         let mut gone = Vec::new();
         for index in self.cluster.machine_range() {
-            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
-                continue;
-            };
-            let Some(machine) = self.cluster.machine(machine_handle) else {
+            let Some((machine_handle, machine)) = self.cluster.machine_at(index) else {
                 continue;
             };
             if machine.releasing || machine.contents_unknown {
--- a/src/control/leader/persistence.rs
+++ b/src/control/leader/persistence.rs
@@ -300,16 +300,12 @@
             if !budget.has_write(plan) {
                 return expired;
             }
-            let Some(machine_handle) = self.cluster.machine_handle_at(index) else {
+            let Some((machine_handle, machine)) = self.cluster.machine_at(index) else {
                 continue;
             };
-            let Some(machine) = self
-                .cluster
-                .machine(machine_handle)
-                .filter(|m| !m.write_in_flight)
-            else {
+            if machine.write_in_flight {
                 continue;
-            };
+            }
             if machine.lease_expired() && !machine.releasing && !machine.recorded_empty {
                 expired.push(machine_handle);
                 continue;
--- a/src/control/leader/task_placement.rs
+++ b/src/control/leader/task_placement.rs
@@ -14,7 +14,7 @@
     protocol::{status::PendingReason, users::Kind},
     state::{
         Millis,
-        cluster::{Job, JobHandle, MachineHandle, Phase, Placement},
+        cluster::{Job, JobHandle, Machine, MachineHandle, Phase, Placement},
         resources::Resources,
     },
 };
@@ -50,13 +50,12 @@
         &self,
         job_handle: JobHandle,
         task: u32,
-        machine: MachineHandle,
+        m: &Machine,
         room: &MachineView,
         headroom: &[Headroom],
         now: Millis,
     ) -> bool {
-        let (Some(job), Some(m)) = (self.cluster.job(job_handle), self.cluster.machine(machine))
-        else {
+        let Some(job) = self.cluster.job(job_handle) else {
             return false;
         };
         let leaves_headroom = |r: &Headroom| {
@@ -88,18 +87,22 @@
         let job = self.cluster.job(job_handle)?;
         let zone_ok = |zone| job.zone.is_none_or(|only| only == zone) && zone_ok(zone);
         // Where the job has failed, the fault may be there.
-        let handle_at = |index| self.cluster.machine_handle_at(index);
-        let failed = |index| handle_at(index).is_some_and(|m| job.failures.failed_on(m));
+        let failed_before = !job.failures.failures().is_empty();
+        let failed = |index| {
+            let machine = failed_before.then(|| self.cluster.machine_handle_at(index));
+            let machine = machine.flatten();
+            machine.is_some_and(|machine| job.failures.failed_on(machine))
+        };
         let admits = |index, room: &MachineView| {
-            handle_at(index)
-                .is_some_and(|machine| self.admits(job_handle, task, machine, room, headroom, now))
+            let machine = self.cluster.machine_at(index);
+            machine.is_some_and(|(_, m)| self.admits(job_handle, task, m, room, headroom, now))
         };
         let choice = self
             .scheduling
             .fleet
             .choose(ranking, zone_ok, failed, admits)?;
         let chosen = ChosenMachine {
-            machine: handle_at(choice.machine)?,
+            machine: self.cluster.machine_handle_at(choice.machine)?,
             zone: choice.zone,
             late: choice.late,
         };
--- a/src/control/leader/victims.rs
+++ b/src/control/leader/victims.rs
@@ -82,13 +82,9 @@
     ) -> Option<Preemption> {
         let guaranteed = self.within_guarantee(self.cluster.job(job_handle)?, now);
         (self.cluster.machine_range())
-            .filter_map(|index| self.cluster.machine_handle_at(index))
-            .filter(|machine_handle| {
-                self.cluster
-                    .machine(*machine_handle)
-                    .is_some_and(|m| zone_ok(m.zone))
-            })
-            .filter_map(|machine_handle| {
+            .filter_map(|index| self.cluster.machine_at(index))
+            .filter(|(_, m)| zone_ok(m.zone))
+            .filter_map(|(machine_handle, _)| {
                 self.preemption_on(machine_handle, job_handle, priority, guaranteed, now)
             })
             .filter(|r| !r.victims.is_empty())
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -543,22 +543,12 @@
 
 /// Whether there is a command for the machine that shouldn't wait for its next
 /// heartbeat.
-pub fn needs_direct_commands(
-    cluster: &ClusterState,
-    machine_handle: MachineHandle,
-    confirmed: u64,
-) -> bool {
-    cluster.machine(machine_handle).is_some_and(|machine| {
-        machine.up
-            && machine.addr.is_some()
-            && machine
-                .tasks
-                .iter()
-                .any(|a| match (a.phase, a.stop_grace_s) {
-                    (Phase::New, None) => a.change_number <= confirmed,
-                    // A stop is sent at once, and again with the responses.
-                    (Phase::Fetching | Phase::Waiting | Phase::Running, Some(_)) => !a.stop_sent,
-                    _ => false,
-                })
-    })
+pub fn needs_direct_commands(machine: &Machine, confirmed: u64) -> bool {
+    let is_due = |a: &Assignment| match (a.phase, a.stop_grace_s) {
+        (Phase::New, None) => a.change_number <= confirmed,
+        // A stop is sent at once, and again with the responses.
+        (Phase::Fetching | Phase::Waiting | Phase::Running, Some(_)) => !a.stop_sent,
+        _ => false,
+    };
+    machine.up && machine.addr.is_some() && machine.tasks.iter().any(is_due)
 }
--- a/src/state/cluster/machines.rs
+++ b/src/state/cluster/machines.rs
@@ -30,6 +30,12 @@
         self.machines.handle_at(index)
     }
 
+    /// The machine that has this index now, with its handle. Counts as an inspection.
+    pub fn machine_at(&self, index: u32) -> Option<(MachineHandle, &Machine)> {
+        self.count_inspections(1);
+        self.machines.entry_at(index)
+    }
+
     /// The machine, unless it was removed. Counts as an inspection.
     pub fn machine(&self, handle: MachineHandle) -> Option<&Machine> {
         self.count_inspections(1);
--- a/src/state/slot_table.rs
+++ b/src/state/slot_table.rs
@@ -127,10 +127,15 @@
 
     /// The handle of the entry that has this index now.
     pub fn handle_at(&self, index: u32) -> Option<H> {
+        self.entry_at(index).map(|(handle, _)| handle)
+    }
+
+    /// The entry that has this index now, with its handle.
+    pub fn entry_at(&self, index: u32) -> Option<(H, &T)> {
         let slot = self.slots.get(index as usize)?;
-        slot.entry.as_ref()?;
+        let entry = slot.entry.as_ref()?;
         let generation = slot.generation;
-        Some(Handle { index, generation }.into())
+        Some((Handle { index, generation }.into(), entry))
     }
 
     /// How many indices have been given out.
