--- a/tests/dependency_lookups.rs
+++ b/tests/dependency_lookups.rs
@@ -36,8 +36,10 @@
 /// Evidence: the leader's log has "dependencies could not be read" 0.1 s after the
 /// election, then the ends of jobs that were cancelled before, within 0.2 s. The
 /// wrong answer came 1.35 s after the refusal: the pause of 0.5 s, a read, a write,
-/// and the 0.65 s for which a final state is withheld. Before the repair this test
-/// failed with the operators' words.
+/// and the 0.65 s for which a final state is withheld. With few requests a second and
+/// many cancelled chains it came about again: jobs accepted while lookups were refused
+/// were cancelled in the instant in which these were answered. Before the repair this
+/// test failed with the operators' words.
 #[test]
 fn late_lookup_cancels_no_job_that_took_the_index_of_the_one_that_waited() {
     let mut w = Simulation::with_leader(1, 3, 0.0);
