--- a/tests/dependencies.rs
+++ b/tests/dependencies.rs
@@ -3,17 +3,10 @@
 mod simulation;
 
 use pathwinch::{
-    protocol::users::{JobSpec, JobState, Kind, Priority},
+    protocol::users::{JobState, Kind, Priority},
     state::records,
 };
-use simulation::{Net, Simulation, id, job};
-
-/// One that needs these.
-fn after(n: u32, tasks: u32, needs: &[u32]) -> JobSpec {
-    let mut spec = job(n, Kind::Array, tasks);
-    spec.dependencies = needs.iter().map(|n| format!("j-{n:06}")).collect();
-    spec
-}
+use simulation::{Net, Simulation, dependent, id, job};
 
 /// An installation whose leaders have no standbys.
 fn cluster_without_standbys(seed: u64, machines: usize, limit: f64) -> Simulation {
@@ -32,14 +25,14 @@
 fn dependent_jobs_run_in_dependency_order() {
     let mut w = Simulation::with_leader(1, 3, 0.0);
     w.submit(job(1, Kind::Array, 4));
-    w.submit(after(2, 2, &[1]));
-    w.submit(after(3, 2, &[1, 2, 2]));
+    w.submit(dependent(2, 2, &[1]));
+    w.submit(dependent(3, 2, &[1, 2, 2]));
     w.run(3_000);
     assert_eq!(state(&mut w, 2), Some(JobState::Queued));
     assert_eq!((w.running(&id(1)), w.running(&id(2))), (4, 0));
     w.run_until(60_000, "all done", |w| w.done(&id(3)));
     // Also one that is submitted when all is over.
-    w.submit(after(4, 1, &[1, 3]));
+    w.submit(dependent(4, 1, &[1, 3]));
     w.run_until(30_000, "done", |w| w.done(&id(4)));
     w.assert_no_violations();
 }
@@ -48,8 +41,8 @@
 fn dependent_jobs_continue_after_failover() {
     let mut w = cluster_without_standbys(2, 3, 0.0);
     w.submit(job(1, Kind::Array, 2));
-    w.submit(after(2, 40, &[1]));
-    w.submit(after(3, 2, &[1, 2]));
+    w.submit(dependent(2, 40, &[1]));
+    w.submit(dependent(3, 2, &[1, 2]));
     w.run_until(60_000, "the first done", |w| {
         w.done(&id(1)) && w.running(&id(2)) > 2
     });
@@ -67,7 +60,7 @@
 fn dependent_job_starts_after_completion_is_recorded() {
     let mut w = Simulation::with_leader(3, 3, 0.0);
     w.submit(job(1, Kind::Array, 1));
-    w.submit(after(2, 1, &[1]));
+    w.submit(dependent(2, 1, &[1]));
     w.run_until(20_000, "running", |w| w.running(&id(1)) == 1);
     // What is written from now on gets no answer, and comes late.
     w.store.late_writes = vec![4_000; 3];
@@ -85,9 +78,9 @@
     let mut w = Simulation::with_leader(4, 2, 0.0);
     w.submit(job(1, Kind::Array, 40));
     w.submit(job(2, Kind::Array, 1));
-    w.submit(after(3, 1, &[1, 2]));
-    w.submit(after(4, 1, &[3]));
-    w.submit(after(5, 1, &[2]));
+    w.submit(dependent(3, 1, &[1, 2]));
+    w.submit(dependent(4, 1, &[3]));
+    w.submit(dependent(5, 1, &[2]));
     w.run(2_000);
     w.cancel(&id(1));
     // Long before the time is over.
@@ -96,7 +89,7 @@
         assert_eq!(state(&mut w, n), Some(JobState::Cancelled), "{n}");
     }
     // One that names them later is accepted all the same.
-    w.submit(after(6, 1, &[4]));
+    w.submit(dependent(6, 1, &[4]));
     w.run(2_000);
     assert_eq!(state(&mut w, 6), Some(JobState::Cancelled));
     w.run_until(60_000, "the other done", |w| w.done(&id(5)));
@@ -110,7 +103,7 @@
     w.submit(job(1, Kind::Array, 40));
     for n in 2..120 {
         // A tree: each needs one that came before.
-        w.submit(after(n, 1, &[n / 2]));
+        w.submit(dependent(n, 1, &[n / 2]));
     }
     w.run(2_000);
     w.cancel(&id(1));
@@ -137,7 +130,7 @@
     for seed in 0..12 {
         let mut w = Simulation::with_leader(100 + seed, 2, 0.0);
         w.submit(job(1, Kind::Array, 1));
-        w.submit(after(2, 1, &[1]));
+        w.submit(dependent(2, 1, &[1]));
         w.run_until(20_000, "running", |w| w.running(&id(1)) == 1);
         w.run(5_500 + 50 * seed);
         w.cancel(&id(1));
@@ -164,7 +157,7 @@
     let mut w = Simulation::with_leader(6, 3, 8.0);
     w.run_ms = 20_000;
     w.submit(job(1, Kind::Array, 1));
-    w.submit(after(2, 8, &[1]));
+    w.submit(dependent(2, 8, &[1]));
     w.submit(job(3, Kind::Array, 1));
     w.run_until(8_000, "both run", |w| {
         w.running(&id(1)) == 1 && w.running(&id(3)) == 1
@@ -180,7 +173,7 @@
     w.run_ms = 60_000;
     w.submit(job(1, Kind::Gang, 1));
     w.run_until(90_000, "the first done", |w| w.done(&id(1)));
-    w.submit(after(2, 4, &[1]));
+    w.submit(dependent(2, 4, &[1]));
     w.run_until(20_000, "running", |w| w.running(&id(2)) == 4);
     let silent = w.workers.iter().position(|m| !m.tasks.is_empty()).unwrap();
     w.workers[silent].net = Net::Lose;
@@ -204,7 +197,7 @@
     let mut first = job(3, Kind::Array, 2);
     first.priority = Priority::Low;
     w.submit(first);
-    let mut last = after(4, 1, &[3]);
+    let mut last = dependent(4, 1, &[3]);
     last.priority = Priority::High;
     w.submit(last);
     w.run_until(60_000, "the chain's first", |w| w.running(&id(3)) > 0);
@@ -220,8 +213,8 @@
     let mut w = Simulation::with_leader(9, 1, 0.0);
     w.run_ms = 40_000;
     w.submit(job(1, Kind::Array, 2));
-    w.submit(after(2, 1, &[1]));
-    let mut last = after(3, 1, &[2]);
+    w.submit(dependent(2, 1, &[1]));
+    let mut last = dependent(3, 1, &[2]);
     last.deadline_s = Some(25.0);
     w.submit(last);
     let explain = |w: &mut Simulation, n: u32| {
--- a/tests/dependency_lookups.rs
+++ b/tests/dependency_lookups.rs
@@ -4,19 +4,12 @@
 mod simulation;
 
 use pathwinch::{
-    protocol::users::{JobSpec, JobState, Kind},
+    protocol::users::{JobState, Kind},
     state::records::{self, FinalRecord},
 };
-use simulation::{CANCEL, Simulation, id, job};
+use simulation::{CANCEL, Simulation, dependent, id, job};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A job of one task that depends on these.
-fn dependent(n: u32, dependencies: &[u32]) -> JobSpec {
-    let mut spec = job(n, Kind::Array, 1);
-    spec.dependencies = dependencies.iter().map(|n| id(*n)).collect();
-    spec
-}
-
 fn state(w: &mut Simulation, n: u32) -> Option<JobState> {
     let leader = w.leader()?;
     w.poll(leader, &id(n))
@@ -47,7 +40,7 @@
     w.run(2_000);
     w.cancel(&id(1));
     w.run_until(20_000, "final record", |w| w.done(&id(1)));
-    w.submit(dependent(2, &[1]));
+    w.submit(dependent(2, 1, &[1]));
     let leader = w.leader().unwrap();
     w.crash(leader, 3_000);
     w.read_faults.refused_lookups = 1;
@@ -55,7 +48,7 @@
     w.request_cancellation(&id(2));
     w.run_until(450, "the waiting job over", |w| w.done(&id(2)));
     w.submit(job(3, Kind::Array, 1));
-    w.submit(dependent(4, &[3]));
+    w.submit(dependent(4, 1, &[3]));
     w.run_until(60_000, "both done", |w| w.done(&id(3)) && w.done(&id(4)));
     let states = [3, 4].map(|n| state(&mut w, n));
     w.assert_no_violations();
@@ -70,7 +63,7 @@
     w.submit(job(1, Kind::Array, 1));
     w.cancel(&id(1));
     w.run_until(20_000, "final record", |w| w.done(&id(1)));
-    w.submit(dependent(2, &[1]));
+    w.submit(dependent(2, 1, &[1]));
     let leader = w.leader().unwrap();
     w.crash(leader, 3_000);
     w.read_faults.refused_lookups = u32::MAX;
@@ -132,7 +125,7 @@
         .collect();
     dependencies.sort_unstable();
     dependencies.dedup();
-    w.submit(dependent(n, &dependencies));
+    w.submit(dependent(n, 1, &dependencies));
     model.dependencies.insert(n, dependencies);
 }
 
--- a/tests/simulation/fixtures.rs
+++ b/tests/simulation/fixtures.rs
@@ -100,6 +100,13 @@
     }
 }
 
+/// An array of so many tasks that depends on these jobs.
+pub fn dependent(n: u32, tasks: u32, dependencies: &[u32]) -> JobSpec {
+    let mut spec = job(n, Kind::Array, tasks);
+    spec.dependencies = dependencies.iter().map(|n| id(*n)).collect();
+    spec
+}
+
 /// An urgent gang of whole machines in one zone.
 pub fn whole_machines(n: u32, tasks: u32) -> JobSpec {
     let mut gang = job(n, Kind::Gang, tasks);
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -35,7 +35,9 @@
 mod workers;
 
 #[allow(unused_imports)]
-pub use fixtures::{id, job, machine_record, many_types, settings, types, whole_machines};
+pub use fixtures::{
+    dependent, id, job, machine_record, many_types, settings, types, whole_machines,
+};
 pub use net::{Cut, CutScope, Endpoint, Link, Net};
 pub use store::Store;
 // Not used by every test file.
