Requests to the state service are counted by priority

Lookups of dependencies failed for whole terms, and no figure told who had used the requests up: all callers beside leadership passed a bare number to the bucket. Each caller now names a typed priority; what was taken and refused of each is a metric (request_budget_total, with a pin of its own) and stands in the log line of a failed lookup.

--- a/src/server/budgets.rs
+++ b/src/server/budgets.rs
@@ -15,6 +15,7 @@
             TokenBucket,
             share::{self, Role},
         },
+        request_budget::{RequestBudget, RequestCounts, RequestPriority},
     },
 };
 use std::cell::{Cell, RefCell};
@@ -29,7 +30,7 @@
 const MIN_TXN_CHANGES: usize = 2;
 
 pub(super) struct Budgets {
-    requests: RefCell<TokenBucket>,
+    requests: RefCell<RequestBudget>,
     changes: RefCell<TokenBucket>,
     cloud_requests: RefCell<TokenBucket>,
     max_txn_changes: Cell<usize>,
@@ -43,7 +44,7 @@
         let change_rate = limits.write_rps * share::of_changes(Role::Leaderless, nodes);
         let cloud_rate = settings.cluster.cloud.rps * CLOUD_SHARE;
         Budgets {
-            requests: RefCell::new(TokenBucket::new(request_rate, STORE_BURST_S)),
+            requests: RefCell::new(RequestBudget::new(request_rate, STORE_BURST_S)),
             changes: RefCell::new(TokenBucket::new(change_rate, STORE_BURST_S)),
             cloud_requests: RefCell::new(TokenBucket::new(cloud_rate, CLOUD_BURST_S)),
             max_txn_changes: Cell::new(usize::MAX),
@@ -64,15 +65,25 @@
             .set_rate(now, change_rate, STORE_BURST_S);
     }
 
-    /// Takes one request to the store if `reserve` remain. Returns whether it may
-    /// be made.
-    pub(super) fn take_request(&self, now: Millis, reserve: f64) -> bool {
-        self.requests.borrow_mut().take(now, 1.0, reserve)
+    /// Takes one request to the store. Returns whether it may be made.
+    pub(super) fn take_request(&self, now: Millis, priority: RequestPriority) -> bool {
+        self.requests.borrow_mut().take(now, priority)
     }
 
     /// Charges requests to the store that are made in any case.
-    pub(super) fn charge_requests(&self, now: Millis, requests: f64) {
-        self.requests.borrow_mut().force(now, requests);
+    pub(super) fn charge_requests(&self, now: Millis, priority: RequestPriority, requests: u32) {
+        self.requests.borrow_mut().charge(now, priority, requests);
+    }
+
+    /// Requests to the store that were made and held back, by priority.
+    pub(super) fn request_counts(&self) -> Vec<(RequestPriority, RequestCounts)> {
+        self.requests.borrow().counts().collect()
+    }
+
+    /// How many requests may be made, and who made them, for the log.
+    pub(super) fn describe_requests(&self, now: Millis) -> String {
+        let mut requests = self.requests.borrow_mut();
+        format!("{:.1} left, {requests}", requests.level(now))
     }
 
     /// How many requests to the store may be made now.
--- a/src/server/client_api.rs
+++ b/src/server/client_api.rs
@@ -11,7 +11,7 @@
 use crate::{
     control::requests::{Answer, Event, Next, NodeView, Request as UserRequest},
     protocol::peers::{Reply, Request},
-    state::Millis,
+    state::{Millis, request_budget::RequestPriority},
     transport::server::HttpResponse,
 };
 use async_io::Timer;
@@ -136,10 +136,13 @@
                 Next::Versions => Event::Versions(self.upgraded().await),
                 Next::Look(ids) => Event::LookupResults(match &ids[..] {
                     [one] => {
-                        let found = self.lookup(one).await.map_err(|e| e.to_string());
+                        let found = self
+                            .lookup(one, RequestPriority::Acceptance)
+                            .await
+                            .map_err(|e| e.to_string());
                         [(one.clone(), found)].into()
                     }
-                    _ => self.lookup_all(&ids).await,
+                    _ => self.lookup_all(&ids, RequestPriority::Acceptance).await,
                 }),
                 Next::Write(txn, waits) => {
                     let changes = txn.writes.len() as f64;
@@ -199,7 +202,9 @@
     /// them, though no longer than users do.
     async fn has_budget(&self, changes: f64, waits: bool) -> bool {
         for _ in 0..if waits { BUDGET_CHECKS } else { 1 } {
-            if self.budgets.take_changes(self.now(), changes) && self.may_request(1.0) {
+            if self.budgets.take_changes(self.now(), changes)
+                && self.may_request(RequestPriority::Acceptance)
+            {
                 return true;
             }
             if waits {
--- a/src/server/control_loop.rs
+++ b/src/server/control_loop.rs
@@ -18,7 +18,10 @@
     control::leader::{CloudOp, DirectDelivery, DirectDeliveryOutcome, Leader, Tally, WritePlan},
     control::requests::{Found, TxnResult, final_status},
     protocol::workers::Heartbeat,
-    state::{Millis, cluster::DIRECT_COMMAND_TIMEOUT_MS, rate_limit::share, records::LEADER},
+    state::{
+        Millis, cluster::DIRECT_COMMAND_TIMEOUT_MS, rate_limit::share, records::LEADER,
+        request_budget::RequestPriority,
+    },
     transport::{client::CallError, within},
 };
 use async_io::Timer;
@@ -41,8 +44,6 @@
 /// begun.
 const MIN_WRITE_CHANGES: usize = 2;
 const MIN_WRITE_REQUESTS: f64 = 2.0;
-/// Requests in the budget that a reread leaves to leadership and acceptances.
-const REREAD_RESERVE_REQUESTS: f64 = 2.0;
 /// Pauses before a read is repeated, before failed dependency lookups are, and
 /// after a refused write.
 const REREAD_PAUSE: Duration = Duration::from_millis(200);
@@ -249,7 +250,9 @@
         ids: Vec<String>,
         _in_flight: InFlight,
     ) {
-        let mut results = self.lookup_all(&ids).await;
+        let mut results = self
+            .lookup_all(&ids, RequestPriority::DependencyLookup)
+            .await;
         let unresolved = self.of_term(term, |leader, now| {
             let metrics = self.metrics.borrow();
             let mut unresolved = Vec::new();
@@ -284,7 +287,10 @@
         // Only the jobs that depend on them wait.
         let reason = unresolved[0].reason.clone();
         let unresolved: Vec<String> = unresolved.into_iter().map(|unread| unread.id).collect();
-        log::info!("dependencies could not be read in term {term}: {unresolved:?}, {reason}");
+        let budget = self.budgets.describe_requests(self.now());
+        log::info!(
+            "dependencies could not be read in term {term}: {unresolved:?}, {reason}; {budget}"
+        );
         let node = self.clone();
         let retry = async move {
             Timer::after(LOOKUP_RETRY_PAUSE).await;
@@ -299,7 +305,8 @@
     async fn apply_writes(self: Rc<Self>, term: u64, plan: WritePlan, _in_flight: InFlight) {
         let now = self.now();
         let changes = plan.txn.writes.len();
-        self.budgets.charge_requests(now, 1.0);
+        self.budgets
+            .charge_requests(now, RequestPriority::Leadership, 1);
         self.budgets.charge_changes(now, changes as f64);
         match self.txn(&plan.txn, STATE_TIMEOUT).await {
             TxnResult::Done(revision) => {
@@ -335,7 +342,7 @@
                 if self.of_term(term, |_, _| ()).is_none() {
                     return;
                 }
-                if self.may_request(REREAD_RESERVE_REQUESTS)
+                if self.may_request(RequestPriority::Acceptance)
                     && let Ok(item) = self.get(&key, STATE_TIMEOUT).await
                 {
                     found.push((key, item.map(|item| (item.value, item.version))));
--- a/src/server/exclusions.rs
+++ b/src/server/exclusions.rs
@@ -18,15 +18,16 @@
         requests::TxnResult,
     },
     protocol::state::Txn,
-    state::records::{EXCLUSIONS, LEADER},
+    state::{
+        records::{EXCLUSIONS, LEADER},
+        request_budget::RequestPriority,
+    },
 };
 use async_io::Timer;
 use std::{rc::Rc, time::Duration};
 
 /// Time between two checks for a step that is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Requests in the budget that the steps leave to leadership and acceptances.
-const RESERVE_REQUESTS: f64 = 2.0;
 
 /// Whether a step was carried out, so that the next may follow at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,7 +47,7 @@
             let Some(step) = node.next_exclusion_step() else {
                 break;
             };
-            if !node.may_request(RESERVE_REQUESTS)
+            if !node.may_request(RequestPriority::Acceptance)
                 || node.exclusion_step(term, step).await == StepResult::Failed
             {
                 break;
@@ -65,7 +66,7 @@
 
     /// Reads the exclusions of earlier terms for a new leader.
     pub(super) async fn read_exclusions(&self, term: u64) -> Result<(), StoreError> {
-        let items = self.list(EXCLUSIONS).await?;
+        let items = self.list(EXCLUSIONS, RequestPriority::Acceptance).await?;
         let peer_of = |key: &str| {
             let name = key.trim_start_matches(EXCLUSIONS);
             self.settings.peers.iter().position(|p| p.name == name)
--- a/src/server/leadership/campaign.rs
+++ b/src/server/leadership/campaign.rs
@@ -22,6 +22,7 @@
     state::{
         Millis,
         records::{self, LEADER, LeaderRecord},
+        request_budget::RequestPriority,
     },
 };
 use std::{rc::Rc, time::Duration};
@@ -79,7 +80,8 @@
 
     async fn read_leader_key(&self) -> Result<(), StoreError> {
         let now = self.now();
-        self.budgets.charge_requests(now, 1.0);
+        self.budgets
+            .charge_requests(now, RequestPriority::Leadership, 1);
         let item = self.get(LEADER, STEP_TIMEOUT).await?;
         let leader = item.and_then(|item| {
             let record: LeaderRecord = serde_json::from_value(item.value).ok()?;
@@ -159,7 +161,8 @@
     /// may no longer campaign.
     async fn prepare_attempt(&self, replaced_version: u64) -> Option<Attempt> {
         let lease_requested = self.now();
-        self.budgets.charge_requests(lease_requested, 2.0);
+        self.budgets
+            .charge_requests(lease_requested, RequestPriority::Leadership, 2);
         let lease = self.grant_lease(LEASE_TTL_MS, STEP_TIMEOUT).await?;
         let election = self.election.borrow();
         // A promise may have been granted meanwhile.
--- a/src/server/leadership/load_state.rs
+++ b/src/server/leadership/load_state.rs
@@ -18,6 +18,7 @@
     state::{
         Millis,
         records::{self, MachineRecord, StoredJob},
+        request_budget::RequestPriority,
         spec_chunks,
     },
 };
@@ -79,7 +80,8 @@
     /// Waits for entries of the feed. `None`: they can't be read now.
     async fn next_feed_entries(&self, feed: &mut AcceptanceFeed) -> Option<Vec<String>> {
         let now = self.now();
-        self.budgets.charge_requests(now, 1.0);
+        self.budgets
+            .charge_requests(now, RequestPriority::Leadership, 1);
         let answer = self
             .state(Method::Get, &feed.path(WATCH_WAIT_MS), None, WATCH_TIMEOUT)
             .await
@@ -88,7 +90,10 @@
             Next::Look(keys) => Some(keys),
             Next::Pause => None,
             Next::List => {
-                let listing = self.list_as_of(records::ACCEPTANCES).await.ok()?;
+                let listing = self
+                    .list_as_of(records::ACCEPTANCES, RequestPriority::Acceptance)
+                    .await
+                    .ok()?;
                 feed.listed(listing.revision);
                 Some(listing.items.into_iter().map(|item| item.key).collect())
             }
@@ -99,7 +104,7 @@
     /// lasts.
     async fn accept_from_feed(&self, term: u64, id: &str) -> bool {
         loop {
-            match self.lookup(id).await {
+            match self.lookup(id, RequestPriority::Acceptance).await {
                 Ok(Found::Live(record, version)) => {
                     self.of_term(term, |leader, now| leader.accepted(*record, version, now));
                     return true;
@@ -116,15 +121,25 @@
     /// Reads all records and loads them into the leader's state.
     async fn read_records(&self, term: u64) -> Result<(), StoreError> {
         // The machine registry first: the leases of workers depend on it.
-        let machines = self.list_as_of(records::MACHINES).await?;
+        let machines = self
+            .list_as_of(records::MACHINES, RequestPriority::Acceptance)
+            .await?;
         if machines.revision < term {
             return Err(StoreError::BeforeTerm(machines.revision));
         }
         let revision = machines.revision;
-        let jobs = self.list(records::JOBS).await?;
-        let segments = self.list(records::SEGMENTS).await?;
-        let chunks = self.list(spec_chunks::SPEC_CHUNKS).await?;
-        let feed_entries = self.list(records::ACCEPTANCES).await?;
+        let jobs = self
+            .list(records::JOBS, RequestPriority::Acceptance)
+            .await?;
+        let segments = self
+            .list(records::SEGMENTS, RequestPriority::Acceptance)
+            .await?;
+        let chunks = self
+            .list(spec_chunks::SPEC_CHUNKS, RequestPriority::Acceptance)
+            .await?;
+        let feed_entries = self
+            .list(records::ACCEPTANCES, RequestPriority::Acceptance)
+            .await?;
         let standbys = self.read_standby_record().await?;
         self.read_exclusions(term).await?;
         self.of_term(term, |leader, now| {
--- a/src/server/leadership/renew.rs
+++ b/src/server/leadership/renew.rs
@@ -19,7 +19,7 @@
         PromiseResponse, RENEWAL_TIMEOUT_MS,
     },
     protocol::peers::{Reply, Request},
-    state::{Millis, records::LEADER},
+    state::{Millis, records::LEADER, request_budget::RequestPriority},
     transport::{client::CallError, within},
 };
 use async_executor::Task;
@@ -123,7 +123,8 @@
         let node = self.clone();
         self.executor.spawn_high(async move {
             let sent = node.now();
-            node.budgets.charge_requests(sent, 1.0);
+            node.budgets
+                .charge_requests(sent, RequestPriority::Leadership, 1);
             let timeout = Duration::from_millis(RENEWAL_TIMEOUT_MS);
             let renewal = node.renew_lease(leadership.lease, timeout).await;
             if let LeaseRenewal::Failed(e) = &renewal {
@@ -319,7 +320,8 @@
     /// outage.
     async fn store_answers(&self) -> bool {
         let now = self.now();
-        self.budgets.charge_requests(now, 1.0);
+        self.budgets
+            .charge_requests(now, RequestPriority::Leadership, 1);
         let timeout = Duration::from_millis(PROMISE_CHECK_TIMEOUT_MS);
         match self.get(LEADER, timeout).await {
             Ok(_) => true,
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -4,7 +4,10 @@
 use crate::{
     control::{election::AuthorityBasis, leader::Tally},
     protocol::users::JobState,
-    state::Millis,
+    state::{
+        Millis,
+        request_budget::{RequestCounts, RequestPriority},
+    },
     transport::server::HttpResponse,
 };
 use prometheus_client::{
@@ -60,6 +63,13 @@
     found: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RequestPriorityLabels {
+    priority: &'static str,
+    /// `taken` or `refused`.
+    outcome: &'static str,
+}
+
 type Histograms<L> = Family<L, Histogram, fn() -> Histogram>;
 
 pub(super) struct Metrics {
@@ -92,6 +102,7 @@
     pub(super) lines_left_out: Counter,
     dependency_lookups: Family<DependencyLookupLabel, Counter>,
     cancelled_with_dependency: Counter,
+    request_budget: Family<RequestPriorityLabels, Counter>,
 }
 
 fn answer_times() -> Histogram {
@@ -110,6 +121,11 @@
     Histogram::new([0.001, 0.005, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0])
 }
 
+/// Counters only grow: what has been counted elsewhere is added.
+fn raise_to(counter: &Counter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
 impl Metrics {
     pub(super) fn new() -> Self {
         let mut m = Metrics {
@@ -142,6 +158,7 @@
             lines_left_out: Counter::default(),
             dependency_lookups: Family::default(),
             cancelled_with_dependency: Counter::default(),
+            request_budget: Family::default(),
         };
         let r = &mut m.registry;
         let help = "Time to answer users, in seconds";
@@ -195,6 +212,8 @@
         let help = "Jobs cancelled as a job that they depend on was";
         let cancelled = m.cancelled_with_dependency.clone();
         r.register("cancelled_with_dependency", help, cancelled);
+        let help = "Requests to the state service by priority: made, or held back by the budget";
+        r.register("request_budget", help, m.request_budget.clone());
         m
     }
 
@@ -229,11 +248,17 @@
 
     /// The totals of what was exchanged with other controllers.
     fn exchanged(&self, requests: u64, bytes: u64) {
-        let more = |counter: &Counter, total: u64| {
-            counter.inc_by(total.saturating_sub(counter.get()));
-        };
-        more(&self.peer_requests, requests);
-        more(&self.peer_bytes, bytes);
+        raise_to(&self.peer_requests, requests);
+        raise_to(&self.peer_bytes, bytes);
+    }
+
+    /// The totals of requests of one priority.
+    fn requests_counted(&self, priority: RequestPriority, counts: RequestCounts) {
+        let priority = priority.name();
+        for (outcome, total) in [("taken", counts.taken), ("refused", counts.refused)] {
+            let labels = RequestPriorityLabels { priority, outcome };
+            raise_to(&self.request_budget.get_or_create(&labels), total);
+        }
     }
 
     /// A dependency was looked up in the records.
@@ -286,6 +311,9 @@
         let m = self.metrics.borrow();
         let (requests, bytes) = self.peers.exchanged();
         m.exchanged(requests, bytes);
+        for (priority, counts) in self.budgets.request_counts() {
+            m.requests_counted(priority, counts);
+        }
         m.leading.set(i64::from(led.is_some()));
         let (jobs, machines, warm) = led.unwrap_or_default();
         m.warm.set(warm as i64);
--- a/src/server/polls.rs
+++ b/src/server/polls.rs
@@ -20,8 +20,11 @@
         peers::{Reply, Request},
         users::JobStatus,
     },
-    state::Millis,
-    state::records::{FINALS, JOBS, StoredJob, job_key},
+    state::{
+        Millis,
+        records::{FINALS, JOBS, StoredJob, job_key},
+        request_budget::RequestPriority,
+    },
 };
 use async_channel::Sender;
 use async_io::Timer;
@@ -235,7 +238,10 @@
 /// Looks up one job by itself.
 async fn look_up(node: &Node, id: &str) -> Answer {
     let began = node.now();
-    let found = node.lookup(id).await.map_err(|e| e.to_string())?;
+    let found = node
+        .lookup(id, RequestPriority::Poll)
+        .await
+        .map_err(|e| e.to_string())?;
     Ok(match found {
         Found::Live(record, version) => reading(began, record.status(), version),
         Found::Final(record, version) => reading(began, final_status(id, &record), version),
@@ -256,7 +262,7 @@
     /// Reads the records of a round: all live ones, and the final ones of the jobs
     /// that are not live.
     async fn read_round(&self, round: &Round) -> Result<RoundRecords, StoreError> {
-        let items = self.list(JOBS).await?;
+        let items = self.list(JOBS, RequestPriority::Poll).await?;
         let listed_jobs = items.len();
         let live: HashMap<_, _> = items
             .into_iter()
@@ -267,7 +273,9 @@
             .map(|(id, _)| id.as_str())
             .filter(|id| !live.contains_key(&job_key(id)))
             .collect();
-        let NamedRead { items, unread } = self.read_some(FINALS, not_live).await;
+        let NamedRead { items, unread } = self
+            .read_some(FINALS, not_live, RequestPriority::Poll)
+            .await;
         let mut terminal = HashMap::new();
         for item in items {
             let id = item.key[FINALS.len()..].to_owned();
--- a/src/server/standby.rs
+++ b/src/server/standby.rs
@@ -20,7 +20,10 @@
         peers::{ReplicationPart, Reply, Request},
         state::Txn,
     },
-    state::records::{LEADER, STANDBYS, StandbyRecord},
+    state::{
+        records::{LEADER, STANDBYS, StandbyRecord},
+        request_budget::RequestPriority,
+    },
 };
 use async_io::Timer;
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -107,14 +110,16 @@
         &self,
     ) -> Result<Option<(StandbyRecord, u64)>, StoreError> {
         let now = self.now();
-        self.budgets.charge_requests(now, 1.0);
+        self.budgets
+            .charge_requests(now, RequestPriority::Leadership, 1);
         let item = self.get(STANDBYS, STATE_TIMEOUT).await?;
         Ok(item.map(|item| (StandbyRecord::read(item.value), item.version)))
     }
 
     async fn write_standbys(self: Rc<Self>, term: u64, txn: Txn) {
         let now = self.now();
-        self.budgets.charge_requests(now, 1.0);
+        self.budgets
+            .charge_requests(now, RequestPriority::Leadership, 1);
         self.budgets.charge_changes(now, 1.0);
         let outcome = match self.txn(&txn, STATE_TIMEOUT).await {
             TxnResult::Done(version) => RegistryWriteOutcome::Done(version),
--- a/src/server/status.rs
+++ b/src/server/status.rs
@@ -13,7 +13,7 @@
         peers::{Reply, Request},
         status::{ClusterStatus, Explanation, Status},
     },
-    state::Millis,
+    state::{Millis, request_budget::RequestPriority},
 };
 use std::{rc::Rc, time::Duration};
 
@@ -108,7 +108,7 @@
         if !crate::protocol::users::is_valid_job_id(id) {
             return Explanation::NoSuchJob;
         }
-        match self.lookup(id).await {
+        match self.lookup(id, RequestPriority::Listing).await {
             Ok(Found::Final(f, _)) => Explanation::Over {
                 state: f.state.to_string(),
                 done: f.done,
--- a/src/server/store.rs
+++ b/src/server/store.rs
@@ -16,6 +16,7 @@
     protocol::state::{Item, Page, Revision, Txn},
     state::{
         records::{FINALS, JOBS, JobRecord, StoredJob, final_key, job_key},
+        request_budget::RequestPriority,
         spec_chunks,
     },
     transport::client::{Answer, CallError},
@@ -37,10 +38,6 @@
 
 /// Up to this many records are read one by one; more are read in pages.
 const MAX_SINGLE_READS: usize = 4;
-/// Requests in the budget that lists and lookups leave to leadership and
-/// acceptances.
-const LIST_RESERVE_REQUESTS: f64 = 2.0;
-const LOOKUP_RESERVE_REQUESTS: f64 = 3.0;
 /// How much of the answer to a rejected transaction is logged.
 const MAX_LOGGED_BODY_BYTES: usize = 200;
 
@@ -130,11 +127,10 @@
 }
 
 impl Node {
-    /// Takes an ordinary request from the budget, of which `reserve` is kept back
-    /// for leadership and acceptances. Returns whether it may be made.
-    pub(super) fn may_request(&self, reserve: f64) -> bool {
+    /// Takes a request from the budget. Returns whether it may be made.
+    pub(super) fn may_request(&self, priority: RequestPriority) -> bool {
         let now = self.now();
-        self.budgets.take_request(now, reserve)
+        self.budgets.take_request(now, priority)
     }
 
     /// One HTTP call to the store. The caller charges the budgets.
@@ -172,16 +168,24 @@
     }
 
     /// Reads all keys under a prefix.
-    pub(super) async fn list(&self, prefix: &str) -> Result<Vec<Item>, StoreError> {
-        Ok(self.list_as_of(prefix).await?.items)
+    pub(super) async fn list(
+        &self,
+        prefix: &str,
+        priority: RequestPriority,
+    ) -> Result<Vec<Item>, StoreError> {
+        Ok(self.list_as_of(prefix, priority).await?.items)
     }
 
     /// Reads all keys under a prefix, with the revision of the first page.
-    pub(super) async fn list_as_of(&self, prefix: &str) -> Result<Listing, StoreError> {
+    pub(super) async fn list_as_of(
+        &self,
+        prefix: &str,
+        priority: RequestPriority,
+    ) -> Result<Listing, StoreError> {
         let mut items: Vec<Item> = Vec::new();
         let mut first_revision = None;
         loop {
-            self.wait_for_list_budget().await?;
+            self.wait_for_list_budget(priority).await?;
             let from = items
                 .last()
                 .map_or(String::new(), |item| format!("&from={}", item.key));
@@ -202,9 +206,9 @@
         }
     }
 
-    async fn wait_for_list_budget(&self) -> Result<(), StoreError> {
+    async fn wait_for_list_budget(&self, priority: RequestPriority) -> Result<(), StoreError> {
         let mut attempts = 0;
-        while !self.may_request(LIST_RESERVE_REQUESTS) {
+        while !self.may_request(priority) {
             attempts += 1;
             if attempts > LIST_BUDGET_ATTEMPTS {
                 return Err(StoreError::OverRequestBudget);
@@ -218,7 +222,11 @@
     /// never accepted. Live records are read first, so that a job which ends
     /// meanwhile is found among the final ones. A record that can't be read is an
     /// error for its job alone and must not hold up the others.
-    pub(super) async fn lookup_all(&self, ids: &[String]) -> LookupResults {
+    pub(super) async fn lookup_all(
+        &self,
+        ids: &[String],
+        priority: RequestPriority,
+    ) -> LookupResults {
         let mut results = LookupResults::new();
         for prefix in [JOBS, FINALS] {
             let remaining = ids
@@ -226,7 +234,7 @@
                 .filter(|id| !results.contains_key(*id))
                 .map(String::as_str)
                 .collect();
-            let NamedRead { items, unread } = self.read_some(prefix, remaining).await;
+            let NamedRead { items, unread } = self.read_some(prefix, remaining, priority).await;
             for UnreadName { name, error } in unread {
                 results.insert(name, Err(error.to_string()));
             }
@@ -234,7 +242,7 @@
             for item in items.into_iter().filter(|item| item.version > 0) {
                 let id = item.key[prefix.len()..].to_owned();
                 let found = self
-                    .decode_record(prefix, &id, item.value, item.version)
+                    .decode_record(prefix, &id, item.value, item.version, priority)
                     .await;
                 if let Err(e) = &found {
                     log::error!("record {}: {e}", item.key);
@@ -252,9 +260,10 @@
         id: &str,
         value: serde_json::Value,
         version: u64,
+        priority: RequestPriority,
     ) -> Result<Found, StoreError> {
         if prefix == JOBS {
-            let record = self.complete_record(id, value).await?;
+            let record = self.complete_record(id, value, priority).await?;
             Ok(Found::Live(Box::new(record), version))
         } else {
             Ok(Found::Final(serde_json::from_value(value)?, version))
@@ -263,15 +272,18 @@
 
     /// Reads those of the names that exist under the prefix: one by one if they
     /// are few, else in pages.
-    pub(super) async fn read_some(&self, prefix: &str, names: Vec<&str>) -> NamedRead {
+    pub(super) async fn read_some(
+        &self,
+        prefix: &str,
+        names: Vec<&str>,
+        priority: RequestPriority,
+    ) -> NamedRead {
         let mut result = NamedRead::default();
         let one_by_one = names.len() <= MAX_SINGLE_READS;
         let mut pages = Pages::new(prefix, names);
         while let Some(PageRequest { after, max_keys }) = pages.next_page() {
             let read = match pages.unread().first() {
-                _ if !self.may_request(LOOKUP_RESERVE_REQUESTS) => {
-                    Err(StoreError::OverRequestBudget)
-                }
+                _ if !self.may_request(priority) => Err(StoreError::OverRequestBudget),
                 Some(name) if one_by_one => self.read_key(&format!("{prefix}{name}")).await,
                 _ => self.read_page(prefix, &after, max_keys).await,
             };
@@ -365,10 +377,11 @@
         &self,
         id: &str,
         value: serde_json::Value,
+        priority: RequestPriority,
     ) -> Result<JobRecord, StoreError> {
         let stored: StoredJob = serde_json::from_value(value)?;
         let items = match &stored.spec_chunks {
-            Some(chunks) => self.list(&chunks.prefix(id)).await?,
+            Some(chunks) => self.list(&chunks.prefix(id), priority).await?,
             None => Vec::new(),
         };
         let texts = items.iter().filter_map(|item| item.value.as_str());
@@ -381,18 +394,24 @@
     }
 
     /// Reads the record of one job, live or final.
-    pub(super) async fn lookup(&self, id: &str) -> Result<Found, StoreError> {
-        if !self.may_request(LOOKUP_RESERVE_REQUESTS) {
+    pub(super) async fn lookup(
+        &self,
+        id: &str,
+        priority: RequestPriority,
+    ) -> Result<Found, StoreError> {
+        if !self.may_request(priority) {
             return Err(StoreError::OverRequestBudget);
         }
         if let Some(item) = self.get(&job_key(id), LOOKUP_TIMEOUT).await? {
-            return self.decode_record(JOBS, id, item.value, item.version).await;
+            return self
+                .decode_record(JOBS, id, item.value, item.version, priority)
+                .await;
         }
         let now = self.now();
-        self.budgets.charge_requests(now, 1.0);
+        self.budgets.charge_requests(now, priority, 1);
         match self.get(&final_key(id), LOOKUP_TIMEOUT).await? {
             Some(item) => {
-                self.decode_record(FINALS, id, item.value, item.version)
+                self.decode_record(FINALS, id, item.value, item.version, priority)
                     .await
             }
             None => Ok(Found::Nothing),
--- a/src/server/upgrade.rs
+++ b/src/server/upgrade.rs
@@ -15,7 +15,10 @@
 use crate::{
     control::requests::TxnResult,
     protocol::state::{Condition, Txn, Write},
-    state::records::{FORMAT, VERSIONS, VersionRecord, version_key},
+    state::{
+        records::{FORMAT, VERSIONS, VersionRecord, version_key},
+        request_budget::RequestPriority,
+    },
 };
 use async_io::Timer;
 use std::{
@@ -30,8 +33,6 @@
 /// Shortest time between two reads of the version records; up to as much again is
 /// added at random, so that the controllers don't read at the same moment.
 const READ_INTERVAL_MS: u64 = 1_500;
-/// Requests in the budget that the version record leaves to leadership.
-const RESERVE_REQUESTS: f64 = 2.0;
 
 /// How far the upgrade to this version has come.
 #[derive(Default)]
@@ -112,7 +113,7 @@
             format: FORMAT,
             program: env!("CARGO_PKG_VERSION").to_owned(),
         };
-        if !self.may_request(RESERVE_REQUESTS) {
+        if !self.may_request(RequestPriority::Listing) {
             return Err(StoreError::OverRequestBudget);
         }
         let found = self.get(&key, STATE_TIMEOUT).await?;
@@ -124,7 +125,7 @@
             return Ok(());
         }
         let now = self.now();
-        if !self.budgets.take_changes(now, 1.0) || !self.may_request(1.0) {
+        if !self.budgets.take_changes(now, 1.0) || !self.may_request(RequestPriority::Acceptance) {
             return Err(StoreError::OverWriteBudget);
         }
         let txn = Txn {
@@ -150,7 +151,7 @@
         if self.upgrade.is_complete() {
             return true;
         }
-        match self.list(VERSIONS).await {
+        match self.list(VERSIONS, RequestPriority::Acceptance).await {
             Ok(items) => {
                 let records = items.into_iter().filter_map(|item| {
                     let node = item.key.strip_prefix(VERSIONS)?.to_owned();
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -9,6 +9,7 @@
 //! | `fault_attribution` | whether jobs or machines are at fault |
 //! | `offload` | whether a job runs here or in another cluster |
 //! | `rate_limit` | shares of the state service's rate limits |
+//! | `request_budget` | a controller's requests to the state service, by priority |
 //! | `slot_table` | dense tables with handles, for jobs and machines |
 //! | `bounded_cache`, `resources` | a bounded map; amounts that add up exactly |
 //!
@@ -22,6 +23,7 @@
 pub mod offload;
 pub mod rate_limit;
 pub mod records;
+pub mod request_budget;
 pub mod resources;
 pub mod slot_table;
 pub mod spec_chunks;
--- a/tests/compatibility/operators.rs
+++ b/tests/compatibility/operators.rs
@@ -911,13 +911,14 @@
     let content = "application/openmetrics-text; version=1.0.0; charset=utf-8";
     assert!(answer.contains(content), "{answer}");
     let types = answer.lines().filter_map(|l| l.strip_prefix("# TYPE "));
-    // Those that came later have a pin of their own; no other may come or go.
-    let later: Vec<String> = serde_json::from_str(fixture(ANSWERS, "figures_later")).unwrap();
-    let (added, types): (Vec<String>, Vec<String>) = types
-        .map(str::to_owned)
-        .partition(|name| later.contains(name));
+    let mut types: Vec<String> = types.map(str::to_owned).collect();
+    // Those that came later have pins of their own; no other may come or go.
+    for pin in ["figures_later", "figures_of_request_budget"] {
+        let later: Vec<String> = serde_json::from_str(fixture(ANSWERS, pin)).unwrap();
+        let added: Vec<String> = types.extract_if(.., |name| later.contains(name)).collect();
+        is_pinned(ANSWERS, pin, &added);
+    }
     is_pinned(ANSWERS, "figures", &types);
-    is_pinned(ANSWERS, "figures_later", &added);
 }
 
 #[test]
