Jobs are called unfinished only where their dependencies are known

What callers saw: `pending` for a job more than cancel_s after the cancellation of a job that it depends on had been confirmed (`orphaned`).

Cause: the answer claims that no dependency was cancelled so long ago, and nothing asked. A new leader held back the starts of a job whose dependencies it had not read yet, but answered polls and repeated submissions by its cluster state; polls by the records read the job's own record alone.

Fix: the leader answers 503, and its peers get no word, while it is not read how a dependency ended, direct or through live jobs; the graph counts that as edges change. Answers from the records rest on reads of the dependencies too, in the same round, by one rule (control/dependency_evidence). It works as a cancellation is confirmed only after it is recorded: a read begun at S that does not show it allows the answer until S + cancel_s, less drift and the time for which a user waits.

A test had to change: checker_detects_cancelled_job_that_continues brought a wrong answer about by putting one record back, which no node believes any more. It now puts the dependency's record to `done` as well; the assertion is the same.

States withheld and the time for which dependencies are unread are metrics, with a pin.

--- /dev/null
+++ b/src/control/dependency_evidence/tests.rs
@@ -0,0 +1,78 @@
+//! What a node may say by what it has read of dependencies.
+
+use super::*;
+use crate::protocol::settings::Workers;
+
+/// As long as `cancel_s` of 35 s leaves, with 5 s for an answer on its way.
+const MAX_AGE_MS: Millis = 29_780;
+
+fn evidence() -> DependencyEvidence {
+    let workers: Workers = serde_json::from_value(serde_json::json!({
+        "report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 45.0,
+        "gang_peer_s": 5.0, "cancel_s": 35.0
+    }))
+    .unwrap();
+    DependencyEvidence::new(&SafetyBounds::of(&workers))
+}
+
+/// A chain: 3 depends on 2, that on 1.
+fn chain(read_at: Millis) -> DependencyEvidence {
+    let mut evidence = evidence();
+    evidence.read_unfinished("3", vec!["2".into()], read_at);
+    evidence.read_unfinished("2", vec!["1".into()], read_at);
+    evidence
+}
+
+fn nothing_over(_: &str) -> Option<JobState> {
+    None
+}
+
+fn unread(ids: &[&str]) -> DependencyVerdict {
+    DependencyVerdict::Unread(ids.iter().map(|id| id.to_string()).collect())
+}
+
+/// Guards against calling a job queued when a job two dependencies away was cancelled.
+#[test]
+fn cancelled_dependency_of_a_dependency_forbids_to_call_a_job_unfinished() {
+    let evidence = chain(0);
+    for (state, verdict) in [
+        (None, unread(&["1"])),
+        (
+            Some(JobState::Cancelled),
+            DependencyVerdict::Cancelled("1".into()),
+        ),
+        (Some(JobState::Done), DependencyVerdict::NotCancelled),
+    ] {
+        let over = |id: &str| state.filter(|_| id == "1");
+        assert_eq!(evidence.verdict("3", over, 0), verdict);
+    }
+}
+
+/// Guards against a read that is older than the time that a cancellation may take.
+#[test]
+fn dependency_is_read_again_once_its_reading_is_too_old() {
+    let mut evidence = chain(1_000);
+    evidence.read_unfinished("1", Vec::new(), 1_000);
+    let at = 1_000 + MAX_AGE_MS;
+    let verdict = evidence.verdict("3", nothing_over, at);
+    assert_eq!(verdict, DependencyVerdict::NotCancelled);
+    assert_eq!(evidence.verdict("3", nothing_over, at + 1), unread(&["3"]));
+    // The oldest reading on the way counts.
+    evidence.read_unfinished("3", vec!["2".into()], at);
+    evidence.read_unfinished("2", vec!["1".into()], at);
+    assert_eq!(evidence.verdict("3", nothing_over, at + 1), unread(&["1"]));
+}
+
+/// Guards against a walk that does not end where jobs share dependencies.
+#[test]
+fn shared_dependencies_are_followed_once() {
+    let mut evidence = evidence();
+    let id = |n: usize| n.to_string();
+    for n in 2..2_000 {
+        evidence.read_unfinished(&id(n), vec![id(n - 1), id(n - 2)], 0);
+    }
+    assert_eq!(
+        evidence.verdict(&id(1_999), nothing_over, 0),
+        unread(&["0", "1"])
+    );
+}
--- a/src/control/leader/dependencies.rs
+++ b/src/control/leader/dependencies.rs
@@ -48,20 +48,20 @@
             return;
         };
         let (id, own) = (j.id.clone(), j.spec.priority);
-        let needs = j.spec.dependencies.iter();
-        let needs: Vec<(&str, DependencyState)> = needs
-            .map(|n| (n.as_str(), self.dependency_state(n)))
+        let dependencies = j.spec.dependencies.iter();
+        let dependencies: Vec<(&str, DependencyState)> = dependencies
+            .map(|id| (id.as_str(), self.dependency_state(id)))
             .collect();
-        if !needs.is_empty() {
-            self.dependencies.add(handle, own, needs);
+        if !dependencies.is_empty() {
+            self.dependencies.add(handle, own, dependencies);
         }
         if self.dependencies.is_awaited(&id) {
-            let need = self.state_of_job(handle);
-            self.dependencies.resolve(&id, need);
+            let state = self.state_of_job(handle);
+            self.dependencies.resolve(&id, state);
         }
-        let gate = self.dependencies.readiness(handle);
+        let readiness = self.dependencies.readiness(handle);
         if let Some(j) = self.cluster.job_mut(handle) {
-            j.readiness = gate;
+            j.readiness = readiness;
         }
     }
 
@@ -73,17 +73,17 @@
             cancellations,
         } = self.dependencies.take_changes();
         for handle in changed {
-            let gate = self.dependencies.readiness(handle);
-            let rank = self.dependencies.effective_priority(handle);
+            let readiness = self.dependencies.readiness(handle);
+            let priority = self.dependencies.effective_priority(handle);
             let wall = self.wall_ms;
             let Some(j) = self.cluster.job_mut(handle) else {
                 continue;
             };
-            if let Some(rank) = rank {
-                j.effective_priority = rank;
+            if let Some(priority) = priority {
+                j.effective_priority = priority;
             }
-            let was = std::mem::replace(&mut j.readiness, gate);
-            if gate != Readiness::Ready || was == gate {
+            let was = std::mem::replace(&mut j.readiness, readiness);
+            if readiness != Readiness::Ready || was == readiness {
                 continue;
             }
             self.changed = true;
@@ -107,6 +107,32 @@
         }
     }
 
+    /// Notes since when the ends of dependencies are unread, and logs when the last of
+    /// them is read.
+    pub(super) fn note_unread_dependencies(&mut self, now: Millis) {
+        match (
+            self.dependencies.unknown_count(),
+            self.dependencies_unread_since,
+        ) {
+            (0, Some(since)) => {
+                self.dependencies_unread_since = None;
+                log::info!(
+                    "all dependencies are read in term {}: the first was unread for {} ms",
+                    self.term,
+                    now.saturating_sub(since),
+                );
+            }
+            (0, None) | (_, Some(_)) => {}
+            (_, None) => self.dependencies_unread_since = Some(now),
+        }
+    }
+
+    /// For how long the end of some dependency has been unread.
+    pub fn dependencies_unread_ms(&self, now: Millis) -> Millis {
+        let since = self.dependencies_unread_since;
+        since.map_or(0, |since| now.saturating_sub(since))
+    }
+
     /// Dependencies whose final state has to be read from the records.
     pub fn dependencies_to_look_up(&mut self) -> Vec<String> {
         match self.recovery.loaded {
@@ -132,11 +158,11 @@
             self.dependencies.awaiting(&status.id),
         );
         self.remember_final_state(status, now);
-        let need = match status.state {
+        let state = match status.state {
             JobState::Done => DependencyState::Done,
             _ => DependencyState::Cancelled,
         };
-        self.dependencies.resolve(&status.id, need);
+        self.dependencies.resolve(&status.id, state);
         self.changed = true;
     }
 
@@ -176,10 +202,10 @@
         handle: JobHandle,
         most: usize,
     ) -> (Vec<(String, String)>, usize) {
-        let (live, sought) = self.dependencies.unfinished_dependencies(handle);
-        let mut live: Vec<&Job> = live.filter_map(|b| self.cluster.job(b)).collect();
+        let (live, unknown) = self.dependencies.unfinished_dependencies(handle);
+        let mut live: Vec<&Job> = live.filter_map(|on| self.cluster.job(on)).collect();
         live.sort_by(|a, b| a.id.cmp(&b.id));
-        let all = live.len() + sought;
+        let all = live.len() + unknown;
         let rows = live.into_iter().take(most).map(|j| {
             let state = match (j.is_complete(), j.readiness) {
                 (true, _) => "done, not recorded yet".to_owned(),
--- a/src/control/leader/job_status.rs
+++ b/src/control/leader/job_status.rs
@@ -8,9 +8,24 @@
 use super::Leader;
 use crate::{
     protocol::users::JobStatus,
-    state::{Millis, cluster::Job},
+    state::{
+        Millis,
+        cluster::{Job, JobHandle},
+    },
 };
 
+/// Why the state of a known job is not reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Withheld {
+    /// Its end is being recorded: another node may read and report that end before
+    /// the leader learns that the write succeeded.
+    Ending,
+    /// A dependency is cancelled, so this job will be, and that is not recorded yet.
+    CancelledWithDependency,
+    /// How a dependency ended has not been read yet: it may have been cancelled.
+    DependenciesUnread,
+}
+
 impl Leader {
     /// A cached final state goes before the cluster state: it never changes.
     pub fn status(&self, id: &str) -> Option<JobStatus> {
@@ -22,35 +37,39 @@
         self.cluster.job(handle).map(Job::status)
     }
 
-    /// The job's state as a user may be answered. `None` while its end is being
-    /// recorded: another node may read and report that end before the leader
-    /// learns that the write succeeded.
+    /// The job's state as a user may be answered. `None` if the leader does not
+    /// know it, or for one of the reasons of `withheld`.
     pub fn answerable_status(&self, id: &str) -> Option<JobStatus> {
-        let open = self.is_ending(id) || self.is_cancelled_with_dependency(id);
-        match self.final_states.get(id) {
-            None if open => None,
-            None => self.live_status(id),
-            end => end,
+        if let Some(end) = self.final_states.get(id) {
+            return Some(end);
         }
+        let handle = self.cluster.job_handle(id)?;
+        let job = self.cluster.job(handle)?;
+        self.withheld_state(handle, job)
+            .is_none()
+            .then(|| job.status())
     }
 
-    /// A dependency is cancelled, so this job will be. Until that is recorded
-    /// its state in the cluster state is no longer reported.
-    pub fn is_cancelled_with_dependency(&self, id: &str) -> bool {
-        let handle = self.cluster.job_handle(id);
-        handle.is_some_and(|handle| {
-            self.dependencies.must_cancel(handle)
-                && self.cluster.job(handle).is_some_and(|j| !j.cancelled)
-        })
+    /// Why the state of a known job may not be reported now.
+    pub fn withheld(&self, id: &str) -> Option<Withheld> {
+        let handle = self.cluster.job_handle(id)?;
+        self.withheld_state(handle, self.cluster.job(handle)?)
     }
 
-    /// The end of the job is being recorded.
-    pub fn is_ending(&self, id: &str) -> bool {
-        let job = self
-            .cluster
-            .job_handle(id)
-            .and_then(|handle| self.cluster.job(handle));
-        job.is_some_and(Job::is_ending)
+    fn withheld_state(&self, handle: JobHandle, job: &Job) -> Option<Withheld> {
+        if job.is_ending() {
+            return Some(Withheld::Ending);
+        }
+        if job.cancelled || job.spec.dependencies.is_empty() {
+            return None;
+        }
+        if self.dependencies.must_cancel(handle) {
+            return Some(Withheld::CancelledWithDependency);
+        }
+        // Its tasks started only once all dependencies were done.
+        let has_started = job.running_count > 0 || job.completed_count > 0;
+        let unread = !has_started && self.dependencies.is_unresolved(handle);
+        unread.then_some(Withheld::DependenciesUnread)
     }
 
     /// Caches a final state learned now.
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -37,6 +37,7 @@
 
 pub use direct_commands::{DirectDelivery, DirectDeliveryOutcome};
 pub use inventory::CloudOp;
+pub use job_status::Withheld;
 pub use persistence::{WriteIntent, WritePlan, acceptance_with_feed_entry};
 pub use status::Tally;
 
@@ -81,6 +82,8 @@
     pub final_states: FinalStates,
     /// Which jobs depend on which.
     dependencies: DependencyGraph,
+    /// Since when there are dependencies of which the end has not been read.
+    dependencies_unread_since: Option<Millis>,
     /// Job specs whose chunks are being written.
     spec_uploads: spec_chunks::SpecUploads,
     /// Something changed since the last scheduling cycle began.
@@ -121,6 +124,7 @@
             term,
             final_states: FinalStates::default(),
             dependencies: DependencyGraph::default(),
+            dependencies_unread_since: None,
             spec_uploads: spec_chunks::SpecUploads::default(),
             changed: true,
             wall_ms: 0,
@@ -192,6 +196,7 @@
             }
         }
         self.apply_dependency_changes(now);
+        self.note_unread_dependencies(now);
         self.stop_cancelled_and_broken_gangs();
         self.checkpoint_before_reclaim();
         let backoff = self
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod acceptance_feed;
 pub mod admission;
+pub mod dependency_evidence;
 pub mod election;
 pub mod exclusions;
 pub mod failure_detector;
--- a/src/control/requests/cancel.rs
+++ b/src/control/requests/cancel.rs
@@ -8,7 +8,7 @@
     Answer, CANCELLATION_PENDING, Event, LEADERSHIP_CHANGING, NO_LEADER, NO_SUCH_JOB, Next,
     NodeView, RECORDS_LOADING, looked_up_status, unexpected_event,
 };
-use crate::state::Millis;
+use crate::{control::leader::Withheld, state::Millis};
 
 /// How long the record is awaited: less than users wait.
 const RECORD_TIMEOUT_MS: Millis = 1_500;
@@ -64,17 +64,18 @@
         let Some(leader) = view.acting() else {
             return Next::Answer(Answer::later(LEADERSHIP_CHANGING));
         };
-        // Its final record is being written: that decides.
-        if leader.is_ending(id) {
-            return self.request_record(id, view);
-        }
-        match leader.answerable_status(id) {
-            Some(status) if status.state.is_final() => Next::Answer(Answer::known(status)),
-            Some(_) => self.request_record(id, view),
-            None if leader.is_cancelled_with_dependency(id) => {
+        match (leader.withheld(id), leader.answerable_status(id)) {
+            // Its final record is being written: that decides.
+            (Some(Withheld::Ending), _) => self.request_record(id, view),
+            (_, Some(status)) if status.state.is_final() => Next::Answer(Answer::known(status)),
+            (Some(Withheld::CancelledWithDependency), None) => {
                 Next::Answer(Answer::later(CANCELLATION_PENDING))
             }
-            None => Next::Look(vec![id.to_owned()]),
+            // It has not started, so whatever its dependencies are it can be cancelled.
+            (Some(Withheld::DependenciesUnread), None) | (None, Some(_)) => {
+                self.request_record(id, view)
+            }
+            _ => Next::Look(vec![id.to_owned()]),
         }
     }
 
@@ -87,7 +88,7 @@
                 leader.cancel(id);
                 Next::Wait(RECORD_CHECK_INTERVAL_MS)
             }
-            _ => Next::Answer(Answer::later("the withdrawal could not be recorded yet")),
+            _ => Next::Answer(Answer::later("the cancellation could not be recorded yet")),
         }
     }
 }
--- a/src/control/requests/mod.rs
+++ b/src/control/requests/mod.rs
@@ -31,6 +31,7 @@
 pub use view::NodeView;
 
 use crate::{
+    control::leader::{Leader, Withheld},
     protocol::{state::Txn, users::JobStatus},
     state::{
         Millis,
@@ -42,7 +43,12 @@
 const LEADERSHIP_CHANGING: &str = "leadership is changing";
 const NO_LEADER: &str = "no leader can be reached";
 const RECORDS_LOADING: &str = "a new leader is reading the records";
-const CANCELLATION_PENDING: &str = "its withdrawal, with a job that it needs, is being recorded";
+/// A dependency of the job is cancelled, so the job is to be.
+pub const CANCELLATION_PENDING: &str =
+    "its cancellation, with a job that it depends on, is being recorded";
+/// How a dependency of the job ended is not known.
+pub const DEPENDENCIES_UNREAD: &str =
+    "the jobs that it depends on have not been read yet: one may be cancelled";
 const NO_SUCH_JOB: &str = "no such job";
 
 /// The record of a job in the state service, with its version.
@@ -114,6 +120,15 @@
         Answer::Later(why.to_owned())
     }
 
+    /// Why a job's dependencies forbade to give its state, in a word, if they did.
+    pub fn withheld_reason(&self) -> Option<&'static str> {
+        match self {
+            Answer::Later(why) if why == CANCELLATION_PENDING => Some("cancelled_dependency"),
+            Answer::Later(why) if why == DEPENDENCIES_UNREAD => Some("dependencies_unread"),
+            _ => None,
+        }
+    }
+
     fn unread(e: &str) -> Answer {
         Answer::Later(format!("records can't be read: {e}"))
     }
@@ -198,6 +213,17 @@
     }
 }
 
+/// The answer to a question for a job whose dependencies the leader knows to be
+/// cancelled, or does not know. The records of the job itself must not be asked in
+/// that case: they may still have it queued.
+fn withheld_answer(leader: &Leader, id: &str) -> Option<Answer> {
+    match leader.withheld(id)? {
+        Withheld::Ending => None,
+        Withheld::CancelledWithDependency => Some(Answer::later(CANCELLATION_PENDING)),
+        Withheld::DependenciesUnread => Some(Answer::later(DEPENDENCIES_UNREAD)),
+    }
+}
+
 /// An event that does not fit the step: it is logged, and the user may retry.
 fn unexpected_event(event: &Event) -> Next {
     log::error!("a request got an answer to what it did not ask: {event:?}");
--- a/src/control/requests/poll.rs
+++ b/src/control/requests/poll.rs
@@ -5,7 +5,9 @@
 //! Must never write, and never call a job unknown without having read the
 //! records.
 
-use super::{Answer, CANCELLATION_PENDING, Event, NO_SUCH_JOB, Next, NodeView, unexpected_event};
+use super::{
+    Answer, Event, NO_SUCH_JOB, Next, NodeView, Reading, unexpected_event, withheld_answer,
+};
 use crate::protocol::users::JobState;
 
 /// One step of a poll.
@@ -17,11 +19,7 @@
             Some(status) => Next::Answer(Answer::known(status)),
             None => Next::ReadState,
         },
-        Event::Read(Ok(reading)) => Next::Answer(match reading.status {
-            Some(status) => Answer::known(status),
-            None => Answer::Refused(404, NO_SUCH_JOB.into()),
-        }),
-        Event::Read(Err(e)) => Next::Answer(Answer::Later(e)),
+        Event::Read(read) => Next::Answer(by_records(read)),
         other => unexpected_event(&other),
     }
 }
@@ -33,17 +31,22 @@
     let Some(leader) = view.acting() else {
         return Next::AskLeader;
     };
-    match leader
-        .loaded()
-        .then(|| leader.answerable_status(id))
-        .flatten()
-    {
+    if !leader.loaded() {
+        return Next::ReadState;
+    }
+    match leader.answerable_status(id) {
         Some(status) => Next::Answer(Answer::known(status)),
-        None if leader.is_cancelled_with_dependency(id) => {
-            Next::Answer(Answer::later(CANCELLATION_PENDING))
-        }
-        // It leads, and only the records can answer.
-        None => Next::ReadState,
+        // Where nothing withholds it, only the records can answer.
+        None => withheld_answer(leader, id).map_or(Next::ReadState, Next::Answer),
+    }
+}
+
+/// The answer to a poll by a reading of the records.
+fn by_records(read: Result<Reading, String>) -> Answer {
+    match read.map(|reading| reading.status) {
+        Ok(Some(status)) => Answer::known(status),
+        Ok(None) => Answer::Refused(404, NO_SUCH_JOB.into()),
+        Err(e) => Answer::Later(e),
     }
 }
 
--- a/src/control/requests/submit.rs
+++ b/src/control/requests/submit.rs
@@ -7,11 +7,14 @@
 //! before it was looked up.
 
 use super::{
-    Answer, CANCELLATION_PENDING, Event, Found, LEADERSHIP_CHANGING, LookupResults, NO_LEADER,
-    Next, NodeView, RECORDS_LOADING, TxnResult, looked_up_status, unexpected_event,
+    Answer, Event, Found, LEADERSHIP_CHANGING, LookupResults, NO_LEADER, Next, NodeView,
+    RECORDS_LOADING, TxnResult, looked_up_status, unexpected_event, withheld_answer,
 };
 use crate::{
-    control::{admission, leader::acceptance_with_feed_entry},
+    control::{
+        admission,
+        leader::{Leader, acceptance_with_feed_entry},
+    },
     protocol::{
         state::Txn,
         users::{JobSpec, Kind, is_valid_job_id},
@@ -41,6 +44,8 @@
     Forwarded,
     /// Whether the job is known; if not, this is the answer.
     Known(Answer),
+    /// The state of a known job that depends on others.
+    KnownDependent,
     /// The status of the dependencies.
     Dependencies,
     /// Chunks of a long spec are being written in this term; those left.
@@ -96,10 +101,13 @@
                 Next::Answer(Answer::later(LEADERSHIP_CHANGING))
             }
             (Stage::Known(otherwise), Event::LookupResults(results)) => {
-                Next::Answer(match looked_up_status(id, results, view) {
+                self.looked_up(id, otherwise, results, view)
+            }
+            (Stage::KnownDependent, Event::Read(read)) => {
+                Next::Answer(match read.map(|reading| reading.status) {
                     Ok(Some(status)) => Answer::known(status),
-                    Ok(None) => otherwise,
-                    Err(answer) => answer,
+                    Ok(None) => Answer::later(LEADERSHIP_CHANGING),
+                    Err(e) => Answer::Later(e),
                 })
             }
             (Stage::Dependencies, Event::LookupResults(results)) => {
@@ -160,11 +168,8 @@
             let Some(leader) = view.acting() else {
                 return Next::Answer(Answer::later(LEADERSHIP_CHANGING));
             };
-            if let Some(status) = leader.answerable_status(id) {
-                return Next::Answer(Answer::known(status));
-            }
-            if leader.is_cancelled_with_dependency(id) {
-                return Next::Answer(Answer::later(CANCELLATION_PENDING));
+            if let Some(answer) = known_to_leader(leader, id) {
+                return Next::Answer(answer);
             }
         }
         if id.is_empty() {
@@ -174,12 +179,33 @@
         Next::Look(vec![id.to_owned()])
     }
 
+    /// Answers with what was found. The state of a job that depends on others is
+    /// read with those: they may be cancelled.
+    fn looked_up(
+        &mut self,
+        id: &str,
+        otherwise: Answer,
+        results: LookupResults,
+        view: &mut NodeView,
+    ) -> Next {
+        let dependent = matches!(
+            results.get(id),
+            Some(Ok(Found::Live(record, _))) if !record.spec.dependencies.is_empty()
+        );
+        match looked_up_status(id, results, view) {
+            Ok(Some(status)) if dependent && !status.state.is_final() => {
+                self.stage = Stage::KnownDependent;
+                Next::ReadState
+            }
+            Ok(Some(status)) => Next::Answer(Answer::known(status)),
+            Ok(None) => Next::Answer(otherwise),
+            Err(answer) => Next::Answer(answer),
+        }
+    }
+
     fn submit_as_leader(&mut self, id: &str, view: &mut NodeView) -> Next {
-        if let Some(status) = view
-            .acting()
-            .and_then(|leader| leader.answerable_status(id))
-        {
-            return Next::Answer(Answer::known(status));
+        if let Some(answer) = view.acting().and_then(|l| known_to_leader(l, id)) {
+            return Next::Answer(answer);
         }
         if self.parsed.is_ok() && view.types.is_empty() {
             return Next::Answer(Answer::later("machine types are not known yet"));
@@ -387,6 +413,12 @@
     }
 }
 
+/// The answer to the submission of a job that the leader knows.
+fn known_to_leader(leader: &Leader, id: &str) -> Option<Answer> {
+    let known = leader.answerable_status(id).map(Answer::known);
+    known.or_else(|| withheld_answer(leader, id))
+}
+
 fn is_service(id: &str) -> Answer {
     Answer::Refused(422, format!("waits_on: {id} is a service"))
 }
--- a/src/control/requests/view.rs
+++ b/src/control/requests/view.rs
@@ -7,7 +7,11 @@
 
 use super::{Found, final_status, provenance::Source};
 use crate::{
-    control::{final_states::FinalStates, leader::Leader},
+    control::{
+        dependency_evidence::{DependencyEvidence, DependencyVerdict},
+        final_states::FinalStates,
+        leader::Leader,
+    },
     protocol::{cloud::MachineType, settings::Settings, users::JobStatus},
     state::Millis,
 };
@@ -62,6 +66,13 @@
             .or_else(|| self.final_states.get(id))
     }
 
+    /// Whether a job that depends on others may be called unfinished, by what this
+    /// node has read.
+    pub fn dependency_verdict(&self, evidence: &DependencyEvidence, id: &str) -> DependencyVerdict {
+        let final_state = |id: &str| Some(self.known_final_status(id)?.state);
+        evidence.verdict(id, final_state, self.now)
+    }
+
     /// The final states that this node remembers.
     fn remembered(&mut self) -> &mut FinalStates {
         match self.leader.as_deref_mut() {
@@ -71,7 +82,7 @@
     }
 
     /// Remembers a status that was read now, if it is final.
-    fn remember(&mut self, status: &JobStatus) {
+    pub fn remember(&mut self, status: &JobStatus) {
         let now = self.now;
         self.remembered().learn(status, now);
     }
--- a/src/control/safety_bounds.rs
+++ b/src/control/safety_bounds.rs
@@ -20,6 +20,9 @@
 /// How long after it sent a heartbeat a worker accepts the response.
 pub const RESPONSE_TIMEOUT_MS: Millis = 4_000;
 
+/// How long a user waits for an answer at most.
+const ANSWER_TIMEOUT_MS: Millis = 5_000;
+
 /// A job state that is not final leaves a node no later than this after the read
 /// of it began.
 pub const MAX_READING_AGE_MS: Millis = 500;
@@ -80,6 +83,14 @@
             .saturating_sub(self.lease_expiry() + RESPONSE_TIMEOUT_MS)
     }
 
+    /// How long after the read of a dependency began, which had it as not cancelled,
+    /// a job may be called unfinished by that. Right after the read, the cancellation
+    /// may be acknowledged to a user; `cancel_s` later no answer with an older state
+    /// may reach anybody, and one may be under way for [`ANSWER_TIMEOUT_MS`].
+    pub fn max_dependency_reading_age(&self) -> Millis {
+        at_least(self.cancellation_deadline).saturating_sub(ANSWER_TIMEOUT_MS)
+    }
+
     /// How long a new leader may respond to workers before it has loaded the
     /// records. A cancellation that it hasn't loaded may have been acknowledged to
     /// a user up to a worker lease ago; any machine that got a response later than
--- a/src/server/audit_log.rs
+++ b/src/server/audit_log.rs
@@ -78,6 +78,9 @@
 
     /// Records an answer that is about to be sent to a user.
     pub(super) fn log_answer(&self, id: &str, answer: &Answer, basis: Provenance) {
+        if let Some(reason) = answer.withheld_reason() {
+            self.metrics.borrow().state_withheld(reason);
+        }
         let Answer::State(_, status) = answer else {
             return;
         };
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -15,6 +15,7 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
+use std::sync::atomic::AtomicU64;
 
 pub(super) const PATH: &str = "/metrics";
 /// Classes come from the users: past this many, waits are not told apart.
@@ -70,6 +71,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct WithheldLabel {
+    /// Why the state was withheld.
+    reason: &'static str,
+}
+
 type Histograms<L> = Family<L, Histogram, fn() -> Histogram>;
 
 pub(super) struct Metrics {
@@ -103,6 +110,8 @@
     dependency_lookups: Family<DependencyLookupLabel, Counter>,
     cancelled_with_dependency: Counter,
     request_budget: Family<RequestPriorityLabels, Counter>,
+    withheld: Family<WithheldLabel, Counter>,
+    dependencies_unread_seconds: Gauge<f64, AtomicU64>,
 }
 
 fn answer_times() -> Histogram {
@@ -159,6 +168,8 @@
             dependency_lookups: Family::default(),
             cancelled_with_dependency: Counter::default(),
             request_budget: Family::default(),
+            withheld: Family::default(),
+            dependencies_unread_seconds: Gauge::default(),
         };
         let r = &mut m.registry;
         let help = "Time to answer users, in seconds";
@@ -214,6 +225,12 @@
         r.register("cancelled_with_dependency", help, cancelled);
         let help = "Requests to the state service by priority: made, or held back by the budget";
         r.register("request_budget", help, m.request_budget.clone());
+        let help =
+            "Answers of \"later\" to users as a job's dependencies forbade to give its state";
+        r.register("states_withheld", help, m.withheld.clone());
+        let help = "For how long the end of some dependency is unread, while this node leads";
+        let unread = m.dependencies_unread_seconds.clone();
+        r.register("dependencies_unread_seconds", help, unread);
         m
     }
 
@@ -268,6 +285,11 @@
             .inc();
     }
 
+    /// A user is told to ask later, as the job's dependencies forbid to give its state.
+    pub(super) fn state_withheld(&self, reason: &'static str) {
+        self.withheld.get_or_create(&WithheldLabel { reason }).inc();
+    }
+
     pub(super) fn stepped_down(&self, why: &'static str) {
         self.step_downs.get_or_create(&StepDownLabel { why }).inc();
     }
@@ -306,7 +328,13 @@
     pub(super) fn metrics(&self) -> HttpResponse {
         let led = self.acting(|l, now| {
             let warm = l.warm_standbys(now);
-            (l.cluster.live_jobs(), l.cluster.machine_count(), warm)
+            let unread_ms = l.dependencies_unread_ms(now);
+            (
+                l.cluster.live_jobs(),
+                l.cluster.machine_count(),
+                warm,
+                unread_ms,
+            )
         });
         let m = self.metrics.borrow();
         let (requests, bytes) = self.peers.exchanged();
@@ -315,7 +343,8 @@
             m.requests_counted(priority, counts);
         }
         m.leading.set(i64::from(led.is_some()));
-        let (jobs, machines, warm) = led.unwrap_or_default();
+        let (jobs, machines, warm, unread_ms) = led.unwrap_or_default();
+        m.dependencies_unread_seconds.set(unread_ms as f64 / 1000.0);
         m.warm.set(warm as i64);
         m.jobs.set(jobs as i64);
         m.machines.set(machines as i64);
--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -13,6 +13,7 @@
 mod client_api;
 mod cloud;
 mod control_loop;
+mod dependency_reads;
 mod exclusions;
 mod heartbeats;
 mod leadership;
@@ -29,8 +30,9 @@
 
 use crate::{
     control::{
-        election::Election, exclusions::Exclusions, failure_detector::FailureDetector,
-        final_states::FinalStates, leader::Leader, safety_bounds::SafetyBounds,
+        dependency_evidence::DependencyEvidence, election::Election, exclusions::Exclusions,
+        failure_detector::FailureDetector, final_states::FinalStates, leader::Leader,
+        safety_bounds::SafetyBounds,
     },
     options::Options,
     protocol::{cloud::MachineType, settings::Settings},
@@ -84,6 +86,7 @@
     polls: polls::Polls,
     /// Terminal states that this node has learned while it did not lead.
     final_states: RefCell<FinalStates>,
+    dependency_reads: dependency_reads::DependencyReads,
     heartbeats: heartbeats::Heartbeats,
     last_cluster_status: RefCell<status::LastClusterStatus>,
     metrics: RefCell<metrics::Metrics>,
@@ -136,10 +139,11 @@
     ) -> Self {
         let peer_names: Vec<&str> = settings.peers.iter().map(|p| p.name.as_str()).collect();
         let failure_detector = FailureDetector::new(&settings.name, &peer_names);
+        let bounds = SafetyBounds::of(&settings.cluster.workers);
         let election = Election::new(
             &settings.name,
             fastrand::u64(1..(1 << INCARNATION_BITS)),
-            SafetyBounds::of(&settings.cluster.workers),
+            bounds,
             0,
         );
         Node {
@@ -162,6 +166,9 @@
             upgrade: upgrade::Upgrade::default(),
             polls: polls::Polls::new(shares.users),
             final_states: RefCell::default(),
+            dependency_reads: dependency_reads::DependencyReads::new(DependencyEvidence::new(
+                &bounds,
+            )),
             heartbeats: heartbeats::Heartbeats::default(),
             last_cluster_status: RefCell::new(None),
             metrics: RefCell::new(metrics::Metrics::new()),
--- a/src/server/polls.rs
+++ b/src/server/polls.rs
@@ -4,12 +4,14 @@
 //! the steps of users' requests (`server::client_api`) and, for polls that other
 //! nodes forward, by `server::peers`.
 //!
-//! Must never: answer a poll from a read that began before the poll arrived.
+//! Must never: answer a poll from a read that began before the poll arrived, or call
+//! a job unfinished without knowing of the jobs that it depends on.
 
 use super::{
     Node,
+    dependency_reads::{ListedJob, ListedRecords},
     signals::WakeSignal,
-    store::{NamedRead, StoreError, UnreadName},
+    store::{StoreError, UnreadName},
 };
 use crate::{
     control::{
@@ -22,14 +24,18 @@
     },
     state::{
         Millis,
-        records::{FINALS, JOBS, StoredJob, job_key},
+        records::{FINALS, JOBS, job_key},
         request_budget::RequestPriority,
     },
 };
 use async_channel::Sender;
 use async_io::Timer;
-use serde_json::Value;
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeSet, HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
 
 /// How long the leader may take to answer a round of polls.
 const LEADER_POLL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -49,6 +55,16 @@
 /// What a poll read, or why it could not be answered.
 pub(super) type Answer = Result<Reading, String>;
 
+/// Why a poll can't be answered from the records.
+#[derive(Debug, Clone, thiserror::Error)]
+enum RecordsError {
+    #[error("records can't be read: {0}")]
+    Unread(#[from] StoreError),
+    /// The job's own record is not enough.
+    #[error("{0}")]
+    Withheld(&'static str),
+}
+
 /// Polls that wait for the same source of answers.
 pub(super) struct PollQueue {
     batch: RefCell<PollBatch<Sender<Answer>>>,
@@ -180,50 +196,49 @@
             }
             continue;
         }
-        match node.read_round(&round).await {
+        match node.read_round(&round, began).await {
             Ok(mut records) => {
                 listed_jobs = records.listed_jobs;
                 for (id, waiters) in round {
-                    let answer = records.take_answer(&id, began);
+                    let answer = node.confirm(records.take_reading(&id, began));
                     node.answer_from_records(&id, waiters, answer);
                 }
             }
             Err(e) => {
                 for (id, waiters) in round {
-                    node.answer_from_records(&id, waiters, Err(e.to_string()));
+                    node.answer_from_records(&id, waiters, Err(e.clone().into()));
                 }
             }
         }
     }
 }
 
-/// The records that the jobs of a round were looked for in.
+/// What was read of the jobs of a round.
 struct RoundRecords {
     /// How many live jobs were listed.
     listed_jobs: usize,
-    /// Value and version of each live record, by its key.
-    live: HashMap<String, (Value, u64)>,
-    /// Value and version of each final record, by the job's id; an error for a job
-    /// whose record could not be read.
-    terminal: HashMap<String, Result<(Value, u64), StoreError>>,
+    /// Status and version of each record, by the job's id. One that is missing has no
+    /// record.
+    found: HashMap<String, Result<(JobStatus, u64), StoreError>>,
+    /// Unfinished jobs that may be cancelled with a job that they depend on.
+    dependent: HashSet<String>,
+}
+
+/// A job's status by its record. `dependent`: it may have to be withheld.
+struct RecordReading {
+    reading: Reading,
+    dependent: bool,
 }
 
 impl RoundRecords {
-    /// The answer to polls of a job of the round.
-    fn take_answer(&mut self, id: &str, began: Millis) -> Answer {
-        if let Some((value, version)) = self.live.remove(&job_key(id)) {
-            return serde_json::from_value::<StoredJob>(value)
-                .map(|record| reading(began, record.status(id), version))
-                .map_err(|e| e.to_string());
-        }
-        match self.terminal.remove(id) {
-            // A key that was read by itself and doesn't exist.
-            Some(Ok((Value::Null, _))) | None => Ok(Reading::nothing(began)),
-            Some(Ok((value, version))) => serde_json::from_value(value)
-                .map(|record| reading(began, final_status(id, &record), version))
-                .map_err(|e| e.to_string()),
-            Some(Err(e)) => Err(e.to_string()),
-        }
+    /// The reading of a job of the round.
+    fn take_reading(&mut self, id: &str, began: Millis) -> Result<RecordReading, RecordsError> {
+        let reading = match self.found.remove(id).transpose()? {
+            Some((status, version)) => reading(began, status, version),
+            None => Reading::nothing(began),
+        };
+        let dependent = self.dependent.contains(id);
+        Ok(RecordReading { reading, dependent })
     }
 }
 
@@ -235,18 +250,24 @@
     }
 }
 
-/// Looks up one job by itself.
-async fn look_up(node: &Node, id: &str) -> Answer {
+/// Looks up one job by itself, and the jobs that it depends on.
+async fn look_up(node: &Node, id: &str) -> Result<Reading, RecordsError> {
     let began = node.now();
-    let found = node
-        .lookup(id, RequestPriority::Poll)
-        .await
-        .map_err(|e| e.to_string())?;
-    Ok(match found {
-        Found::Live(record, version) => reading(began, record.status(), version),
-        Found::Final(record, version) => reading(began, final_status(id, &record), version),
-        Found::Nothing => Reading::nothing(began),
-    })
+    let (record, version) = match node.lookup(id, RequestPriority::Poll).await? {
+        Found::Live(record, version) => (record, version),
+        Found::Final(record, version) => {
+            return Ok(reading(began, final_status(id, &record), version));
+        }
+        Found::Nothing => return Ok(Reading::nothing(began)),
+    };
+    let job = ListedJob::of(*record);
+    let reading = reading(began, job.status.clone(), version);
+    let dependent = !job.status.state.is_final() && !job.dependencies.is_empty();
+    if dependent {
+        node.learn_job(job, began);
+        node.read_dependencies(id).await;
+    }
+    node.confirm(Ok(RecordReading { reading, dependent }))
 }
 
 impl Node {
@@ -260,43 +281,102 @@
     }
 
     /// Reads the records of a round: all live ones, and the final ones of the jobs
-    /// that are not live.
-    async fn read_round(&self, round: &Round) -> Result<RoundRecords, StoreError> {
-        let items = self.list(JOBS, RequestPriority::Poll).await?;
-        let listed_jobs = items.len();
-        let live: HashMap<_, _> = items
+    /// that are not live, be they of the round or on the way to what its jobs depend
+    /// on.
+    async fn read_round(&self, round: &Round, began: Millis) -> Result<RoundRecords, StoreError> {
+        let listed = self.list(JOBS, RequestPriority::Poll).await?;
+        let listed: ListedRecords = listed
             .into_iter()
             .map(|item| (item.key, (item.value, item.version)))
             .collect();
-        let not_live = round
-            .iter()
-            .map(|(id, _)| id.as_str())
-            .filter(|id| !live.contains_key(&job_key(id)))
-            .collect();
-        let NamedRead { items, unread } = self
-            .read_some(FINALS, not_live, RequestPriority::Poll)
-            .await;
-        let mut terminal = HashMap::new();
-        for item in items {
-            let id = item.key[FINALS.len()..].to_owned();
-            terminal.insert(id, Ok((item.value, item.version)));
+        let mut records = RoundRecords {
+            listed_jobs: listed.len(),
+            found: HashMap::new(),
+            dependent: HashSet::new(),
+        };
+        let mut names: BTreeSet<String> = BTreeSet::new();
+        for (id, _) in round {
+            match listed.get(&job_key(id)) {
+                Some((value, version)) => {
+                    let job = self.decode_listed(id, value).await;
+                    self.take_listed(&mut records, id, job, *version, began);
+                }
+                None => {
+                    names.insert(id.clone());
+                }
+            }
         }
-        for UnreadName { name, error } in unread {
-            terminal.insert(name, Err(error));
+        let dependent: Vec<&str> = records.dependent.iter().map(String::as_str).collect();
+        names.extend(
+            self.follow_listed_dependencies(&dependent, &listed, began)
+                .await,
+        );
+        self.read_finals(&mut records, names).await;
+        Ok(records)
+    }
+
+    fn take_listed(
+        &self,
+        records: &mut RoundRecords,
+        id: &str,
+        job: Result<ListedJob, StoreError>,
+        version: u64,
+        began: Millis,
+    ) {
+        let found = job.map(|job| {
+            let status = job.status.clone();
+            if !job.dependencies.is_empty() {
+                records.dependent.insert(id.to_owned());
+                self.learn_job(job, began);
+            }
+            (status, version)
+        });
+        records.found.insert(id.to_owned(), found);
+    }
+
+    /// Reads the final records of jobs that are not live.
+    async fn read_finals(&self, records: &mut RoundRecords, names: BTreeSet<String>) {
+        let wanted = names.iter().map(String::as_str).collect();
+        let read = self.read_some(FINALS, wanted, RequestPriority::Poll).await;
+        for item in read.items.into_iter().filter(|item| item.version > 0) {
+            let id = &item.key[FINALS.len()..];
+            let found = serde_json::from_value(item.value)
+                .map(|record| (final_status(id, &record), item.version))
+                .map_err(StoreError::from);
+            if let Ok((status, _)) = &found {
+                self.view(|view| view.remember(status));
+            }
+            records.found.insert(id.to_owned(), found);
+        }
+        for UnreadName { name, error } in read.unread {
+            records.found.insert(name, Err(error));
+        }
+    }
+
+    /// The reading of a job, unless it may be cancelled with a job that it depends on:
+    /// then its own record is not enough.
+    fn confirm(&self, read: Result<RecordReading, RecordsError>) -> Result<Reading, RecordsError> {
+        let RecordReading { reading, dependent } = read?;
+        let Some(status) = reading.status.as_ref().filter(|_| dependent) else {
+            return Ok(reading);
+        };
+        match self.dependency_verdict(&status.id).refusal() {
+            Some(why) => Err(RecordsError::Withheld(why)),
+            None => Ok(reading),
         }
-        Ok(RoundRecords {
-            listed_jobs,
-            live,
-            terminal,
-        })
     }
 
-    fn answer_from_records(&self, id: &str, waiters: Vec<Sender<Answer>>, answer: Answer) {
+    fn answer_from_records(
+        &self,
+        id: &str,
+        waiters: Vec<Sender<Answer>>,
+        answer: Result<Reading, RecordsError>,
+    ) {
         match &answer {
             Ok(_) => self.polls.records.mark_answered(id),
             Err(_) => self.polls.records.mark_shed(id),
         }
-        let answer = answer.map_err(|e| format!("records can't be read: {e}"));
+        let answer = answer.map_err(|e| e.to_string());
         send_answer(waiters, &answer);
     }
 
--- a/src/server/store.rs
+++ b/src/server/store.rs
@@ -380,6 +380,16 @@
         priority: RequestPriority,
     ) -> Result<JobRecord, StoreError> {
         let stored: StoredJob = serde_json::from_value(value)?;
+        self.with_spec(id, stored, priority).await
+    }
+
+    /// The same of a record that was decoded.
+    pub(super) async fn with_spec(
+        &self,
+        id: &str,
+        stored: StoredJob,
+        priority: RequestPriority,
+    ) -> Result<JobRecord, StoreError> {
         let items = match &stored.spec_chunks {
             Some(chunks) => self.list(&chunks.prefix(id), priority).await?,
             None => Vec::new(),
--- a/src/state/dependencies.rs
+++ b/src/state/dependencies.rs
@@ -66,6 +66,8 @@
     dependencies: HashSet<JobHandle>,
     /// How many dependencies nothing is known of yet.
     unresolved: usize,
+    /// That many, and the live dependencies of which the same number is not 0.
+    unresolved_before: usize,
     /// A dependency was cancelled.
     must_cancel: bool,
     /// Live jobs that depend on it.
@@ -114,6 +116,7 @@
                 DependencyState::Cancelled => self.cancel_with_dependents(job, &id.into()),
                 DependencyState::Unknown => {
                     self.nodes.entry(job).or_default().unresolved += 1;
+                    self.add_unresolved(job);
                     let waiting = self.waiting_for_unknown.entry(id.to_owned()).or_default();
                     if waiting.is_empty() {
                         self.lookups.push_back(id.to_owned());
@@ -137,6 +140,11 @@
         self.waiting_for_unknown.contains_key(id)
     }
 
+    /// How many unknown jobs others depend on.
+    pub fn unknown_count(&self) -> usize {
+        self.waiting_for_unknown.len()
+    }
+
     /// How many jobs depend on an unknown job with this id.
     pub fn awaiting(&self, id: &str) -> usize {
         self.waiting_for_unknown.get(id).map_or(0, Vec::len)
@@ -158,6 +166,9 @@
                 DependencyState::Cancelled => self.cancel_with_dependents(job, &id.into()),
                 DependencyState::Done | DependencyState::Unknown => {}
             }
+            // After the edge is there: it may be as unresolved, and the job's dependents
+            // need not be told twice.
+            self.remove_unresolved(job);
             self.changes.changed.push(job);
         }
     }
@@ -217,6 +228,11 @@
             return;
         };
         self.changes.changed.extend(&node.dependents);
+        if node.unresolved_before > 0 {
+            for dependent in &node.dependents {
+                self.remove_unresolved(*dependent);
+            }
+        }
         for dependent in &node.dependents {
             if let Some(dependent) = self.nodes.get_mut(dependent) {
                 dependent.dependencies.remove(&job);
@@ -248,13 +264,43 @@
             node.id = id.into();
         }
         let inherited_cancellation = node.must_cancel.then(|| node.id.clone());
+        let unresolved = node.unresolved_before > 0;
         self.nodes.entry(job).or_default().dependencies.insert(on);
+        if unresolved {
+            self.add_unresolved(job);
+        }
         self.update_priority(on);
         if let Some(dependency) = inherited_cancellation {
             self.cancel_with_dependents(job, &dependency);
         }
     }
 
+    /// Something that the job depends on became unresolved.
+    fn add_unresolved(&mut self, job: JobHandle) {
+        let mut pending = vec![job];
+        while let Some(job) = pending.pop() {
+            if let Some(node) = self.nodes.get_mut(&job) {
+                node.unresolved_before += 1;
+                if node.unresolved_before == 1 {
+                    pending.extend(&node.dependents);
+                }
+            }
+        }
+    }
+
+    /// Something that the job depends on is not unresolved any more.
+    fn remove_unresolved(&mut self, job: JobHandle) {
+        let mut pending = vec![job];
+        while let Some(job) = pending.pop() {
+            if let Some(node) = self.nodes.get_mut(&job) {
+                node.unresolved_before = node.unresolved_before.saturating_sub(1);
+                if node.unresolved_before == 0 {
+                    pending.extend(&node.dependents);
+                }
+            }
+        }
+    }
+
     /// Computes a job's effective priority again, and that of its dependencies
     /// as far as it changes.
     fn update_priority(&mut self, job: JobHandle) {
@@ -298,6 +344,13 @@
         }
     }
 
+    /// Whether it is not known of some dependency, direct or through live ones,
+    /// how it ended: it may have been cancelled.
+    pub fn is_unresolved(&self, job: JobHandle) -> bool {
+        let node = self.nodes.get(&job);
+        node.is_some_and(|node| node.unresolved_before > 0)
+    }
+
     /// Its own priority, or that of a dependent, whichever is higher.
     pub fn effective_priority(&self, job: JobHandle) -> Option<Priority> {
         self.nodes.get(&job)?.effective_priority
--- a/tests/compatibility/operators.rs
+++ b/tests/compatibility/operators.rs
@@ -913,7 +913,11 @@
     let types = answer.lines().filter_map(|l| l.strip_prefix("# TYPE "));
     let mut types: Vec<String> = types.map(str::to_owned).collect();
     // Those that came later have pins of their own; no other may come or go.
-    for pin in ["figures_later", "figures_of_request_budget"] {
+    for pin in [
+        "figures_later",
+        "figures_of_request_budget",
+        "figures_of_unread_dependencies",
+    ] {
         let later: Vec<String> = serde_json::from_str(fixture(ANSWERS, pin)).unwrap();
         let added: Vec<String> = types.extract_if(.., |name| later.contains(name)).collect();
         is_pinned(ANSWERS, pin, &added);
--- a/tests/invariant_checker.rs
+++ b/tests/invariant_checker.rs
@@ -106,7 +106,7 @@
     assert_eq!(w.started_after_cancellation, 1);
 
     // A dependent that is called queued for too long: its record is put back
-    // to what it was, and nobody remembers.
+    // to what it was, the record of its dependency says done, and nobody remembers.
     let mut w = with_leader();
     w.submit(job(1, Kind::Array, 1));
     let mut after = job(2, Kind::Array, 1);
@@ -118,6 +118,8 @@
     w.assert_no_violations();
     w.store.kv.remove(&records::final_key(&id(2)));
     write_record(&mut w, records::job_key(&id(2)), live);
+    let done = serde_json::json!({"s": "done", "n": 1});
+    write_record(&mut w, records::final_key(&id(1)), done);
     (0..3).for_each(|i| w.crash(i, 100));
     w.run(150);
     w.poll(0, &id(2));
--- a/tests/simulation/lookups.rs
+++ b/tests/simulation/lookups.rs
@@ -24,6 +24,8 @@
     /// Percentage of dependency lookups that are refused, not many in a row.
     pub refused_lookup_percent: u32,
     refused_in_a_row: u32,
+    /// Polls can't read the dependencies of a job.
+    pub refuses_poll_reads: bool,
 }
 
 impl ReadFaults {
@@ -37,6 +39,7 @@
             refused_lookups: 0,
             refused_lookup_percent: if max_latency_ms > 0 { 50 } else { 0 },
             refused_in_a_row: 0,
+            refuses_poll_reads: false,
         }
     }
 }
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -49,6 +49,7 @@
 use pathwinch::{
     control::{
         acceptance_feed::{self, AcceptanceFeed},
+        dependency_evidence::DependencyEvidence,
         election::{
             CAMPAIGN_STEP_TIMEOUT_MS, Election, LEASE_TTL_MS, PROMISE_CHECK_TIMEOUT_MS, PROMISE_MS,
             PromiseOutcome, PromiseResponse, RENEWAL_TIMEOUT_MS,
@@ -112,6 +113,7 @@
     next_exclusion_step: Millis,
     heartbeat_relays: HeartbeatRelays,
     final_states: FinalStates,
+    dependency_evidence: Option<DependencyEvidence>,
     next_election_step: Millis,
     next_relay_request: Millis,
     last_heartbeat: Millis,
@@ -378,6 +380,9 @@
             next_exclusion_step: 0,
             heartbeat_relays: HeartbeatRelays::default(),
             final_states: FinalStates::default(),
+            dependency_evidence: Some(DependencyEvidence::new(&SafetyBounds::of(
+                &self.settings.cluster.workers,
+            ))),
             next_election_step: self.now,
             next_relay_request: 0,
             last_heartbeat: 0,
--- a/tests/simulation/requests.rs
+++ b/tests/simulation/requests.rs
@@ -4,8 +4,14 @@
 
 use super::*;
 use pathwinch::{
-    control::requests::{Event, Found, LookupResults, Next, NodeView, Reading, Request, polled},
-    state::rate_limit::share::{self, Role},
+    control::{
+        dependency_evidence::DependencyVerdict,
+        requests::{Event, Found, LookupResults, Next, NodeView, Reading, Request, polled},
+    },
+    state::{
+        rate_limit::share::{self, Role},
+        records::JobRecord,
+    },
 };
 use users::UserRequest;
 
@@ -86,12 +92,19 @@
         ids.iter().map(|id| (id.clone(), one(id))).collect()
     }
 
-    fn read_state(&self, i: usize, id: &str, began: Millis) -> Result<Reading, String> {
+    /// Reads a job's record, and those that it depends on, as `server::polls` does.
+    fn read_state(&mut self, i: usize, id: &str, began: Millis) -> Result<Reading, String> {
         if !self.reaches_state(i) {
             return Err("status 503".into());
         }
         let (status, version) = match self.read_record(id) {
-            Found::Live(record, version) => (Some(record.status()), Some(version)),
+            Found::Live(record, version) => {
+                let status = record.status();
+                if !status.state.is_final() && !record.spec.dependencies.is_empty() {
+                    self.confirm_dependencies(i, *record, began)?;
+                }
+                (Some(status), Some(version))
+            }
             Found::Final(record, version) => (Some(final_status(id, &record)), Some(version)),
             Found::Nothing => (None, None),
         };
@@ -102,6 +115,57 @@
         })
     }
 
+    /// Whether a job may be called unfinished as far as its dependencies go; `Err`: why
+    /// not.
+    fn confirm_dependencies(
+        &mut self,
+        i: usize,
+        record: JobRecord,
+        read_at: Millis,
+    ) -> Result<(), String> {
+        let id = record.spec.id.clone();
+        self.learn_dependency(i, record, read_at);
+        loop {
+            let verdict = self.dependency_verdict(i, &id);
+            let DependencyVerdict::Unread(ids) = &verdict else {
+                return verdict.refusal().map_or(Ok(()), |why| Err(why.to_owned()));
+            };
+            if self.read_faults.refuses_poll_reads {
+                return Err(verdict.refusal().unwrap().to_owned());
+            }
+            for id in ids {
+                match self.read_record(id) {
+                    Found::Live(record, _) => self.learn_dependency(i, *record, read_at),
+                    Found::Final(record, _) => {
+                        let status = final_status(id, &record);
+                        self.view(i, self.now, |view| view.remember(&status));
+                    }
+                    Found::Nothing => panic!("{id} was never accepted"),
+                }
+            }
+        }
+    }
+
+    fn dependency_verdict(&mut self, i: usize, id: &str) -> DependencyVerdict {
+        let evidence = std::mem::take(&mut self.nodes[i].dependency_evidence).unwrap();
+        let verdict = self.view(i, self.now, |view| view.dependency_verdict(&evidence, id));
+        self.nodes[i].dependency_evidence = Some(evidence);
+        verdict
+    }
+
+    fn learn_dependency(&mut self, i: usize, record: JobRecord, read_at: Millis) {
+        let status = record.status();
+        if status.state.is_final() {
+            return self.view(i, self.now, |view| view.remember(&status));
+        }
+        let dependencies = match status.done {
+            0 => record.spec.dependencies,
+            _ => Vec::new(),
+        };
+        let evidence = self.nodes[i].dependency_evidence.as_mut().unwrap();
+        evidence.read_unfinished(&status.id, dependencies, read_at);
+    }
+
     /// Applies a node's transaction, holds it, or loses its answer, as the faults
     /// have it; returns the outcome that the node sees.
     pub(super) fn transact(&mut self, i: usize, txn: &Txn) -> TxnResult {
@@ -163,6 +227,13 @@
         (l != i && self.reaches(l) && self.link(i, Endpoint::Node(l)) == Link::Up).then_some(l)
     }
 
+    /// What node `i`, which leads, answers its peers' polls of these jobs.
+    pub fn told_to_peers(&mut self, i: usize, ids: &[String]) -> Vec<Option<JobState>> {
+        let told = self.view(i, self.now, |view| polled(view, ids));
+        let told = told.expect("it leads").into_iter();
+        told.map(|known| known.map(|(state, ..)| state)).collect()
+    }
+
     /// Takes all steps of the request at this moment. `Err`: it has to wait.
     pub(super) fn complete_now(
         &mut self,
