--- a/src/server/budgets.rs
+++ b/src/server/budgets.rs
@@ -44,7 +44,11 @@
         let change_rate = limits.write_rps * share::of_changes(Role::Leaderless, nodes);
         let cloud_rate = settings.cluster.cloud.rps * CLOUD_SHARE;
         Budgets {
-            requests: RefCell::new(RequestBudget::new(request_rate, STORE_BURST_S)),
+            requests: RefCell::new(RequestBudget::new(
+                Role::Leaderless,
+                request_rate,
+                STORE_BURST_S,
+            )),
             changes: RefCell::new(TokenBucket::new(change_rate, STORE_BURST_S)),
             cloud_requests: RefCell::new(TokenBucket::new(cloud_rate, CLOUD_BURST_S)),
             max_txn_changes: Cell::new(usize::MAX),
@@ -58,7 +62,7 @@
         let request_rate = limits.rps * share::of_requests(role, nodes);
         self.requests
             .borrow_mut()
-            .set_rate(now, request_rate, STORE_BURST_S);
+            .set_role(now, role, request_rate, STORE_BURST_S);
         let change_rate = limits.write_rps * share::of_changes(role, nodes);
         self.changes
             .borrow_mut()
--- a/src/server/control_loop.rs
+++ b/src/server/control_loop.rs
@@ -251,7 +251,7 @@
         _in_flight: InFlight,
     ) {
         let mut results = self
-            .lookup_all(&ids, RequestPriority::DependencyLookup)
+            .lookup_ended(&ids, RequestPriority::DependencyLookup)
             .await;
         let unresolved = self.of_term(term, |leader, now| {
             let metrics = self.metrics.borrow();
--- a/src/server/store.rs
+++ b/src/server/store.rs
@@ -32,9 +32,10 @@
 const LIST_PAGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Keys asked for in one page of a complete list.
 const LIST_PAGE_KEYS: usize = 500;
-/// How often, and at what interval, a list waits for the request budget.
-const LIST_BUDGET_ATTEMPTS: u32 = 20;
-const LIST_BUDGET_INTERVAL: Duration = Duration::from_millis(50);
+/// How often, and at what interval, a list or a dependency lookup asks the request
+/// budget for its next page.
+const BUDGET_CHECKS: u32 = 20;
+const BUDGET_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Up to this many records are read one by one; more are read in pages.
 const MAX_SINGLE_READS: usize = 4;
@@ -126,6 +127,12 @@
     pub(super) unread: Vec<UnreadName>,
 }
 
+/// Those of the jobs that the results lack.
+fn not_contained<'a>(ids: &'a [String], results: &LookupResults) -> Vec<&'a str> {
+    let ids = ids.iter().map(String::as_str);
+    ids.filter(|id| !results.contains_key(*id)).collect()
+}
+
 impl Node {
     /// Takes a request from the budget. Returns whether it may be made.
     pub(super) fn may_request(&self, priority: RequestPriority) -> bool {
@@ -185,7 +192,7 @@
         let mut items: Vec<Item> = Vec::new();
         let mut first_revision = None;
         loop {
-            self.wait_for_list_budget(priority).await?;
+            self.wait_for_request(priority).await?;
             let from = items
                 .last()
                 .map_or(String::new(), |item| format!("&from={}", item.key));
@@ -206,16 +213,31 @@
         }
     }
 
-    async fn wait_for_list_budget(&self, priority: RequestPriority) -> Result<(), StoreError> {
-        let mut attempts = 0;
-        while !self.may_request(priority) {
-            attempts += 1;
-            if attempts > LIST_BUDGET_ATTEMPTS {
-                return Err(StoreError::OverRequestBudget);
+    /// Takes a request from the budget, and waits for it for a while.
+    async fn wait_for_request(&self, priority: RequestPriority) -> Result<(), StoreError> {
+        for _ in 0..BUDGET_CHECKS {
+            if self.take_request(priority).is_ok() {
+                return Ok(());
             }
-            async_io::Timer::after(LIST_BUDGET_INTERVAL).await;
+            async_io::Timer::after(BUDGET_CHECK_INTERVAL).await;
+        }
+        self.take_request(priority)
+    }
+
+    fn take_request(&self, priority: RequestPriority) -> Result<(), StoreError> {
+        match self.may_request(priority) {
+            true => Ok(()),
+            false => Err(StoreError::OverRequestBudget),
+        }
+    }
+
+    /// Takes a request for one page of a lookup. No user waits for a dependency lookup,
+    /// so that one waits for the budget instead of failing.
+    async fn take_lookup_request(&self, priority: RequestPriority) -> Result<(), StoreError> {
+        match priority {
+            RequestPriority::DependencyLookup => self.wait_for_request(priority).await,
+            _ => self.take_request(priority),
         }
-        Ok(())
     }
 
     /// Reads the records of these jobs; those that are not in the result were
@@ -228,31 +250,58 @@
         priority: RequestPriority,
     ) -> LookupResults {
         let mut results = LookupResults::new();
-        for prefix in [JOBS, FINALS] {
-            let remaining = ids
-                .iter()
-                .filter(|id| !results.contains_key(*id))
-                .map(String::as_str)
-                .collect();
-            let NamedRead { items, unread } = self.read_some(prefix, remaining, priority).await;
-            for UnreadName { name, error } in unread {
-                results.insert(name, Err(error.to_string()));
-            }
-            // A key that doesn't exist has no version.
-            for item in items.into_iter().filter(|item| item.version > 0) {
-                let id = item.key[prefix.len()..].to_owned();
-                let found = self
-                    .decode_record(prefix, &id, item.value, item.version, priority)
-                    .await;
-                if let Err(e) = &found {
-                    log::error!("record {}: {e}", item.key);
-                }
-                results.insert(id, found.map_err(|e| e.to_string()));
-            }
+        self.read_records_of(JOBS, ids, priority, &mut results)
+            .await;
+        self.read_records_of(FINALS, ids, priority, &mut results)
+            .await;
+        results
+    }
+
+    /// The same for jobs that are most likely over: their final records are read
+    /// first, and all is read only of those that have none.
+    pub(super) async fn lookup_ended(
+        &self,
+        ids: &[String],
+        priority: RequestPriority,
+    ) -> LookupResults {
+        let mut results = LookupResults::new();
+        self.read_records_of(FINALS, ids, priority, &mut results)
+            .await;
+        let remaining = not_contained(ids, &results);
+        if !remaining.is_empty() {
+            let remaining: Vec<String> = remaining.into_iter().map(str::to_owned).collect();
+            results.extend(self.lookup_all(&remaining, priority).await);
         }
         results
     }
 
+    /// Reads the records under the prefix of those jobs that the results lack. One
+    /// that has none there stays without a result.
+    async fn read_records_of(
+        &self,
+        prefix: &str,
+        ids: &[String],
+        priority: RequestPriority,
+        results: &mut LookupResults,
+    ) {
+        let remaining = not_contained(ids, results);
+        let NamedRead { items, unread } = self.read_some(prefix, remaining, priority).await;
+        for UnreadName { name, error } in unread {
+            results.insert(name, Err(error.to_string()));
+        }
+        // A key that doesn't exist has no version.
+        for item in items.into_iter().filter(|item| item.version > 0) {
+            let id = item.key[prefix.len()..].to_owned();
+            let found = self
+                .decode_record(prefix, &id, item.value, item.version, priority)
+                .await;
+            if let Err(e) = &found {
+                log::error!("record {}: {e}", item.key);
+            }
+            results.insert(id, found.map_err(|e| e.to_string()));
+        }
+    }
+
     /// The record of a job under [`JOBS`] or [`FINALS`].
     async fn decode_record(
         &self,
@@ -282,10 +331,15 @@
         let one_by_one = names.len() <= MAX_SINGLE_READS;
         let mut pages = Pages::new(prefix, names);
         while let Some(PageRequest { after, max_keys }) = pages.next_page() {
-            let read = match pages.unread().first() {
-                _ if !self.may_request(priority) => Err(StoreError::OverRequestBudget),
-                Some(name) if one_by_one => self.read_key(&format!("{prefix}{name}")).await,
-                _ => self.read_page(prefix, &after, max_keys).await,
+            let read = match (
+                self.take_lookup_request(priority).await,
+                pages.unread().first(),
+            ) {
+                (Err(error), _) => Err(error),
+                (Ok(()), Some(name)) if one_by_one => {
+                    self.read_key(&format!("{prefix}{name}")).await
+                }
+                (Ok(()), _) => self.read_page(prefix, &after, max_keys).await,
             };
             match read {
                 Ok(page) => {
@@ -409,9 +463,7 @@
         id: &str,
         priority: RequestPriority,
     ) -> Result<Found, StoreError> {
-        if !self.may_request(priority) {
-            return Err(StoreError::OverRequestBudget);
-        }
+        self.take_request(priority)?;
         if let Some(item) = self.get(&job_key(id), LOOKUP_TIMEOUT).await? {
             return self
                 .decode_record(JOBS, id, item.value, item.version, priority)
--- a/tests/simulation/lookups.rs
+++ b/tests/simulation/lookups.rs
@@ -6,10 +6,18 @@
 //! What was read for one term is dropped when that ends, as `Node::of_term` does.
 
 use super::*;
+use pathwinch::state::request_budget::RequestPriority;
 
 /// Pause before refused lookups are queued again, as `server::control_loop` has it.
 const LOOKUP_RETRY_PAUSE_MS: Millis = 500;
 
+/// How long lookups wait for the request budget before the rest of them fails, as
+/// `server::store` has it.
+const BUDGET_WAIT_MS: Millis = 1_000;
+
+/// Names of random jobs that one page of final records covers, about.
+const NAMES_PER_PAGE: usize = 16;
+
 /// Drawn refusals in a row: with changes of leader between them, well under the time
 /// for a cancellation. `dependency_lookups` has a story of longer spells.
 const MAX_REFUSED_IN_A_ROW: u32 = 6;
@@ -65,6 +73,8 @@
 pub(super) struct ReadsInFlight {
     lookups: Option<Answer<Vec<(String, FoundJob)>>>,
     refused_lookups: Vec<(Millis, Vec<String>)>,
+    /// Lookups that wait for the request budget, until when.
+    waiting_lookups: Option<(Millis, Vec<String>)>,
     feed: Option<Answer<ReadItems>>,
     /// Keys of a write without an answer.
     reread: Option<(WritePlan, Answer<ReadItems>)>,
@@ -122,16 +132,23 @@
     }
 
     fn send_lookups(&mut self, i: usize) {
-        let Some(l) = self.nodes[i].leader.as_mut() else {
+        let Some((waits_until, mut ids)) = self.next_lookups(i) else {
             return;
         };
-        let ids = l.dependencies_to_look_up();
-        if ids.is_empty() {
-            return;
+        let now = self.now;
+        let mut readable = 0;
+        while readable < ids.len() && self.may_request(i, RequestPriority::DependencyLookup) {
+            readable += NAMES_PER_PAGE;
         }
-        if self.refuses_lookup() {
-            let again_at = self.now + LOOKUP_RETRY_PAUSE_MS;
-            self.nodes[i].reads.refused_lookups.push((again_at, ids));
+        let unread = ids.split_off(readable.min(ids.len()));
+        let reads = &mut self.nodes[i].reads;
+        if !unread.is_empty() && now < waits_until {
+            reads.waiting_lookups = Some((waits_until, unread));
+        } else if !unread.is_empty() {
+            let again_at = now + LOOKUP_RETRY_PAUSE_MS;
+            reads.refused_lookups.push((again_at, unread));
+        }
+        if ids.is_empty() {
             return;
         }
         let arrives_at = self.now + self.read_latency();
@@ -143,6 +160,23 @@
         self.nodes[i].reads.lookups = Some(Answer { arrives_at, read });
     }
 
+    /// Lookups that wait for the budget, or else new ones, and until when they wait.
+    fn next_lookups(&mut self, i: usize) -> Option<(Millis, Vec<String>)> {
+        if let Some(waiting) = self.nodes[i].reads.waiting_lookups.take() {
+            return Some(waiting);
+        }
+        let ids = self.nodes[i].leader.as_mut()?.dependencies_to_look_up();
+        if ids.is_empty() {
+            return None;
+        }
+        if self.refuses_lookup() {
+            let again_at = self.now + LOOKUP_RETRY_PAUSE_MS;
+            self.nodes[i].reads.refused_lookups.push((again_at, ids));
+            return None;
+        }
+        Some((self.now + BUDGET_WAIT_MS, ids))
+    }
+
     fn look_up(&self, id: &str) -> FoundJob {
         if let Some((value, version)) = self.store.kv.get(&records::job_key(id)) {
             return FoundJob::Live(value.clone(), *version);
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -28,6 +28,7 @@
 mod lookups;
 mod net;
 mod nodes;
+mod request_budgets;
 mod requests;
 mod standbys;
 mod store;
@@ -82,6 +83,7 @@
         spec_chunks::SPEC_CHUNKS,
     },
 };
+use request_budgets::NodeRequests;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
@@ -114,6 +116,8 @@
     heartbeat_relays: HeartbeatRelays,
     final_states: FinalStates,
     dependency_evidence: Option<DependencyEvidence>,
+    /// Its share of the requests a second, where those are limited.
+    request_budget: Option<NodeRequests>,
     next_election_step: Millis,
     next_relay_request: Millis,
     last_heartbeat: Millis,
@@ -256,6 +260,8 @@
     /// writes a second.
     budgets: Vec<TokenBucket>,
     write_rate: f64,
+    /// Requests a second that the state service takes, if that is limited.
+    request_rate: Option<f64>,
     /// Tasks that started after a user had been answered that their job is
     /// cancelled.
     pub started_after_cancellation: u32,
@@ -330,6 +336,7 @@
             traffic: UserTraffic::default(),
             budgets: Vec::new(),
             write_rate: 0.0,
+            request_rate: None,
             started_after_cancellation: 0,
             zone_b_nodes: BTreeSet::new(),
             types_unknown: false,
@@ -390,6 +397,7 @@
             flushing: None,
             indeterminate: None,
             reads: lookups::ReadsInFlight::default(),
+            request_budget: self.new_request_budget(),
             probes_open_since: vec![None; nodes],
         }
     }
--- a/tests/simulation/nodes.rs
+++ b/tests/simulation/nodes.rs
@@ -20,6 +20,7 @@
             self.nodes[i].election.renewed(lease, sent);
         }
         self.ping(i);
+        self.step_request_budget(i);
         if now >= self.nodes[i].next_election_step {
             self.step_election(i);
         }
--- /dev/null
+++ b/tests/simulation/request_budgets.rs
@@ -0,0 +1,78 @@
+//! The controllers' shares of the state service's requests, by the product's own
+//! budget, where a test limits them: leadership, acceptances, lookups and polls
+//! compete for what the rate gives.
+
+use super::*;
+use pathwinch::state::{
+    rate_limit::share::{self, Role},
+    request_budget::{RequestBudget, RequestPriority},
+};
+
+/// Seconds' worth of requests at once, as `server::budgets` has it.
+const BURST_S: f64 = 0.9;
+/// A leader renews its lease, and a follower reads the leader's key, about so often.
+const LEADERSHIP_INTERVAL_MS: Millis = 1_000;
+
+/// What one controller may request.
+pub(super) struct NodeRequests {
+    budget: RequestBudget,
+    role: Role,
+    leadership_due: Millis,
+}
+
+impl Simulation {
+    /// Limits the requests a second that the state service takes from all controllers.
+    pub fn limit_request_rate(&mut self, per_s: f64) {
+        self.request_rate = Some(per_s);
+        for i in 0..self.nodes.len() {
+            self.nodes[i].request_budget = self.new_request_budget();
+        }
+    }
+
+    pub(super) fn new_request_budget(&self) -> Option<NodeRequests> {
+        let role = Role::Leaderless;
+        let per_s = self.requests_per_s(role)?;
+        Some(NodeRequests {
+            budget: RequestBudget::new(role, per_s, BURST_S),
+            role,
+            leadership_due: self.now,
+        })
+    }
+
+    fn requests_per_s(&self, role: Role) -> Option<f64> {
+        let nodes = self.nodes.len().max(1);
+        Some(self.request_rate? * share::of_requests(role, nodes))
+    }
+
+    /// Adjusts the node's share to its role, and charges what leadership costs.
+    pub(super) fn step_request_budget(&mut self, i: usize) {
+        let now = self.now;
+        let election = &self.nodes[i].election;
+        let role = match (election.leadership(), election.leader(now)) {
+            (Some(_), _) => Role::Leads,
+            (None, Some(_)) => Role::Follows,
+            (None, None) => Role::Leaderless,
+        };
+        let Some(per_s) = self.requests_per_s(role) else {
+            return;
+        };
+        let Some(requests) = self.nodes[i].request_budget.as_mut() else {
+            return;
+        };
+        if requests.role != role {
+            requests.role = role;
+            requests.budget.set_role(now, role, per_s, BURST_S);
+        }
+        if now >= requests.leadership_due {
+            requests.leadership_due = now + LEADERSHIP_INTERVAL_MS;
+            requests.budget.charge(now, RequestPriority::Leadership, 1);
+        }
+    }
+
+    /// Takes one request of a node; always, where requests are not limited.
+    pub(super) fn may_request(&mut self, i: usize, priority: RequestPriority) -> bool {
+        let now = self.now;
+        let requests = self.nodes[i].request_budget.as_mut();
+        requests.is_none_or(|requests| requests.budget.take(now, priority))
+    }
+}
--- a/tests/simulation/requests.rs
+++ b/tests/simulation/requests.rs
@@ -11,6 +11,7 @@
     state::{
         rate_limit::share::{self, Role},
         records::JobRecord,
+        request_budget::RequestPriority,
     },
 };
 use users::UserRequest;
@@ -83,13 +84,18 @@
         }
     }
 
-    fn read_records(&self, i: usize, ids: &[String]) -> LookupResults {
+    fn read_records(&mut self, i: usize, ids: &[String]) -> LookupResults {
         let reaches = self.reaches_state(i);
-        let one = |id: &String| match reaches {
-            true => Ok(self.read_record(id)),
-            false => Err("status 503".to_owned()),
-        };
-        ids.iter().map(|id| (id.clone(), one(id))).collect()
+        let mut results = LookupResults::new();
+        for id in ids {
+            let found = match (reaches, self.may_request(i, RequestPriority::Acceptance)) {
+                (true, true) => Ok(self.read_record(id)),
+                (true, false) => Err("over the request budget".to_owned()),
+                (false, _) => Err("status 503".to_owned()),
+            };
+            results.insert(id.clone(), found);
+        }
+        results
     }
 
     /// Reads a job's record, and those that it depends on, as `server::polls` does.
@@ -97,6 +103,9 @@
         if !self.reaches_state(i) {
             return Err("status 503".into());
         }
+        if !self.may_request(i, RequestPriority::Poll) {
+            return Err("over the request budget".into());
+        }
         let (status, version) = match self.read_record(id) {
             Found::Live(record, version) => {
                 let status = record.status();
@@ -130,7 +139,9 @@
             let DependencyVerdict::Unread(ids) = &verdict else {
                 return verdict.refusal().map_or(Ok(()), |why| Err(why.to_owned()));
             };
-            if self.read_faults.refuses_poll_reads {
+            let unread =
+                self.read_faults.refuses_poll_reads || !self.may_request(i, RequestPriority::Poll);
+            if unread {
                 return Err(verdict.refusal().unwrap().to_owned());
             }
             for id in ids {
--- a/tests/simulation/users.rs
+++ b/tests/simulation/users.rs
@@ -200,6 +200,21 @@
         }
     }
 
+    /// A job of one task whose records a test has written, with its end if it is over.
+    /// A user was told that it is cancelled.
+    pub fn know_job(&mut self, spec: JobSpec, end: Option<JobState>) {
+        let id = spec.id.clone();
+        self.specs.insert(id.clone(), spec);
+        self.submitted.insert(id.clone(), self.now);
+        match end {
+            Some(JobState::Cancelled) => self.answer_cancelled(&id),
+            Some(_) => {
+                self.finished.insert(format!("{id}/0"));
+            }
+            None => {}
+        }
+    }
+
     /// Cancels until that is confirmed, as a user would.
     pub fn cancel(&mut self, id: &str) {
         self.cancelling.insert(id.to_owned());
