Polls by the records have a file of their own

server/polls.rs held the queues, the loop that asks the leader and the reads of the records; the last are in server/poll_records.rs now. No behaviour changes.

--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -21,6 +21,7 @@
 mod market;
 mod metrics;
 mod peers;
+mod poll_records;
 mod polls;
 mod signals;
 mod standby;
@@ -189,7 +190,7 @@
         ];
         let low = [
             executor.spawn_low(polls::ask_leader(self.clone())),
-            executor.spawn_low(polls::ask_records(self.clone())),
+            executor.spawn_low(poll_records::ask_records(self.clone())),
         ];
         high.into_iter().chain(low).for_each(Task::detach);
     }
