--- a/src/state/dependencies/tests.rs
+++ b/src/state/dependencies/tests.rs
@@ -228,3 +228,59 @@
     assert_eq!(cancellations[0].job, handle(4));
     assert_eq!(&*cancellations[0].dependency, "j-000003");
 }
+
+fn unresolved(c: &DependencyGraph, jobs: &[u32]) -> Vec<bool> {
+    jobs.iter().map(|j| c.is_unresolved(handle(*j))).collect()
+}
+
+/// Guards against a job that is called queued as its direct dependencies are known to
+/// be live, while nothing is known of theirs.
+#[test]
+fn job_is_unresolved_until_every_job_before_it_is_known() {
+    let live = |job: u32| DependencyState::Live(handle(job), Low);
+    // 3 depends on 1 and 2, which depend on unknown ones, 4 on 3.
+    let mut c = DependencyGraph::default();
+    c.add(handle(1), Low, [("j-000101", DependencyState::Unknown)]);
+    c.add(handle(2), Low, [("j-000102", DependencyState::Unknown)]);
+    c.add(
+        handle(3),
+        Low,
+        [("j-000001", live(1)), ("j-000002", live(2))],
+    );
+    c.add(handle(4), Low, [("j-000003", live(3))]);
+    assert_eq!(unresolved(&c, &[1, 2, 3, 4]), [true; 4]);
+    c.resolve("j-000101", DependencyState::Done);
+    assert_eq!(unresolved(&c, &[1, 2, 3, 4]), [false, true, true, true]);
+    // One that is unresolved is over: its dependents need not wait for that.
+    c.job_ended(handle(2), false);
+    assert_eq!(unresolved(&c, &[1, 3, 4]), [false; 3]);
+    // An unknown job turns out to be live, and unresolved itself.
+    c.add(handle(5), Low, [("j-000006", DependencyState::Unknown)]);
+    c.add(handle(6), Low, [("j-000103", DependencyState::Unknown)]);
+    c.resolve("j-000006", live(6));
+    assert_eq!(unresolved(&c, &[5, 6]), [true; 2]);
+    c.resolve("j-000103", DependencyState::Done);
+    assert_eq!(unresolved(&c, &[5, 6]), [false; 2]);
+}
+
+/// Guards against a cost that grows with the square of a chain's length where the last
+/// job of it is loaded first.
+#[test]
+fn long_chain_loaded_from_its_end_is_unresolved_until_its_first_dependency_is_known() {
+    let mut c = DependencyGraph::default();
+    let last = MAX_JOBS as u32 - 1;
+    let name = |n: u32| format!("j-{n:06}");
+    for n in (1..=last).rev() {
+        c.add(
+            handle(n),
+            Low,
+            [(name(n - 1).as_str(), DependencyState::Unknown)],
+        );
+        if c.is_awaited(&name(n)) {
+            c.resolve(&name(n), DependencyState::Live(handle(n), Low));
+        }
+    }
+    assert_eq!(unresolved(&c, &[1, 2, last]), [true; 3]);
+    c.resolve(&name(0), DependencyState::Done);
+    assert_eq!(unresolved(&c, &[1, 2, last]), [false; 3]);
+}
--- a/tests/dependency_answers.rs
+++ b/tests/dependency_answers.rs
@@ -52,9 +52,15 @@
     if nobody_leads {
         return end_leader_for_good(w);
     }
+    change_leader_without_lookups(w);
+}
+
+/// A new leader that can't look up dependencies; returns which node it is.
+fn change_leader_without_lookups(w: &mut Simulation) -> usize {
     end_leader(w);
     w.read_faults.refused_lookups = u32::MAX;
     w.run_until(30_000, "a leader again", |w| w.leader().is_some());
+    w.leader().unwrap()
 }
 
 /// The state in which each node calls the job, if it gives one.
@@ -111,10 +117,7 @@
 #[test]
 fn dependent_of_cancelled_job_is_not_called_queued_when_leader_is_cut_from_peers() {
     let mut w = cancelled_dependency(23, vec![dependent(2, 1, &[1])]);
-    end_leader(&mut w);
-    w.read_faults.refused_lookups = u32::MAX;
-    w.run_until(30_000, "a leader again", |w| w.leader().is_some());
-    let leader = w.leader().unwrap();
+    let leader = change_leader_without_lookups(&mut w);
     for peer in (0..3).filter(|i| *i != leader) {
         w.partition(leader, CutScope::Node(peer), Cut::Reset);
     }
@@ -163,10 +166,7 @@
 #[test]
 fn dependent_is_cancelled_at_once_when_its_dependencies_are_unread() {
     let mut w = cancelled_dependency(26, vec![dependent(2, 1, &[1])]);
-    end_leader(&mut w);
-    w.read_faults.refused_lookups = u32::MAX;
-    w.run_until(30_000, "a leader again", |w| w.leader().is_some());
-    let leader = w.leader().unwrap();
+    let leader = change_leader_without_lookups(&mut w);
     let sent = w.request_later(0, leader, UserRequest::Cancel(id(2)));
     w.run(2_500);
     let answer = w.traffic.history[sent].answer.clone();
@@ -182,10 +182,7 @@
 #[test]
 fn leader_gives_peers_no_state_when_dependencies_are_unread() {
     let mut w = cancelled_dependency(27, vec![dependent(2, 1, &[1])]);
-    end_leader(&mut w);
-    w.read_faults.refused_lookups = u32::MAX;
-    w.run_until(30_000, "a leader again", |w| w.leader().is_some());
-    let leader = w.leader().unwrap();
+    let leader = change_leader_without_lookups(&mut w);
     assert_eq!(w.told_to_peers(leader, &[id(2), id(1)]), [None, None]);
     w.assert_no_violations();
 }
@@ -209,10 +206,8 @@
         let mut spec = dependent(2, 2, &[1]);
         spec.kind = kind;
         w.submit(spec);
-        end_leader(&mut w);
-        w.read_faults.refused_lookups = u32::MAX;
         w.read_faults.refuses_poll_reads = true;
-        w.run_until(30_000, "a leader again", |w| w.leader().is_some());
+        change_leader_without_lookups(&mut w);
         w.run(60_000);
         assert_eq!(states(&mut w, 2), [None; 3]);
         assert_eq!(w.running(&id(2)), 0);
@@ -236,10 +231,8 @@
     w.run_ms = 200_000;
     w.submit(dependent(2, 2, &[1]));
     w.run_until(20_000, "it runs", |w| w.running(&id(2)) == 2);
-    end_leader(&mut w);
-    w.read_faults.refused_lookups = u32::MAX;
     w.read_faults.refuses_poll_reads = true;
-    w.run_until(30_000, "a leader again", |w| w.leader().is_some());
+    change_leader_without_lookups(&mut w);
     w.run(5_000);
     assert_eq!(states(&mut w, 2), [Some(JobState::Running); 3]);
     w.assert_no_violations();
