The walk through listed dependencies is bounded

It went on for as long as anything in the list was decoded. Where the list is older than a reading may be as it is followed (a process that was paused for half a minute, or a very short cancel_s), or where a job depends on more live jobs than are remembered, what is learned never counts, and the loop had no end: the one thread of the controller would have hung. It follows 64 levels now; jobs that are still unknown are answered 503, and the next poll goes on from what was kept.

--- a/src/server/dependency_reads.rs
+++ b/src/server/dependency_reads.rs
@@ -29,6 +29,10 @@
 /// How many levels of dependencies are read for one poll. What was read is kept, so
 /// that the next poll of the job goes on from there.
 const MAX_LEVELS: usize = 8;
+/// The same of a list that was read, where a level costs no request. A list that is
+/// too old by now, or longer than what is kept, never becomes known however often it
+/// is followed.
+const MAX_LISTED_LEVELS: usize = 64;
 /// Most dependencies that are read for one poll, and for one round of polls.
 const MAX_READS: usize = 500;
 
@@ -184,9 +188,13 @@
         let mut over = BTreeSet::new();
         for id in ids {
             let mut unread = self.unread_dependencies(id);
-            while self.learn_all_listed(&unread, listed, read_at).await {
+            for _ in 0..MAX_LISTED_LEVELS {
+                if !self.learn_all_listed(&unread, listed, read_at).await {
+                    break;
+                }
                 unread = self.unread_dependencies(id);
             }
+            unread.retain(|id| !listed.contains_key(&job_key(id)));
             over.extend(unread);
             if over.len() >= MAX_READS {
                 break;
