--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -655,6 +655,7 @@
         self.name, self.zone = name, zone
         self.listen, self.back = free_port(), free_port()
         self.process = None
+        self.program = None  # instead of that of the deploy file
         self.peers = {}
 
 
@@ -915,7 +916,7 @@
         if self.log_level:
             env["LOG_LEVEL"] = self.log_level
         log = open(os.path.join(self.tmp, n.name + ".log"), "a")
-        n.process = subprocess.Popen(RUN + [n.settings], stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=env)
+        n.process = subprocess.Popen((n.program or RUN) + [n.settings], stdin=subprocess.DEVNULL, stdout=log, stderr=log, env=env)
         log.close()
         self.note("controller", "started", node=i)
 
