Review: a script that is ended early ends its controllers

Cause: run.sh ended by a signal would have left the controllers behind. Change: the stand-ins leave on that signal the way they leave otherwise; no code.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -5,6 +5,9 @@
 
 HOST = "127.0.0.1"
 
+# A script that is ended early still ends the controllers that it started.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 
 PORTS = set()
 
