Review: ports of the stand-ins are held until they are used

Cause: of 15 scripts at once one exited with 2, as a port of a controller was taken by another script before the controller began to listen. Change: the stand-ins hold each port with a socket that does not listen; no code.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -9,22 +9,23 @@
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
 
-PORTS = set()
+HELD = []
 
 
 def free_port():
-    """A free port below the range from which outgoing connections take theirs."""
+    """A free port below the range from which outgoing connections take theirs. A socket that
+    does not listen holds it, so that no script that runs beside this one takes it too."""
     while True:
-        port = random.SystemRandom().randrange(12000, 32000)
-        if port in PORTS:
+        held = socket.socket()
+        try:
+            held.bind((HOST, random.SystemRandom().randrange(12000, 32000)))
+        except OSError:
+            held.close()
             continue
-        with socket.socket() as s:
-            try:
-                s.bind((HOST, port))
-            except OSError:
-                continue
-        PORTS.add(port)
-        return port
+        # The program that the port is for can now listen on it all the same.
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        HELD.append(held)
+        return held.getsockname()[1]
 
 
 class Reset(Exception):
