--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -480,10 +480,15 @@
         return commands;
     };
     let seen_token = machine.acknowledged_token;
+    let way = match direct {
+        Some(_) => "a direct command",
+        None => "the response to a heartbeat",
+    };
     for assignment in &mut machine.tasks {
         if commands.len() >= MAX_COMMANDS {
             break;
         }
+        log_due_command(assignment, &machine.name, way, jobs);
         let (task, attempt) = (assignment.name.clone(), assignment.attempt);
         match (assignment.phase, assignment.stop_grace_s) {
             (Phase::Ended(reason), _) => {
@@ -520,6 +525,35 @@
     commands
 }
 
+/// Logs what is known of a task that the machine is to start or to stop.
+fn log_due_command(
+    assignment: &Assignment,
+    machine: &str,
+    way: &str,
+    jobs: &SlotTable<JobHandle, Job>,
+) {
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    let (task, phase) = (&assignment.name, assignment.phase);
+    match assignment.stop_grace_s {
+        Some(grace_s) => log::debug!(
+            "reconciliation: {way} to machine {machine} is due: task {task} is {phase:?} and \
+             is to stop with a grace period of {grace_s} s"
+        ),
+        None if phase == Phase::New => {
+            let job = assignment.job.and_then(|handle| jobs.get(handle));
+            log::debug!(
+                "reconciliation: {way} to machine {machine} is due: task {task} is to start; \
+                 cancellation of its job requested: {}, end of its job being recorded: {}",
+                job.is_some_and(|job| job.cancelled || job.cancel_requested),
+                job.is_some_and(Job::is_ending),
+            );
+        }
+        None => {}
+    }
+}
+
 /// Whether the machine may be told to forget an ended task. Once it has, a start of the same
 /// attempt that is still in flight would run the task again. Completion must be recorded
 /// first, because the machine's task list is the only evidence of it until then.
