Commands for a machine: a module of their own

reconciliation.rs had grown to 600 lines with two jobs: applying what a machine reports, and deriving what it is to be told. The second one moves to control/commands.rs.

--- a/src/control/leader/direct_commands.rs
+++ b/src/control/leader/direct_commands.rs
@@ -8,7 +8,7 @@
 
 use super::{Leader, millis};
 use crate::{
-    control::reconciliation::{self, StatusSource},
+    control::{commands, reconciliation::StatusSource},
     protocol::workers::{Command, DirectCommands, Heartbeat},
     state::{Millis, cluster::DIRECT_COMMAND_TIMEOUT_MS},
 };
@@ -50,11 +50,11 @@
                 continue;
             };
             let ready = machine.up && !machine.command_in_flight && now >= machine.command_retry_at;
-            if !ready || !reconciliation::needs_direct_commands(machine, confirmed) {
+            if !ready || !commands::needs_direct_commands(machine, confirmed) {
                 continue;
             }
             let token = self.fencing_token(machine_handle);
-            let commands = reconciliation::commands(
+            let commands = commands::due_commands(
                 &mut self.cluster,
                 machine_handle,
                 Some(token),
@@ -117,21 +117,11 @@
         }
         match outcome {
             DirectDeliveryOutcome::Executed(report) => {
-                reconciliation::resolve_direct_commands(
-                    &mut self.cluster,
-                    machine_handle,
-                    token,
-                    true,
-                );
+                commands::resolve_direct_commands(&mut self.cluster, machine_handle, token, true);
                 self.apply_heartbeat(machine_handle, &report, StatusSource::DirectCommand, now);
             }
             DirectDeliveryOutcome::Refused(report) => {
-                reconciliation::resolve_direct_commands(
-                    &mut self.cluster,
-                    machine_handle,
-                    token,
-                    false,
-                );
+                commands::resolve_direct_commands(&mut self.cluster, machine_handle, token, false);
                 if let Some(machine_state) = self.cluster.machine_mut(machine_handle) {
                     machine_state.command_retry_at = now + retry_delay_ms;
                 }
@@ -140,12 +130,7 @@
                 }
             }
             DirectDeliveryOutcome::NotSent => {
-                reconciliation::resolve_direct_commands(
-                    &mut self.cluster,
-                    machine_handle,
-                    token,
-                    false,
-                );
+                commands::resolve_direct_commands(&mut self.cluster, machine_handle, token, false);
                 if let Some(machine_state) = self.cluster.machine_mut(machine_handle) {
                     machine_state.command_retry_at = now + retry_delay_ms;
                 }
--- a/src/control/leader/heartbeats.rs
+++ b/src/control/leader/heartbeats.rs
@@ -9,6 +9,7 @@
 use super::Leader;
 use crate::{
     control::{
+        commands,
         reconciliation::{self, StatusSource},
         safety_bounds::SafetyBounds,
     },
@@ -44,7 +45,7 @@
             && (report.incarnation, report.seq) == (machine.incarnation, machine.heartbeat_seq);
         let commands = if is_latest {
             let confirmed = self.standbys.confirmed_change();
-            let commands = reconciliation::commands(
+            let commands = commands::due_commands(
                 &mut self.cluster,
                 machine_handle,
                 None,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod acceptance_feed;
 pub mod admission;
+pub mod commands;
 pub mod dependency_evidence;
 pub mod election;
 pub mod exclusions;
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -1,29 +1,22 @@
 //! Reconciliation of one machine: applies a heartbeat, or the answer to a direct command, to
-//! the cluster state, and derives the commands that bring the reported tasks in line with
-//! the assigned ones.
+//! the cluster state. `commands` derives the commands that bring the reported tasks in line
+//! with the assigned ones.
 //!
 //! Owns no state. Called by the leader for each heartbeat and direct command. A task must
-//! never be released while a command in flight may still start it, and a completed task
-//! must never be reaped before its completion is recorded.
+//! never be released while a command in flight may still start it.
 
 use crate::{
     protocol::{
         users::Kind,
-        workers::{Command, ExitReason, Heartbeat, TaskState, TaskStatus, parse_task_name},
+        workers::{ExitReason, Heartbeat, TaskState, TaskStatus, parse_task_name},
     },
     state::{
         Millis,
-        cluster::{
-            Assignment, ClusterState, Job, JobHandle, Machine, MachineHandle, Phase, Placement,
-        },
-        slot_table::SlotTable,
+        cluster::{Assignment, ClusterState, JobHandle, Machine, MachineHandle, Phase, Placement},
     },
 };
 use std::collections::HashSet;
 
-/// Maximum number of commands in one message. A response line must stay under 64 KiB.
-const MAX_COMMANDS: usize = 300;
-
 /// A task that ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndedTask {
@@ -462,145 +455,3 @@
         .machine_mut(machine_handle)
         .and_then(|m| m.tasks.last_mut())
 }
-
-/// Returns the commands for a machine, and marks the tasks that they start as sent. `direct`
-/// is the token of a direct command, or `None` in the response to heartbeat `seq`. Tasks
-/// assigned by changes after `confirmed` are not started, because a standby that may take
-/// over does not have these changes yet.
-pub fn commands(
-    cluster: &mut ClusterState,
-    machine_handle: MachineHandle,
-    direct: Option<u64>,
-    seq: u64,
-    confirmed: u64,
-) -> Vec<Command> {
-    let mut commands = Vec::new();
-    let mut latest_sent = 0;
-    let Some((machine, jobs)) = cluster.machine_with_jobs(machine_handle) else {
-        return commands;
-    };
-    let seen_token = machine.acknowledged_token;
-    let way = match direct {
-        Some(_) => "a direct command",
-        None => "the response to a heartbeat",
-    };
-    for assignment in &mut machine.tasks {
-        if commands.len() >= MAX_COMMANDS {
-            break;
-        }
-        log_due_command(assignment, &machine.name, way, jobs);
-        let (task, attempt) = (assignment.name.clone(), assignment.attempt);
-        match (assignment.phase, assignment.stop_grace_s) {
-            (Phase::Ended(reason), _) => {
-                if may_reap(assignment, reason, seen_token, jobs) {
-                    commands.push(Command::Reap { task, attempt });
-                }
-            }
-            (Phase::New | Phase::Sent, Some(grace_s)) => commands.push(Command::Stop {
-                task,
-                attempt,
-                grace_s,
-            }),
-            (Phase::New, None) if assignment.change_number <= confirmed => {
-                latest_sent = latest_sent.max(assignment.change_number);
-                assignment.phase = Phase::Sent;
-                assignment.sent_with_heartbeat = seq;
-                assignment.indeterminate_token = direct.unwrap_or(0);
-                commands.push(Command::Start { task, attempt });
-            }
-            // The task is saving a checkpoint before it stops, so no further stop is sent.
-            (Phase::Saving, Some(grace_s)) if grace_s > 0.0 => {}
-            (_, Some(grace_s)) => {
-                assignment.stop_sent = true;
-                commands.push(Command::Stop {
-                    task,
-                    attempt,
-                    grace_s,
-                });
-            }
-            (_, None) => {}
-        }
-    }
-    cluster.latest_sent_change = cluster.latest_sent_change.max(latest_sent);
-    commands
-}
-
-/// Logs what is known of a task that the machine is to start or to stop.
-fn log_due_command(
-    assignment: &Assignment,
-    machine: &str,
-    way: &str,
-    jobs: &SlotTable<JobHandle, Job>,
-) {
-    if !log::log_enabled!(log::Level::Debug) {
-        return;
-    }
-    let (task, phase) = (&assignment.name, assignment.phase);
-    match assignment.stop_grace_s {
-        Some(grace_s) => log::debug!(
-            "reconciliation: {way} to machine {machine} is due: task {task} is {phase:?} and \
-             is to stop with a grace period of {grace_s} s"
-        ),
-        None if phase == Phase::New => {
-            let job = assignment.job.and_then(|handle| jobs.get(handle));
-            log::debug!(
-                "reconciliation: {way} to machine {machine} is due: task {task} is to start; \
-                 cancellation of its job requested: {}, end of its job being recorded: {}",
-                job.is_some_and(|job| job.cancelled || job.cancel_requested),
-                job.is_some_and(Job::is_ending),
-            );
-        }
-        None => {}
-    }
-}
-
-/// Whether the machine may be told to forget an ended task. Once it has, a start of the same
-/// attempt that is still in flight would run the task again. Completion must be recorded
-/// first, because the machine's task list is the only evidence of it until then.
-fn may_reap(
-    assignment: &Assignment,
-    reason: ExitReason,
-    seen_token: u64,
-    jobs: &SlotTable<JobHandle, Job>,
-) -> bool {
-    let start_pending =
-        assignment.indeterminate_token != 0 && seen_token <= assignment.indeterminate_token;
-    let recorded = reason != ExitReason::Done
-        || assignment
-            .job
-            .and_then(|handle| jobs.get(handle))
-            .is_none_or(|job| !job.is_dirty() && !job.write_in_flight);
-    !start_pending && recorded
-}
-
-/// Resolves the starts of the direct command with the given token, which was answered or is
-/// certain not to be carried out. If it was not executed, its tasks can be started again.
-pub fn resolve_direct_commands(
-    cluster: &mut ClusterState,
-    machine_handle: MachineHandle,
-    token: u64,
-    executed: bool,
-) {
-    let Some(machine) = cluster.machine_mut(machine_handle) else {
-        return;
-    };
-    let assignments = machine.tasks.iter_mut();
-    for assignment in assignments.filter(|a| a.indeterminate_token == token) {
-        assignment.indeterminate_token = 0;
-        if assignment.phase == Phase::Sent && !executed {
-            assignment.phase = Phase::New;
-        }
-    }
-}
-
-/// Whether there is a command for the machine that should be sent directly instead of with
-/// the response to its next heartbeat.
-pub fn needs_direct_commands(machine: &Machine, confirmed: u64) -> bool {
-    let is_due = |a: &Assignment| match (a.phase, a.stop_grace_s) {
-        (Phase::New, None) => a.change_number <= confirmed,
-        // A stop is sent directly once, and repeated with the responses to heartbeats.
-        (Phase::Fetching | Phase::Waiting | Phase::Running, Some(_)) => !a.stop_sent,
-        _ => false,
-    };
-    machine.up && machine.addr.is_some() && machine.tasks.iter().any(is_due)
-}
