A cancelled task no longer goes on saving: a stop without grace replaces a milder one

Hypotheses: (1) the cancellation does not change the grace of the earlier stop; (2) it does, and no command is due for a task that saves; (3) the command is sent and dropped by the machine. The line logged since shows (1): a grace of 55 s before and after the cancellation. Half of (2) holds too: a task that saves was never due a direct command. The worker received nothing, which excludes (3).

Cause: each place that requests a stop did so only if none was requested. That protects a checkpoint that still counts, and is wrong once the task's work counts no more.

Invariant: a task whose work counts no more is told to stop without grace, whatever it was told before.

Change: StopRequest (state/cluster/stop.rs) with private fields. request() for preemption, reclaim notices, draining and gangs that lost a task never changes an earlier stop; request_immediate() for cancelled and ended jobs and tasks without a job replaces a milder one and has it sent again. Which command is due is decided in one function, for responses and direct commands.

Looked at: preemption, reclaim notice, draining, lost gang, end of a job, orphans and duplicates, adoption cold and warm, machines that are returned, end of a term, chains, lost direct commands. Mended by this: end of a job, and direct commands to tasks that save. Held: adoption (no earlier stop is known), returned machines (empty ones only), end of a term, chains. Left on purpose: lost gangs and draining, whose work counts.

Tests: tests/stops.rs. Tasks of the simulation save now, and its check of ran_cancelled counts them.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -15,6 +15,37 @@
 /// Maximum number of commands in one message. A response line must stay under 64 KiB.
 const MAX_COMMANDS: usize = 300;
 
+/// What a machine is to be told about one task.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum DueCommand {
+    Start,
+    Stop {
+        /// Grace period in seconds.
+        grace_s: f64,
+    },
+    Reap,
+}
+
+/// Returns what a machine that has seen `seen_token` is to be told about the task. Decides for
+/// responses to heartbeats and direct commands alike.
+fn due_command(
+    assignment: &Assignment,
+    jobs: &SlotTable<JobHandle, Job>,
+    seen_token: u64,
+    confirmed: u64,
+) -> Option<DueCommand> {
+    match (assignment.phase, assignment.stop.grace_s()) {
+        (Phase::Ended(reason), _) => {
+            may_reap(assignment, reason, seen_token, jobs).then_some(DueCommand::Reap)
+        }
+        (Phase::New, None) => (assignment.change_number <= confirmed).then_some(DueCommand::Start),
+        // The task is saving a checkpoint before it stops. A stop without grace ends it.
+        (Phase::Saving, Some(grace_s)) if grace_s > 0.0 => None,
+        (_, Some(grace_s)) => Some(DueCommand::Stop { grace_s }),
+        (_, None) => None,
+    }
+}
+
 /// Returns the commands for a machine, and marks the tasks that they start as sent. `direct`
 /// is the token of a direct command, or `None` in the response to heartbeat `seq`. Tasks
 /// assigned by changes after `confirmed` are not started, because a standby that may take
@@ -42,35 +73,27 @@
         }
         log_due_command(assignment, &machine.name, way, jobs);
         let (task, attempt) = (assignment.name.clone(), assignment.attempt);
-        match (assignment.phase, assignment.stop_grace_s) {
-            (Phase::Ended(reason), _) => {
-                if may_reap(assignment, reason, seen_token, jobs) {
-                    commands.push(Command::Reap { task, attempt });
-                }
-            }
-            (Phase::New | Phase::Sent, Some(grace_s)) => commands.push(Command::Stop {
-                task,
-                attempt,
-                grace_s,
-            }),
-            (Phase::New, None) if assignment.change_number <= confirmed => {
+        match due_command(assignment, jobs, seen_token, confirmed) {
+            Some(DueCommand::Reap) => commands.push(Command::Reap { task, attempt }),
+            Some(DueCommand::Start) => {
                 latest_sent = latest_sent.max(assignment.change_number);
                 assignment.phase = Phase::Sent;
                 assignment.sent_with_heartbeat = seq;
                 assignment.indeterminate_token = direct.unwrap_or(0);
                 commands.push(Command::Start { task, attempt });
             }
-            // The task is saving a checkpoint before it stops, so no further stop is sent.
-            (Phase::Saving, Some(grace_s)) if grace_s > 0.0 => {}
-            (_, Some(grace_s)) => {
-                assignment.stop_sent = true;
+            Some(DueCommand::Stop { grace_s }) => {
+                // A start that is still in flight may be carried out after this stop.
+                if !matches!(assignment.phase, Phase::New | Phase::Sent) {
+                    assignment.stop.mark_sent();
+                }
                 commands.push(Command::Stop {
                     task,
                     attempt,
                     grace_s,
                 });
             }
-            (_, None) => {}
+            None => {}
         }
     }
     cluster.latest_sent_change = cluster.latest_sent_change.max(latest_sent);
@@ -88,7 +111,7 @@
         return;
     }
     let (task, phase) = (&assignment.name, assignment.phase);
-    match assignment.stop_grace_s {
+    match assignment.stop.grace_s() {
         Some(grace_s) => log::debug!(
             "commands: {way} to machine {machine} is due: task {task} is {phase:?} and \
              is to stop with a grace period of {grace_s} s"
@@ -147,12 +170,21 @@
 
 /// Whether there is a command for the machine that should be sent directly instead of with
 /// the response to its next heartbeat.
-pub fn needs_direct_commands(machine: &Machine, confirmed: u64) -> bool {
-    let is_due = |a: &Assignment| match (a.phase, a.stop_grace_s) {
-        (Phase::New, None) => a.change_number <= confirmed,
-        // A stop is sent directly once, and repeated with the responses to heartbeats.
-        (Phase::Fetching | Phase::Waiting | Phase::Running, Some(_)) => !a.stop_sent,
-        _ => false,
+pub fn needs_direct_commands(
+    machine: &Machine,
+    jobs: &SlotTable<JobHandle, Job>,
+    confirmed: u64,
+) -> bool {
+    let is_urgent = |assignment: &Assignment| {
+        match due_command(assignment, jobs, machine.acknowledged_token, confirmed) {
+            Some(DueCommand::Start) => true,
+            // A stop is sent directly once, and repeated with the responses to heartbeats. A
+            // task that was not reported yet is stopped with the next of these.
+            Some(DueCommand::Stop { .. }) => {
+                assignment.stop.is_unsent() && !matches!(assignment.phase, Phase::New | Phase::Sent)
+            }
+            Some(DueCommand::Reap) | None => false,
+        }
     };
-    machine.up && machine.addr.is_some() && machine.tasks.iter().any(is_due)
+    machine.up && machine.addr.is_some() && machine.tasks.iter().any(is_urgent)
 }
--- a/src/control/leader/direct_commands.rs
+++ b/src/control/leader/direct_commands.rs
@@ -50,7 +50,7 @@
                 continue;
             };
             let ready = machine.up && !machine.command_in_flight && now >= machine.command_retry_at;
-            if !ready || !commands::needs_direct_commands(machine, confirmed) {
+            if !ready || !commands::needs_direct_commands(machine, &self.cluster.jobs, confirmed) {
                 continue;
             }
             let token = self.fencing_token(machine_handle);
--- a/src/control/leader/expiry.rs
+++ b/src/control/leader/expiry.rs
@@ -10,7 +10,7 @@
     protocol::users::Kind,
     state::{
         Millis,
-        cluster::{Phase, Registration},
+        cluster::{Job, JobHandle, Phase, Registration},
     },
 };
 
@@ -131,7 +131,7 @@
                 .tasks
                 .iter()
                 .enumerate()
-                .filter(|(_, task)| task.phase == Phase::Running && task.stop_grace_s.is_none())
+                .filter(|(_, task)| task.phase == Phase::Running && !task.stop.is_requested())
                 .filter(|(_, task)| {
                     task.job
                         .and_then(|job| self.cluster.job(job))
@@ -146,45 +146,58 @@
     }
 
     /// Stops the tasks of cancelled jobs, and the remaining tasks of gangs that lost one and
-    /// can't be completed.
+    /// can't be completed. The tasks of a cancelled job get no grace, whatever they were told
+    /// before. A gang that is saving goes on: its first task that ends may have saved the
+    /// progress of all, and the others end by themselves within `gang_peer_s`.
     pub(super) fn stop_cancelled_and_broken_gangs(&mut self) {
-        let mut to_stop = Vec::new();
-        for (handle, job_state) in self.cluster.jobs.iter() {
-            if job_state.live_count > 0
-                && (job_state.cancelled
-                    || job_state.cancel_indeterminate
-                    || job_state.spec.kind == Kind::Gang
-                        && job_state.waiting_count() > 0
-                        && self.knows_all_tasks_of(handle)
-                        && self.gang_to_complete(handle).is_none())
-            {
-                to_stop.push(handle);
+        let mut cancelled = Vec::new();
+        let mut broken_gangs = Vec::new();
+        for (handle, job) in self.cluster.jobs.iter().filter(|(_, j)| j.live_count > 0) {
+            if job.cancelled || job.cancel_indeterminate {
+                cancelled.push(handle);
+            } else if self.is_broken_gang(handle, job) {
+                broken_gangs.push(handle);
             }
         }
-        if to_stop.is_empty() {
+        if cancelled.is_empty() && broken_gangs.is_empty() {
             return;
         }
         for machine in self.cluster.machines_mut() {
-            for assignment in machine.tasks.iter_mut() {
-                if assignment.is_live()
-                    && assignment.stop_grace_s.is_none()
-                    && assignment.job.is_some_and(|job| to_stop.contains(&job))
-                {
-                    assignment.stop_grace_s = Some(0.0);
+            for assignment in machine.tasks.iter_mut().filter(|a| a.is_live()) {
+                let Some(job) = assignment.job else {
+                    continue;
+                };
+                if cancelled.contains(&job) {
+                    assignment.stop.request_immediate();
+                } else if broken_gangs.contains(&job) {
+                    assignment.stop.request(0.0);
                 }
             }
         }
+        self.drop_unsent_starts();
+    }
+
+    /// Whether the job is a gang that lost a task and can't be completed under the same
+    /// attempt.
+    fn is_broken_gang(&self, handle: JobHandle, job: &Job) -> bool {
+        job.spec.kind == Kind::Gang
+            && job.waiting_count() > 0
+            && self.knows_all_tasks_of(handle)
+            && self.gang_to_complete(handle).is_none()
+    }
+
+    /// Removes assignments that are to stop and of which no start was sent that may still be
+    /// carried out.
+    fn drop_unsent_starts(&mut self) {
         for index in self.cluster.machine_range() {
             let Some((machine_handle, machine)) = self.cluster.machine_at(index) else {
                 continue;
             };
-            // A start that was never sent, and of which no delivery is indeterminate, can
-            // be dropped.
             for task_index in (0..machine.tasks.len()).rev() {
                 let drop = self.cluster.machine(machine_handle).is_some_and(|machine| {
                     let assignment = &machine.tasks[task_index];
                     assignment.phase == Phase::New
-                        && assignment.stop_grace_s.is_some()
+                        && assignment.stop.is_requested()
                         && assignment.indeterminate_token == 0
                 });
                 if drop {
--- a/src/control/leader/failover.rs
+++ b/src/control/leader/failover.rs
@@ -204,7 +204,7 @@
                 .machine_mut(machine_handle)
                 .and_then(|m| m.tasks.last_mut())
         {
-            assignment.stop_grace_s = Some(0.0);
+            assignment.stop.request_immediate();
         }
         true
     }
--- a/src/control/leader/inventory.rs
+++ b/src/control/leader/inventory.rs
@@ -406,12 +406,8 @@
                         machine.live_tasks()
                     );
                     machine.draining = true;
-                    for task in machine
-                        .tasks
-                        .iter_mut()
-                        .filter(|task| task.is_live() && task.stop_grace_s.is_none())
-                    {
-                        task.stop_grace_s = Some(0.0);
+                    for task in machine.tasks.iter_mut().filter(|task| task.is_live()) {
+                        task.stop.request(0.0);
                     }
                 }
                 return;
--- a/src/control/leader/status.rs
+++ b/src/control/leader/status.rs
@@ -375,7 +375,7 @@
                 .iter()
                 .filter(|assignment| assignment.job == Some(handle));
             own_tasks.map(|assignment| {
-                let stop = if assignment.stop_grace_s.is_some() {
+                let stop = if assignment.stop.is_requested() {
                     ", to stop"
                 } else {
                     ""
--- a/src/control/leader/task_placement.rs
+++ b/src/control/leader/task_placement.rs
@@ -261,7 +261,7 @@
             {
                 let has_begun = matches!(assignment.phase, Phase::Running | Phase::Saving);
                 if has_begun
-                    || assignment.stop_grace_s.is_some()
+                    || assignment.stop.is_requested()
                     || attempt.is_some_and(|n| n != assignment.attempt)
                 {
                     return None;
--- a/src/control/leader/victims.rs
+++ b/src/control/leader/victims.rs
@@ -165,7 +165,7 @@
     fn work_lost(&self, assignment: &Assignment, search: &VictimSearch) -> Option<i64> {
         let victim_job = self.cluster.job(assignment.job?)?;
         if !assignment.is_live()
-            || assignment.stop_grace_s.is_some()
+            || assignment.stop.is_requested()
             || victim_job.spec.kind == Kind::Service
         {
             return None;
@@ -295,10 +295,8 @@
                 .cluster
                 .machine_mut(machine_handle)
                 .and_then(|m| m.tasks.get_mut(task_index));
-            if let Some(assignment) = assignment
-                .filter(|assignment| assignment.stop_grace_s.is_none() && assignment.is_live())
-            {
-                assignment.stop_grace_s = Some(grace_s);
+            if let Some(assignment) = assignment.filter(|assignment| assignment.is_live()) {
+                assignment.stop.request(grace_s);
             }
         }
     }
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -313,7 +313,7 @@
             if may_start {
                 return;
             }
-            let cancelled = assignment.stop_grace_s.is_some();
+            let cancelled = assignment.stop.is_requested();
             if cancelled {
                 cluster.unassign(machine_handle, task_index);
                 effects.cluster_changed = true;
@@ -433,7 +433,7 @@
         let cancelled = job.cancelled || job.cancel_requested;
         cluster.assign(job_handle, task, machine_handle, attempt, phase, now);
         if cancelled && let Some(assignment) = last_assignment(cluster, machine_handle) {
-            assignment.stop_grace_s = Some(0.0);
+            assignment.stop.request_immediate();
         }
         return;
     }
--- a/src/state/cluster/assignments.rs
+++ b/src/state/cluster/assignments.rs
@@ -5,7 +5,7 @@
 //! reconciliation of heartbeats and the recovery after a failover call these functions.
 //! Resources must never be released while the task may still run.
 
-use super::{Assignment, ClusterState, JobHandle, MachineHandle, Phase};
+use super::{Assignment, ClusterState, JobHandle, MachineHandle, Phase, StopRequest};
 use crate::{
     protocol::{users::Kind, workers::ExitReason},
     state::Millis,
@@ -63,7 +63,7 @@
     ) {
         if let Some(machine) = self.machine_mut(machine) {
             machine.tasks.push(Assignment {
-                stop_grace_s: Some(0.0),
+                stop: StopRequest::immediate(),
                 ..Assignment::new(name.to_owned(), attempt, phase, now)
             });
         }
@@ -197,8 +197,7 @@
             team: usize::MAX,
             need: Default::default(),
             phase,
-            stop_grace_s: None,
-            stop_sent: false,
+            stop: StopRequest::default(),
             indeterminate_token: 0,
             sent_with_heartbeat: 0,
             since: now,
--- a/src/state/cluster/jobs.rs
+++ b/src/state/cluster/jobs.rs
@@ -78,8 +78,8 @@
             }
             for assignment in machine.tasks.iter_mut().filter(|a| a.job == Some(handle)) {
                 assignment.job = None;
-                if assignment.is_live() && assignment.stop_grace_s.is_none() {
-                    assignment.stop_grace_s = Some(0.0);
+                if assignment.is_live() {
+                    assignment.stop.request_immediate();
                 }
             }
         }
--- a/src/state/cluster/machine.rs
+++ b/src/state/cluster/machine.rs
@@ -5,7 +5,7 @@
 //! `assignments.rs`, which keeps the counts consistent. A machine must never be treated
 //! as empty before its lease has expired.
 
-use super::JobHandle;
+use super::{JobHandle, StopRequest};
 use crate::{
     protocol::{
         cloud::{ListedMachine, MachineType},
@@ -80,10 +80,8 @@
     pub need: Resources,
     /// Progress of the task.
     pub phase: Phase,
-    /// Grace period in seconds of the requested stop; `None` if no stop is requested.
-    pub stop_grace_s: Option<f64>,
-    /// Whether the stop command was sent at least once.
-    pub stop_sent: bool,
+    /// The stop that is requested of the task.
+    pub stop: StopRequest,
     /// Fencing token of a direct start command that got no response; 0 if there is
     /// none. The machine may still execute the command until it has seen a higher
     /// token.
--- a/src/state/cluster/mod.rs
+++ b/src/state/cluster/mod.rs
@@ -22,6 +22,7 @@
 mod quota;
 mod replication;
 mod stale;
+mod stop;
 
 pub use interner::Interner;
 pub use job::{Job, NewJob, Placement};
@@ -29,6 +30,7 @@
     Assignment, DIRECT_COMMAND_TIMEOUT_MS, Machine, NewMachine, Phase, Registration,
 };
 use stale::StaleMachines;
+pub use stop::StopRequest;
 
 use super::{
     resources::Resources,
--- a/tests/simulation/check.rs
+++ b/tests/simulation/check.rs
@@ -6,14 +6,16 @@
 use super::*;
 
 impl Simulation {
-    /// Running tasks with the indices of their workers, without workers that have lost
+    /// Running and saving tasks with the indices of their workers, without workers that have lost
     /// their tasks by a pause longer than the lease.
     fn on_machines(&self) -> impl Iterator<Item = (usize, &Task)> {
         let now = self.now;
         self.workers.iter().enumerate().flat_map(move |(i, w)| {
             w.tasks
                 .iter()
-                .filter(move |t| t.state == TaskState::Running && !w.is_lost(now))
+                .filter(move |t| {
+                    matches!(t.state, TaskState::Running | TaskState::Saving) && !w.is_lost(now)
+                })
                 .map(move |t| (i, t))
         })
     }
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -182,6 +182,8 @@
     heartbeat_in_flight: Option<(u64, Millis)>,
     boots_at: Millis,
     paused_until: Millis,
+    /// Time at which the cloud has announced to reclaim the machine.
+    reclaim_at: Option<Millis>,
 }
 
 /// The simulated cluster with its faults, users and checkers.
@@ -462,6 +464,7 @@
             heartbeat_in_flight: None,
             boots_at: self.now + boot,
             paused_until: 0,
+            reclaim_at: None,
         });
         name
     }
--- a/tests/simulation/workers.rs
+++ b/tests/simulation/workers.rs
@@ -9,6 +9,30 @@
     }
 }
 
+impl Task {
+    /// Carries out a stop: a running task with checkpoints saves one if the grace period
+    /// allows it, a task that is saving goes on unless it has no grace left, and every other
+    /// task exits at once.
+    fn stop(&mut self, specs: &HashMap<String, JobSpec>, grace_s: f64, now: Millis) {
+        let spec = specs.get(self.name.rsplit_once('/').unwrap().0);
+        let checkpoint_s = spec
+            .filter(|spec| spec.checkpoint_interval_s > 0.0)
+            .map(|spec| spec.checkpoint_cost_s);
+        match (self.state, checkpoint_s) {
+            (TaskState::Exited, _) => {}
+            (TaskState::Running, Some(cost_s)) if grace_s >= cost_s => {
+                self.state = TaskState::Saving;
+                self.until = now + (cost_s * 1000.0) as Millis;
+            }
+            (TaskState::Saving, _) if grace_s > 0.0 => {}
+            _ => {
+                self.state = TaskState::Exited;
+                self.exit_reason = Some(ExitReason::Stopped);
+            }
+        }
+    }
+}
+
 impl Simulation {
     /// Returns the fencing token that the leader would give the worker now.
     pub fn leader_token(&mut self, worker_id: usize) -> u64 {
@@ -21,12 +45,36 @@
         (leader.term << 20) | token_epoch
     }
 
+    /// The cloud announces that it reclaims the machine in `ms`, which the worker reports.
+    pub fn announce_reclaim(&mut self, worker_id: usize, ms: Millis) {
+        let worker = &mut self.workers[worker_id];
+        worker.reclaim_at = Some(self.now + ms);
+        worker.report_due = true;
+    }
+
+    /// Returns the number of the job's tasks that save a checkpoint.
+    pub fn saving(&self, id: &str) -> usize {
+        let tasks = self.workers.iter().flat_map(|w| &w.tasks);
+        tasks
+            .filter(|t| t.state == TaskState::Saving && t.name.starts_with(id))
+            .count()
+    }
+
+    /// Ends the saving of all tasks on the worker: their checkpoints are stored.
+    pub fn end_saving(&mut self, worker_id: usize) {
+        let tasks = self.workers[worker_id].tasks.iter_mut();
+        for task in tasks.filter(|t| t.state == TaskState::Saving) {
+            task.until = self.now;
+        }
+    }
+
     /// Returns the heartbeat that the worker would send now.
     pub fn heartbeat_of(&mut self, worker_id: usize) -> Heartbeat {
         self.next_heartbeat(worker_id)
     }
 
     pub(super) fn next_heartbeat(&mut self, worker_id: usize) -> Heartbeat {
+        let now = self.now;
         let worker = &mut self.workers[worker_id];
         worker.seq += 1;
         Heartbeat {
@@ -38,7 +86,9 @@
             incarnation: worker.incarnation,
             seq: worker.seq,
             acknowledged_token: worker.token,
-            reclaim_in_s: None,
+            reclaim_in_s: worker
+                .reclaim_at
+                .map(|at| at.saturating_sub(now) as f64 / 1000.0),
             tasks: worker
                 .tasks
                 .iter()
@@ -100,16 +150,17 @@
                         until: now + fetch_ms,
                     });
                 }
-                Command::Stop { task, attempt, .. } => {
-                    for t in worker
+                Command::Stop {
+                    task,
+                    attempt,
+                    grace_s,
+                } => {
+                    let stopped = worker
                         .tasks
                         .iter_mut()
-                        .filter(|t| t.name == task && t.attempt == attempt)
-                    {
-                        if t.state != TaskState::Exited {
-                            t.state = TaskState::Exited;
-                            t.exit_reason = Some(ExitReason::Stopped);
-                        }
+                        .filter(|t| t.name == task && t.attempt == attempt);
+                    for t in stopped {
+                        t.stop(&self.specs, grace_s, now);
                     }
                 }
                 Command::Reap { task, attempt } => {
@@ -165,7 +216,7 @@
             // The machine's tasks were paused as well: their ends move by the time since the
             // last heartbeat.
             let since_last_heartbeat = now - worker.heartbeat_sent_at.min(now);
-            let running = |t: &&mut Task| t.state == TaskState::Running;
+            let running = |t: &&mut Task| matches!(t.state, TaskState::Running | TaskState::Saving);
             let tasks = worker.tasks.iter_mut().filter(running);
             tasks.for_each(|t| t.until = t.until.saturating_add(since_last_heartbeat));
         }
@@ -201,6 +252,11 @@
                     started.push(t.name.clone());
                     worker.report_due = true;
                 }
+                TaskState::Saving => {
+                    t.state = TaskState::Exited;
+                    t.exit_reason = Some(ExitReason::Stopped);
+                    worker.report_due = true;
+                }
                 TaskState::Running => {
                     t.state = TaskState::Exited;
                     t.exit_reason = Some(ExitReason::Done);
--- a/tests/warm_takeover.rs
+++ b/tests/warm_takeover.rs
@@ -129,7 +129,7 @@
     let first_machine = leader.cluster.machine(handle).unwrap();
     assert!(
         first_machine.tasks.len() == 2
-            && first_machine.tasks.iter().all(|a| a.stop_grace_s.is_none())
+            && first_machine.tasks.iter().all(|a| !a.stop.is_requested())
     );
 }
 
