No start leaves the leader once the end of its job is requested

Hypotheses: (1) a start looks at the stop of its task alone, which is set once the outcome of the write is known or overdue; (2) an earlier start is repeated as lost; (3) the cancellation had not reached the leader. The line logged since shows (1): at each start that broke the rule the cancellation was requested and its write in flight. Each attempt was started once, and the leader had written the cancellation.

Cause: another controller may tell the user 0.65 s after the write was carried out; the leader handled the job as ended 1.5 s after it had sent the write, when the answer was missing.

Invariant: no start leaves the leader for a job from the moment at which a write that ends it is requested, nor for a task that is done.

Change: Job::may_start says so. Every start passes it where commands are derived, for responses and direct commands alike; a direct command passes it again when its connection stands, before the first byte. A start that may not be sent is withdrawn, which frees its place. A record of a cancellation that the leader itself reads counts as knowledge too. This holds without any time-out: the leader alone writes the ends of jobs and marks the job before the write is sent, so a late read, a busy request budget or a paused process can't come in between.

Looked at: writes in flight, without an answer, refused, in conflict, applied before the next tick; both ways of commands; the time of connecting; interrupted cycles; jobs and tasks that are done; failed jobs; adoption cold and warm; offload; chains; earlier terms. Mended by this: all stages of the write, connecting, interrupted cycles, a task that another machine reports as done. Held: jobs that are done, adoption, offload, chains, earlier terms. Left: placed tasks of a job that backs off after failures; no user was promised otherwise.

The simulation can let connecting take time, and checks each message with a start as it leaves a controller, in every test.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -2,12 +2,13 @@
 //! so that the tasks on the machine come in line with the assigned ones.
 //!
 //! Owns no state. Called by the leader for each response to a heartbeat and for each direct
-//! command. A completed task must never be reaped before its completion is recorded.
+//! command. A task must never be started once the end of its job is requested, nor be reaped
+//! before its completion is recorded.
 
 use crate::{
     protocol::workers::{Command, ExitReason},
     state::{
-        cluster::{Assignment, ClusterState, Job, JobHandle, Machine, MachineHandle, Phase},
+        cluster::{Assignment, ClusterState, Job, JobHandle, MachineHandle, Phase},
         slot_table::SlotTable,
     },
 };
@@ -19,6 +20,9 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum DueCommand {
     Start,
+    /// A stop of a task that must not be started any more. No start of it was sent, or none
+    /// that may still be carried out.
+    WithdrawStart,
     Stop {
         /// Grace period in seconds.
         grace_s: f64,
@@ -26,18 +30,43 @@
     Reap,
 }
 
-/// Returns what a machine that has seen `seen_token` is to be told about the task. Decides for
-/// responses to heartbeats and direct commands alike.
-fn due_command(
-    assignment: &Assignment,
-    jobs: &SlotTable<JobHandle, Job>,
+/// What decides, besides the assignment itself, which command is due for a task.
+struct MachineContext<'a> {
+    machine: MachineHandle,
+    /// Highest fencing token that the machine has seen.
     seen_token: u64,
+    jobs: &'a SlotTable<JobHandle, Job>,
+    /// Latest change that every counted standby has confirmed.
     confirmed: u64,
-) -> Option<DueCommand> {
+}
+
+/// Whether a start of the assignment's task may be sent now.
+fn may_start(
+    assignment: &Assignment,
+    machine: MachineHandle,
+    jobs: &SlotTable<JobHandle, Job>,
+) -> bool {
+    let job = assignment.job.and_then(|handle| jobs.get(handle));
+    !assignment.stop.is_requested()
+        && job.is_some_and(|job| job.may_start(assignment.task, machine))
+}
+
+/// Returns what a machine is to be told about the task. Decides for responses to heartbeats
+/// and direct commands alike.
+fn due_command(assignment: &Assignment, context: &MachineContext) -> Option<DueCommand> {
+    let MachineContext {
+        machine,
+        seen_token,
+        jobs,
+        confirmed,
+    } = *context;
     match (assignment.phase, assignment.stop.grace_s()) {
         (Phase::Ended(reason), _) => {
             may_reap(assignment, reason, seen_token, jobs).then_some(DueCommand::Reap)
         }
+        (Phase::New, None) if !may_start(assignment, machine, jobs) => {
+            Some(DueCommand::WithdrawStart)
+        }
         (Phase::New, None) => (assignment.change_number <= confirmed).then_some(DueCommand::Start),
         // The task is saving a checkpoint before it stops. A stop without grace ends it.
         (Phase::Saving, Some(grace_s)) if grace_s > 0.0 => None,
@@ -62,7 +91,12 @@
     let Some((machine, jobs)) = cluster.machine_with_jobs(machine_handle) else {
         return commands;
     };
-    let seen_token = machine.acknowledged_token;
+    let context = MachineContext {
+        machine: machine_handle,
+        seen_token: machine.acknowledged_token,
+        jobs,
+        confirmed,
+    };
     let way = match direct {
         Some(_) => "a direct command",
         None => "the response to a heartbeat",
@@ -73,7 +107,7 @@
         }
         log_due_command(assignment, &machine.name, way, jobs);
         let (task, attempt) = (assignment.name.clone(), assignment.attempt);
-        match due_command(assignment, jobs, seen_token, confirmed) {
+        match due_command(assignment, &context) {
             Some(DueCommand::Reap) => commands.push(Command::Reap { task, attempt }),
             Some(DueCommand::Start) => {
                 latest_sent = latest_sent.max(assignment.change_number);
@@ -82,6 +116,19 @@
                 assignment.indeterminate_token = direct.unwrap_or(0);
                 commands.push(Command::Start { task, attempt });
             }
+            Some(DueCommand::WithdrawStart) => {
+                log::info!(
+                    "commands: task {task} is not started on machine {}: its job ends, or \
+                     the task is done",
+                    machine.name
+                );
+                assignment.stop.request_immediate();
+                commands.push(Command::Stop {
+                    task,
+                    attempt,
+                    grace_s: 0.0,
+                });
+            }
             Some(DueCommand::Stop { grace_s }) => {
                 // A start that is still in flight may be carried out after this stop.
                 if !matches!(assignment.phase, Phase::New | Phase::Sent) {
@@ -148,6 +195,27 @@
     !start_pending && recorded
 }
 
+/// Whether direct commands that were decided earlier may be sent to the machine now: every task
+/// that they start must still be there to be started.
+pub fn may_still_send(
+    cluster: &ClusterState,
+    machine_handle: MachineHandle,
+    commands: &[Command],
+) -> bool {
+    let Some(machine) = cluster.machine(machine_handle) else {
+        return false;
+    };
+    let startable = |task: &str, attempt: u64| {
+        let mut assignments = machine.tasks.iter();
+        let assignment = assignments.find(|a| a.attempt == attempt && a.name == task);
+        assignment.is_some_and(|a| may_start(a, machine_handle, &cluster.jobs))
+    };
+    commands.iter().all(|command| match command {
+        Command::Start { task, attempt } => startable(task, *attempt),
+        Command::Stop { .. } | Command::Reap { .. } => true,
+    })
+}
+
 /// Resolves the starts of the direct command with the given token, which was answered or is
 /// certain not to be carried out. If it was not executed, its tasks can be started again.
 pub fn resolve_direct_commands(
@@ -171,19 +239,28 @@
 /// Whether there is a command for the machine that should be sent directly instead of with
 /// the response to its next heartbeat.
 pub fn needs_direct_commands(
-    machine: &Machine,
-    jobs: &SlotTable<JobHandle, Job>,
+    cluster: &ClusterState,
+    machine_handle: MachineHandle,
     confirmed: u64,
 ) -> bool {
+    let Some(machine) = cluster.machine(machine_handle) else {
+        return false;
+    };
+    let context = MachineContext {
+        machine: machine_handle,
+        seen_token: machine.acknowledged_token,
+        jobs: &cluster.jobs,
+        confirmed,
+    };
     let is_urgent = |assignment: &Assignment| {
-        match due_command(assignment, jobs, machine.acknowledged_token, confirmed) {
+        match due_command(assignment, &context) {
             Some(DueCommand::Start) => true,
             // A stop is sent directly once, and repeated with the responses to heartbeats. A
             // task that was not reported yet is stopped with the next of these.
             Some(DueCommand::Stop { .. }) => {
                 assignment.stop.is_unsent() && !matches!(assignment.phase, Phase::New | Phase::Sent)
             }
-            Some(DueCommand::Reap) | None => false,
+            Some(DueCommand::WithdrawStart | DueCommand::Reap) | None => false,
         }
     };
     machine.up && machine.addr.is_some() && machine.tasks.iter().any(is_urgent)
--- a/src/control/leader/direct_commands.rs
+++ b/src/control/leader/direct_commands.rs
@@ -50,7 +50,8 @@
                 continue;
             };
             let ready = machine.up && !machine.command_in_flight && now >= machine.command_retry_at;
-            if !ready || !commands::needs_direct_commands(machine, &self.cluster.jobs, confirmed) {
+            if !ready || !commands::needs_direct_commands(&self.cluster, machine_handle, confirmed)
+            {
                 continue;
             }
             let token = self.fencing_token(machine_handle);
@@ -84,6 +85,15 @@
         deliveries
     }
 
+    /// Whether a delivery may still be sent. Connecting to the machine takes time, in which a job
+    /// that it starts may be cancelled; the delivery then counts as never sent, and what else it
+    /// holds goes with the next response to a heartbeat.
+    pub fn may_still_send(&self, delivery: &DirectDelivery) -> bool {
+        let commands = &delivery.commands.commands;
+        let machine = self.cluster.machine_handle(&delivery.machine);
+        machine.is_some_and(|machine| commands::may_still_send(&self.cluster, machine, commands))
+    }
+
     /// Applies the outcome of a delivery that was sent under `token`.
     pub fn direct_delivery_finished(
         &mut self,
--- a/src/control/leader/failover.rs
+++ b/src/control/leader/failover.rs
@@ -195,10 +195,10 @@
             Placement::On(_) => return false,
         }
         job_state.has_run = true;
-        let job_cancelled = job_state.cancelled || job_state.cancel_requested;
+        let to_stop = job_state.end_requested();
         self.cluster
             .assign(job_handle, task, machine_handle, attempt, phase, now);
-        if job_cancelled
+        if to_stop
             && let Some(assignment) = self
                 .cluster
                 .machine_mut(machine_handle)
--- a/src/control/leader/job_status.rs
+++ b/src/control/leader/job_status.rs
@@ -7,7 +7,7 @@
 
 use super::Leader;
 use crate::{
-    protocol::users::JobStatus,
+    protocol::users::{JobState, JobStatus},
     state::{
         Millis,
         cluster::{Job, JobHandle},
@@ -75,9 +75,21 @@
         unread.then_some(Withheld::DependenciesUnread)
     }
 
-    /// Caches a job's final state, learned at `now`.
+    /// Caches a job's final state, learned at `now`. A job that is cancelled by a record that
+    /// this leader has read is handled as cancelled from now on, even if the leader has not
+    /// learned the outcome of its own write yet.
     pub fn remember_final_state(&mut self, status: &JobStatus, now: Millis) {
         self.final_states.learn(status, now);
+        if status.state == JobState::Cancelled
+            && let Some(job) = self
+                .cluster
+                .job_handle(&status.id)
+                .and_then(|handle| self.cluster.job_mut(handle))
+        {
+            job.cancel_requested = true;
+            job.cancel_indeterminate = true;
+            self.changed = true;
+        }
     }
 
     /// Returns the job state that another node may report at once. A final state is withheld
--- a/src/control/leader/offload.rs
+++ b/src/control/leader/offload.rs
@@ -168,9 +168,7 @@
         }
         let may_leave = job.live_count == 0
             && job.waiting_count() > 0
-            && !job.cancelled
-            && !job.cancel_requested
-            && !job.ending_in_flight
+            && !job.end_requested()
             && job.spec.kind != Kind::Service
             && self.job_settled(job);
         if !may_leave {
@@ -316,8 +314,7 @@
     job.waiting_count() > 0
         && job.live_count == 0
         && job.spec.kind != Kind::Service
-        && !job.cancelled
-        && !job.cancel_requested
+        && !job.end_requested()
         && !job.failures.suspected
         && matches!(
             job.reason,
--- a/src/control/leader/recovery.rs
+++ b/src/control/leader/recovery.rs
@@ -146,8 +146,7 @@
             job.spec.kind != Kind::Array
                 && job.waiting_count() > 0
                 && job.waiting_since <= phase_started_at
-                && !job.cancelled
-                && !job.cancel_requested
+                && !job.end_requested()
                 && !matches!(
                     job.reason,
                     PendingReason::TeamLimit | PendingReason::FailsEverywhere
--- a/src/control/leader/scheduling_cycle.rs
+++ b/src/control/leader/scheduling_cycle.rs
@@ -295,7 +295,7 @@
     }
 }
 
-/// Whether the job has tasks to place and is not cancelled.
+/// Whether the job has tasks to place, and no end of it is requested or being recorded.
 pub(super) fn is_schedulable_job(job: &Job) -> bool {
-    job.waiting_count() > 0 && !job.cancelled && !job.cancel_requested
+    job.waiting_count() > 0 && !job.end_requested()
 }
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -430,9 +430,9 @@
         job.mark_done(task);
     }
     if phase.is_live() && valid_task && job.placement(task) == Placement::Unplaced {
-        let cancelled = job.cancelled || job.cancel_requested;
+        let to_stop = job.end_requested();
         cluster.assign(job_handle, task, machine_handle, attempt, phase, now);
-        if cancelled && let Some(assignment) = last_assignment(cluster, machine_handle) {
+        if to_stop && let Some(assignment) = last_assignment(cluster, machine_handle) {
             assignment.stop.request_immediate();
         }
         return;
--- a/src/control/requests/view.rs
+++ b/src/control/requests/view.rs
@@ -84,8 +84,10 @@
 
     /// Caches a status that was read now, if it is final.
     pub fn remember(&mut self, status: &JobStatus) {
-        let now = self.now;
-        self.final_state_cache().learn(status, now);
+        match self.leader.as_deref_mut() {
+            Some(leader) => leader.remember_final_state(status, self.now),
+            None => self.final_states.learn(status, self.now),
+        }
     }
 
     /// Returns how much longer this final state must be held. A state in the leader's
@@ -95,6 +97,7 @@
         if source == Source::Leader {
             self.final_state_cache().insert(status, now);
         }
+        self.remember(status);
         self.final_state_cache().hold_time(status, now)
     }
 
--- a/src/server/control_loop.rs
+++ b/src/server/control_loop.rs
@@ -213,10 +213,14 @@
     async fn deliver_directly(self: Rc<Self>, term: u64, delivery: DirectDelivery) {
         let body = serde_json::to_vec(&delivery.commands).unwrap_or_default();
         let timeout = Duration::from_millis(DIRECT_COMMAND_TIMEOUT_MS);
-        // The commands were decided with authority, which may have ended since. Once
-        // they are sent, the fencing token makes commands that arrive late harmless.
-        let may_act = || self.with_authority(|leader, _| leader.term) == Some(term);
-        let result = if may_act() {
+        // The commands were decided with authority, which may have ended since, and so may a
+        // job that they start. Once they are sent, the fencing token makes commands that
+        // arrive late harmless.
+        let may_send = || {
+            self.with_authority(|leader, _| leader.term == term && leader.may_still_send(&delivery))
+                .unwrap_or(false)
+        };
+        let result = if may_send() {
             self.http
                 .call_if(
                     delivery.addr,
@@ -224,11 +228,13 @@
                     "/do",
                     Some(body),
                     timeout,
-                    may_act,
+                    may_send,
                 )
                 .await
         } else {
-            Err(CallError::NotSent("authority has ended".into()))
+            Err(CallError::NotSent(
+                "authority has ended, or a job that it starts ends".into(),
+            ))
         };
         let machine = &delivery.machine;
         let outcome = match result {
--- a/src/state/cluster/job.rs
+++ b/src/state/cluster/job.rs
@@ -306,6 +306,25 @@
         self.ending_in_flight || self.end_indeterminate && !self.cancelled
     }
 
+    /// Whether the job is cancelled, is to be cancelled, or has an end that is being written or
+    /// may have been written. From the moment at which a write that ends the job is sent, any
+    /// controller may read it and tell the user, long before this leader knows its outcome.
+    pub fn end_requested(&self) -> bool {
+        self.cancelled
+            || self.cancel_requested
+            || self.cancel_indeterminate
+            || self.ending_in_flight
+            || self.end_indeterminate
+    }
+
+    /// Whether a command that starts the task on the machine may be sent now. Every start is
+    /// checked here when it is issued, and direct starts once more when they are sent.
+    pub fn may_start(&self, task: u32, machine: MachineHandle) -> bool {
+        !self.end_requested()
+            && self.offload.is_local()
+            && self.placement(task) == Placement::On(machine)
+    }
+
     /// Returns the status that users are shown.
     pub fn status(&self) -> JobStatus {
         JobStatus {
--- a/tests/simulation/check.rs
+++ b/tests/simulation/check.rs
@@ -60,6 +60,20 @@
         self.violations.extend(found);
     }
 
+    /// Checks that a message which node `node_id` sends now starts no task of a job that a user
+    /// was answered is cancelled.
+    pub(super) fn check_sent_starts(&mut self, node_id: usize, msg: &Msg) {
+        for task in msg.starts() {
+            let id = task.rsplit_once('/').unwrap().0;
+            if self.answered.contains_key(&format!("{id}!")) {
+                self.violations.push(format!(
+                    "start_sent: node {node_id} starts {task} after its job was answered as \
+                     cancelled"
+                ));
+            }
+        }
+    }
+
     /// Returns when a user was first answered that the job, or a direct or indirect
     /// dependency of the job, is cancelled.
     pub(super) fn cancelled_before(&self, id: &str) -> Option<Millis> {
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -240,6 +240,9 @@
     directs: BTreeSet<(usize, u64, String, u64)>,
     /// Delay of direct commands to a worker; 5 ms for workers without an entry.
     pub direct_command_delay: HashMap<usize, Millis>,
+    /// Time that connecting to a worker takes before a direct command is sent; 0 for workers
+    /// without an entry.
+    pub connect_delay: HashMap<usize, Millis>,
     pub violations: Vec<String>,
     /// Number of task starts.
     pub starts: u32,
@@ -347,6 +350,7 @@
             fault_free: false,
             directs: BTreeSet::new(),
             direct_command_delay: HashMap::new(),
+            connect_delay: HashMap::new(),
             violations: Vec::new(),
             starts: 0,
             failed: 0,
--- a/tests/simulation/net.rs
+++ b/tests/simulation/net.rs
@@ -66,6 +66,9 @@
     /// To a worker, from a node: the response, the heartbeat's incarnation and sequence
     /// number, and the time the heartbeat was sent.
     HeartbeatReply(usize, usize, Option<HeartbeatResponse>, u64, u64, Millis),
+    /// The connection of a node to a worker is established, on which the node, in that term,
+    /// sends a direct command.
+    DirectConnected(usize, usize, u64, DirectDelivery),
     /// From a node to a worker, in a term.
     DirectCommand(usize, usize, u64, DirectCommands),
     /// The end of a node's direct command: term, machine, token, and the answer, if any:
@@ -88,11 +91,25 @@
             | Msg::HeartbeatReply(worker_id, node_id, ..)
             | Msg::DirectCommand(node_id, worker_id, ..) => Some((*node_id, *worker_id)),
             Msg::RelayedHeartbeat(..)
+            | Msg::DirectConnected(..)
             | Msg::DirectCommandEnded(..)
             | Msg::ReplicationPart(..)
             | Msg::ReplicationAnswer(..) => None,
         }
     }
+
+    /// Returns the tasks that the message starts.
+    pub(super) fn starts(&self) -> impl Iterator<Item = &str> {
+        let commands = match self {
+            Msg::HeartbeatReply(_, _, Some(response), ..) => &response.commands[..],
+            Msg::DirectCommand(_, _, _, direct) => &direct.commands,
+            _ => &[],
+        };
+        commands.iter().filter_map(|command| match command {
+            Command::Start { task, .. } => Some(task.as_str()),
+            Command::Stop { .. } | Command::Reap { .. } => None,
+        })
+    }
 }
 
 impl Simulation {
@@ -239,7 +256,7 @@
     fn release_held(&mut self) {
         for message in std::mem::take(&mut self.held) {
             match message.endpoints() {
-                Some((node_id, worker_id)) => self.send(node_id, worker_id, 5, message),
+                Some((node_id, worker_id)) => self.transmit(node_id, worker_id, 5, message),
                 None => self.in_transit.push((self.now + 5, message)),
             }
         }
@@ -307,12 +324,27 @@
     /// Sends a message between node `node_id` and worker `worker_id`, in either direction,
     /// subject to the faults of the link.
     pub(super) fn send(&mut self, node_id: usize, worker_id: usize, delay: Millis, msg: Msg) {
+        // The process of a stalled sender made its last check before the pause.
+        if self.stalled_until(node_id, &msg).is_none() {
+            self.check_sent_starts(node_id, &msg);
+        }
+        self.transmit(node_id, worker_id, delay, msg);
+    }
+
+    /// Returns until when the node is paused between its last check and sending the message.
+    fn stalled_until(&self, node_id: usize, msg: &Msg) -> Option<Millis> {
         let from_node = matches!(msg, Msg::HeartbeatReply(..) | Msg::DirectCommand(..));
-        let stalled = self
-            .paused_sender
-            .filter(|(n, _)| *n == node_id && from_node);
+        self.paused_sender
+            .filter(|(n, _)| *n == node_id && from_node)
+            .map(|(_, until)| until)
+    }
+
+    /// Carries a message that was sent now, or that was held after it was sent.
+    fn transmit(&mut self, node_id: usize, worker_id: usize, delay: Millis, msg: Msg) {
+        let from_node = matches!(msg, Msg::HeartbeatReply(..) | Msg::DirectCommand(..));
+        let sent_at = self.stalled_until(node_id, &msg).unwrap_or(self.now);
         let slow = self.slow_links.get(&worker_id).copied().unwrap_or(0);
-        let at = stalled.map_or(self.now, |(_, until)| until) + delay + slow;
+        let at = sent_at + delay + slow;
         match (
             self.workers[worker_id].net,
             self.link(node_id, Endpoint::Worker(worker_id)),
@@ -351,6 +383,31 @@
         );
         self.in_transit
             .push((self.now + DIRECT_COMMAND_TIMEOUT_MS, lost));
+        match self.connect_delay.get(&worker_id) {
+            Some(delay) => self.in_transit.push((
+                self.now + delay,
+                Msg::DirectConnected(node_id, worker_id, term, delivery),
+            )),
+            None => self.send_on_connection(node_id, worker_id, term, delivery),
+        }
+    }
+
+    /// Sends a direct command on an established connection, if the node may still send it.
+    fn send_on_connection(
+        &mut self,
+        node_id: usize,
+        worker_id: usize,
+        term: u64,
+        delivery: DirectDelivery,
+    ) {
+        let now = self.now;
+        let node = &mut self.nodes[node_id];
+        let has_authority = node.alive && node.election.authority(now) == Some(term);
+        let leader = node.leader.as_mut().filter(|leader| leader.term == term);
+        if !leader.is_some_and(|leader| has_authority && leader.may_still_send(&delivery)) {
+            let token = delivery.commands.fencing_token;
+            return self.end_unsent_command(node_id, term, delivery.machine, token);
+        }
         let delay = self
             .direct_command_delay
             .get(&worker_id)
@@ -364,6 +421,21 @@
         );
     }
 
+    /// Node `node_id` gives up a direct command that it has not sent.
+    fn end_unsent_command(&mut self, node_id: usize, term: u64, machine: String, token: u64) {
+        let now = self.now;
+        let leader = self.nodes[node_id].leader.as_mut();
+        let leader = leader.filter(|leader| leader.term == term);
+        if self
+            .directs
+            .remove(&(node_id, term, machine.clone(), token))
+            && let Some(leader) = leader
+        {
+            let outcome = DirectDeliveryOutcome::NotSent;
+            leader.direct_delivery_finished(&machine, token, outcome, now);
+        }
+    }
+
     pub(super) fn deliver(&mut self, msg: Msg) {
         let now = self.now;
         // Messages to a paused process are delivered when it resumes.
@@ -371,6 +443,7 @@
             Msg::Heartbeat(node_id, ..)
             | Msg::DuplicateHeartbeat(node_id, ..)
             | Msg::RelayedHeartbeat(_, node_id, ..)
+            | Msg::DirectConnected(node_id, ..)
             | Msg::DirectCommandEnded(node_id, ..) => Some(*node_id),
             Msg::ReplicationPart(_, j, _) => Some(*j),
             Msg::ReplicationAnswer(node_id, ..) => Some(*node_id),
@@ -413,6 +486,9 @@
             Msg::HeartbeatReply(worker_id, node_id, reply, incarnation, seq, sent) => {
                 self.receive_reply(worker_id, node_id, reply, incarnation, seq, sent);
             }
+            Msg::DirectConnected(i, w, term, delivery) => {
+                self.send_on_connection(i, w, term, delivery);
+            }
             Msg::DirectCommand(i, w, term, order) => self.receive_direct_command(i, w, term, order),
             Msg::DirectCommandEnded(node_id, term, name, token, answer) => {
                 self.end_direct_command(node_id, term, name, token, answer);
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -164,6 +164,7 @@
         2 => sim.workers[machine].net = Net::Hold,
         3 => sim.workers[machine].net = Net::SendOnly,
         4 => drop(sim.direct_command_delay.insert(machine, 8_000)),
+        5 => drop(sim.connect_delay.insert(machine, 1_500)),
         6 => sim.store.lost_answers = 60,
         7 => sim.pause_machine(machine, 6_000),
         _ => sim.announce_reclaim(machine, 120_000),
@@ -174,6 +175,7 @@
     (0..sim.workers.len()).for_each(|machine| sim.restore_network(machine));
     sim.store.lost_answers = 0;
     sim.direct_command_delay.clear();
+    sim.connect_delay.clear();
 }
 
 /// Random jobs are stopped for more urgent ones and on reclaim notices, and cancelled, while
