Commands for a machine: deriving one and issuing it are functions of their own

DropStart is the name of a start that may no longer be sent. No change of behaviour; the unit tests, tests/stops.rs and tests/starts_of_ended_jobs.rs pass.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -16,13 +16,13 @@
 /// Maximum number of commands in one message. A response line must stay under 64 KiB.
 const MAX_COMMANDS: usize = 300;
 
-/// What a machine is to be told about one task.
+/// The command that is due for one task.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum DueCommand {
     Start,
     /// A stop of a task that must not be started any more. No start of it was sent, or none
     /// that may still be carried out.
-    WithdrawStart,
+    DropStart,
     Stop {
         /// Grace period in seconds.
         grace_s: f64,
@@ -30,7 +30,7 @@
     Reap,
 }
 
-/// What decides, besides the assignment itself, which command is due for a task.
+/// Inputs of the choice of a command, besides the assignment itself.
 struct MachineContext<'a> {
     machine: MachineHandle,
     /// Highest fencing token that the machine has seen.
@@ -51,8 +51,8 @@
         && job.is_some_and(|job| job.may_start(assignment.task, machine))
 }
 
-/// Returns what a machine is to be told about the task. Decides for responses to heartbeats
-/// and direct commands alike.
+/// Returns the command that is due for the task, in responses to heartbeats and in direct
+/// commands alike.
 fn due_command(assignment: &Assignment, context: &MachineContext) -> Option<DueCommand> {
     let MachineContext {
         machine,
@@ -64,9 +64,7 @@
         (Phase::Ended(reason), _) => {
             may_reap(assignment, reason, seen_token, jobs).then_some(DueCommand::Reap)
         }
-        (Phase::New, None) if !may_start(assignment, machine, jobs) => {
-            Some(DueCommand::WithdrawStart)
-        }
+        (Phase::New, None) if !may_start(assignment, machine, jobs) => Some(DueCommand::DropStart),
         (Phase::New, None) => (assignment.change_number <= confirmed).then_some(DueCommand::Start),
         // The task is saving a checkpoint before it stops. A stop without grace ends it.
         (Phase::Saving, Some(grace_s)) if grace_s > 0.0 => None,
@@ -106,45 +104,50 @@
             break;
         }
         log_due_command(assignment, &machine.name, way, jobs);
-        let (task, attempt) = (assignment.name.clone(), assignment.attempt);
-        match due_command(assignment, &context) {
-            Some(DueCommand::Reap) => commands.push(Command::Reap { task, attempt }),
-            Some(DueCommand::Start) => {
-                latest_sent = latest_sent.max(assignment.change_number);
-                assignment.phase = Phase::Sent;
-                assignment.sent_with_heartbeat = seq;
-                assignment.indeterminate_token = direct.unwrap_or(0);
-                commands.push(Command::Start { task, attempt });
+        let Some(due) = due_command(assignment, &context) else {
+            continue;
+        };
+        if due == DueCommand::Start {
+            latest_sent = latest_sent.max(assignment.change_number);
+        }
+        commands.push(issue(assignment, due, direct, seq));
+    }
+    cluster.latest_sent_change = cluster.latest_sent_change.max(latest_sent);
+    commands
+}
+
+/// Notes in the assignment that the command is sent, and returns the command.
+fn issue(assignment: &mut Assignment, due: DueCommand, direct: Option<u64>, seq: u64) -> Command {
+    let (task, attempt) = (assignment.name.clone(), assignment.attempt);
+    match due {
+        DueCommand::Reap => Command::Reap { task, attempt },
+        DueCommand::Start => {
+            assignment.phase = Phase::Sent;
+            assignment.sent_with_heartbeat = seq;
+            assignment.indeterminate_token = direct.unwrap_or(0);
+            Command::Start { task, attempt }
+        }
+        DueCommand::DropStart => {
+            log::info!("commands: task {task} is not started: its job ends, or the task is done");
+            assignment.stop.request_immediate();
+            Command::Stop {
+                task,
+                attempt,
+                grace_s: 0.0,
             }
-            Some(DueCommand::WithdrawStart) => {
-                log::info!(
-                    "commands: task {task} is not started on machine {}: its job ends, or \
-                     the task is done",
-                    machine.name
-                );
-                assignment.stop.request_immediate();
-                commands.push(Command::Stop {
-                    task,
-                    attempt,
-                    grace_s: 0.0,
-                });
+        }
+        DueCommand::Stop { grace_s } => {
+            // A start that is still in flight may be carried out after this stop.
+            if !matches!(assignment.phase, Phase::New | Phase::Sent) {
+                assignment.stop.mark_sent();
             }
-            Some(DueCommand::Stop { grace_s }) => {
-                // A start that is still in flight may be carried out after this stop.
-                if !matches!(assignment.phase, Phase::New | Phase::Sent) {
-                    assignment.stop.mark_sent();
-                }
-                commands.push(Command::Stop {
-                    task,
-                    attempt,
-                    grace_s,
-                });
+            Command::Stop {
+                task,
+                attempt,
+                grace_s,
             }
-            None => {}
         }
     }
-    cluster.latest_sent_change = cluster.latest_sent_change.max(latest_sent);
-    commands
 }
 
 /// Logs what is known of a task that the machine is to start or to stop.
@@ -260,7 +263,7 @@
             Some(DueCommand::Stop { .. }) => {
                 assignment.stop.is_unsent() && !matches!(assignment.phase, Phase::New | Phase::Sent)
             }
-            Some(DueCommand::WithdrawStart | DueCommand::Reap) | None => false,
+            Some(DueCommand::DropStart | DueCommand::Reap) | None => false,
         }
     };
     machine.up && machine.addr.is_some() && machine.tasks.iter().any(is_urgent)
--- a/tests/starts_of_ended_jobs.rs
+++ b/tests/starts_of_ended_jobs.rs
@@ -157,7 +157,7 @@
 /// outcome yet, starts a task of the job.
 #[test]
 fn no_start_is_sent_when_another_node_has_read_the_cancellation() {
-    let mut told_by_another_node = 0;
+    let mut answered_elsewhere = 0;
     for offset in (0..1_000).step_by(50) {
         let mut sim = cluster_with_held_command(1 + offset, offset);
         let leader = sim.leader().unwrap();
@@ -171,13 +171,13 @@
             sim.run(100);
         }
         sim.store.lost_answers = 0;
-        let told = sim.answered.get(&format!("{}!", id(1)));
-        told_by_another_node += u32::from(told.is_some());
+        let answer = sim.answered.get(&format!("{}!", id(1)));
+        answered_elsewhere += u32::from(answer.is_some());
         sim.run(CANCEL + 5_000);
         assert_eq!(sim.running(&id(1)), 0);
         sim.assert_no_violations();
     }
-    assert_eq!(told_by_another_node, 20);
+    assert_eq!(answered_elsewhere, 20);
 }
 
 /// Guards against `ran_cancelled`: connecting to the machine takes longer than another controller
