Tests: two guards of the review's fixes that could be taken out unnoticed

Read again, with single parts of the change taken out: no test failed without the direct command to a task that saves, nor without the check of the offload state before a start. Each has one now: cancelled_task_is_told_directly_to_stop_saving and no_start_is_sent_for_a_job_that_may_be_offloaded pass, and fail with the guard taken out.

--- a/tests/starts_of_ended_jobs.rs
+++ b/tests/starts_of_ended_jobs.rs
@@ -12,7 +12,10 @@
         users::{JobState, JobStatus, Kind},
         workers::Command,
     },
-    state::Millis,
+    state::{
+        Millis,
+        offload::{OffloadState, OffloadTarget},
+    },
 };
 use simulation::{CANCEL, Simulation, UserRequest, id, job};
 
@@ -140,6 +143,19 @@
     assert_eq!(starts_sent(&mut leader, 2), 0);
 }
 
+/// Guards against a job that runs in two clusters: no start is sent while the job's record may say
+/// that it is offloaded.
+#[test]
+fn no_start_is_sent_for_a_job_that_may_be_offloaded() {
+    let mut leader = leader_with_placed_task();
+    let handle = leader.cluster.job_handle(JOB).unwrap();
+    leader.cluster.job_mut(handle).unwrap().offload = OffloadState::Offloaded(OffloadTarget {
+        award: 1,
+        market: "m".into(),
+    });
+    assert_eq!(starts_sent(&mut leader, 2), 0);
+}
+
 /// A machine whose direct command is held up, so that the next task placed there waits for the
 /// response to the machine's next heartbeat.
 fn cluster_with_held_command(seed: u64, offset: Millis) -> Simulation {
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -76,6 +76,20 @@
     }
 }
 
+/// Guards against a stop without grace that waits for a heartbeat: a machine that reaches no
+/// controller, while direct commands reach it, is told at once that its saving task is cancelled.
+#[test]
+fn cancelled_task_is_told_directly_to_stop_saving() {
+    let mut sim = cluster_with_saving_job(9, Kind::Array, 1);
+    preempt(&mut sim, 1);
+    sim.workers[0].net = Net::DirectCommandsOnly;
+    sim.cancel("j-000001");
+    sim.run(COMMAND_MS);
+    assert_eq!(sim.saving("j-000001"), 0);
+    assert_eq!(sim.expired_tasks, 0);
+    sim.assert_no_violations();
+}
+
 /// Guards against `ran_cancelled`: a task that saves because the cloud reclaims its machine goes
 /// on saving after its job is cancelled.
 #[test]
