A reap travels only under a token that refuses copies of the attempt's direct start

What callers saw: a task ran on two machines at once. It failed on the first, was reaped there and placed elsewhere; half a second later the direct command that had started it arrived at the first machine again, two seconds after it had been carried out and answered, and started it once more. The same way leads past cancel_s for a cancelled job, over a team's limit, and to a machine that refuses work for lack of room beside a task that nobody placed there.

Cause: an answer was taken for the end of what a command can do. A direct start counted as pending until it was answered, or until a higher token was seen. But nothing says that a message arrives once. Until the reap the machine's list keeps a repeated start without effect; the reap took that away and left the token as it was. A second place drew the same conclusion: a task that an agent no longer lists counted as gone once its start had been answered.

Change: state/cluster/direct_start.rs keeps, for each attempt, the tokens under which starts went directly, and answers one question: may a start still arrive at a machine that has seen this token. Reaps, unlisted tasks, restarted agents and dropped starts all ask it. Where an ended task is due to be reaped under the token of its start, the response that reaps it raises the machine's token first; the worker takes token and reap together. Raises wait for a direct command in flight. Reaps never go directly, so no copy of one exists. A missing task is asked after under a raised token. A machine with few raises left in a term gets no direct commands.

Evidence: tests/duplicate_commands.rs. All other simulated tests now run with copies of a quarter of the direct commands, their checks unchanged.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -2,8 +2,9 @@
 //! so that the tasks on the machine come in line with the assigned ones.
 //!
 //! Owns no state. Called by the leader for each response to a heartbeat and for each direct
-//! command. A task must never be started once the end of its job is requested, nor be reaped
-//! before its completion is recorded.
+//! command. A task must never be started once the end of its job is requested. It must never be
+//! reaped before its completion is recorded, nor while a copy of a direct command could start the
+//! same attempt again.
 
 use super::task_lines::for_each_line;
 use crate::{
@@ -35,8 +36,8 @@
 /// Inputs of the choice of a command, besides the assignment itself.
 struct MachineContext<'a> {
     machine: MachineHandle,
-    /// Highest fencing token that the machine has seen.
-    seen_token: u64,
+    /// Fencing token of the message that carries the command.
+    token: u64,
     jobs: &'a SlotTable<JobHandle, Job>,
     /// Latest change that every counted standby has confirmed.
     confirmed: u64,
@@ -58,13 +59,15 @@
 fn due_command(assignment: &Assignment, context: &MachineContext) -> Option<DueCommand> {
     let MachineContext {
         machine,
-        seen_token,
+        token,
         jobs,
         confirmed,
     } = *context;
     match (assignment.phase, assignment.stop.grace_s()) {
         (Phase::Ended(reason), _) => {
-            may_reap(assignment, reason, seen_token, jobs).then_some(DueCommand::Reap)
+            let reapable =
+                is_recorded(assignment, reason, jobs) && !assignment.direct_start.may_arrive(token);
+            reapable.then_some(DueCommand::Reap)
         }
         (Phase::New, None) if !may_start(assignment, machine, jobs) => Some(DueCommand::DropStart),
         (Phase::New, None) => (assignment.change_number <= confirmed).then_some(DueCommand::Start),
@@ -78,7 +81,7 @@
 /// The message in which commands travel to a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Carrier {
-    /// A direct command. It may arrive late.
+    /// A direct command. It may arrive late, and more than once.
     DirectCommand,
     /// The response to the heartbeat with this sequence number. It arrives at once or never.
     Response(u64),
@@ -110,7 +113,7 @@
     };
     let context = MachineContext {
         machine: machine_handle,
-        seen_token: machine.acknowledged_token,
+        token,
         jobs,
         confirmed,
     };
@@ -123,6 +126,11 @@
         let Some(due) = due_command(assignment, &context) else {
             continue;
         };
+        // A copy of a reap could remove a later start of the same attempt, of a gang that is
+        // completed, from the list that keeps copies of that start without effect.
+        if due == DueCommand::Reap && carrier == Carrier::DirectCommand {
+            continue;
+        }
         if due == DueCommand::Start {
             latest_sent = latest_sent.max(assignment.change_number);
         }
@@ -149,13 +157,13 @@
         DueCommand::Reap => Command::Reap { task, attempt },
         DueCommand::Start => {
             assignment.phase = Phase::Sent;
-            (
-                assignment.sent_with_heartbeat,
-                assignment.indeterminate_token,
-            ) = match carrier {
-                Carrier::DirectCommand => (0, token),
-                Carrier::Response(seq) => (seq, 0),
-            };
+            match carrier {
+                Carrier::DirectCommand => {
+                    assignment.direct_start.mark_sent(token);
+                    assignment.sent_with_heartbeat = 0;
+                }
+                Carrier::Response(seq) => assignment.sent_with_heartbeat = seq,
+            }
             Command::Start { task, attempt }
         }
         DueCommand::DropStart => {
@@ -204,29 +212,60 @@
             format!("stop {task}@{attempt} with {grace_s} s of grace, as {reason}")
         }
         DueCommand::Reap => format!(
-            "reap {task}@{attempt}, which is {}, with its start answered",
+            "reap {task}@{attempt}, which is {} and can't be started again",
             assignment.phase
         ),
     }
 }
 
-/// Whether the machine may be told to forget an ended task. Once it has, a start of the same
-/// attempt that is still in flight would run the task again. Completion must be recorded
-/// first, because the machine's task list is the only evidence of it until then.
-fn may_reap(
+/// Whether an ended task may be removed from the machine's task list as far as the records go:
+/// until its completion is recorded, that list is the only evidence of it.
+fn is_recorded(
     assignment: &Assignment,
     reason: ExitReason,
-    seen_token: u64,
     jobs: &SlotTable<JobHandle, Job>,
 ) -> bool {
-    let start_pending =
-        assignment.indeterminate_token != 0 && seen_token <= assignment.indeterminate_token;
-    let recorded = reason != ExitReason::Done
-        || assignment
-            .job
-            .and_then(|handle| jobs.get(handle))
-            .is_none_or(|job| !job.is_dirty() && !job.write_in_flight);
-    !start_pending && recorded
+    let job = assignment.job.and_then(|handle| jobs.get(handle));
+    reason != ExitReason::Done || job.is_none_or(|job| !job.is_dirty() && !job.write_in_flight)
+}
+
+/// Whether a task that ended on the machine is to be reaped, but could be started again by a
+/// direct command of before as long as the machine has seen no higher token than `token`.
+pub fn has_startable_ended_task(
+    cluster: &ClusterState,
+    machine_handle: MachineHandle,
+    token: u64,
+) -> bool {
+    has_startable_task(cluster, machine_handle, token, |assignment| {
+        let Phase::Ended(reason) = assignment.phase else {
+            return false;
+        };
+        is_recorded(assignment, reason, &cluster.jobs)
+    })
+}
+
+/// The same for a task that the machine listed before and does not list any more.
+pub fn has_startable_missing_task(
+    cluster: &ClusterState,
+    machine_handle: MachineHandle,
+    token: u64,
+) -> bool {
+    has_startable_task(cluster, machine_handle, token, |assignment| {
+        assignment.missing
+    })
+}
+
+fn has_startable_task(
+    cluster: &ClusterState,
+    machine_handle: MachineHandle,
+    token: u64,
+    is_given_up: impl Fn(&Assignment) -> bool,
+) -> bool {
+    let tasks = cluster
+        .machine(machine_handle)
+        .map_or(&[][..], |m| &m.tasks);
+    let mut given_up = tasks.iter().filter(|assignment| is_given_up(assignment));
+    given_up.any(|assignment| assignment.direct_start.may_arrive(token))
 }
 
 /// Whether direct commands that were decided earlier may be sent to the machine now: every task
@@ -262,9 +301,9 @@
         return;
     };
     let assignments = machine.tasks.iter_mut();
-    for assignment in assignments.filter(|a| a.indeterminate_token == token) {
-        assignment.indeterminate_token = 0;
-        if assignment.phase == Phase::Sent && !executed {
+    for assignment in assignments {
+        let resolved = assignment.direct_start.resolve(token, executed);
+        if resolved && assignment.phase == Phase::Sent && !executed {
             assignment.phase = Phase::New;
         }
     }
@@ -275,6 +314,7 @@
 pub fn needs_direct_commands(
     cluster: &ClusterState,
     machine_handle: MachineHandle,
+    token: u64,
     confirmed: u64,
 ) -> bool {
     let Some(machine) = cluster.machine(machine_handle) else {
@@ -282,11 +322,15 @@
     };
     let context = MachineContext {
         machine: machine_handle,
-        seen_token: machine.acknowledged_token,
+        token,
         jobs: &cluster.jobs,
         confirmed,
     };
     let is_urgent = |assignment: &Assignment| {
+        if assignment.missing {
+            // An answer under a higher token shows that the task is gone.
+            return !assignment.direct_start.may_arrive(token);
+        }
         match due_command(assignment, &context) {
             Some(DueCommand::Start) => true,
             // A stop is sent directly once, and repeated with the responses to heartbeats. A
--- a/src/control/leader/direct_commands.rs
+++ b/src/control/leader/direct_commands.rs
@@ -84,13 +84,16 @@
             return deliveries;
         }
         let confirmed = self.standbys.confirmed_change();
+        let probe_interval_ms = millis(self.settings.cluster.workers.report_s);
         for index in self.cluster.machine_range() {
             let Some((machine_handle, machine)) = self.cluster.machine_at(index) else {
                 continue;
             };
             let ready = machine.up && !machine.command_in_flight && now >= machine.command_retry_at;
             let token = self.fencing_token(machine_handle);
-            if !ready || !commands::needs_direct_commands(&self.cluster, machine_handle, confirmed)
+            if !ready
+                || !self.may_command_directly(machine_handle)
+                || !commands::needs_direct_commands(&self.cluster, machine_handle, token, confirmed)
             {
                 continue;
             }
@@ -106,6 +109,9 @@
                 && let Some(addr) = machine.addr
             {
                 machine.command_in_flight = true;
+                if commands.is_empty() {
+                    machine.command_retry_at = now + probe_interval_ms;
+                }
                 let is_start = |c: &Command| matches!(c, Command::Start { .. });
                 if commands.iter().any(is_start) {
                     machine.start_sent_at = Some(now);
@@ -171,6 +177,7 @@
             DirectDeliveryOutcome::Executed(report) => {
                 commands::resolve_direct_commands(&mut self.cluster, machine_handle, token, true);
                 self.apply_heartbeat(machine_handle, &report, StatusSource::DirectCommand, now);
+                self.raise_token_for_missing_tasks(machine_handle);
             }
             DirectDeliveryOutcome::Refused(report) => {
                 commands::resolve_direct_commands(&mut self.cluster, machine_handle, token, false);
--- a/src/control/leader/expiry.rs
+++ b/src/control/leader/expiry.rs
@@ -198,7 +198,9 @@
                     let assignment = &machine.tasks[task_index];
                     assignment.phase == Phase::New
                         && assignment.stop.is_requested()
-                        && assignment.indeterminate_token == 0
+                        && !assignment
+                            .direct_start
+                            .may_arrive(machine.acknowledged_token)
                 });
                 if drop {
                     self.cluster.unassign(machine_handle, task_index);
--- a/src/control/leader/heartbeats.rs
+++ b/src/control/leader/heartbeats.rs
@@ -44,6 +44,7 @@
         let is_latest = machine.up
             && (report.incarnation, report.seq) == (machine.incarnation, machine.heartbeat_seq);
         let commands = if is_latest {
+            self.raise_token_for_tasks(machine_handle);
             let confirmed = self.standbys.confirmed_change();
             let token = self.fencing_token(machine_handle);
             let commands = commands::due_commands(
--- a/src/control/leader/partitions.rs
+++ b/src/control/leader/partitions.rs
@@ -132,13 +132,13 @@
 
     /// Returns the indices of tasks whose start was certainly not delivered, the last first.
     fn undelivered_starts(&self, machine_handle: MachineHandle) -> Vec<usize> {
-        let tasks = self
-            .cluster
-            .machine(machine_handle)
-            .map_or(&[][..], |m| &m.tasks);
-        let candidates = tasks.iter().enumerate();
-        let candidates =
-            candidates.filter(|(_, a)| a.phase == Phase::New && a.indeterminate_token == 0);
+        let Some(machine) = self.cluster.machine(machine_handle) else {
+            return Vec::new();
+        };
+        let seen_token = machine.acknowledged_token;
+        let candidates = machine.tasks.iter().enumerate();
+        let candidates = candidates
+            .filter(|(_, a)| a.phase == Phase::New && !a.direct_start.may_arrive(seen_token));
         let mut indices: Vec<usize> = candidates.map(|(index, _)| index).collect();
         indices.reverse();
         indices
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -12,7 +12,10 @@
     },
     state::{
         Millis,
-        cluster::{Assignment, ClusterState, JobHandle, Machine, MachineHandle, Phase, Placement},
+        cluster::{
+            Assignment, ClusterState, DirectStart, JobHandle, Machine, MachineHandle, Phase,
+            Placement,
+        },
     },
 };
 use std::{collections::HashSet, fmt};
@@ -44,16 +47,19 @@
     pub task: String,
     /// Attempt number.
     pub attempt: u64,
-    /// The reported phase; `None` if the task is not listed and counts as gone.
+    /// The reported phase; `None` if the task is not listed.
     pub phase: Option<Phase>,
+    /// Whether the task is given up on the machine, as no start of it can arrive there any more.
+    pub given_up: bool,
 }
 
 impl fmt::Display for TaskChange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}@{} ", self.task, self.attempt)?;
-        match self.phase {
-            Some(phase) => write!(f, "is {phase}"),
-            None => f.write_str("is not listed and counts as gone"),
+        match (self.phase, self.given_up) {
+            (Some(phase), _) => write!(f, "is {phase}"),
+            (None, true) => f.write_str("is not listed and can't be started any more"),
+            (None, false) => f.write_str("is not listed, but a direct start may still arrive"),
         }
     }
 }
@@ -219,7 +225,7 @@
         });
         let Some(task_index) = known else {
             effects.cluster_changed = true;
-            let handling = adopt_task(cluster, machine_handle, reported, now);
+            let handling = adopt_task(cluster, machine_handle, reported, term_floor, now);
             effects
                 .unassigned_tasks
                 .extend(handling.map(|handling| UnassignedTask {
@@ -242,7 +248,7 @@
                 cluster,
                 machine_handle,
                 task_index,
-                heartbeat.seq,
+                heartbeat,
                 source,
                 &mut effects,
             );
@@ -300,7 +306,7 @@
     machine.incarnation = heartbeat.incarnation;
     machine.heartbeat_seq = heartbeat.seq;
     machine.min_incarnation = heartbeat.incarnation;
-    machine.acknowledged_token = machine.acknowledged_token.max(heartbeat.acknowledged_token);
+    machine.acknowledged_token = heartbeat.acknowledged_token;
     machine.last_heartbeat = now;
     if let Ok(addr) = heartbeat.addr.parse() {
         machine.addr = Some(addr);
@@ -322,12 +328,11 @@
     effects: &mut HeartbeatEffects,
 ) {
     let phase = phase_of(reported);
-    let Some(assignment) = cluster
-        .machine(machine_handle)
-        .and_then(|m| m.tasks.get(task_index))
-    else {
+    let Some(machine) = cluster.machine_mut(machine_handle) else {
         return;
     };
+    let assignment = &mut machine.tasks[task_index];
+    assignment.missing = false;
     // A task that was reported running only once may be about to fail, so a second report is
     // required.
     let running_again = phase == Phase::Running && assignment.phase == phase;
@@ -365,6 +370,7 @@
         task: reported.task.clone(),
         attempt: reported.attempt,
         phase: Some(phase),
+        given_up: false,
     });
     cluster.set_phase(machine_handle, task_index, phase);
 }
@@ -375,7 +381,7 @@
     cluster: &mut ClusterState,
     machine_handle: MachineHandle,
     task_index: usize,
-    heartbeat_seq: u64,
+    heartbeat: &Heartbeat,
     source: StatusSource,
     effects: &mut HeartbeatEffects,
 ) {
@@ -385,24 +391,37 @@
     else {
         return;
     };
-    let Some(machine) = cluster.machine(machine_handle) else {
+    if may_be_started(
+        cluster,
+        machine_handle,
+        task_index,
+        heartbeat.acknowledged_token,
+    ) {
+        if let Some(machine) = cluster.machine_mut(machine_handle) {
+            let assignment = &mut machine.tasks[task_index];
+            let is_missing = !assignment.direct_start.is_unanswered();
+            if is_missing && !assignment.missing {
+                effects.task_changes.push(unlisted(assignment, false));
+            }
+            assignment.missing = is_missing;
+        }
         return;
-    };
+    }
+    let was_missing = assignment.missing;
+    if assignment.is_live() && !matches!(assignment.phase, Phase::New | Phase::Sent) || was_missing
+    {
+        effects.task_changes.push(unlisted(assignment, true));
+    }
     match assignment.phase {
         // The task had ended and has been reaped.
         Phase::Ended(_) => cluster.unassign(machine_handle, task_index),
         Phase::New | Phase::Sent => {
-            // A direct start without an answer may still arrive, unless the machine has seen a
-            // higher token. A start in a response can no longer arrive once a later
-            // heartbeat was made.
-            let may_start = if assignment.indeterminate_token != 0 {
-                direct_start_pending(assignment, machine, machine.acknowledged_token)
-            } else {
-                assignment.phase == Phase::Sent
-                    && (source == StatusSource::DirectCommand
-                        || heartbeat_seq <= assignment.sent_with_heartbeat)
-            };
-            if may_start {
+            // A start in a response can no longer arrive once a later heartbeat was made.
+            let response_pending = assignment.phase == Phase::Sent
+                && !assignment.direct_start.is_unanswered()
+                && (source == StatusSource::DirectCommand
+                    || heartbeat.seq <= assignment.sent_with_heartbeat);
+            if response_pending {
                 return;
             }
             let cancelled = assignment.stop.is_requested();
@@ -411,49 +430,59 @@
                 effects.cluster_changed = true;
             } else if let Some(machine) = cluster.machine_mut(machine_handle) {
                 let assignment = &mut machine.tasks[task_index];
-                let sent_in_response =
-                    assignment.phase == Phase::Sent && assignment.indeterminate_token == 0;
+                let sent_in_response = assignment.phase == Phase::Sent
+                    && assignment.direct_start == DirectStart::default();
                 effects.lost_commands += u32::from(sent_in_response);
-                assignment.indeterminate_token = 0;
+                assignment.direct_start = DirectStart::default();
+                assignment.missing = false;
                 assignment.phase = Phase::New;
             }
         }
-        // The task was listed before and is missing now, in the same incarnation. Nothing in
-        // the protocol causes this; the newest status is taken as correct.
+        // The task was listed before and is missing now, in the same incarnation: the agent
+        // has restarted.
         _ => {
-            log::error!(
-                "reconciliation: task {} is no longer listed by its machine within the \
-                 same incarnation; removing it",
-                assignment.name
-            );
-            effects.task_changes.push(TaskChange {
-                task: assignment.name.clone(),
-                attempt: assignment.attempt,
-                phase: None,
-            });
             cluster.unassign(machine_handle, task_index);
             effects.cluster_changed = true;
         }
     }
 }
 
-/// Whether a machine that has seen `seen_token` may still carry out the direct start of the
-/// assignment.
+fn unlisted(assignment: &Assignment, given_up: bool) -> TaskChange {
+    TaskChange {
+        task: assignment.name.clone(),
+        attempt: assignment.attempt,
+        phase: None,
+        given_up,
+    }
+}
+
+/// Whether the machine, which has seen `seen_token`, may still carry out a direct start of the
+/// assignment at the index.
+fn may_be_started(
+    cluster: &ClusterState,
+    machine_handle: MachineHandle,
+    task_index: usize,
+    seen_token: u64,
+) -> bool {
+    let machine = cluster.machine(machine_handle);
+    let assignment = machine.and_then(|m| Some((m, m.tasks.get(task_index)?)));
+    assignment.is_some_and(|(m, a)| direct_start_pending(a, m, seen_token))
+}
+
 fn direct_start_pending(assignment: &Assignment, machine: &Machine, seen_token: u64) -> bool {
-    machine.command_in_flight || seen_token <= assignment.indeterminate_token
+    let in_flight = assignment.direct_start.is_unanswered() && machine.command_in_flight;
+    in_flight || assignment.direct_start.may_arrive(seen_token)
 }
 
-/// Removes the tasks of a machine whose agent has restarted and has seen `token`. Direct
-/// starts that the new process may still carry out stay: incarnations count from one again,
-/// so the incarnation that such a command names does not rule it out.
+/// Removes the tasks of a machine whose agent has restarted and has seen `token`. Tasks of
+/// which the new process may still carry out a direct start stay: incarnations count from one
+/// again, so the incarnation that such a command names does not rule it out.
 fn forget_previous_process(cluster: &mut ClusterState, machine_handle: MachineHandle, token: u64) {
     let Some(machine) = cluster.machine(machine_handle) else {
         return;
     };
     let tasks_gone = machine_tasks_where(machine, |assignment| {
-        !(assignment.phase == Phase::Sent
-            && assignment.indeterminate_token != 0
-            && direct_start_pending(assignment, machine, token))
+        !direct_start_pending(assignment, machine, token)
     });
     remove_tasks(cluster, machine_handle, tasks_gone);
 }
@@ -479,6 +508,7 @@
         .collect();
     let unlisted = machine_tasks_where(machine, |assignment| {
         !listed.contains(&(assignment.name.as_str(), assignment.attempt))
+            && !direct_start_pending(assignment, machine, heartbeat.acknowledged_token)
     });
     remove_tasks(cluster, machine_handle, unlisted);
 }
@@ -504,17 +534,23 @@
 }
 
 /// Adds a reported task that is not in the machine's task list, as an earlier leader started
-/// it.
+/// it. An attempt of this term may have been started directly under any token that the machine
+/// was given so far; commands of earlier terms are not carried out any more.
 fn adopt_task(
     cluster: &mut ClusterState,
     machine_handle: MachineHandle,
     reported: &TaskStatus,
+    term_floor: u64,
     now: Millis,
 ) -> Option<UnassignedHandling> {
     add_reported_task(cluster, machine_handle, reported, now);
     let machine = cluster.machine_mut(machine_handle)?;
+    let latest_token = term_floor | machine.token_epoch;
     let added = machine.tasks.last_mut();
     let added = added.filter(|a| a.attempt == reported.attempt && a.name == reported.task)?;
+    if reported.attempt >= term_floor {
+        added.direct_start = DirectStart::up_to(latest_token);
+    }
     Some(match (added.is_live(), added.stop.is_requested()) {
         (false, _) => UnassignedHandling::Reaped,
         (true, true) => UnassignedHandling::Stopped,
--- a/src/state/cluster/assignments.rs
+++ b/src/state/cluster/assignments.rs
@@ -5,7 +5,7 @@
 //! reconciliation of heartbeats and the recovery after a failover call these functions.
 //! Resources must never be released while the task may still run.
 
-use super::{Assignment, ClusterState, JobHandle, MachineHandle, Phase, StopRequest};
+use super::{Assignment, ClusterState, DirectStart, JobHandle, MachineHandle, Phase, StopRequest};
 use crate::{
     protocol::{users::Kind, workers::ExitReason},
     state::Millis,
@@ -198,7 +198,8 @@
             need: Default::default(),
             phase,
             stop: StopRequest::default(),
-            indeterminate_token: 0,
+            direct_start: DirectStart::default(),
+            missing: false,
             sent_with_heartbeat: 0,
             since: now,
             seen_running: false,
--- a/src/state/cluster/machine.rs
+++ b/src/state/cluster/machine.rs
@@ -5,7 +5,7 @@
 //! `assignments.rs`, which keeps the counts consistent. A machine must never be treated
 //! as empty before its lease has expired.
 
-use super::{JobHandle, StopRequest};
+use super::{DirectStart, JobHandle, StopRequest};
 use crate::{
     protocol::{
         cloud::{ListedMachine, MachineType},
@@ -82,10 +82,11 @@
     pub phase: Phase,
     /// The stop that is requested of the task.
     pub stop: StopRequest,
-    /// Fencing token of a direct start command that got no response; 0 if there is
-    /// none. The machine may still execute the command until it has seen a higher
-    /// token.
-    pub indeterminate_token: u64,
+    /// Direct start commands of this attempt that the machine may still carry out.
+    pub direct_start: DirectStart,
+    /// Whether the machine's last status did not list the attempt, which was listed before,
+    /// while a direct start of it could still arrive.
+    pub missing: bool,
     /// Sequence number of the heartbeat whose response carried the start command.
     pub sent_with_heartbeat: u64,
     /// Time at which the assignment was added to the list.
--- a/src/state/cluster/mod.rs
+++ b/src/state/cluster/mod.rs
@@ -13,6 +13,7 @@
 //! The module must not do I/O, read a clock or write a record.
 
 mod assignments;
+mod direct_start;
 mod images;
 mod interner;
 mod job;
@@ -24,6 +25,7 @@
 mod stale;
 mod stop;
 
+pub use direct_start::DirectStart;
 pub use interner::Interner;
 pub use job::{Job, NewJob, Placement};
 pub use machine::{
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -8,7 +8,7 @@
 //! `server` around that code.
 //!
 //! Faults that can be injected: messages that are lost, held, refused, delayed or
-//! duplicated; transactions without an answer or applied late; controllers that crash,
+//! duplicated; direct commands that arrive again after they were answered; transactions without an answer or applied late; controllers that crash,
 //! pause or are partitioned; machines that pause, restart or fail.
 //!
 //! Not simulated: sockets, framing, TLS, threads, disks and clock drift. The testbed runs of
@@ -26,6 +26,7 @@
 
 mod answers;
 mod check;
+mod duplicate_commands;
 mod election;
 mod fixtures;
 mod lookups;
@@ -35,6 +36,7 @@
 mod requests;
 mod standbys;
 mod store;
+mod trace;
 mod users;
 mod workers;
 
@@ -48,6 +50,7 @@
 #[allow(unused_imports)]
 pub use users::UserRequest;
 
+use duplicate_commands::CommandDuplicates;
 use fastrand::Rng;
 use net::Msg;
 use pathwinch::{
@@ -167,6 +170,8 @@
     /// Highest fencing token that the worker has seen.
     pub token: u64,
     pub tasks: Vec<Task>,
+    /// Whether a heartbeat was answered since the agent started.
+    pub was_answered: bool,
     lease_renewed_at: Millis,
     /// Time of the next heartbeat.
     next_heartbeat_at: Millis,
@@ -228,6 +233,8 @@
     kept_heartbeats: Vec<(usize, Heartbeat)>,
     /// Number of kept heartbeats that were replayed to a new leader.
     pub replayed: u32,
+    /// Late copies of direct commands.
+    pub duplicates: CommandDuplicates,
     /// Extra delay of all messages between a worker and the controllers.
     pub slow_links: HashMap<usize, Millis>,
     /// Boot time of a machine that the cloud grants.
@@ -344,6 +351,7 @@
             keep_for_next_leader: false,
             kept_heartbeats: Vec::new(),
             replayed: 0,
+            duplicates: CommandDuplicates::with_seed(seed),
             slow_links: HashMap::new(),
             boot_ms: 5_000,
             waiting_since: HashMap::new(),
@@ -459,6 +467,7 @@
             seq: 0,
             token: 0,
             tasks: Vec::new(),
+            was_answered: false,
             lease_renewed_at: self.now + boot,
             next_heartbeat_at: self.now + boot,
             heartbeat_sent_at: 0,
@@ -620,6 +629,7 @@
     pub fn step(&mut self) {
         self.now += STEP;
         let now = self.now;
+        trace::set_time(now);
         self.store.advance(now);
         self.step_cloud();
         let due: Vec<(Millis, Msg)>;
--- a/tests/simulation/net.rs
+++ b/tests/simulation/net.rs
@@ -71,6 +71,8 @@
     DirectConnected(usize, usize, u64, DirectDelivery),
     /// From a node to a worker, in a term.
     DirectCommand(usize, usize, u64, DirectCommands),
+    /// A copy of a direct command that the worker has carried out before.
+    DuplicateCommand(usize, DirectCommands),
     /// The end of a node's direct command: term, machine, token, and the answer, if any:
     /// whether the command was executed, and a heartbeat.
     DirectCommandEnded(usize, u64, String, u64, Option<(bool, Heartbeat)>),
@@ -92,6 +94,7 @@
             | Msg::DirectCommand(node_id, worker_id, ..) => Some((*node_id, *worker_id)),
             Msg::RelayedHeartbeat(..)
             | Msg::DirectConnected(..)
+            | Msg::DuplicateCommand(..)
             | Msg::DirectCommandEnded(..)
             | Msg::ReplicationPart(..)
             | Msg::ReplicationAnswer(..) => None,
@@ -187,6 +190,7 @@
         let worker = &mut self.workers[worker_id];
         worker.tasks.clear();
         (worker.incarnation, worker.seq, worker.token) = (1, 0, 0);
+        worker.was_answered = false;
         (
             worker.heartbeat_in_flight,
             worker.lease_renewed_at,
@@ -447,7 +451,7 @@
             | Msg::DirectCommandEnded(node_id, ..) => Some(*node_id),
             Msg::ReplicationPart(_, j, _) => Some(*j),
             Msg::ReplicationAnswer(node_id, ..) => Some(*node_id),
-            Msg::HeartbeatReply(..) | Msg::DirectCommand(..) => None,
+            Msg::HeartbeatReply(..) | Msg::DirectCommand(..) | Msg::DuplicateCommand(..) => None,
         };
         if let Some(node_id) = to.filter(|node_id| self.nodes[*node_id].paused_until > now) {
             let some = self.rng.u64(0..3) * STEP;
@@ -490,6 +494,7 @@
                 self.send_on_connection(i, w, term, delivery);
             }
             Msg::DirectCommand(i, w, term, order) => self.receive_direct_command(i, w, term, order),
+            Msg::DuplicateCommand(w, commands) => self.receive_duplicate_command(w, commands),
             Msg::DirectCommandEnded(node_id, term, name, token, answer) => {
                 self.end_direct_command(node_id, term, name, token, answer);
             }
@@ -545,6 +550,7 @@
             worker.report_due = true;
         }
         worker.lease_renewed_at = sent;
+        worker.was_answered = true;
         self.execute(worker_id, reply.commands);
     }
 
@@ -566,6 +572,7 @@
             commands.fencing_token >= worker.token && commands.incarnation == worker.incarnation;
         if is_current {
             worker.token = commands.fencing_token;
+            self.duplicate_command(worker_id, &commands);
             self.execute(worker_id, commands.commands);
         }
         let report = self.next_heartbeat(worker_id);
