Lab: late copies of direct commands, and agents that come back without their tasks

Need: the incident of the task on two machines could not be played with real processes: in the lab a direct command arrived exactly once, and agents never restarted.

Change: [faults] of a scale plan takes duplicate_commands, agent_restarts_every_s and failing; site files take the first two as worker_faults.

--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -6,6 +6,7 @@
     Millis,
     installation::{Testbed, loopback},
     worker::Worker,
+    worker_faults::send_copies,
 };
 use async_executor::Task;
 use async_io::Timer;
@@ -35,8 +36,8 @@
 const MAX_DIRECT_CONNECTIONS: usize = 64;
 
 /// A worker with the state of its heartbeat connection.
-struct Hosted {
-    worker: RefCell<Worker>,
+pub(crate) struct Hosted {
+    pub(crate) worker: RefCell<Worker>,
     client: Client,
     /// Index of the controller that gets the heartbeats, modulo their number.
     target: Cell<usize>,
@@ -63,6 +64,7 @@
                 .or_insert_with_key(|id| start(&testbed, id));
         }
         end_workers_of_lost_machines(&testbed, &mut running);
+        restart_agent_if_due(&testbed, &running);
         for hosted in running.values().map(|r| &r.hosted) {
             step(&testbed, hosted);
         }
@@ -85,6 +87,20 @@
     });
 }
 
+/// Restarts the agent of one machine, if the site's faults ask for it now.
+fn restart_agent_if_due(testbed: &Testbed, running: &HashMap<String, RunningWorker>) {
+    let now = testbed.now();
+    let Some(index) = testbed.faults.restart_due(running.len(), now) else {
+        return;
+    };
+    // In the order of the names, so that a seed means the same machine.
+    let mut names: Vec<&String> = running.keys().collect();
+    names.sort_unstable();
+    let hosted = &running[names[index]].hosted;
+    let mut object_store = testbed.object_store.borrow_mut();
+    hosted.worker.borrow_mut().restart(&mut object_store, now);
+}
+
 fn start(testbed: &Rc<Testbed>, id: &str) -> RunningWorker {
     let (listener, addr) = match loopback() {
         Ok((listener, addr)) => (Some(listener), addr.to_string()),
@@ -148,11 +164,14 @@
                 return HttpResponse::error(400, "malformed");
             };
             let mut object_store = testbed.object_store.borrow_mut();
-            let (status, heartbeat) =
-                hosted
-                    .worker
-                    .borrow_mut()
-                    .on_direct_commands(commands, &mut object_store, now);
+            let (status, heartbeat) = hosted.worker.borrow_mut().on_direct_commands(
+                commands.clone(),
+                &mut object_store,
+                now,
+            );
+            if status == 200 {
+                send_copies(&testbed, &hosted, &commands);
+            }
             HttpResponse::json(status, &heartbeat)
         }
         _ => HttpResponse::error(404, "no such path"),
--- a/crates/lab/src/installation.rs
+++ b/crates/lab/src/installation.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     Millis, cloud::Cloud, millis, object_store::ObjectStore, site::Site, state::StateService,
-    traffic::Traffic,
+    traffic::Traffic, worker_faults::FaultInjector,
 };
 use anyhow::{Context, Result};
 use pathwinch_transport::{client::Client, priority_executor::PriorityExecutor};
@@ -41,6 +41,8 @@
     pub controllers: Vec<Controller>,
     /// Messages and bytes exchanged by the workers, counted on their side.
     pub traffic: RefCell<Traffic>,
+    /// Faults of the workers.
+    pub faults: FaultInjector,
     /// Whether each controller reported itself ready in its last probe.
     pub ready: RefCell<Vec<bool>>,
     next_controller: Cell<usize>,
@@ -66,6 +68,7 @@
             ready: RefCell::new(vec![false; controllers.len()]),
             controllers,
             traffic: RefCell::default(),
+            faults: FaultInjector::new(site.worker_faults.clone(), site.seed, workers.cancel_s),
             next_controller: Cell::new(0),
             start: Instant::now(),
             site,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod traffic;
 pub mod up;
 pub mod worker;
+pub mod worker_faults;
 
 /// A time or a duration in milliseconds, on the clock of the caller.
 pub type Millis = u64;
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -328,6 +328,8 @@
             worker: self.worker_row(seconds),
             answers_checked: self.users.answers_checked(),
             controllers_ended: self.controllers_killed.get(),
+            command_copies: self.testbed.faults.copies.get(),
+            agents_restarted: self.testbed.faults.restarts.get(),
             rules_broken: self.rules_broken(),
             ..ScaleReport::default()
         }
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -1,7 +1,7 @@
 //! The plan of a scale run, a TOML file: machines, teams, classes of jobs, durations,
 //! limits and faults.
 
-use crate::site::{MAX_CONTROLLERS, Site};
+use crate::site::{MAX_CONTROLLERS, Site, WorkerFaults};
 use anyhow::{Context, Result, ensure};
 use pathwinch_protocol::{
     cloud::MachineType,
@@ -66,6 +66,13 @@
     /// Whether users ask all controllers for the state of a job within milliseconds after
     /// it was accepted or ended.
     pub close_looks: bool,
+    /// Share of tasks that fail at their first start, 0 to 1.
+    pub failing: f64,
+    /// Share of direct commands of which copies arrive after they were answered, 0 to 1.
+    pub duplicate_commands: f64,
+    /// Seconds between two restarts of a worker, which is back at once without its tasks. 0
+    /// disables the restarts.
+    pub agent_restarts_every_s: f64,
 }
 
 /// A machine type and its share of the machines.
@@ -155,6 +162,12 @@
             check_range(field, kill_interval_s, MIN_KILL_INTERVAL_S, 3_600.0)?;
         }
         check_range("faults: withdrawn", self.faults.withdrawn, 0.0, 1.0)?;
+        check_range("faults: failing", self.faults.failing, 0.0, 1.0)?;
+        let duplicates = self.faults.duplicate_commands;
+        check_range("faults: duplicate_commands", duplicates, 0.0, 1.0)?;
+        let restart_interval_s = self.faults.agent_restarts_every_s;
+        let field = "faults: agent_restarts_every_s";
+        check_range(field, restart_interval_s, 0.0, 3_600.0)?;
         ensure!(!self.machine_type.is_empty(), "machine_type: at least one");
         ensure!(!self.class.is_empty(), "class: at least one");
         for m in &self.machine_type {
@@ -286,7 +299,11 @@
                 .map(|m| self.machines_per_zone(m))
                 .collect(),
             stillborn: 0.0,
-            failing: 0.0,
+            failing: self.faults.failing,
+            worker_faults: WorkerFaults {
+                duplicate_commands: self.faults.duplicate_commands,
+                agent_restarts_every_s: self.faults.agent_restarts_every_s,
+            },
             seed: self.seed,
         }
     }
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -114,6 +114,10 @@
     pub answers_checked: u64,
     /// Number of controllers killed over the whole run.
     pub controllers_ended: u32,
+    /// Number of copies of direct commands that arrived over the whole run.
+    pub command_copies: u64,
+    /// Number of agents restarted over the whole run.
+    pub agents_restarted: u64,
     /// Descriptions of the invariants violated over the whole run.
     pub rules_broken: Vec<String>,
 }
@@ -159,8 +163,12 @@
         }
         writeln!(
             out,
-            "{} answers to users checked against earlier answers; {} controllers killed",
-            self.answers_checked, self.controllers_ended
+            "{} answers to users checked against earlier answers; {} controllers killed, {} agents \
+             restarted, {} copies of direct commands",
+            self.answers_checked,
+            self.controllers_ended,
+            self.agents_restarted,
+            self.command_copies
         )?;
         for rule in &self.rules_broken {
             writeln!(out, "RULE BROKEN: {rule}")?;
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -31,11 +31,25 @@
     /// Share of tasks that fail at their first start, 0 to 1.
     #[serde(default)]
     pub failing: f64,
-    /// Seed of the random numbers of the cloud, the object store and the markets.
+    /// Faults of the workers; none by default.
+    #[serde(default)]
+    pub worker_faults: WorkerFaults,
+    /// Seed of the random numbers of the cloud, the object store, the faults and the markets.
     #[serde(default)]
     pub seed: u64,
 }
 
+/// Faults of the workers.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WorkerFaults {
+    /// Share of direct commands of which copies arrive after they were answered, 0 to 1.
+    pub duplicate_commands: f64,
+    /// Seconds between two restarts of an agent, which is back at once without its tasks. 0
+    /// disables the restarts.
+    pub agent_restarts_every_s: f64,
+}
+
 /// Maximum capacity per machine type, zone and spot or ordinary machines. Each machine
 /// needs a listener on this host, and more listeners serve no purpose.
 const MAX_CAPACITY: u32 = 500;
@@ -105,6 +119,7 @@
             capacity_by_type: Vec::new(),
             stillborn: 0.0,
             failing: 0.0,
+            worker_faults: WorkerFaults::default(),
             seed: 1,
         }
     }
@@ -141,7 +156,12 @@
             site.capacity_by_type.iter().all(|c| *c <= MAX_CAPACITY),
             "capacity_by_type: must be 0 to {MAX_CAPACITY}"
         );
-        for (field, value) in [("stillborn", site.stillborn), ("failing", site.failing)] {
+        let duplicate_commands = site.worker_faults.duplicate_commands;
+        for (field, value) in [
+            ("stillborn", site.stillborn),
+            ("failing", site.failing),
+            ("worker_faults: duplicate_commands", duplicate_commands),
+        ] {
             ensure!((0.0..=1.0).contains(&value), "{field}: must be 0 to 1");
         }
         for machine_type in &site.rigs {
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -69,6 +69,8 @@
     token: u64,
     /// Start of the lease: when the last heartbeat with a valid answer was sent.
     lease_start: Millis,
+    /// Whether a heartbeat was answered since the agent started.
+    was_answered: bool,
     tasks: Vec<Task>,
     /// Cached images, the least recently fetched first.
     images: VecDeque<String>,
@@ -101,6 +103,7 @@
             seq: 0,
             token: 0,
             lease_start: now,
+            was_answered: false,
             tasks: Vec::new(),
             images: VecDeque::new(),
             changed: true,
@@ -109,6 +112,25 @@
         }
     }
 
+    /// Restarts the agent: its tasks are gone, and it knows nothing of the time before.
+    pub fn restart(&mut self, object_store: &mut ObjectStore, now: Millis) {
+        self.lose_all(object_store, now);
+        *self = Worker::new(
+            &self.id,
+            self.addr.clone(),
+            self.machine_type.clone(),
+            &self.zone,
+            self.spot,
+            self.limits.clone(),
+            now,
+        );
+    }
+
+    /// Whether a heartbeat was answered since the agent started.
+    pub fn was_answered(&self) -> bool {
+        self.was_answered
+    }
+
     /// Returns the next heartbeat to send.
     pub fn report(&mut self) -> Heartbeat {
         self.seq += 1;
@@ -166,6 +188,7 @@
             return false;
         }
         self.lease_start = self.lease_start.max(sent);
+        self.was_answered = true;
         self.execute(commands, object_store, now);
         true
     }
--- a/tests/scale_run.rs
+++ b/tests/scale_run.rs
@@ -50,6 +50,7 @@
         controller_ends_every_s: 5.0,
         withdrawn: 0.3,
         close_looks: true,
+        ..Faults::default()
     };
     let report = run(plan, "looks");
     assert_eq!(report.rules_broken, Vec::<String>::new());
