--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -35,6 +35,7 @@
 mod task_log;
 mod task_placement;
 mod victims;
+mod write_outcomes;
 mod write_queue;
 mod zone_health;
 
