Known red: an ended attempt that runs again is neither counted nor stopped

Found on reading the change once more: where the leader knows an attempt as ended and the machine lists it as running, update_task returns early, as it did before; the leader answers with a reap, which has no effect on a running task, and sends no stop. The test fails; the fault is left open. Product code is unchanged.

--- a/tests/duplicate_commands.rs
+++ b/tests/duplicate_commands.rs
@@ -311,6 +311,19 @@
     assert_eq!(leader.cluster.job(handle).unwrap().live_count, 0);
 }
 
+/// Guards against an attempt that runs on unnoticed: the leader knows it as ended, and the machine
+/// lists it as running again.
+#[test]
+fn ended_attempt_is_stopped_when_it_runs_again() {
+    let (mut leader, start) = leader_with_direct_start();
+    let ended = status(3, &start, TaskState::Exited, Some(ExitReason::Error));
+    leader.on_heartbeat(&ended, 1_000).unwrap();
+    let running = status(4, &start, TaskState::Running, None);
+    let response = leader.on_heartbeat(&running, 1_600).unwrap();
+    let is_stop = |command: &Command| matches!(command, Command::Stop { .. });
+    assert!(response.commands.iter().any(is_stop));
+}
+
 /// Guards against a direct command that is refused because of a raise: the raise waits until the
 /// command in flight is answered.
 #[test]
