--- a/review/stand-ins-2/src/cases/explore.rs
+++ b/review/stand-ins-2/src/cases/explore.rs
@@ -35,9 +35,13 @@
     let number = |name: &str, default: u64| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default);
     fastrand::seed(number("SEED", 1));
     let mut site = small_site()?;
-    site.cluster.teams[0].cpus_max = 24.0;
+    site.cluster.teams[0].cpus_max = if std::env::var("MARKET").as_deref() == Ok("1") { 8.0 } else { 24.0 };
     site.rigs[0].boot_s = 1.0;
     site.capacity = 6;
+    if number("RATE", 0) == 1 {
+        site.cluster.teams[0].cpus_max = 350.0;
+        site.capacity = 16;
+    }
     if number("FAULTS", 0) == 1 {
         site.worker_faults.duplicate_commands = 0.3;
         site.worker_faults.agent_restarts_every_s = 9.0;
@@ -63,6 +67,16 @@
     world.until_ready().await?;
     let explorer = Rc::new(Explorer { world: world.clone(), known: RefCell::default(), broken: RefCell::default() });
     let executor = world.testbed.executor.clone();
+    let with_market = std::env::var("MARKET").as_deref() == Ok("1");
+    let market = match with_market {
+        true => Some(crate::market::start(world, "reminder-sweep", "care-ops-00", 64, 1.0, 1.0)?),
+        false => None,
+    };
+    if let Some(market) = &market {
+        market.forgets.set(false);
+        market.sim.borrow_mut().withdrawal_probability_per_s = 0.02;
+        world.sleep(10.0).await;
+    }
     let end = world.seconds() + seconds;
     let submitting = explorer.clone();
     executor.spawn_high(async move { submitting.submit_all(end).await }).detach();
@@ -76,7 +90,7 @@
             world.sleep(0.5 + 6.0 * fastrand::f64()).await;
             let node = fastrand::usize(..names.len());
             match fastrand::u32(..12) {
-                0 | 1 => {
+                0 => {
                     world.kill(&names[node]);
                     world.sleep(if fastrand::bool() { 0.1 } else { 6.0 * fastrand::f64() }).await;
                     world.start_controller(node)?;
@@ -120,7 +134,7 @@
                     };
                     executor.spawn_high(mend).detach();
                 }
-                9 => {
+                9 if market.is_none() => {
                     let slow_s = 1.5 * fastrand::f64();
                     let set = |faults: &mut NodeFaults| faults.slow_s = slow_s;
                     world.node_faults.borrow_mut().iter_mut().for_each(set);
@@ -133,6 +147,19 @@
                     world.sleep(12.0 * fastrand::f64()).await;
                     world.start_controllers()?;
                 }
+                1 | 9 | 11 if market.is_some() => {
+                    if fastrand::bool() {
+                        world.kill("broker");
+                        world.sleep(8.0 * fastrand::f64() * fastrand::f64()).await;
+                        crate::market::start_broker(world)?;
+                    } else if let Some(market) = market.clone() {
+                        market.cut.set(true);
+                        world.note("market: cut");
+                        world.sleep(20.0 * fastrand::f64()).await;
+                        market.cut.set(false);
+                        world.note("market: mended");
+                    }
+                }
                 4 => {
                     world.transaction_faults.set(TransactionFaults { answer_lost: 0.3, late: 0.0 });
                     world.note("transactions lose answers");
@@ -173,7 +200,7 @@
 }
 
 impl Explorer {
-    fn note_answer(&self, id: &str, sent: f64, status: u16, body: &Value, what: &str) {
+    fn note_answer(self: &Rc<Self>, id: &str, sent: f64, status: u16, body: &Value, what: &str) {
         let now = self.world.seconds();
         let mut known = self.known.borrow_mut();
         let Some(known) = known.get_mut(id) else { return };
@@ -195,6 +222,9 @@
             if stage == "withdrawn" && !known.cancelled && known.needs.is_empty() {
                 fault = Some("cancelled by nobody");
             }
+            if known.accepted.is_none() || known.told.is_none() && (stage == "done" || stage == "withdrawn") {
+                self.look_closely(id);
+            }
             known.accepted.get_or_insert(now);
             if stage == "done" || stage == "withdrawn" {
                 known.told.get_or_insert((stage, now));
@@ -224,6 +254,7 @@
             if let Some((status, answer)) = self.call(node, method, &path, body.as_ref(), 5.0).await {
                 self.note_answer(&id, sent, status, &answer, &path);
                 if status == 200 || status == 201 {
+                    self.look_closely(&id);
                     if answer["stage"] == "withdrawn" {
                         let now = self.world.testbed.now();
                         self.world.testbed.object_store.borrow_mut().record_cancellation(&id, now);
@@ -275,7 +306,26 @@
                 };
                 executor.spawn_high(cancel).detach();
             }
-            self.world.sleep(0.9 * fastrand::f64()).await;
+            let pause = if std::env::var("RATE").as_deref() == Ok("1") { 0.5 } else { 0.9 };
+            self.world.sleep(pause * fastrand::f64()).await;
+        }
+    }
+
+    /// Asks all nodes within milliseconds after something was told.
+    fn look_closely(self: &Rc<Self>, id: &str) {
+        for node in 0..3 {
+            for _ in 0..2 {
+                let (explorer, id) = (self.clone(), id.to_owned());
+                let ask = async move {
+                    explorer.world.sleep(0.03 * fastrand::f64()).await;
+                    let sent = explorer.world.seconds();
+                    let path = format!("/v1/jobs/{id}");
+                    if let Some((status, body)) = explorer.call(node, Method::Get, &path, None, 2.0).await {
+                        explorer.note_answer(&id, sent, status, &body, "close look");
+                    }
+                };
+                self.world.testbed.executor.spawn_high(ask).detach();
+            }
         }
     }
 
--- a/review/stand-ins-2/src/market.rs
+++ b/review/stand-ins-2/src/market.rs
@@ -52,6 +52,8 @@
     pub told_done: RefCell<BTreeSet<String>>,
     /// Whether the network between the home and the market is cut: nothing is answered.
     pub cut: Cell<bool>,
+    /// Whether it forgets awards when it may.
+    pub forgets: Cell<bool>,
     world: Rc<World>,
 }
 
@@ -88,6 +90,7 @@
         starts_of: RefCell::default(),
         told_done: RefCell::default(),
         cut: Cell::new(false),
+        forgets: Cell::new(true),
         world: world.clone(),
     });
     let reader = Rc::new(MessageReader::new(&schema::request()).map_err(|e| anyhow::anyhow!(e.0))?);
@@ -146,12 +149,14 @@
             match event {
                 JobEvent::Start(job) => {
                     self.world.note(&format!("market: {job} starts"));
+                    self.world.testbed.object_store.borrow_mut().job_offloaded(&job, "north");
                     *self.starts_of.borrow_mut().entry(job.clone()).or_default() += 1;
                     self.running.borrow_mut().push(job);
                     *self.starts.borrow_mut() += 1;
                 }
                 JobEvent::End(job) => {
                     self.world.note(&format!("market: {job} ends"));
+                    self.world.testbed.object_store.borrow_mut().job_returned(&job, "north");
                     self.running.borrow_mut().retain(|j| *j != job);
                     *self.ends.borrow_mut() += 1;
                 }
@@ -174,7 +179,9 @@
             }
             RequestBody::Sync(sync) => {
                 for award in &sync.settled {
-                    self.forgotten.borrow_mut().insert(*award);
+                    if self.forgets.get() {
+                        self.forgotten.borrow_mut().insert(*award);
+                    }
                     let jobs = self.job_of.borrow();
                     let job = jobs.get(award).map_or("?", String::as_str);
                     self.world.note(&format!(
--- a/review/stand-ins-2/src/world.rs
+++ b/review/stand-ins-2/src/world.rs
@@ -7,7 +7,7 @@
 use http_types::Method;
 use pathwinch_lab::{
     controllers, hosts,
-    installation::{Testbed, loopback},
+    installation::{Controller, Testbed, loopback},
     load_balancer, services,
     site::Site,
 };
@@ -22,7 +22,7 @@
     fs::File,
     future::Future,
     io::Write,
-    net::{TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     rc::Rc,
@@ -82,12 +82,42 @@
     Ok(line.trim().trim_matches('"').split_whitespace().map(str::to_owned).collect())
 }
 
+/// A port that is free and is not one of those from which connections are made.
+fn free_address() -> Result<SocketAddr> {
+    for _ in 0..1000 {
+        let address = SocketAddr::from(([127, 0, 0, 1], fastrand::u16(11_000..32_000)));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    anyhow::bail!("no free port")
+}
+
+/// Gives the controllers ports that no connection takes before they listen there.
+fn choose_ports(configured: &mut [Controller]) -> Result<()> {
+    for controller in configured.iter_mut() {
+        (controller.listen, controller.peer_listen) = (free_address()?, free_address()?);
+    }
+    for controller in configured.iter() {
+        let mut settings: Value = serde_json::from_str(&std::fs::read_to_string(&controller.settings)?)?;
+        settings["listen"] = controller.listen.to_string().into();
+        settings["back"] = controller.peer_listen.to_string().into();
+        for peer in settings["known"].as_array_mut().into_iter().flatten() {
+            let other = configured.iter().find(|c| peer["host_name"] == c.name.as_str());
+            peer["endpoint"] = other.context("unknown controller")?.peer_listen.to_string().into();
+        }
+        std::fs::write(&controller.settings, settings.to_string())?;
+    }
+    Ok(())
+}
+
 impl World {
     pub fn new(site: Site, root: &Path, dir: &Path, record: &Path, trouble: bool) -> Result<Rc<World>> {
         std::fs::create_dir_all(dir)?;
         let (state_listener, state) = loopback()?;
         let (cloud_listener, cloud) = loopback()?;
-        let configured = controllers::configure(&site, &Services { cloud, state }, dir)?;
+        let mut configured = controllers::configure(&site, &Services { cloud, state }, dir)?;
+        choose_ports(&mut configured)?;
         let executor = Rc::new(PriorityExecutor::default());
         let world = Rc::new(World {
             node_faults: RefCell::new(vec![NodeFaults::default(); configured.len()]),
