--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod cancelled_at_market;
 mod explore;
 mod lowered_limits;
+mod machine_back;
 mod settled_early;
 mod withdrawn_array;
 
@@ -13,6 +14,7 @@
 pub fn play(case: &str, root: &Path, dir: &Path, record: &Path, trouble: bool) -> Result<Verdict> {
     match case {
         "lowered-limits" => lowered_limits::play(root, dir, record, trouble),
+        "machine-back" => machine_back::play(root, dir, record, trouble),
         "settled-early" => settled_early::play(root, dir, record, trouble),
         "cancelled-at-market" => cancelled_at_market::play(root, dir, record, trouble),
         "explore" => explore::play(root, dir, record, trouble),
--- a/review/stand-ins-2/src/cases/cancelled_at_market.rs
+++ b/review/stand-ins-2/src/cases/cancelled_at_market.rs
@@ -22,9 +22,29 @@
     let market = market::start(world, "nightly-slice", "production-floor-00", 64, 2.0, 1.0)?;
     world.until_ready().await?;
     // The team's limit is 8 CPUs, and this job holds them.
-    world.submit(&job("j-000100", "topology-idle", "production-floor-00", "array", 1, 8.0, 3_000.0)).await?;
+    world
+        .submit(&job(
+            "j-000100",
+            "topology-idle",
+            "production-floor-00",
+            "array",
+            1,
+            8.0,
+            3_000.0,
+        ))
+        .await?;
     world.until_stage("j-000100", "running", 30.0).await?;
-    world.submit(&job(JOB, "nightly-slice", "production-floor-00", "array", 1, 8.0, 600.0)).await?;
+    world
+        .submit(&job(
+            JOB,
+            "nightly-slice",
+            "production-floor-00",
+            "array",
+            1,
+            8.0,
+            600.0,
+        ))
+        .await?;
     while *market.starts.borrow() == 0 {
         ensure!(world.seconds() < 50.0, "the job was not lent in time");
         world.sleep(0.05).await;
@@ -45,6 +65,8 @@
     let runs = market.running.borrow().iter().any(|id| id == JOB);
     let since = world.seconds() - told;
     let what = if runs { "still runs" } else { "does not run" };
-    world.note(&format!("{since:.1} s after the user was told, {JOB} {what} at the market"));
+    world.note(&format!(
+        "{since:.1} s after the user was told, {JOB} {what} at the market"
+    ));
     Ok(if runs { Verdict::Broken } else { Verdict::Held })
 }
--- a/review/stand-ins-2/src/cases/explore.rs
+++ b/review/stand-ins-2/src/cases/explore.rs
@@ -6,12 +6,7 @@
 use http_types::Method;
 use serde_json::Value;
 use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    path::Path,
-    process::Command,
-    rc::Rc,
-    time::Duration,
+    cell::RefCell, collections::BTreeMap, path::Path, process::Command, rc::Rc, time::Duration,
 };
 
 #[derive(Default, Debug, Clone)]
@@ -32,10 +27,19 @@
 }
 
 pub fn play(root: &Path, dir: &Path, record: &Path, trouble: bool) -> Result<Verdict> {
-    let number = |name: &str, default: u64| std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default);
+    let number = |name: &str, default: u64| {
+        std::env::var(name)
+            .ok()
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(default)
+    };
     fastrand::seed(number("SEED", 1));
     let mut site = small_site()?;
-    site.cluster.teams[0].cpus_max = if std::env::var("MARKET").as_deref() == Ok("1") { 8.0 } else { 24.0 };
+    site.cluster.teams[0].cpus_max = if std::env::var("MARKET").as_deref() == Ok("1") {
+        8.0
+    } else {
+        24.0
+    };
     site.rigs[0].boot_s = 1.0;
     site.capacity = 6;
     if number("RATE", 0) == 1 {
@@ -57,7 +61,10 @@
 
 fn signal(world: &World, name: &str, signal: &str) {
     if let Some(pid) = world.pid(name) {
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(pid.to_string()).status();
+        let _ = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(pid.to_string())
+            .status();
         world.note(&format!("{name}: {signal}"));
     }
 }
@@ -65,11 +72,22 @@
 async fn run(world: &Rc<World>, seconds: f64) -> Result<Verdict> {
     world.start_controllers()?;
     world.until_ready().await?;
-    let explorer = Rc::new(Explorer { world: world.clone(), known: RefCell::default(), broken: RefCell::default() });
+    let explorer = Rc::new(Explorer {
+        world: world.clone(),
+        known: RefCell::default(),
+        broken: RefCell::default(),
+    });
     let executor = world.testbed.executor.clone();
     let with_market = std::env::var("MARKET").as_deref() == Ok("1");
     let market = match with_market {
-        true => Some(crate::market::start(world, "reminder-sweep", "care-ops-00", 64, 1.0, 1.0)?),
+        true => Some(crate::market::start(
+            world,
+            "reminder-sweep",
+            "care-ops-00",
+            64,
+            1.0,
+            1.0,
+        )?),
         false => None,
     };
     if let Some(market) = &market {
@@ -79,20 +97,35 @@
     }
     let end = world.seconds() + seconds;
     let submitting = explorer.clone();
-    executor.spawn_high(async move { submitting.submit_all(end).await }).detach();
+    executor
+        .spawn_high(async move { submitting.submit_all(end).await })
+        .detach();
     for node in 0..world.testbed.controllers.len() {
         let asking = explorer.clone();
-        executor.spawn_high(async move { asking.ask(node).await }).detach();
+        executor
+            .spawn_high(async move { asking.ask(node).await })
+            .detach();
     }
     if world.trouble {
-        let names: Vec<String> = world.testbed.controllers.iter().map(|c| c.name.clone()).collect();
+        let names: Vec<String> = world
+            .testbed
+            .controllers
+            .iter()
+            .map(|c| c.name.clone())
+            .collect();
         while world.seconds() < end {
             world.sleep(0.5 + 6.0 * fastrand::f64()).await;
             let node = fastrand::usize(..names.len());
             match fastrand::u32(..12) {
                 0 => {
                     world.kill(&names[node]);
-                    world.sleep(if fastrand::bool() { 0.1 } else { 6.0 * fastrand::f64() }).await;
+                    world
+                        .sleep(if fastrand::bool() {
+                            0.1
+                        } else {
+                            6.0 * fastrand::f64()
+                        })
+                        .await;
                     world.start_controller(node)?;
                 }
                 2 => {
@@ -161,11 +194,17 @@
                     }
                 }
                 4 => {
-                    world.transaction_faults.set(TransactionFaults { answer_lost: 0.3, late: 0.0 });
+                    world.transaction_faults.set(TransactionFaults {
+                        answer_lost: 0.3,
+                        late: 0.0,
+                    });
                     world.note("transactions lose answers");
                 }
                 5 => {
-                    world.transaction_faults.set(TransactionFaults { answer_lost: 0.1, late: 0.3 });
+                    world.transaction_faults.set(TransactionFaults {
+                        answer_lost: 0.1,
+                        late: 0.3,
+                    });
                     world.note("transactions are late");
                 }
                 _ => {
@@ -175,7 +214,11 @@
             }
         }
         world.transaction_faults.set(TransactionFaults::default());
-        world.node_faults.borrow_mut().iter_mut().for_each(|faults| *faults = NodeFaults::default());
+        world
+            .node_faults
+            .borrow_mut()
+            .iter_mut()
+            .for_each(|faults| *faults = NodeFaults::default());
     } else {
         world.sleep(seconds).await;
     }
@@ -184,26 +227,49 @@
     for (id, known) in explorer.known.borrow().iter() {
         let over = known.told.is_some() || known.shape == "standing" && !known.cancelled;
         if known.accepted.is_some() && !over {
-            explorer.broken.borrow_mut().push(format!("not over: {id} {known:?}"));
+            explorer
+                .broken
+                .borrow_mut()
+                .push(format!("not over: {id} {known:?}"));
         }
-        if known.accepted.is_some() && known.told.is_none() && world.seconds() > known.last_answer + 75.0 {
-            explorer.broken.borrow_mut().push(format!("forgotten: {id} {known:?}"));
+        if known.accepted.is_some()
+            && known.told.is_none()
+            && world.seconds() > known.last_answer + 75.0
+        {
+            explorer
+                .broken
+                .borrow_mut()
+                .push(format!("forgotten: {id} {known:?}"));
         }
     }
     let mut broken = explorer.broken.borrow().clone();
-    broken.extend(world.testbed.object_store.borrow().violations().iter().cloned());
+    broken.extend(
+        world
+            .testbed
+            .object_store
+            .borrow()
+            .violations()
+            .iter()
+            .cloned(),
+    );
     for line in &broken {
         world.note(&format!("BROKEN {line}"));
     }
     world.note(&format!("{} jobs", explorer.known.borrow().len()));
-    Ok(if broken.is_empty() { Verdict::Held } else { Verdict::Broken })
+    Ok(if broken.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
 
 impl Explorer {
     fn note_answer(self: &Rc<Self>, id: &str, sent: f64, status: u16, body: &Value, what: &str) {
         let now = self.world.seconds();
         let mut known = self.known.borrow_mut();
-        let Some(known) = known.get_mut(id) else { return };
+        let Some(known) = known.get_mut(id) else {
+            return;
+        };
         if !(status == 200 || status == 201 || status == 404 || status == 400 || status == 422) {
             return;
         }
@@ -216,13 +282,17 @@
         if status < 300 {
             match &known.told {
                 Some((told, at)) if *at < sent && *told != stage => fault = Some("went_back"),
-                Some((told, _)) if (stage == "done" || stage == "withdrawn") && *told != stage => fault = Some("two ends"),
+                Some((told, _)) if (stage == "done" || stage == "withdrawn") && *told != stage => {
+                    fault = Some("two ends")
+                }
                 _ => {}
             }
             if stage == "withdrawn" && !known.cancelled && known.needs.is_empty() {
                 fault = Some("cancelled by nobody");
             }
-            if known.accepted.is_none() || known.told.is_none() && (stage == "done" || stage == "withdrawn") {
+            if known.accepted.is_none()
+                || known.told.is_none() && (stage == "done" || stage == "withdrawn")
+            {
                 self.look_closely(id);
             }
             known.accepted.get_or_insert(now);
@@ -237,12 +307,32 @@
         }
     }
 
-    async fn call(&self, node: usize, method: Method, path: &str, body: Option<&Value>, timeout: f64) -> Option<(u16, Value)> {
+    async fn call(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+        timeout: f64,
+    ) -> Option<(u16, Value)> {
         let to = self.world.testbed.controllers[node].listen;
         let body = body.map(|b| b.to_string().into_bytes());
-        let body = if method == Method::Post { Some(body.unwrap_or_default()) } else { None };
-        let answer = self.world.testbed.http.call(to, method, path, body, Duration::from_secs_f64(timeout)).await.ok()?;
-        Some((answer.status, serde_json::from_slice(&answer.body).unwrap_or_default()))
+        let body = if method == Method::Post {
+            Some(body.unwrap_or_default())
+        } else {
+            None
+        };
+        let answer = self
+            .world
+            .testbed
+            .http
+            .call(to, method, path, body, Duration::from_secs_f64(timeout))
+            .await
+            .ok()?;
+        Some((
+            answer.status,
+            serde_json::from_slice(&answer.body).unwrap_or_default(),
+        ))
     }
 
     /// Repeats a request until it is answered, for up to 60 s.
@@ -251,13 +341,18 @@
         while self.world.seconds() < until {
             let node = fastrand::usize(..3);
             let sent = self.world.seconds();
-            if let Some((status, answer)) = self.call(node, method, &path, body.as_ref(), 5.0).await {
+            if let Some((status, answer)) = self.call(node, method, &path, body.as_ref(), 5.0).await
+            {
                 self.note_answer(&id, sent, status, &answer, &path);
                 if status == 200 || status == 201 {
                     self.look_closely(&id);
                     if answer["stage"] == "withdrawn" {
                         let now = self.world.testbed.now();
-                        self.world.testbed.object_store.borrow_mut().record_cancellation(&id, now);
+                        self.world
+                            .testbed
+                            .object_store
+                            .borrow_mut()
+                            .record_cancellation(&id, now);
                     }
                     return;
                 }
@@ -278,26 +373,63 @@
                 1 | 2 => ("gang", 1 + fastrand::u32(..4), 1.0),
                 _ => ("array", 1 + fastrand::u32(..3), 1.0),
             };
-            let mut spec = job(&id, "reminder-sweep", "care-ops-00", shape, tasks, cpus, 2.0 + 6.0 * fastrand::f64());
-            let accepted = |id: &String| self.known.borrow().get(id).is_some_and(|k| k.accepted.is_some() && k.shape != "standing");
-            let needs: Vec<String> = recent.iter().rev().take(4).filter(|id| accepted(id) && fastrand::u32(..6) == 0).cloned().collect();
+            let mut spec = job(
+                &id,
+                "reminder-sweep",
+                "care-ops-00",
+                shape,
+                tasks,
+                cpus,
+                2.0 + 6.0 * fastrand::f64(),
+            );
+            let accepted = |id: &String| {
+                self.known
+                    .borrow()
+                    .get(id)
+                    .is_some_and(|k| k.accepted.is_some() && k.shape != "standing")
+            };
+            let needs: Vec<String> = recent
+                .iter()
+                .rev()
+                .take(4)
+                .filter(|id| accepted(id) && fastrand::u32(..6) == 0)
+                .cloned()
+                .collect();
             if !needs.is_empty() && shape != "standing" {
                 spec["waits_on"] = needs.clone().into();
             }
-            let needs = if shape == "standing" { Vec::new() } else { needs };
+            let needs = if shape == "standing" {
+                Vec::new()
+            } else {
+                needs
+            };
             if let Ok(parsed) = serde_json::from_value(spec.clone()) {
                 self.world.testbed.object_store.borrow_mut().upload(&parsed);
             }
-            let known = Known { shape, needs, ..Known::default() };
+            let known = Known {
+                shape,
+                needs,
+                ..Known::default()
+            };
             self.known.borrow_mut().insert(id.clone(), known);
             recent.push(id.clone());
-            let work = self.clone().insist(id.clone(), Method::Post, "/v1/jobs".into(), Some(spec));
+            let work = self
+                .clone()
+                .insist(id.clone(), Method::Post, "/v1/jobs".into(), Some(spec));
             executor.spawn_high(work).detach();
             if fastrand::u32(..4) == 0 || shape == "standing" {
                 let (explorer, id) = (self.clone(), id.clone());
                 let cancel = async move {
-                    explorer.world.sleep(15.0 * fastrand::f64() * fastrand::f64()).await;
-                    if explorer.known.borrow().get(&id).is_some_and(|k| k.accepted.is_none()) {
+                    explorer
+                        .world
+                        .sleep(15.0 * fastrand::f64() * fastrand::f64())
+                        .await;
+                    if explorer
+                        .known
+                        .borrow()
+                        .get(&id)
+                        .is_some_and(|k| k.accepted.is_none())
+                    {
                         return;
                     }
                     explorer.known.borrow_mut().get_mut(&id).unwrap().cancelled = true;
@@ -306,7 +438,11 @@
                 };
                 executor.spawn_high(cancel).detach();
             }
-            let pause = if std::env::var("RATE").as_deref() == Ok("1") { 0.5 } else { 0.9 };
+            let pause = if std::env::var("RATE").as_deref() == Ok("1") {
+                0.5
+            } else {
+                0.9
+            };
             self.world.sleep(pause * fastrand::f64()).await;
         }
     }
@@ -320,7 +456,9 @@
                     explorer.world.sleep(0.03 * fastrand::f64()).await;
                     let sent = explorer.world.seconds();
                     let path = format!("/v1/jobs/{id}");
-                    if let Some((status, body)) = explorer.call(node, Method::Get, &path, None, 2.0).await {
+                    if let Some((status, body)) =
+                        explorer.call(node, Method::Get, &path, None, 2.0).await
+                    {
                         explorer.note_answer(&id, sent, status, &body, "close look");
                     }
                 };
@@ -338,8 +476,14 @@
             let ids: Vec<String> = {
                 let known = self.known.borrow();
                 let all = known.iter().filter(|(_, k)| k.accepted.is_some());
-                all.filter(|(_, k)| k.told.as_ref().is_none_or(|(_, at)| self.world.seconds() < at + 3.0) || fastrand::u32(..40) == 0)
-                    .map(|(id, _)| id.clone()).collect()
+                all.filter(|(_, k)| {
+                    k.told
+                        .as_ref()
+                        .is_none_or(|(_, at)| self.world.seconds() < at + 3.0)
+                        || fastrand::u32(..40) == 0
+                })
+                .map(|(id, _)| id.clone())
+                .collect()
             };
             for id in ids {
                 if fastrand::u32(..3) > 0 && round % 10 > 0 {
@@ -349,7 +493,9 @@
                 let ask = async move {
                     let sent = explorer.world.seconds();
                     let path = format!("/v1/jobs/{id}");
-                    if let Some((status, body)) = explorer.call(node, Method::Get, &path, None, 2.0).await {
+                    if let Some((status, body)) =
+                        explorer.call(node, Method::Get, &path, None, 2.0).await
+                    {
                         explorer.note_answer(&id, sent, status, &body, "ask");
                     }
                 };
--- a/review/stand-ins-2/src/cases/lowered_limits.rs
+++ b/review/stand-ins-2/src/cases/lowered_limits.rs
@@ -32,22 +32,49 @@
     let market = market::start(world, "reminder-sweep", "care-ops-00", 64, 2.0, 1.0)?;
     world.until_ready().await?;
     // The team's limit is 8 CPUs, and this job holds them.
-    world.submit(&job("j-000100", "adherence-study", "care-ops-00", "array", 1, 8.0, 3_000.0)).await?;
+    world
+        .submit(&job(
+            "j-000100",
+            "adherence-study",
+            "care-ops-00",
+            "array",
+            1,
+            8.0,
+            3_000.0,
+        ))
+        .await?;
     world.until_stage("j-000100", "running", 30.0).await?;
     let ids: Vec<String> = (1..=JOBS).map(|n| format!("j-{:06}", 200 + n)).collect();
     for id in &ids {
-        world.submit(&job(id, "reminder-sweep", "care-ops-00", "array", 1, 8.0, 12.0)).await?;
+        world
+            .submit(&job(
+                id,
+                "reminder-sweep",
+                "care-ops-00",
+                "array",
+                1,
+                8.0,
+                12.0,
+            ))
+            .await?;
     }
     while *market.starts.borrow() < JOBS {
         ensure!(world.seconds() < 50.0, "the jobs were not lent in time");
         world.sleep(0.05).await;
     }
     if world.trouble {
-        world.testbed.state.borrow_mut().apply_next_limits(world.testbed.now());
+        world
+            .testbed
+            .state
+            .borrow_mut()
+            .apply_next_limits(world.testbed.now());
         world.note("the state service's limits fall to those of `state.next`");
     }
     while *market.ends.borrow() < JOBS {
-        ensure!(world.seconds() < 60.0, "the market did not end the jobs in time");
+        ensure!(
+            world.seconds() < 60.0,
+            "the market did not end the jobs in time"
+        );
         world.sleep(0.1).await;
     }
     let over = world.seconds();
@@ -63,6 +90,13 @@
         open = left;
         world.sleep(5.0).await;
     }
-    world.note(&format!("not called done {PATIENCE_S} s later: {} of {JOBS}", open.len()));
-    Ok(if open.is_empty() { Verdict::Held } else { Verdict::Broken })
+    world.note(&format!(
+        "not called done {PATIENCE_S} s later: {} of {JOBS}",
+        open.len()
+    ));
+    Ok(if open.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
 }
--- a/review/stand-ins-2/src/cases/settled_early.rs
+++ b/review/stand-ins-2/src/cases/settled_early.rs
@@ -23,9 +23,15 @@
 fn unrecorded(world: &World, market: &market::Market) -> Option<String> {
     let jobs = market.job_of.borrow();
     let settled = market.forgotten.borrow();
-    let mut ids = settled.iter().filter_map(|award| Some((award, jobs.get(award)?)));
+    let mut ids = settled
+        .iter()
+        .filter_map(|award| Some((award, jobs.get(award)?)));
     let found = ids.find(|(award, id)| {
-        let held = world.testbed.state.borrow().get(&format!("market/award/{id}"));
+        let held = world
+            .testbed
+            .state
+            .borrow()
+            .get(&format!("market/award/{id}"));
         let data = &held.body["data"];
         held.status == 200 && data["award"].as_u64() == Some(**award) && data["end"].is_null()
     });
@@ -37,11 +43,31 @@
     let market = market::start(world, "reminder-sweep", "care-ops-00", 64, 2.0, 1.0)?;
     world.until_ready().await?;
     // The team's limit is 8 CPUs, and this job holds them.
-    world.submit(&job("j-000100", "adherence-study", "care-ops-00", "array", 1, 8.0, 3_000.0)).await?;
+    world
+        .submit(&job(
+            "j-000100",
+            "adherence-study",
+            "care-ops-00",
+            "array",
+            1,
+            8.0,
+            3_000.0,
+        ))
+        .await?;
     world.until_stage("j-000100", "running", 30.0).await?;
     for n in 1..=JOBS {
         let id = format!("j-{:06}", 200 + n);
-        world.submit(&job(&id, "reminder-sweep", "care-ops-00", "array", 1, 8.0, 12.0)).await?;
+        world
+            .submit(&job(
+                &id,
+                "reminder-sweep",
+                "care-ops-00",
+                "array",
+                1,
+                8.0,
+                12.0,
+            ))
+            .await?;
     }
     // The broker ends while some end that it called recorded is not in the state service yet, if
     // there is such a moment; otherwise when the last job has been settled.
@@ -68,7 +94,10 @@
             .map(|(job, _)| job.clone())
             .collect();
         if !again.is_empty() {
-            world.note(&format!("the market had finished these and is to run them again: {}", again.join(" ")));
+            world.note(&format!(
+                "the market had finished these and is to run them again: {}",
+                again.join(" ")
+            ));
             return Ok(Verdict::Broken);
         }
         world.sleep(0.1).await;
--- a/review/stand-ins-2/src/cases/withdrawn_array.rs
+++ b/review/stand-ins-2/src/cases/withdrawn_array.rs
@@ -23,9 +23,29 @@
     world.start_controllers()?;
     let market = market::start(world, "interaction-grid", "care-ops-00", 3_000, 1.0, 1.0)?;
     world.until_ready().await?;
-    world.submit(&job("j-000100", "adherence-study", "care-ops-00", "array", 1, 8.0, 3_000.0)).await?;
+    world
+        .submit(&job(
+            "j-000100",
+            "adherence-study",
+            "care-ops-00",
+            "array",
+            1,
+            8.0,
+            3_000.0,
+        ))
+        .await?;
     world.until_stage("j-000100", "running", 30.0).await?;
-    world.submit(&job(JOB, "interaction-grid", "care-ops-00", "array", TASKS, 8.0, 10.0)).await?;
+    world
+        .submit(&job(
+            JOB,
+            "interaction-grid",
+            "care-ops-00",
+            "array",
+            TASKS,
+            8.0,
+            10.0,
+        ))
+        .await?;
     while *market.starts.borrow() == 0 {
         ensure!(world.seconds() < 26.0, "the job was not lent in time");
         world.sleep(0.05).await;
@@ -36,7 +56,10 @@
         market.sim.borrow_mut().withdrawal_probability_per_s = 1e6;
     }
     while *market.ends.borrow() == 0 {
-        ensure!(world.seconds() < 50.0, "the market did not end the job in time");
+        ensure!(
+            world.seconds() < 50.0,
+            "the market did not end the job in time"
+        );
         world.sleep(0.02).await;
     }
     market.sim.borrow_mut().withdrawal_probability_per_s = 0.0;
@@ -46,7 +69,9 @@
     let mut last_noted = 0.0;
     let mut answer;
     loop {
-        answer = world.user(http_types::Method::Get, &format!("/v1/jobs/{JOB}"), None).await;
+        answer = world
+            .user(http_types::Method::Get, &format!("/v1/jobs/{JOB}"), None)
+            .await;
         let stage = answer.1["stage"].as_str().unwrap_or_default().to_owned();
         if world.seconds() >= last_noted + 5.0 {
             last_noted = world.seconds();
@@ -54,7 +79,10 @@
         }
         let runs_here = answer.1["running"].as_u64().unwrap_or(0) > 0;
         if stage == "done" || *market.starts.borrow() > 1 || runs_here {
-            world.note(&format!("{JOB} goes on or is done: {} {}", answer.0, answer.1));
+            world.note(&format!(
+                "{JOB} goes on or is done: {} {}",
+                answer.0, answer.1
+            ));
             return Ok(Verdict::Held);
         }
         if world.seconds() > over + WAIT_S || world.seconds() > 117.0 {
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! held, 1: it was broken, 2: the case could not run. With TROUBLE=0 the disruption is left out.
 
 mod cases;
+mod machines;
 mod market;
 mod world;
 
@@ -15,7 +16,13 @@
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    match cases::play(case, Path::new(root), Path::new(dir), Path::new(record), trouble) {
+    match cases::play(
+        case,
+        Path::new(root),
+        Path::new(dir),
+        Path::new(record),
+        trouble,
+    ) {
         Ok(Verdict::Held) => ExitCode::SUCCESS,
         Ok(Verdict::Broken) => ExitCode::from(1),
         Err(e) => {
--- a/review/stand-ins-2/src/market.rs
+++ b/review/stand-ins-2/src/market.rs
@@ -58,14 +58,26 @@
 }
 
 /// Serves a market, and starts a broker that lends the class `class` of `team` to it.
-pub fn start(world: &Rc<World>, class: &str, team: &str, slots: u32, every_s: f64, after_s: f64) -> Result<Rc<Market>> {
+pub fn start(
+    world: &Rc<World>,
+    class: &str,
+    team: &str,
+    slots: u32,
+    every_s: f64,
+    after_s: f64,
+) -> Result<Rc<Market>> {
     let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs();
     let dir = world.dir.join("keys");
     let authority = Authority::create(&dir.join("authority"), "review", 90, now)?;
     let install = |name: &str| -> Result<std::path::PathBuf> {
         let to = dir.join(name);
         let issued = authority.issue(name, 60, now)?;
-        keys::install(&to, &issued, &authority.certificate()?, &authority.revocation_list()?)?;
+        keys::install(
+            &to,
+            &issued,
+            &authority.certificate()?,
+            &authority.revocation_list()?,
+        )?;
         Ok(to)
     };
     install("home")?;
@@ -116,12 +128,22 @@
         }
     };
     let executor = world.testbed.executor.clone();
-    let serve = http::serve(executor.clone(), listener, Rc::new(RefCell::new(market_keys)), 64, MAX_BODY_BYTES, handler);
+    let serve = http::serve(
+        executor.clone(),
+        listener,
+        Rc::new(RefCell::new(market_keys)),
+        64,
+        MAX_BODY_BYTES,
+        handler,
+    );
     executor.spawn_high(serve).detach();
     let stepping = market.clone();
     let steps = async move {
         loop {
-            let events = stepping.sim.borrow_mut().step(stepping.world.testbed.now(), STEP_MS);
+            let events = stepping
+                .sim
+                .borrow_mut()
+                .step(stepping.world.testbed.now(), STEP_MS);
             stepping.note_events(events);
             Timer::after(Duration::from_millis(STEP_MS)).await;
         }
@@ -136,9 +158,13 @@
     let (home, options) = (world.dir.join("keys/home"), world.dir.join("market.ini"));
     let settings = world.testbed.controllers[0].settings.display().to_string();
     let arguments = [
-        "serve".to_owned(), "--config".into(), settings,
-        "--options".into(), options.display().to_string(),
-        "--keys".into(), home.display().to_string(),
+        "serve".to_owned(),
+        "--config".into(),
+        settings,
+        "--options".into(),
+        options.display().to_string(),
+        "--keys".into(),
+        home.display().to_string(),
     ];
     world.start("broker", "target/release/pathwinch-market", &arguments)
 }
@@ -149,14 +175,22 @@
             match event {
                 JobEvent::Start(job) => {
                     self.world.note(&format!("market: {job} starts"));
-                    self.world.testbed.object_store.borrow_mut().job_offloaded(&job, "north");
+                    self.world
+                        .testbed
+                        .object_store
+                        .borrow_mut()
+                        .job_offloaded(&job, "north");
                     *self.starts_of.borrow_mut().entry(job.clone()).or_default() += 1;
                     self.running.borrow_mut().push(job);
                     *self.starts.borrow_mut() += 1;
                 }
                 JobEvent::End(job) => {
                     self.world.note(&format!("market: {job} ends"));
-                    self.world.testbed.object_store.borrow_mut().job_returned(&job, "north");
+                    self.world
+                        .testbed
+                        .object_store
+                        .borrow_mut()
+                        .job_returned(&job, "north");
                     self.running.borrow_mut().retain(|j| *j != job);
                     *self.ends.borrow_mut() += 1;
                 }
@@ -165,16 +199,28 @@
     }
 
     fn answer(&self, request: &Request) -> Reply {
-        let (mut reply, events) = self.sim.borrow_mut().handle(request, self.world.testbed.now());
+        let (mut reply, events) = self
+            .sim
+            .borrow_mut()
+            .handle(request, self.world.testbed.now());
         self.note_events(events);
         match &request.body {
-            RequestBody::Bids(bids) => self.world.note(&format!("market: asked for places by {} bids", bids.len())),
+            RequestBody::Bids(bids) => self
+                .world
+                .note(&format!("market: asked for places by {} bids", bids.len())),
             RequestBody::Award(award) => {
-                self.job_of.borrow_mut().insert(award.award, award.job.id.clone());
-                self.tasks_of.borrow_mut().insert(award.award, award.job.tasks);
+                self.job_of
+                    .borrow_mut()
+                    .insert(award.award, award.job.id.clone());
+                self.tasks_of
+                    .borrow_mut()
+                    .insert(award.award, award.job.tasks);
                 self.world.note(&format!(
                     "market: award {} of {}: {} of {} tasks are to run",
-                    award.award, award.job.id, award.job.tasks - award.job.done.count(), award.job.tasks
+                    award.award,
+                    award.job.id,
+                    award.job.tasks - award.job.done.count(),
+                    award.job.tasks
                 ));
             }
             RequestBody::Sync(sync) => {
@@ -194,19 +240,26 @@
             for row in &mut synced.awards {
                 if self.forgotten.borrow().contains(&row.award) {
                     row.state = AwardState::Unknown;
-                    self.world.note(&format!("market: says award {} is unknown", row.award));
+                    self.world
+                        .note(&format!("market: says award {} is unknown", row.award));
                 }
                 match &mut row.state {
                     AwardState::Withdrawn { done, .. } => {
                         let tasks = self.tasks_of.borrow().get(&row.award).copied().unwrap_or(0);
                         let finished = done.count().min(tasks / 2);
                         *done = Ranges((0..finished).map(|n| (2 * n, 2 * n)).collect());
-                        self.world.note(&format!("market: says award {} is withdrawn, {finished} tasks finished", row.award));
+                        self.world.note(&format!(
+                            "market: says award {} is withdrawn, {finished} tasks finished",
+                            row.award
+                        ));
                     }
                     AwardState::Done { .. } => {
                         let jobs = self.job_of.borrow();
                         let job = jobs.get(&row.award).cloned().unwrap_or_default();
-                        self.world.note(&format!("market: says award {} of {job} is done", row.award));
+                        self.world.note(&format!(
+                            "market: says award {} of {job} is done",
+                            row.award
+                        ));
                         self.told_done.borrow_mut().insert(job);
                     }
                     _ => {}
--- a/review/stand-ins-2/src/world.rs
+++ b/review/stand-ins-2/src/world.rs
@@ -79,7 +79,12 @@
     let text = std::fs::read_to_string(root.join("deploy/service.toml"))?;
     let line = text.lines().find_map(|l| l.strip_prefix("run = "));
     let line = line.context("deploy/service.toml has no line `run`")?;
-    Ok(line.trim().trim_matches('"').split_whitespace().map(str::to_owned).collect())
+    Ok(line
+        .trim()
+        .trim_matches('"')
+        .split_whitespace()
+        .map(str::to_owned)
+        .collect())
 }
 
 /// A port that is free and is not one of those from which connections are made.
@@ -99,12 +104,19 @@
         (controller.listen, controller.peer_listen) = (free_address()?, free_address()?);
     }
     for controller in configured.iter() {
-        let mut settings: Value = serde_json::from_str(&std::fs::read_to_string(&controller.settings)?)?;
+        let mut settings: Value =
+            serde_json::from_str(&std::fs::read_to_string(&controller.settings)?)?;
         settings["listen"] = controller.listen.to_string().into();
         settings["back"] = controller.peer_listen.to_string().into();
         for peer in settings["known"].as_array_mut().into_iter().flatten() {
-            let other = configured.iter().find(|c| peer["host_name"] == c.name.as_str());
-            peer["endpoint"] = other.context("unknown controller")?.peer_listen.to_string().into();
+            let other = configured
+                .iter()
+                .find(|c| peer["host_name"] == c.name.as_str());
+            peer["endpoint"] = other
+                .context("unknown controller")?
+                .peer_listen
+                .to_string()
+                .into();
         }
         std::fs::write(&controller.settings, settings.to_string())?;
     }
@@ -112,7 +124,27 @@
 }
 
 impl World {
-    pub fn new(site: Site, root: &Path, dir: &Path, record: &Path, trouble: bool) -> Result<Rc<World>> {
+    pub fn new(
+        site: Site,
+        root: &Path,
+        dir: &Path,
+        record: &Path,
+        trouble: bool,
+    ) -> Result<Rc<World>> {
+        let world = World::with_own_machines(site, root, dir, record, trouble)?;
+        let machines = hosts::run(world.testbed.clone());
+        world.testbed.executor.spawn_high(machines).detach();
+        Ok(world)
+    }
+
+    /// The same, but the case runs the machines' workers itself.
+    pub fn with_own_machines(
+        site: Site,
+        root: &Path,
+        dir: &Path,
+        record: &Path,
+        trouble: bool,
+    ) -> Result<Rc<World>> {
         std::fs::create_dir_all(dir)?;
         let (state_listener, state) = loopback()?;
         let (cloud_listener, cloud) = loopback()?;
@@ -131,7 +163,10 @@
             children: RefCell::default(),
             run_command: run_command(root)?,
         });
-        world.note(&format!("disruption: {}", if trouble { "yes" } else { "no" }));
+        world.note(&format!(
+            "disruption: {}",
+            if trouble { "yes" } else { "no" }
+        ));
         let w = world.clone();
         world.serve(state_listener, move |request| {
             let w = w.clone();
@@ -139,10 +174,13 @@
         });
         world.separate_ways()?;
         let testbed = world.testbed.clone();
-        world.serve(cloud_listener, move |request| services::cloud(testbed.clone(), request));
+        world.serve(cloud_listener, move |request| {
+            services::cloud(testbed.clone(), request)
+        });
         let executor = &world.testbed.executor;
-        executor.spawn_high(hosts::run(world.testbed.clone())).detach();
-        executor.spawn_high(load_balancer::probe(world.testbed.clone())).detach();
+        executor
+            .spawn_high(load_balancer::probe(world.testbed.clone()))
+            .detach();
         Ok(world)
     }
 
@@ -150,7 +188,8 @@
     /// so that each way can be disturbed alone.
     fn separate_ways(self: &Rc<Self>) -> Result<()> {
         for (node, controller) in self.testbed.controllers.iter().enumerate() {
-            let mut settings: Value = serde_json::from_str(&std::fs::read_to_string(&controller.settings)?)?;
+            let mut settings: Value =
+                serde_json::from_str(&std::fs::read_to_string(&controller.settings)?)?;
             let (listener, addr) = loopback()?;
             settings["outside"]["state"] = addr.to_string().into();
             let w = self.clone();
@@ -179,10 +218,16 @@
             });
             for peer in settings["known"].as_array_mut().into_iter().flatten() {
                 let name = peer["host_name"].as_str().unwrap_or_default().to_owned();
-                let Some(other) = self.testbed.controllers.iter().position(|c| c.name == name) else { continue };
+                let Some(other) = self.testbed.controllers.iter().position(|c| c.name == name)
+                else {
+                    continue;
+                };
                 let (listener, addr) = loopback()?;
                 peer["endpoint"] = addr.to_string().into();
-                self.testbed.executor.spawn_high(pass_on(self.clone(), listener, node, other)).detach();
+                self.testbed
+                    .executor
+                    .spawn_high(pass_on(self.clone(), listener, node, other))
+                    .detach();
             }
             std::fs::write(&controller.settings, settings.to_string())?;
         }
@@ -194,12 +239,16 @@
         faults[node].cut_from_peers || faults[other].cut_from_peers
     }
 
-    fn serve<F, Fut>(&self, listener: TcpListener, handler: F)
+    pub fn serve<F, Fut>(&self, listener: TcpListener, handler: F)
     where
         F: Fn(HttpRequest) -> Fut + 'static,
         Fut: Future<Output = HttpResponse> + 'static,
     {
-        let limits = Limits { connections: 1024, others: 1024, first: "/leases" };
+        let limits = Limits {
+            connections: 1024,
+            others: 1024,
+            first: "/leases",
+        };
         let serve = server::serve_on(self.testbed.executor.clone(), listener, limits, handler);
         self.testbed.executor.spawn_high(serve).detach();
     }
@@ -223,7 +272,11 @@
         if let Some(body) = body.filter(|_| response.status == 400) {
             let txn: Value = serde_json::from_slice(&body).unwrap_or_default();
             let rows = txn["writes"].as_array().cloned().unwrap_or_default();
-            let largest = rows.iter().map(|w| w["data"].to_string().len()).max().unwrap_or(0);
+            let largest = rows
+                .iter()
+                .map(|w| w["data"].to_string().len())
+                .max()
+                .unwrap_or(0);
             let keys: Vec<String> = rows
                 .iter()
                 .filter_map(|w| w["set"].as_str().or(w["drop"].as_str()).map(str::to_owned))
@@ -260,7 +313,10 @@
             .stderr(log)
             .spawn()?;
         self.note(&format!("started {name}"));
-        let mut pids = File::options().create(true).append(true).open(self.dir.join("pids"))?;
+        let mut pids = File::options()
+            .create(true)
+            .append(true)
+            .open(self.dir.join("pids"))?;
         writeln!(pids, "{}", child.id())?;
         self.children.borrow_mut().push((name.to_owned(), child));
         Ok(())
@@ -291,11 +347,13 @@
         }
     }
 
-
     /// Process id of a process that this world started.
     pub fn pid(&self, name: &str) -> Option<u32> {
         let children = self.children.borrow();
-        children.iter().find(|(n, _)| n == name).map(|(_, c)| c.id())
+        children
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, c)| c.id())
     }
 
     pub async fn sleep(&self, seconds: f64) {
@@ -322,7 +380,10 @@
             body: Some(body.map(|b| b.to_string().into_bytes()).unwrap_or_default()),
         };
         let response = load_balancer::handle_user_request(self.testbed.clone(), request).await;
-        (response.status, serde_json::from_slice(&response.body).unwrap_or_default())
+        (
+            response.status,
+            serde_json::from_slice(&response.body).unwrap_or_default(),
+        )
     }
 
     /// Submits a job as users do: again after a second, for up to 60 s.
@@ -342,12 +403,16 @@
 
     /// Asks for a job; the answer's stage, if it is 200.
     pub async fn stage(&self, id: &str) -> Option<String> {
-        let (status, body) = self.user(Method::Get, &format!("/v1/jobs/{id}"), None).await;
+        let (status, body) = self
+            .user(Method::Get, &format!("/v1/jobs/{id}"), None)
+            .await;
         (status == 200).then(|| body["stage"].as_str().unwrap_or_default().to_owned())
     }
 
     pub async fn poll_and_note(&self, id: &str) -> Option<String> {
-        let (status, body) = self.user(Method::Get, &format!("/v1/jobs/{id}"), None).await;
+        let (status, body) = self
+            .user(Method::Get, &format!("/v1/jobs/{id}"), None)
+            .await;
         self.note(&format!("asked for {id}: {status} {body}"));
         (status == 200).then(|| body["stage"].as_str().unwrap_or_default().to_owned())
     }
@@ -393,9 +458,13 @@
 /// Passes connections of a controller on to another one, as long as the two are not cut off from
 /// each other; then packets are held.
 async fn pass_on(world: Rc<World>, listener: TcpListener, node: usize, other: usize) {
-    let Ok(listener) = Async::new(listener) else { return };
+    let Ok(listener) = Async::new(listener) else {
+        return;
+    };
     loop {
-        let Ok((near, _)) = listener.accept().await else { return };
+        let Ok((near, _)) = listener.accept().await else {
+            return;
+        };
         let world = world.clone();
         let executor = world.testbed.executor.clone();
         let connection = async move {
@@ -403,7 +472,9 @@
             while world.is_cut(node, other) {
                 world.sleep(0.05).await;
             }
-            let Ok(far) = Async::<TcpStream>::connect(to).await else { return };
+            let Ok(far) = Async::<TcpStream>::connect(to).await else {
+                return;
+            };
             let there = copy(&world, &near, &far, node, other);
             let back = copy(&world, &far, &near, node, other);
             futures_lite::future::or(there, back).await;
@@ -412,7 +483,13 @@
     }
 }
 
-async fn copy(world: &World, mut from: &Async<TcpStream>, mut to: &Async<TcpStream>, node: usize, other: usize) {
+async fn copy(
+    world: &World,
+    mut from: &Async<TcpStream>,
+    mut to: &Async<TcpStream>,
+    node: usize,
+    other: usize,
+) {
     let mut buffer = [0; 8192];
     while let Ok(count @ 1..) = from.read(&mut buffer).await {
         while world.is_cut(node, other) {
@@ -425,7 +502,15 @@
 }
 
 /// A job as users send it.
-pub fn job(id: &str, class: &str, team: &str, shape: &str, tasks: u32, cpus: f64, expected_s: f64) -> Value {
+pub fn job(
+    id: &str,
+    class: &str,
+    team: &str,
+    shape: &str,
+    tasks: u32,
+    cpus: f64,
+    expected_s: f64,
+) -> Value {
     json!({
         "ref": id, "job_family": class, "owner_crew": team, "run_shape": shape,
         "urgency": "normal", "pieces": tasks, "cores": cpus, "accelerators": 0.0,
@@ -468,7 +553,12 @@
     cluster.teams[0].name = "production-floor-00".into();
     cluster.teams[1].name = "production-floor-01".into();
     let workers = &mut cluster.workers;
-    (workers.report_s, workers.gang_wait_s, workers.gang_peer_s, workers.cancel_s) = (2.0, 35.0, 8.0, 40.0);
+    (
+        workers.report_s,
+        workers.gang_wait_s,
+        workers.gang_peer_s,
+        workers.cancel_s,
+    ) = (2.0, 35.0, 8.0, 40.0);
     let state = &mut cluster.state;
     (state.rps, state.write_rps, state.value_kb, state.txn_ops) = (200.0, 80.0, 16.0, 24);
     cluster.cloud.rps = 8.0;
