Review: explore troubles of machines beside those of controllers

Need: to look for faults beyond the cases. Change: machines that are mute, deaf, stop and come back, or carry out direct commands late, in the exploration.

--- a/review/stand-ins-2/src/cases/explore.rs
+++ b/review/stand-ins-2/src/cases/explore.rs
@@ -1,6 +1,7 @@
 //! Drawn troubles for a while, to find faults: controllers end, stand still and come back, the state
 //! service is down, transactions lose their answers or are carried out late. SEED and SECONDS.
 
+use crate::machines::{self, Machine, Machines};
 use crate::world::{NodeFaults, TransactionFaults, Verdict, World, job, small_site};
 use anyhow::Result;
 use http_types::Method;
@@ -52,7 +53,11 @@
         site.stillborn = 0.1;
         site.failing = 0.1;
     }
-    let world = World::new(site, root, dir, record, trouble)?;
+    let own_machines = std::env::var("MACHINES").as_deref() == Ok("1");
+    let world = match own_machines {
+        true => World::with_own_machines(site, root, dir, record, trouble)?,
+        false => World::new(site, root, dir, record, trouble)?,
+    };
     let executor = world.testbed.executor.clone();
     let verdict = async_io::block_on(executor.run(run(&world, number("SECONDS", 100) as f64)));
     world.end();
@@ -69,8 +74,51 @@
     }
 }
 
+/// Troubles of machines, one at a time each.
+async fn trouble_machines(world: Rc<World>, machines: Rc<Machines>, end: f64) {
+    while world.seconds() < end {
+        world.sleep(3.0 * fastrand::f64()).await;
+        let all: Vec<Rc<Machine>> = machines.all.borrow().values().cloned().collect();
+        if all.is_empty() {
+            continue;
+        }
+        let machine = all[fastrand::usize(..all.len())].clone();
+        if machine.off.get() || machine.mute.get() || machine.deaf.get() {
+            continue;
+        }
+        let what = fastrand::u32(..5);
+        let seconds = 25.0 * fastrand::f64() * fastrand::f64();
+        world.note(&format!(
+            "machine {}: trouble {what} for {seconds:.1} s",
+            machine.name
+        ));
+        match what {
+            0 => machine.mute.set(true),
+            1 => machine.deaf.set(true),
+            2 => machine.stop(&world),
+            _ => machine.late_share.set(0.5),
+        }
+        let (world_, executor) = (world.clone(), world.testbed.executor.clone());
+        let mend = async move {
+            world_.sleep(seconds).await;
+            machine.mute.set(false);
+            machine.deaf.set(false);
+            machine.late_share.set(0.0);
+            if what == 2 {
+                machine.come_back(&world_);
+            }
+            world_.note(&format!("machine {}: mended", machine.name));
+        };
+        executor.spawn_high(mend).detach();
+    }
+}
+
 async fn run(world: &Rc<World>, seconds: f64) -> Result<Verdict> {
     world.start_controllers()?;
+    let machines = match std::env::var("MACHINES").as_deref() == Ok("1") {
+        true => Some(machines::start(world)),
+        false => None,
+    };
     world.until_ready().await?;
     let explorer = Rc::new(Explorer {
         world: world.clone(),
@@ -96,6 +144,11 @@
         world.sleep(10.0).await;
     }
     let end = world.seconds() + seconds;
+    if let Some(machines) = machines.filter(|_| world.trouble) {
+        executor
+            .spawn_high(trouble_machines(world.clone(), machines, end))
+            .detach();
+    }
     let submitting = explorer.clone();
     executor
         .spawn_high(async move { submitting.submit_all(end).await })
--- a/review/stand-ins-2/src/machines.rs
+++ b/review/stand-ins-2/src/machines.rs
@@ -21,6 +21,12 @@
     pub name: String,
     pub worker: RefCell<Worker>,
     pub off: Cell<bool>,
+    /// Its reports reach nobody.
+    pub mute: Cell<bool>,
+    /// Answers and direct commands to it are lost.
+    pub deaf: Cell<bool>,
+    /// Share of direct commands that are held up, unanswered, and carried out 2 to 16 s late.
+    pub late_share: Cell<f64>,
     /// Direct commands that were carried out.
     pub carried_out: RefCell<Vec<DirectCommands>>,
     client: Client,
@@ -100,6 +106,9 @@
         name: name.to_owned(),
         worker: RefCell::new(worker),
         off: Cell::new(false),
+        mute: Cell::new(false),
+        deaf: Cell::new(false),
+        late_share: Cell::new(0.0),
         carried_out: RefCell::default(),
         client: Client::new(1),
         target: Cell::new(0),
@@ -116,7 +125,7 @@
 
 impl Machine {
     async fn direct(&self, world: &World, request: HttpRequest) -> HttpResponse {
-        if self.off.get() {
+        if self.off.get() || self.deaf.get() {
             futures_lite::future::pending::<()>().await;
         }
         if (request.method, request.path.as_str()) != (Method::Post, "/do") {
@@ -127,6 +136,14 @@
         else {
             return HttpResponse::error(400, "malformed");
         };
+        if fastrand::f64() < self.late_share.get() {
+            world.sleep(2.0 + 14.0 * fastrand::f64()).await;
+            if !self.off.get() {
+                self.carry_out(world, commands, "late ");
+            }
+            futures_lite::future::pending::<()>().await;
+            return HttpResponse::error(503, "never answered");
+        }
         self.carry_out(world, commands, "")
     }
 
@@ -209,6 +226,11 @@
         let report = self.worker.borrow_mut().report();
         let target = self.target.get() % world.testbed.controllers.len();
         let to = world.testbed.controllers[target].listen;
+        if self.mute.get() {
+            world.sleep(4.0).await;
+            self.target.set(target + 1);
+            return 1_000;
+        }
         let body = serde_json::to_vec(&report).unwrap_or_default();
         let answer = self
             .client
@@ -232,6 +254,11 @@
                 world.testbed.controllers[target].name
             ));
         }
+        if self.deaf.get() || self.off.get() {
+            world.sleep(4.0).await;
+            self.target.set(target + 1);
+            return 1_000;
+        }
         match answer {
             Ok(answer) if answer.status == 200 => {
                 if let Ok(reply) = serde_json::from_slice::<HeartbeatResponse>(&answer.body) {
