Review case 4: a cancelled task that a late copy launched again is never stopped

Cause: the leader takes a report that lists an attempt as running for no news once it knows the attempt as ended, and answers with a reap; a new agent that counts past the old one is not recognised.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -19,7 +19,7 @@
 }
 trap cleanup EXIT
 trap 'exit 2' INT TERM
-timeout -k 2 119 "$program" lowered-limits "$root" "$dir/run" "$here/record.txt"
+timeout -k 2 119 "$program" ended-again "$root" "$dir/run" "$here/record.txt"
 code=$?
 [ "${KEEP:-}" ] && cp -r "$dir" "$KEEP"
 case $code in 0|1) exit $code ;; *) exit 2 ;; esac
