Review: explore a rolling upgrade under drawn troubles

Need: versions side by side had not been explored. Change: the exploration can begin with the version before on all controllers, roll them and lower the limits.

--- a/review/stand-ins-2/src/cases/explore.rs
+++ b/review/stand-ins-2/src/cases/explore.rs
@@ -5,6 +5,7 @@
 use crate::world::{NodeFaults, TransactionFaults, Verdict, World, job, small_site};
 use anyhow::Result;
 use http_types::Method;
+use pathwinch_protocol::settings::NextLimits;
 use serde_json::Value;
 use std::{
     cell::RefCell, collections::BTreeMap, path::Path, process::Command, rc::Rc, time::Duration,
@@ -47,6 +48,14 @@
         site.cluster.teams[0].cpus_max = 350.0;
         site.capacity = 16;
     }
+    if std::env::var("OLD").is_ok() {
+        site.cluster.state.next = Some(NextLimits {
+            rps: None,
+            write_rps: Some(15.0),
+            value_kb: Some(2.0),
+            txn_ops: Some(4),
+        });
+    }
     if number("FAULTS", 0) == 1 {
         site.worker_faults.duplicate_commands = 0.3;
         site.worker_faults.agent_restarts_every_s = 9.0;
@@ -113,8 +122,39 @@
     }
 }
 
+/// Ends the controllers of the version before one by one, and starts them anew; then the limits fall.
+async fn roll(world: Rc<World>) -> Result<()> {
+    world.sleep(15.0).await;
+    for node in 0..world.testbed.controllers.len() {
+        world.sleep(4.0 + 8.0 * fastrand::f64()).await;
+        let name = world.testbed.controllers[node].name.clone();
+        world.kill(&name);
+        world.old_nodes.borrow_mut().remove(&node);
+        world.note(&format!("{name} is upgraded"));
+        world.start_controller(node)?;
+    }
+    world.sleep(10.0 + 10.0 * fastrand::f64()).await;
+    world
+        .testbed
+        .state
+        .borrow_mut()
+        .apply_next_limits(world.testbed.now());
+    world.note("the limits fall");
+    Ok(())
+}
+
 async fn run(world: &Rc<World>, seconds: f64) -> Result<Verdict> {
+    if std::env::var("OLD").is_ok() {
+        world
+            .old_nodes
+            .borrow_mut()
+            .extend(0..world.testbed.controllers.len());
+    }
     world.start_controllers()?;
+    if std::env::var("OLD").is_ok() {
+        let rolling = roll(world.clone());
+        world.testbed.executor.spawn_high(rolling).detach();
+    }
     let machines = match std::env::var("MACHINES").as_deref() == Ok("1") {
         true => Some(machines::start(world)),
         false => None,
@@ -448,6 +488,8 @@
                 .filter(|id| accepted(id) && fastrand::u32(..6) == 0)
                 .cloned()
                 .collect();
+            let upgraded = self.world.old_nodes.borrow().is_empty();
+            let needs = if upgraded { needs } else { Vec::new() };
             if !needs.is_empty() && shape != "standing" {
                 spec["waits_on"] = needs.clone().into();
             }
--- a/review/stand-ins-2/src/world.rs
+++ b/review/stand-ins-2/src/world.rs
@@ -19,6 +19,7 @@
 use serde_json::{Value, json};
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeSet,
     fs::File,
     future::Future,
     io::Write,
@@ -60,6 +61,8 @@
 }
 
 pub struct World {
+    /// Controllers that still run the version before, which the variable OLD names.
+    pub old_nodes: RefCell<BTreeSet<usize>>,
     pub node_faults: RefCell<Vec<NodeFaults>>,
     pub transaction_faults: Cell<TransactionFaults>,
     pub testbed: Rc<Testbed>,
@@ -152,6 +155,7 @@
         choose_ports(&mut configured)?;
         let executor = Rc::new(PriorityExecutor::default());
         let world = Rc::new(World {
+            old_nodes: RefCell::default(),
             node_faults: RefCell::new(vec![NodeFaults::default(); configured.len()]),
             transaction_faults: Cell::default(),
             testbed: Rc::new(Testbed::new(site, executor, configured)),
@@ -326,6 +330,10 @@
     pub fn start_controller(&self, index: usize) -> Result<()> {
         let controller = &self.testbed.controllers[index];
         let (program, arguments) = self.run_command.split_first().context("empty command")?;
+        let old = std::env::var("OLD")
+            .ok()
+            .filter(|_| self.old_nodes.borrow().contains(&index));
+        let program = old.as_ref().unwrap_or(program);
         let mut arguments = arguments.to_vec();
         arguments.push(controller.settings.display().to_string());
         self.start(&controller.name.clone(), program, &arguments)
