Log and count attempts that run again after their end, and unanswered heartbeats

A report that lists an ended attempt as running left no trace but a reap that was repeated for good, and a heartbeat that the leader leaves unanswered none at all.

Change: a line and the metric `restarted_attempts` for each report of an attempt that is live after it had ended on the same machine; a line and the metric `unanswered_heartbeats{reason}` for each heartbeat that the leader does not answer, at `info` for an agent that has seen no token. Decisions are unchanged.

--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -43,6 +43,7 @@
 pub use fencing::RaiseReason;
 pub use inventory::CloudOp;
 pub use job_status::Withheld;
+pub use partitions::UnansweredReason;
 pub use persistence::{WriteIntent, WritePlan, acceptance_with_feed_entry};
 pub use status::MetricCounts;
 
--- a/src/control/leader/partitions.rs
+++ b/src/control/leader/partitions.rs
@@ -14,6 +14,7 @@
         cluster::{MachineHandle, Phase},
     },
 };
+use std::fmt;
 
 /// Number of consecutive heartbeats without a token of this term that a machine may send.
 /// As each is sent after the one before it was answered, more of them show that the machine
@@ -24,6 +25,34 @@
 /// redirected.
 const RESTART_HEARTBEAT_WINDOW_MS: Millis = 8_000;
 
+/// Why a heartbeat is not answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum UnansweredReason {
+    /// The heartbeat is older than what is known of the machine, or looks so.
+    Stale,
+    /// The machine sends heartbeats but does not seem to receive the responses.
+    OneWayPartition,
+}
+
+impl UnansweredReason {
+    /// Value of the metric's label.
+    pub fn name(self) -> &'static str {
+        match self {
+            UnansweredReason::Stale => "stale",
+            UnansweredReason::OneWayPartition => "one_way_partition",
+        }
+    }
+}
+
+impl fmt::Display for UnansweredReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            UnansweredReason::Stale => "it is late, or from an agent that has just restarted",
+            UnansweredReason::OneWayPartition => "the machine receives no responses",
+        })
+    }
+}
+
 impl Leader {
     /// Checks a heartbeat before it is applied. Returns `false` if it must not be answered, so
     /// that the machine's lease expires and a new leader does not wait forever for it.
@@ -56,6 +85,8 @@
                 && now < machine.last_stale_heartbeat.1 + RESTART_HEARTBEAT_WINDOW_MS;
             machine.last_stale_heartbeat = (heartbeat_id, now);
             if !in_order {
+                let latest_heartbeat = machine.latest_heartbeat;
+                self.note_unanswered(report, latest_heartbeat, UnansweredReason::Stale);
                 return false;
             }
             machine.last_answered = now;
@@ -73,16 +104,40 @@
         if machine.unacknowledged_heartbeats > MAX_UNACKNOWLEDGED_HEARTBEATS
             && now > leases_expired_at
         {
-            log::debug!(
-                "machine {} sends heartbeats but receives no responses: its heartbeats are not answered",
-                machine.name
-            );
+            self.note_unanswered(report, heartbeat_id, UnansweredReason::OneWayPartition);
             return false;
         }
         machine.last_answered = now;
         true
     }
 
+    /// Logs and counts a heartbeat that is not answered.
+    fn note_unanswered(
+        &mut self,
+        report: &Heartbeat,
+        latest_heartbeat: (u64, u64),
+        reason: UnansweredReason,
+    ) {
+        let counts = &mut self.events.metric_counts.unanswered_heartbeats;
+        *counts.entry(reason).or_default() += 1;
+        // An agent without a token obeys every command, so the line is worth its cost.
+        let level = match report.acknowledged_token {
+            0 => log::Level::Info,
+            _ => log::Level::Debug,
+        };
+        log::log!(
+            level,
+            "heartbeat {}.{} of machine {}, which has seen token {}, is not answered: {reason}; \
+             the latest is {}.{}",
+            report.incarnation,
+            report.seq,
+            report.machine,
+            report.acknowledged_token,
+            latest_heartbeat.0,
+            latest_heartbeat.1,
+        );
+    }
+
     /// Raises the machine's token, which only an agent that has restarted acknowledges together
     /// with an old sequence number.
     fn detect_restart(&mut self, machine_handle: MachineHandle) {
--- a/src/control/leader/status.rs
+++ b/src/control/leader/status.rs
@@ -4,7 +4,7 @@
 //! is computed only on request. Responses must fit into a frame, so names are truncated and
 //! the number of rows is limited. This module never influences a decision of the leader.
 
-use super::{Leader, fencing::RaiseReason, millis};
+use super::{Leader, fencing::RaiseReason, millis, partitions::UnansweredReason};
 use crate::{
     control::{placement, reconciliation::UnassignedHandling},
     options::LoadResource,
@@ -67,6 +67,10 @@
     pub stops: u64,
     /// Number of tasks that machines reported although nobody assigned them, by what was done.
     pub unassigned_tasks: BTreeMap<UnassignedHandling, u64>,
+    /// Number of reports of attempts that are live after they had ended on the same machine.
+    pub restarted_attempts: u64,
+    /// Number of heartbeats that were not answered, by reason.
+    pub unanswered_heartbeats: BTreeMap<UnansweredReason, u64>,
     /// Number of direct commands that ended, by outcome.
     pub direct_commands: BTreeMap<&'static str, u64>,
     /// Number of raises of machines' fencing tokens, by reason.
--- a/src/control/leader/task_log.rs
+++ b/src/control/leader/task_log.rs
@@ -52,6 +52,8 @@
             let counts = &mut self.events.metric_counts.unassigned_tasks;
             *counts.entry(unassigned.handling).or_default() += 1;
         }
+        let restarted = effects.restarted_attempts.len() as u64;
+        self.events.metric_counts.restarted_attempts += restarted;
         if !log::log_enabled!(log::Level::Info) || self.cluster.machine(machine_handle).is_none() {
             return;
         }
@@ -65,6 +67,11 @@
             .map(ToString::to_string)
             .collect();
         for_each_line(&changes, |tasks| log::info!("{status}: {tasks}"));
+        let restarted = effects.restarted_attempts.iter();
+        let restarted: Vec<String> = restarted.map(ToString::to_string).collect();
+        for_each_line(&restarted, |tasks| {
+            log::info!("{status}, attempts that were started again: {tasks}");
+        });
         let unassigned = effects.unassigned_tasks.iter();
         let unassigned: Vec<String> = unassigned.map(ToString::to_string).collect();
         for_each_line(&unassigned, |tasks| {
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -110,6 +110,26 @@
     }
 }
 
+/// An attempt that a machine lists as live after it had ended there: it was started again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RestartedAttempt {
+    /// Name of the task: job id and task number.
+    pub task: String,
+    /// Attempt number.
+    pub attempt: u64,
+    /// Why the attempt had ended.
+    pub ended: ExitReason,
+    /// The reported phase.
+    pub phase: Phase,
+}
+
+impl fmt::Display for RestartedAttempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (task, attempt, ended, phase) = (&self.task, self.attempt, self.ended, self.phase);
+        write!(f, "{task}@{attempt} had ended({ended}) and is {phase}")
+    }
+}
+
 /// Effects of a heartbeat that the leader must act on, besides the changes of the cluster
 /// state.
 #[derive(Debug, Default, PartialEq)]
@@ -131,6 +151,8 @@
     pub task_changes: Vec<TaskChange>,
     /// Tasks that the machine reports although they are not assigned there.
     pub unassigned_tasks: Vec<UnassignedTask>,
+    /// Attempts that the machine lists as live after they had ended there.
+    pub restarted_attempts: Vec<RestartedAttempt>,
 }
 
 /// Source of a machine's status. Only a heartbeat is certain to be made after the response
@@ -354,6 +376,14 @@
     else {
         return;
     };
+    if let (Phase::Ended(ended), true) = (assignment.phase, phase.is_live()) {
+        effects.restarted_attempts.push(RestartedAttempt {
+            task: reported.task.clone(),
+            attempt: reported.attempt,
+            ended,
+            phase,
+        });
+    }
     if assignment.phase == phase || !assignment.is_live() {
         return;
     }
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -92,6 +92,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct UnansweredHeartbeatLabel {
+    reason: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct TokenRaiseLabel {
     reason: &'static str,
@@ -138,6 +143,8 @@
     request_budget: Family<RequestPriorityLabels, Counter>,
     withheld_states: Family<WithheldLabel, Counter>,
     unassigned_tasks: Family<UnassignedTaskLabel, Counter>,
+    restarted_attempts: Counter,
+    unanswered_heartbeats: Family<UnansweredHeartbeatLabel, Counter>,
     direct_commands: Family<DirectCommandLabel, Counter>,
     token_raises: Family<TokenRaiseLabel, Counter>,
     dependencies_unread_seconds: Gauge<f64, AtomicU64>,
@@ -199,6 +206,8 @@
             request_budget: Family::default(),
             withheld_states: Family::default(),
             unassigned_tasks: Family::default(),
+            restarted_attempts: Counter::default(),
+            unanswered_heartbeats: Family::default(),
             direct_commands: Family::default(),
             token_raises: Family::default(),
             dependencies_unread_seconds: Gauge::default(),
@@ -297,6 +306,12 @@
         let help = "Tasks that machines reported although nobody assigned them, by what was done";
         let unassigned = metrics.unassigned_tasks.clone();
         registry.register("unassigned_tasks", help, unassigned);
+        let help = "Reports of attempts that are live after they had ended on the same machine";
+        let restarted = metrics.restarted_attempts.clone();
+        registry.register("restarted_attempts", help, restarted);
+        let help = "Heartbeats that the leader did not answer, by reason";
+        let unanswered = metrics.unanswered_heartbeats.clone();
+        registry.register("unanswered_heartbeats", help, unanswered);
         let help = "Direct commands to machines, by outcome";
         registry.register("direct_commands", help, metrics.direct_commands.clone());
         let help = "Raises of the fencing tokens of single machines, by reason";
@@ -384,6 +399,14 @@
             let labels = UnassignedTaskLabel { handling };
             self.unassigned_tasks.get_or_create(&labels).inc_by(count);
         }
+        self.restarted_attempts
+            .inc_by(metric_counts.restarted_attempts);
+        for (reason, count) in metric_counts.unanswered_heartbeats {
+            let reason = reason.name();
+            let labels = UnansweredHeartbeatLabel { reason };
+            let unanswered = self.unanswered_heartbeats.get_or_create(&labels);
+            unanswered.inc_by(count);
+        }
         for (outcome, count) in metric_counts.direct_commands {
             let labels = DirectCommandLabel { outcome };
             self.direct_commands.get_or_create(&labels).inc_by(count);
