A task of a cancelled job ran on: an attempt that is listed as live counts and is stopped

Hypotheses: (1) the leader knows the attempt as ended and takes reports that list it as running for no news; (2) a stop is sent and does not reach the machine; (3) the reports are dropped as late; (4) the job is gone and the task unknown. Evidence, with the lines of the commit before: 69 reports in a row "had ended(stopped) and is running", each answered with a reap, no stop, one unanswered heartbeat (1.1, empty), no unassigned task. So (1): `update_task` returned early for ended tasks, and a reap does nothing to a running one.

Invariant: an attempt that its machine lists as live is live, whatever was concluded of it before: it counts, it is stopped without grace, it is reaped only once it is listed as ended, and its task is started nowhere else meanwhile. Every report comes to it through `state/cluster/assignments.rs`; `Job` keeps attempts beside a task's own place, and `Job::may_start`, which every start passes, lets none of that task leave. No waiting time.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -200,7 +200,10 @@
             ),
         },
         DueCommand::DropStart => {
-            format!("no start of {task}@{attempt}, as its job ends or the task is done")
+            format!(
+                "no start of {task}@{attempt}, as its job ends, the task is done or another \
+                 attempt of it is live"
+            )
         }
         DueCommand::Stop { grace_s } => {
             let job = assignment.job.and_then(|handle| context.jobs.get(handle));
--- a/src/control/reconciliation.rs
+++ b/src/control/reconciliation.rs
@@ -376,18 +376,24 @@
     else {
         return;
     };
-    if let (Phase::Ended(ended), true) = (assignment.phase, phase.is_live()) {
+    if assignment.phase == phase {
+        return;
+    }
+    let (job, task) = (assignment.job, assignment.task);
+    if let Phase::Ended(ended) = assignment.phase {
+        // An attempt ends once for each time that it is started, so it has been started again.
+        // It may have completed since.
+        if !phase.is_live() && phase != Phase::Ended(ExitReason::Done) {
+            return;
+        }
         effects.restarted_attempts.push(RestartedAttempt {
             task: reported.task.clone(),
             attempt: reported.attempt,
             ended,
             phase,
         });
+        cluster.mark_live_again(machine_handle, task_index);
     }
-    if assignment.phase == phase || !assignment.is_live() {
-        return;
-    }
-    let (job, task) = (assignment.job, assignment.task);
     if phase == Phase::Running {
         effects.started_jobs.extend(job);
     }
@@ -619,6 +625,10 @@
         }
         return;
     }
+    if phase.is_live() && valid_task {
+        cluster.assign_duplicate(job_handle, task, machine_handle, attempt, phase, now);
+        return;
+    }
     cluster.assign_orphan(machine_handle, name, attempt, phase, now);
     // An ended task keeps its job, so that it is reaped only once its end is recorded.
     if !phase.is_live()
--- a/src/state/cluster/assignments.rs
+++ b/src/state/cluster/assignments.rs
@@ -69,9 +69,9 @@
         }
     }
 
-    /// Adds a task that may run on the machine although its job records the task as
-    /// complete. The task is stopped; until it is gone, its resources count against the
-    /// machine and the team.
+    /// Adds a task that runs, or may run, on the machine although its job has the task elsewhere
+    /// or records it as complete. The task is stopped; until it is gone, it counts against
+    /// the machine and the team, and the task is not started anywhere else.
     pub fn assign_duplicate(
         &mut self,
         handle: JobHandle,
@@ -81,26 +81,58 @@
         phase: Phase,
         now: Millis,
     ) {
-        let Some(job) = self.job_mut(handle) else {
+        let Some(job) = self.job(handle) else {
+            return;
+        };
+        let name = format!("{}/{task}", job.id);
+        self.assign_orphan(machine, &name, attempt, phase, now);
+        let Some(assigned_machine) = self.machine_mut(machine) else {
+            return;
+        };
+        let at = assigned_machine.tasks.len() - 1;
+        assigned_machine.tasks[at].job = Some(handle);
+        assigned_machine.tasks[at].task = task;
+        self.count_attempt(machine, at);
+    }
+
+    /// Counts an ended attempt as live again and stops it, because its machine has carried out a
+    /// start of it once more. It counts until the machine lists it as ended or can't hold it
+    /// any more, and the task is not started anywhere else meanwhile.
+    pub fn mark_live_again(&mut self, machine: MachineHandle, at: usize) {
+        let Some(assigned_machine) = self.machine_mut(machine) else {
+            return;
+        };
+        let assignment = &mut assigned_machine.tasks[at];
+        assignment.phase = Phase::Sent;
+        assignment.stop = StopRequest::immediate();
+        // Fault attribution has judged the attempt when it ended.
+        assignment.seen_running = true;
+        self.count_attempt(machine, at);
+    }
+
+    /// Counts the live attempt at index `at` of the machine's list, which this leader did not
+    /// place, against its job, team and machine. It keeps its change number, so that a
+    /// standby prefers the placement by the leader.
+    fn count_attempt(&mut self, machine: MachineHandle, at: usize) {
+        let assignment = self.machines.get(machine).and_then(|m| m.tasks.get(at));
+        let Some(assignment) = assignment else {
             return;
         };
-        job.running_count += u32::from(phase == Phase::Running);
-        let (team, need, name) = (job.team, job.need, format!("{}/{task}", job.id));
+        let (task, phase) = (assignment.task, assignment.phase);
+        let (mut team, mut need) = (assignment.team, assignment.need);
+        if let Some(job) = assignment.job.and_then(|handle| self.jobs.get_mut(handle)) {
+            (team, need) = (job.team, job.need);
+            job.running_count += u32::from(phase == Phase::Running);
+            job.add_attempt(task, machine);
+        }
         if let Some(usage) = self.team_usage.get_mut(team) {
             *usage += need;
         }
-        self.assign_orphan(machine, &name, attempt, phase, now);
         self.record_change(machine);
-        let change_number = self.change_count;
         if let Some(machine) = self.machine_mut(machine) {
             machine.used += need;
-            if let Some(assignment) = machine.tasks.last_mut() {
-                assignment.job = Some(handle);
-                assignment.task = task;
-                assignment.change_number = change_number;
-                assignment.team = team;
-                assignment.need = need;
-            }
+            machine.tasks[at].team = team;
+            machine.tasks[at].need = need;
         }
     }
 
@@ -137,9 +169,8 @@
         if ends {
             if phase == Phase::Ended(ExitReason::Done) && job.spec.kind != Kind::Service {
                 job.mark_done(task);
-            } else {
-                job.vacate(task, machine);
             }
+            job.vacate(task, machine);
         }
     }
 
--- a/src/state/cluster/job.rs
+++ b/src/state/cluster/job.rs
@@ -34,6 +34,16 @@
     On(MachineHandle),
 }
 
+/// A live attempt of a task beside the one that takes the task's place, or of a complete task.
+/// It is to be stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct DuplicateAttempt {
+    /// Number of the task within the job.
+    task: u32,
+    /// Machine on which the attempt is, or may be.
+    pub(super) machine: MachineHandle,
+}
+
 /// A newly accepted or loaded job that has no handle yet.
 #[derive(Debug)]
 pub struct NewJob {
@@ -90,6 +100,8 @@
     pub completed_count: u32,
     /// Placement of each task, by task number.
     pub(super) task_slots: Vec<Placement>,
+    /// Live attempts that take no task's place.
+    pub(super) duplicates: Vec<DuplicateAttempt>,
     /// No task before this index is waiting to be placed.
     pub(super) first_waiting_hint: u32,
     /// Number of tasks that are, or may be, on a machine.
@@ -166,6 +178,7 @@
             dirty_segments: vec![false; completed.segment_count()],
             completed,
             task_slots,
+            duplicates: Vec::new(),
             first_waiting_hint: 0,
             live_count: 0,
             running_count: 0,
@@ -291,13 +304,40 @@
         self.live_count += 1;
     }
 
-    /// Clears the task's placement if the task was placed on this machine.
+    /// Counts a live attempt that the leader did not place: it takes the task's place if that is
+    /// free, and is a duplicate otherwise.
+    pub(super) fn add_attempt(&mut self, task: u32, machine: MachineHandle) {
+        if self.task_slots.get(task as usize) == Some(&Placement::Unplaced) {
+            self.occupy(task, machine);
+        } else {
+            self.duplicates.push(DuplicateAttempt { task, machine });
+        }
+    }
+
+    /// Whether an attempt of the task is live, or may be, beside the one that takes its place.
+    pub fn has_duplicate(&self, task: u32) -> bool {
+        self.duplicates.iter().any(|d| d.task == task)
+    }
+
+    /// Removes a live attempt of the task on this machine. If it took the task's place, a
+    /// duplicate takes it now, as the task must not be started while the duplicate is live.
     pub(super) fn vacate(&mut self, task: u32, machine: MachineHandle) {
-        if self.task_slots[task as usize] == Placement::On(machine) {
-            self.task_slots[task as usize] = Placement::Unplaced;
-            self.live_count -= 1;
-            self.first_waiting_hint = self.first_waiting_hint.min(task);
+        let attempt = DuplicateAttempt { task, machine };
+        if let Some(index) = self.duplicates.iter().position(|d| *d == attempt) {
+            self.duplicates.swap_remove(index);
+            return;
+        }
+        if self.task_slots.get(task as usize) != Some(&Placement::On(machine)) {
+            return;
+        }
+        if let Some(index) = self.duplicates.iter().position(|d| d.task == task) {
+            let duplicate = self.duplicates.swap_remove(index);
+            self.task_slots[task as usize] = Placement::On(duplicate.machine);
+            return;
         }
+        self.task_slots[task as usize] = Placement::Unplaced;
+        self.live_count -= 1;
+        self.first_waiting_hint = self.first_waiting_hint.min(task);
     }
 
     /// Whether a write that finishes or cancels the job is in flight or indeterminate.
@@ -322,6 +362,7 @@
     pub fn may_start(&self, task: u32, machine: MachineHandle) -> bool {
         !self.end_requested()
             && self.offload.is_local()
+            && !self.has_duplicate(task)
             && self.placement(task) == Placement::On(machine)
     }
 
--- a/src/state/cluster/jobs.rs
+++ b/src/state/cluster/jobs.rs
@@ -96,6 +96,8 @@
                 Placement::Unplaced | Placement::Done => None,
             })
             .collect();
+        let duplicates = self.job(job).map_or(&[][..], |j| &j.duplicates);
+        machines.extend(duplicates.iter().map(|duplicate| duplicate.machine));
         machines.sort_unstable();
         machines.dedup();
         machines.into_iter().flat_map(move |handle| {
--- a/tests/compatibility/operators.rs
+++ b/tests/compatibility/operators.rs
@@ -936,6 +936,7 @@
     for name in [
         "figures_later",
         "figures_of_request_budget",
+        "figures_of_restarted_attempts",
         "figures_of_unread_dependencies",
     ] {
         let later: Vec<String> = serde_json::from_str(fixture(ANSWERS, name)).unwrap();
--- a/tests/invariant_checker.rs
+++ b/tests/invariant_checker.rs
@@ -29,6 +29,7 @@
         state: TaskState::Fetching,
         exit_reason: None,
         until,
+        started_unfenced_at: 0,
     });
 }
 
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -155,6 +155,9 @@
     pub exit_reason: Option<ExitReason>,
     /// Time at which the current state ends.
     pub until: Millis,
+    /// Time at which a copy started the attempt on an agent without any answer so far; 0 if none
+    /// did.
+    pub started_unfenced_at: Millis,
 }
 
 /// A machine with its agent.
--- a/tests/simulation/workers.rs
+++ b/tests/simulation/workers.rs
@@ -148,6 +148,7 @@
                         },
                         exit_reason: rejection,
                         until: now + fetch_ms,
+                        started_unfenced_at: 0,
                     });
                 }
                 Command::Stop {
