A copy started a task on a machine that was back: first heartbeats are answered with a higher token

What callers saw: `ran_twice`.

Hypotheses: (1) the new agent obeys any token, and the leader leaves its first heartbeat unanswered; (2) the token it was given is not above the copy's; (3) the task was placed before the first lease was over; (4) two leaders. So (1): the heartbeat was taken for a late one of the agent before.

Invariant: the first heartbeat of an agent that reaches the leader is answered with a token above that of every command which was sent to the machine before, and nothing else is concluded from it. `leader/partitions.rs`, which every heartbeat passes first. The response renews no lease: an agent without a token holds nothing, and a copy's response reaches nobody.

This narrows the window, it does not close it: until that response an agent obeys every copy that names incarnation 1. No waiting time is part of the mend.

Tests: on the code before, `copy_starts_no_task_after_first_heartbeat_of_restarted_agent`, `first_heartbeat_of_restarted_agent_brings_higher_token_and_nothing_else` and `late_first_heartbeats_renew_no_lease` fail; with the fix they pass. `restarted_agent_with_higher_sequence_number_keeps_own_lease` got to its state by first heartbeats that the leader left unanswered, which no longer happens. Its agent now reaches no controller but gets direct commands, with the same counting past, assertions and bounds; it fails still when the time of an executed direct start is left out of the lease.

--- a/src/control/leader/heartbeats.rs
+++ b/src/control/leader/heartbeats.rs
@@ -6,7 +6,7 @@
 //! lease, so before the records are read heartbeats are answered only for a
 //! bounded time, and a machine that has been released is never answered.
 
-use super::Leader;
+use super::{Leader, partitions::HeartbeatHandling};
 use crate::{
     control::{
         commands::{self, Carrier},
@@ -36,8 +36,15 @@
             return None;
         }
         let machine_handle = self.cluster.insert_machine(report.into(), now)?;
-        if !self.accepts_heartbeat(machine_handle, report, now) {
-            return None;
+        match self.handling_of_heartbeat(machine_handle, report, now) {
+            HeartbeatHandling::Apply => {}
+            HeartbeatHandling::FenceAgent => {
+                return Some(HeartbeatResponse {
+                    fencing_token: self.fencing_token(machine_handle),
+                    commands: Vec::new(),
+                });
+            }
+            HeartbeatHandling::LeaveUnanswered => return None,
         }
         self.apply_heartbeat(machine_handle, report, StatusSource::Heartbeat, now);
         let machine = self.cluster.machine_mut(machine_handle)?;
--- a/src/control/leader/partitions.rs
+++ b/src/control/leader/partitions.rs
@@ -11,7 +11,7 @@
     protocol::workers::Heartbeat,
     state::{
         Millis,
-        cluster::{MachineHandle, Phase},
+        cluster::{Machine, MachineHandle, Phase},
     },
 };
 use std::fmt;
@@ -53,24 +53,39 @@
     }
 }
 
+/// What is done with a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HeartbeatHandling {
+    /// It is applied, and answered with the commands that are due.
+    Apply,
+    /// It is answered with a raised fencing token alone, and nothing is concluded from it.
+    FenceAgent,
+    /// It is not answered, so that the machine's lease expires and a new leader does not wait
+    /// forever for it.
+    LeaveUnanswered,
+}
+
 impl Leader {
-    /// Checks a heartbeat before it is applied. Returns `false` if it must not be answered, so
-    /// that the machine's lease expires and a new leader does not wait forever for it.
-    pub(super) fn accepts_heartbeat(
+    /// Decides what is done with a heartbeat, before anything of it is applied.
+    pub(super) fn handling_of_heartbeat(
         &mut self,
         machine_handle: MachineHandle,
         report: &Heartbeat,
         now: Millis,
-    ) -> bool {
+    ) -> HeartbeatHandling {
         let term_token = self.term_token();
         // After this time, the lease of a machine that received no response in this term has
         // expired, so nothing is lost by not answering it. Before that time, a leader that is
         // slow for a while would give up machines that do receive its responses.
         let leases_expired_at = self.recovery.elected_at + self.lease_expiry();
         let Some(machine) = self.cluster.machine_mut(machine_handle) else {
-            return false;
+            return HeartbeatHandling::LeaveUnanswered;
         };
         let heartbeat_id = (report.incarnation, report.seq);
+        if is_unfenced_agent(machine, report) {
+            self.fence_agent(machine_handle, heartbeat_id, now);
+            return HeartbeatHandling::FenceAgent;
+        }
         // A heartbeat of a confirmed machine that does not acknowledge this term is stale.
         let lowest_accepted_token = if machine.up { term_token } else { 0 };
         if heartbeat_id <= machine.latest_heartbeat
@@ -87,13 +102,13 @@
             if !in_order {
                 let latest_heartbeat = machine.latest_heartbeat;
                 self.note_unanswered(report, latest_heartbeat, UnansweredReason::Stale);
-                return false;
+                return HeartbeatHandling::LeaveUnanswered;
             }
             machine.last_answered = now;
             if machine.restart_token == 0 {
                 self.detect_restart(machine_handle);
             }
-            return true;
+            return HeartbeatHandling::Apply;
         }
         machine.latest_heartbeat = heartbeat_id;
         machine.unacknowledged_heartbeats =
@@ -105,10 +120,28 @@
             && now > leases_expired_at
         {
             self.note_unanswered(report, heartbeat_id, UnansweredReason::OneWayPartition);
-            return false;
+            return HeartbeatHandling::LeaveUnanswered;
         }
         machine.last_answered = now;
-        true
+        HeartbeatHandling::Apply
+    }
+
+    /// Raises the machine's token for an agent that has seen none, so that the response fences
+    /// off every command that was sent to the machine before.
+    ///
+    /// The response is not counted as a renewal of the lease: an agent without a token has no
+    /// tasks, and whatever it is told later comes with evidence of its own. So late copies
+    /// of such a heartbeat, whose response reaches nobody, keep no machine alive.
+    fn fence_agent(
+        &mut self,
+        machine_handle: MachineHandle,
+        heartbeat_id: (u64, u64),
+        now: Millis,
+    ) {
+        self.detect_restart(machine_handle);
+        if let Some(machine) = self.cluster.machine_mut(machine_handle) {
+            machine.last_stale_heartbeat = (heartbeat_id, now);
+        }
     }
 
     /// Logs and counts a heartbeat that is not answered.
@@ -199,3 +232,12 @@
         indices
     }
 }
+
+/// Whether the heartbeat is from an agent that has seen no fencing token, on a machine that may
+/// have been sent commands in this term. The agent has started since, and obeys a copy of each of
+/// them until it is given a higher token.
+fn is_unfenced_agent(machine: &Machine, report: &Heartbeat) -> bool {
+    let heartbeat_id = (report.incarnation, report.seq);
+    let was_commanded = machine.incarnation > 0 || heartbeat_id <= machine.latest_heartbeat;
+    report.acknowledged_token == 0 && was_commanded
+}
--- a/tests/duplicate_commands.rs
+++ b/tests/duplicate_commands.rs
@@ -180,6 +180,30 @@
     run_with_replays(&mut sim, 2_000, "unanswered agent");
 }
 
+/// Guards against `ran_twice`: a machine is back after its tasks were started elsewhere, and a copy
+/// arrives after its agent's first heartbeat, which looks like a late one of the agent before.
+#[test]
+fn copy_starts_no_task_after_first_heartbeat_of_restarted_agent() {
+    for (seed, away_ms) in (50..60).zip([0, LEASE + 5_000].into_iter().cycle()) {
+        let mut sim = cluster_with_running_task(seed, 2);
+        sim.duplicates.reach_unanswered_agents = true;
+        let worker = worker_of(&sim, 1);
+        if away_ms == 0 {
+            end_task(&mut sim, worker, ExitReason::Error);
+            sim.run(5_000);
+        } else {
+            sim.kill_machine(worker);
+            sim.run(away_ms);
+            sim.workers[worker].alive = true;
+        }
+        assert_ne!(worker_of(&sim, 1), worker, "seed {seed}");
+        sim.restart_machine(worker);
+        sim.run(300);
+        assert!(sim.workers[worker].seq > 0, "a heartbeat was sent");
+        run_with_replays(&mut sim, 5_000, &format!("seed {seed}"));
+    }
+}
+
 /// Guards against `ran_twice`: a machine's lease expires, its tasks run elsewhere, and a copy of a
 /// command for the incarnation before reaches it in the next one.
 #[test]
@@ -305,6 +329,42 @@
     status
 }
 
+/// A heartbeat of an agent that has just started and has seen no fencing token.
+fn first_heartbeat() -> Heartbeat {
+    let mut heartbeat = report(0, 1);
+    heartbeat.acknowledged_token = 0;
+    heartbeat
+}
+
+/// Guards against an agent that obeys copies for longer than until its first heartbeat arrives.
+#[test]
+fn first_heartbeat_of_restarted_agent_brings_higher_token_and_nothing_else() {
+    let (mut leader, start) = leader_with_direct_start();
+    let response = leader.on_heartbeat(&first_heartbeat(), 1_000).unwrap();
+    assert!(response.fencing_token > start.fencing_token);
+    assert_eq!(response.commands, []);
+    // It may be late, so the task still counts until the agent confirms the token.
+    let handle = leader.cluster.job_handle(&id(1)).unwrap();
+    assert_eq!(leader.cluster.job(handle).unwrap().live_count, 1);
+    let mut second = report(0, 2);
+    second.acknowledged_token = response.fencing_token;
+    leader.on_heartbeat(&second, 1_600).unwrap();
+    assert_eq!(leader.cluster.job(handle).unwrap().live_count, 0);
+}
+
+/// Guards against a machine that is gone and counts as there for as long as copies of its first
+/// heartbeat arrive: their responses reach nobody, and renew no lease.
+#[test]
+fn late_first_heartbeats_renew_no_lease() {
+    let (mut leader, _) = leader_with_direct_start();
+    let handle = leader.cluster.machine_handle(&machine(0)).unwrap();
+    for now in (1_000..=2 * LEASE).step_by(500) {
+        leader.on_heartbeat(&first_heartbeat(), now).unwrap();
+        leader.tick(now, now);
+    }
+    assert!(!leader.cluster.machine(handle).unwrap().up);
+}
+
 /// Guards against a reap after which the machine still carries out the direct start of the
 /// attempt, for every reason why an attempt ends.
 #[test]
--- a/tests/leader_changes.rs
+++ b/tests/leader_changes.rs
@@ -635,8 +635,8 @@
     }
 }
 
-/// An agent restarts at once and sends heartbeats to nodes that cannot answer
-/// them, so its sequence numbers exceed the last one that the leader knows. Then
+/// An agent restarts at once and sends heartbeats, none of which reaches the leader,
+/// so its sequence numbers exceed the last one that the leader knows. Then
 /// direct commands reach the agent, and it is given tasks. Its lease runs from
 /// its own start, which is later than the leader's last heartbeat response.
 /// Guards against inferring from the higher sequence number that the agent is
@@ -667,7 +667,12 @@
         // The other nodes detect that the leader does not answer them, and redirect
         // workers to no particular node.
         sim.run(1_600);
+        // The restarted agent can't open connections to the leader, and nobody else can answer its
+        // heartbeats.
+        let latest_seq = sim.workers[machine].seq;
         sim.restart_machine(machine);
+        sim.workers[machine].net = Net::DirectCommandsOnly;
+        sim.workers[machine].seq = latest_seq + 1;
         let delay = sim.rng.u64(5_500..9_000);
         sim.run(delay);
         let starts_before = sim.start_log.len();
@@ -689,6 +694,7 @@
             sim.violations
         );
         (0..3).for_each(|node| sim.end_partitions(node));
+        sim.restore_network(machine);
         sim.run(10_000);
         assert!(
             sim.violations.is_empty(),
