Lab: copies for agents that have just restarted, and no circle of modules

Cause: copies of direct commands never reached a restarted agent before its first answered heartbeat, and a task that stayed after its job was cancelled was no broken rule, so the lab could not show either of the two late starts. `hosts`, `installation` and `worker_faults` needed each other.

Change: with `reach_unanswered_agents` in `[faults]` an agent that restarts gets copies of its latest commands within 0.3 s; a task on a machine after `cancel_s` breaks a rule, once.

--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -2,19 +2,21 @@
 //! has its own address for direct commands and its own connection for its
 //! heartbeats; one loop advances all of them.
 
+mod direct_commands;
+mod heartbeats;
+
 use crate::{
     Millis,
     installation::{Testbed, loopback},
     worker::Worker,
-    worker_faults::send_copies,
 };
 use async_executor::Task;
 use async_io::Timer;
-use http_types::Method;
-use pathwinch_protocol::workers::{DirectCommands, HeartbeatResponse};
+use direct_commands::{SentCommands, resend_to_restarted_agent, serve_direct};
+use heartbeats::send_heartbeat;
 use pathwinch_transport::{
-    client::{Answer, CallError, Client},
-    server::{self, HttpRequest, HttpResponse, Limits},
+    client::Client,
+    server::{self, Limits},
 };
 use std::{
     cell::{Cell, RefCell},
@@ -25,19 +27,15 @@
 
 /// Interval at which all workers are advanced.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
-/// How long a worker waits for the answer to a heartbeat.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(4);
-/// Delay before the next heartbeat after one that failed.
-const RETRY_DELAY_MS: Millis = 1_000;
-/// Delay before the next heartbeat after a redirect to another controller.
-const REDIRECT_DELAY_MS: Millis = 100;
 /// Maximum number of connections for direct commands to a worker. A controller keeps
 /// one open, and a new one may arrive while the old one closes.
 const MAX_DIRECT_CONNECTIONS: usize = 64;
 
 /// A worker with the state of its heartbeat connection.
-pub(crate) struct Hosted {
-    pub(crate) worker: RefCell<Worker>,
+struct Hosted {
+    worker: RefCell<Worker>,
+    /// Direct commands that the worker has carried out.
+    sent_commands: RefCell<SentCommands>,
     client: Client,
     /// Index of the controller that gets the heartbeats, modulo their number.
     target: Cell<usize>,
@@ -88,7 +86,7 @@
 }
 
 /// Restarts the agent of one machine, if the site's faults ask for it now.
-fn restart_agent_if_due(testbed: &Testbed, running: &HashMap<String, RunningWorker>) {
+fn restart_agent_if_due(testbed: &Rc<Testbed>, running: &HashMap<String, RunningWorker>) {
     let now = testbed.now();
     let Some(index) = testbed.faults.restart_due(running.len(), now) else {
         return;
@@ -97,8 +95,11 @@
     let mut names: Vec<&String> = running.keys().collect();
     names.sort_unstable();
     let hosted = &running[names[index]].hosted;
-    let mut object_store = testbed.object_store.borrow_mut();
-    hosted.worker.borrow_mut().restart(&mut object_store, now);
+    {
+        let mut object_store = testbed.object_store.borrow_mut();
+        hosted.worker.borrow_mut().restart(&mut object_store, now);
+    }
+    resend_to_restarted_agent(testbed, hosted);
 }
 
 fn start(testbed: &Rc<Testbed>, id: &str) -> RunningWorker {
@@ -112,6 +113,7 @@
     testbed.cloud.borrow_mut().set_addr(id, addr.clone());
     let hosted = Rc::new(Hosted {
         worker: RefCell::new(new_worker(testbed, id, addr)),
+        sent_commands: RefCell::default(),
         client: Client::new(1),
         target: Cell::new(fastrand::usize(..testbed.controllers.len())),
         in_flight: Cell::new(false),
@@ -148,38 +150,6 @@
     Worker::new(id, addr, machine_type, &zone, spot, limits, testbed.now())
 }
 
-async fn serve_direct(
-    testbed: Rc<Testbed>,
-    hosted: Rc<Hosted>,
-    request: HttpRequest,
-) -> HttpResponse {
-    let now = testbed.now();
-    let answer = match (request.method, request.path.as_str()) {
-        (Method::Get, "/inspect") => HttpResponse::json(200, &hosted.worker.borrow_mut().report()),
-        (Method::Post, "/do") => {
-            let body = request.body.unwrap_or_default();
-            testbed.traffic.borrow_mut().direct_orders += 1;
-            testbed.traffic.borrow_mut().received(body.len());
-            let Ok(commands) = serde_json::from_slice::<DirectCommands>(&body) else {
-                return HttpResponse::error(400, "malformed");
-            };
-            let mut object_store = testbed.object_store.borrow_mut();
-            let (status, heartbeat) = hosted.worker.borrow_mut().on_direct_commands(
-                commands.clone(),
-                &mut object_store,
-                now,
-            );
-            if status == 200 {
-                send_copies(&testbed, &hosted, &commands);
-            }
-            HttpResponse::json(status, &heartbeat)
-        }
-        _ => HttpResponse::error(404, "no such path"),
-    };
-    testbed.traffic.borrow_mut().sent(answer.body.len());
-    answer
-}
-
 /// Advances a worker to the current time, and sends a heartbeat if one is due.
 fn step(testbed: &Rc<Testbed>, hosted: &Rc<Hosted>) {
     let now = testbed.now();
@@ -200,85 +170,3 @@
         })
         .detach();
 }
-
-/// Sends one heartbeat and handles its answer. Returns the minimum delay before the
-/// next one.
-async fn send_heartbeat(testbed: &Testbed, hosted: &Hosted) -> Millis {
-    let sent = testbed.now();
-    let heartbeat = hosted.worker.borrow_mut().report();
-    let incarnation = heartbeat.incarnation;
-    let body = serde_json::to_vec(&heartbeat).unwrap_or_default();
-    {
-        let mut traffic = testbed.traffic.borrow_mut();
-        traffic.reports += 1;
-        traffic.sent(body.len());
-    }
-    let target = hosted.target.get() % testbed.controllers.len();
-    let to = testbed.controllers[target].listen;
-    let call = hosted.client.call(
-        to,
-        Method::Post,
-        "/agent/beat",
-        Some(body),
-        HEARTBEAT_TIMEOUT,
-    );
-    let answer = call.await;
-    if let Ok(a) = &answer {
-        testbed.traffic.borrow_mut().received(a.body.len());
-    }
-    match answer {
-        Ok(a) if a.status == 200 => {
-            accept_answer(testbed, hosted, sent, incarnation, &a);
-            0
-        }
-        Ok(a) if a.status == 421 => redirect(testbed, hosted, target, &a),
-        Ok(_) | Err(CallError::NotSent(_) | CallError::NoAnswer(_) | CallError::TooLong) => {
-            testbed.traffic.borrow_mut().unanswered += 1;
-            hosted.target.set(target + 1);
-            RETRY_DELAY_MS
-        }
-    }
-}
-
-fn accept_answer(
-    testbed: &Testbed,
-    hosted: &Hosted,
-    sent: Millis,
-    incarnation: u64,
-    answer: &Answer,
-) {
-    let Ok(reply) = serde_json::from_slice::<HeartbeatResponse>(&answer.body) else {
-        return;
-    };
-    let now = testbed.now();
-    let mut worker = hosted.worker.borrow_mut();
-    let mut object_store = testbed.object_store.borrow_mut();
-    let valid = worker.on_heartbeat_answer(
-        sent,
-        incarnation,
-        reply.fencing_token,
-        reply.commands,
-        &mut object_store,
-        now,
-    );
-    let mut traffic = testbed.traffic.borrow_mut();
-    match valid {
-        true => {
-            traffic.answered += 1;
-            crate::traffic::record(&mut traffic.answer_times, now - sent);
-        }
-        false => traffic.unanswered += 1,
-    }
-}
-
-/// Switches to the controller that a redirect names, or to the next one if it names
-/// none. Returns the delay before the next heartbeat.
-fn redirect(testbed: &Testbed, hosted: &Hosted, target: usize, answer: &Answer) -> Millis {
-    let redirect_target = serde_json::from_slice::<serde_json::Value>(&answer.body)
-        .ok()
-        .and_then(|v| v.get("foreman")?.as_str().map(str::to_owned))
-        .and_then(|name| testbed.controllers.iter().position(|c| c.name == name))
-        .filter(|index| *index != target);
-    hosted.target.set(redirect_target.unwrap_or(target + 1));
-    redirect_target.map_or(RETRY_DELAY_MS, |_| REDIRECT_DELAY_MS)
-}
--- a/crates/lab/src/object_store.rs
+++ b/crates/lab/src/object_store.rs
@@ -1,7 +1,7 @@
 //! Simulated object store and rendezvous service of the workers: job descriptions that
 //! users uploaded, results, checkpoints, and the state that gang tasks share. Also
 //! checks invariants: no task or job runs in two places at once, and no task starts
-//! after its job was cancelled.
+//! after its job was cancelled or stays on its machine.
 
 use crate::{Millis, millis};
 use fastrand::Rng;
@@ -65,6 +65,8 @@
     offloaded_total: usize,
     /// Descriptions of the invariants that were violated.
     violations: Vec<String>,
+    /// Tasks that were found on a machine too long after their job was cancelled.
+    overdue_tasks: HashSet<String>,
     /// Task starts since the last `take_starts`; `None` before its first call.
     starts: Option<Vec<Started>>,
     /// Probability that a task fails at its first start.
@@ -106,6 +108,7 @@
             market_by_job: HashMap::new(),
             offloaded_total: 0,
             violations: Vec::new(),
+            overdue_tasks: HashSet::new(),
             starts: None,
             failure_share,
             failed_once: HashSet::new(),
@@ -188,6 +191,26 @@
         }
     }
 
+    /// Checks that no task is still on a machine when the time limit of the cancellation of its
+    /// job is over. A task is reported once.
+    pub fn check_cancelled_tasks(&mut self, now: Millis) {
+        let is_overdue = |task: &str| {
+            let cancelled = self.jobs.get(job_id(task)).and_then(|job| job.cancelled);
+            cancelled.is_some_and(|at| now > at + self.cancel_limit_ms)
+        };
+        let tasks = self.machine_by_task.iter();
+        let overdue: Vec<(String, String)> = tasks
+            .filter(|(task, _)| is_overdue(task) && !self.overdue_tasks.contains(*task))
+            .map(|(task, machine)| (task.clone(), machine.clone()))
+            .collect();
+        for (task, machine) in overdue {
+            self.record_violation(format!(
+                "{task} is on {machine} although its job was cancelled"
+            ));
+            self.overdue_tasks.insert(task);
+        }
+    }
+
     /// Returns the task starts since the last call. Starts are recorded from the first
     /// call on.
     pub fn take_starts(&mut self) -> Vec<Started> {
@@ -399,3 +422,6 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -235,6 +235,10 @@
             for (process, usage) in samples.iter_mut().zip(self.sample_all()?) {
                 process.add_sample(usage, seconds);
             }
+            let now = self.testbed.now();
+            let mut object_store = self.testbed.object_store.borrow_mut();
+            object_store.check_cancelled_tasks(now);
+            drop(object_store);
             if last_progress.elapsed().as_secs() >= PROGRESS_INTERVAL_S {
                 last_progress = Instant::now();
                 self.show_progress("measuring");
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -73,6 +73,9 @@
     /// Seconds between two restarts of a worker, which is back at once without its tasks. 0
     /// disables the restarts.
     pub agent_restarts_every_s: f64,
+    /// Whether copies reach a restarted agent before its first heartbeat was answered, and are
+    /// sent for that. No controller can fence off such a copy.
+    pub reach_unanswered_agents: bool,
 }
 
 /// A machine type and its share of the machines.
@@ -303,6 +306,7 @@
             worker_faults: WorkerFaults {
                 duplicate_commands: self.faults.duplicate_commands,
                 agent_restarts_every_s: self.faults.agent_restarts_every_s,
+                reach_unanswered_agents: self.faults.reach_unanswered_agents,
             },
             seed: self.seed,
         }
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -48,6 +48,9 @@
     /// Seconds between two restarts of an agent, which is back at once without its tasks. 0
     /// disables the restarts.
     pub agent_restarts_every_s: f64,
+    /// Whether copies reach a restarted agent before its first heartbeat was answered, and are
+    /// sent for that. No controller can fence off such a copy.
+    pub reach_unanswered_agents: bool,
 }
 
 /// Maximum capacity per machine type, zone and spot or ordinary machines. Each machine
--- a/crates/lab/src/worker_faults.rs
+++ b/crates/lab/src/worker_faults.rs
@@ -1,13 +1,10 @@
 //! Faults of the workers: direct commands that arrive again after they were answered, and
-//! agents that restart without their tasks.
+//! agents that restart without their tasks. Draws when they happen; `hosts` lets them happen.
 
-use crate::{Millis, hosts::Hosted, installation::Testbed, millis, site::WorkerFaults};
-use async_io::Timer;
+use crate::{Millis, millis, site::WorkerFaults};
 use fastrand::Rng;
-use pathwinch_protocol::workers::DirectCommands;
 use std::{
     cell::{Cell, RefCell},
-    rc::Rc,
     time::Duration,
 };
 
@@ -17,6 +14,9 @@
 const MAX_COPY_DELAY_FACTOR: f64 = 2.0;
 /// Maximum number of copies of one command.
 const MAX_COPIES: u32 = 3;
+/// Longest time after the restart of an agent at which copies arrive there, if they are to
+/// reach it before its first answered heartbeat.
+const MAX_COPY_DELAY_AFTER_RESTART_S: f64 = 0.3;
 /// Salt of the random numbers of these faults.
 const SEED_SALT: u64 = 0x0a9e_47fa;
 
@@ -47,7 +47,7 @@
 
     /// Returns the delays after which copies of a command arrive: short ones are as likely as
     /// long ones.
-    fn draw_copy_delays(&self) -> Vec<Duration> {
+    pub(crate) fn draw_copy_delays(&self) -> Vec<Duration> {
         let mut rng = self.rng.borrow_mut();
         if rng.f64() >= self.faults.duplicate_commands {
             return Vec::new();
@@ -58,6 +58,23 @@
             .collect()
     }
 
+    /// Returns the delays, from the restart of an agent, after which copies of an earlier command
+    /// arrive there; none unless copies reach agents that were not answered yet.
+    pub(crate) fn draw_copy_delays_after_restart(&self) -> Vec<Duration> {
+        if !self.reach_unanswered_agents() {
+            return Vec::new();
+        }
+        let mut rng = self.rng.borrow_mut();
+        (0..rng.u32(0..=MAX_COPIES))
+            .map(|_| Duration::from_secs_f64(MAX_COPY_DELAY_AFTER_RESTART_S * rng.f64()))
+            .collect()
+    }
+
+    /// Whether copies reach a restarted agent before its first heartbeat was answered.
+    pub(crate) fn reach_unanswered_agents(&self) -> bool {
+        self.faults.reach_unanswered_agents
+    }
+
     /// Returns the index of the worker, out of `count`, whose agent restarts now, if one does.
     pub fn restart_due(&self, count: usize, now: Millis) -> Option<usize> {
         let interval = millis(self.faults.agent_restarts_every_s);
@@ -69,29 +86,3 @@
         Some(self.rng.borrow_mut().usize(..count))
     }
 }
-
-/// Lets copies of a direct command, which the worker has carried out, arrive later. Nobody
-/// waits for their answers.
-pub(crate) fn send_copies(testbed: &Rc<Testbed>, hosted: &Rc<Hosted>, commands: &DirectCommands) {
-    for delay in testbed.faults.draw_copy_delays() {
-        let (testbed, hosted, commands) = (testbed.clone(), hosted.clone(), commands.clone());
-        let executor = testbed.executor.clone();
-        let arrival = async move {
-            Timer::after(delay).await;
-            deliver_copy(&testbed, &hosted, commands);
-        };
-        executor.spawn_high(arrival).detach();
-    }
-}
-
-fn deliver_copy(testbed: &Testbed, hosted: &Hosted, commands: DirectCommands) {
-    let mut worker = hosted.worker.borrow_mut();
-    // No controller can fence an agent before it has answered one of its heartbeats.
-    if !worker.was_answered() || testbed.cloud.borrow().machine(&worker.id).is_none() {
-        return;
-    }
-    let copies = &testbed.faults.copies;
-    copies.set(copies.get() + 1);
-    let now = testbed.now();
-    worker.on_direct_commands(commands, &mut testbed.object_store.borrow_mut(), now);
-}
