--- a/src/control/leader/offload.rs
+++ b/src/control/leader/offload.rs
@@ -166,7 +166,7 @@
             OffloadState::Refused(award) if *award != target.award => {}
             _ => return OffloadMark::No,
         }
-        let may_leave = job.live_count == 0
+        let may_leave = !job.has_live_attempts()
             && job.waiting_count() > 0
             && !job.end_requested()
             && job.spec.kind != Kind::Service
@@ -312,7 +312,7 @@
 /// Whether the job is not started and waits only for capacity or quota.
 fn may_be_offered(job: &Job) -> bool {
     job.waiting_count() > 0
-        && job.live_count == 0
+        && !job.has_live_attempts()
         && job.spec.kind != Kind::Service
         && !job.end_requested()
         && !job.failures.suspected
--- a/src/control/leader/persistence.rs
+++ b/src/control/leader/persistence.rs
@@ -418,7 +418,7 @@
     /// `all_tasks_known` tells whether this leader knows every task that an
     /// earlier leader may have started.
     fn due(job: &Job, all_tasks_known: bool) -> (JobPass, JobWrite) {
-        let nothing_runs = job.live_count == 0 && all_tasks_known;
+        let nothing_runs = !job.has_live_attempts() && all_tasks_known;
         // A job that is to be cancelled and has no live task is ended at once,
         // without first recording the cancellation in its record.
         let to_cancel = job.cancelled || job.cancel_requested && job.offload.is_local();
--- a/src/control/leader/task_placement.rs
+++ b/src/control/leader/task_placement.rs
@@ -250,14 +250,16 @@
     /// Returns the attempt number of a gang whose live tasks have not begun to run, so that
     /// missing tasks can be placed under the same attempt. Used when a gang lost a task
     /// before it started: the other tasks keep waiting, and a replacement under the same
-    /// attempt number completes the gang.
+    /// attempt number completes the gang. Duplicates, which are being stopped, don't count.
     pub(super) fn gang_to_complete(&self, job_handle: JobHandle) -> Option<u64> {
+        let job = self.cluster.job(job_handle)?;
         let mut attempt = None;
         for (machine_handle, task_index) in self.cluster.live_tasks_of(job_handle) {
             if let Some(assignment) = self
                 .cluster
                 .machine(machine_handle)
                 .and_then(|m| m.tasks.get(task_index))
+                .filter(|a| job.placement(a.task) == Placement::On(machine_handle))
             {
                 let has_begun = matches!(assignment.phase, Phase::Running | Phase::Saving);
                 if has_begun
--- a/src/state/cluster/job.rs
+++ b/src/state/cluster/job.rs
@@ -314,6 +314,11 @@
         }
     }
 
+    /// Whether some task of the job is, or may be, on a machine, complete ones included.
+    pub fn has_live_attempts(&self) -> bool {
+        self.live_count > 0 || !self.duplicates.is_empty()
+    }
+
     /// Whether an attempt of the task is live, or may be, beside the one that takes its place.
     pub fn has_duplicate(&self, task: u32) -> bool {
         self.duplicates.iter().any(|d| d.task == task)
