--- a/tests/duplicate_commands.rs
+++ b/tests/duplicate_commands.rs
@@ -4,7 +4,9 @@
 mod leader_fixtures;
 mod simulation;
 
-use leader_fixtures::{accept, leader_without_heartbeats, machine, report, report_in_term};
+use leader_fixtures::{
+    accept, accept_with_cores, leader_without_heartbeats, machine, report, report_in_term,
+};
 use pathwinch::{
     control::leader::{DirectDeliveryOutcome, Leader},
     protocol::{
@@ -533,6 +535,63 @@
     assert_eq!(leader.cluster.job(handle).unwrap().live_count, 1);
 }
 
+/// Guards against a last record, or an offload, of a job of which a task is still on a machine: a
+/// duplicate outlives the attempt that completes the task.
+#[test]
+fn job_has_live_attempt_until_duplicate_of_complete_task_is_gone() {
+    let (mut leader, first, start) = leader_with_direct_start_among(2);
+    let running = status_of(1 - first, 2, &start, TaskState::Running, None);
+    leader.on_heartbeat(&running, 1_000).unwrap();
+    let done = Some(ExitReason::Done);
+    let ended = status_of(first, 3, &start, TaskState::Exited, done);
+    leader.on_heartbeat(&ended, 1_600).unwrap();
+    let handle = leader.cluster.job_handle(&id(1)).unwrap();
+    let job = leader.cluster.job(handle).unwrap();
+    assert!(job.is_complete() && job.live_count == 0 && job.has_live_attempts());
+    let stopped = Some(ExitReason::Stopped);
+    let ended = status_of(1 - first, 3, &start, TaskState::Exited, stopped);
+    leader.on_heartbeat(&ended, 2_000).unwrap();
+    assert!(!leader.cluster.job(handle).unwrap().has_live_attempts());
+}
+
+/// Guards against a waiting gang that is stopped as a whole, instead of completed, because a
+/// duplicate of one of its tasks is being stopped.
+#[test]
+fn waiting_gang_is_kept_while_duplicate_of_its_task_is_stopped() {
+    let mut leader = leader_without_heartbeats(1, 3);
+    leader.finish_loading(100);
+    for number in 0..3 {
+        leader.on_heartbeat(&report(number, 1), 150).unwrap();
+    }
+    accept_with_cores(&mut leader, 1, "gang", 2, 60.0);
+    leader.tick(300, 300);
+    let deliveries = leader.direct_deliveries(300);
+    let numbers: Vec<usize> = (deliveries.iter())
+        .map(|delivery| (0..3).find(|n| machine(*n) == delivery.machine).unwrap())
+        .collect();
+    let [lasting, refused] = numbers[..] else {
+        panic!("the gang is placed on two machines");
+    };
+    let (start, other_start) = (&deliveries[0].commands, &deliveries[1].commands);
+    let waiting = TaskState::WaitingForGang;
+    for (number, delivery) in numbers.iter().zip(&deliveries) {
+        let status = status_of(*number, 2, &delivery.commands, waiting, None);
+        let outcome = DirectDeliveryOutcome::Executed(status);
+        let token = delivery.commands.fencing_token;
+        leader.direct_delivery_finished(&delivery.machine, token, outcome, 310);
+    }
+    let duplicate = status_of(3 - lasting - refused, 2, start, waiting, None);
+    let response = leader.on_heartbeat(&duplicate, 1_000).unwrap();
+    assert!(matches!(response.commands[..], [Command::Stop { .. }]));
+    let no_room = Some(ExitReason::InsufficientResources);
+    let ended = status_of(refused, 3, other_start, TaskState::Exited, no_room);
+    leader.on_heartbeat(&ended, 1_000).unwrap();
+    leader.tick(1_100, 1_100);
+    let lasting = status_of(lasting, 3, start, waiting, None);
+    let response = leader.on_heartbeat(&lasting, 1_600).unwrap();
+    assert_eq!(response.commands, []);
+}
+
 /// Guards against a direct command that is refused because of a raise: the raise waits until the
 /// command in flight is answered.
 #[test]
