--- a/tests/duplicate_commands.rs
+++ b/tests/duplicate_commands.rs
@@ -13,6 +13,7 @@
         users::{JobSpec, Kind, Priority},
         workers::{Command, DirectCommands, ExitReason, Heartbeat, TaskState, TaskStatus},
     },
+    state::cluster::Placement,
 };
 use simulation::{CANCEL, LEASE, Net, Simulation, id, job, whole_machines};
 
@@ -354,6 +355,22 @@
     assert_eq!(leader.cluster.job(handle).unwrap().live_count, 0);
 }
 
+/// Guards against `ran_twice`: the lease of a machine expires under the token of its last start,
+/// and the restarted agent's first heartbeat to arrive is counted past all that are known.
+#[test]
+fn restarted_agent_that_counts_past_the_known_heartbeats_gets_higher_token() {
+    let (mut leader, start) = leader_with_direct_start();
+    let handle = leader.cluster.machine_handle(&machine(0)).unwrap();
+    let expired = 3 * LEASE;
+    leader.tick(expired, expired);
+    assert!(!leader.cluster.machine(handle).unwrap().up);
+    let mut heartbeat = first_heartbeat();
+    heartbeat.seq = 9;
+    let response = leader.on_heartbeat(&heartbeat, expired).unwrap();
+    assert!(response.fencing_token > start.fencing_token);
+    assert_eq!(response.commands, []);
+}
+
 /// Guards against a machine that is gone and counts as there for as long as copies of its first
 /// heartbeat arrive: their responses reach nobody, and renew no lease.
 #[test]
@@ -496,22 +513,50 @@
     assert_eq!(leader.cluster.job(handle).unwrap().live_count, 1);
     let running = status_of(first, 4, &start, TaskState::Running, None);
     leader.on_heartbeat(&running, 1_600).unwrap();
-    let is_start = |command: &Command| matches!(command, Command::Start { .. });
     for seq in 2..6 {
         let now = 1_600 + seq * 500;
         let response = leader.on_heartbeat(&report(1 - first, seq), now).unwrap();
         assert!(!response.commands.iter().any(is_start), "{seq}");
-        leader.tick(now, now);
-        let deliveries = leader.direct_deliveries(now);
-        let mut sent = deliveries.iter().flat_map(|d| &d.commands.commands);
-        assert!(!sent.any(is_start), "{seq}");
+        assert!(!sends_start_directly(&mut leader, now), "{seq}");
     }
     let ended = status_of(first, 5, &start, TaskState::Exited, stopped);
     leader.on_heartbeat(&ended, 5_000).unwrap();
-    leader.tick(5_000, 5_000);
-    let deliveries = leader.direct_deliveries(5_000);
-    let mut sent = deliveries.iter().flat_map(|d| &d.commands.commands);
-    assert!(sent.any(is_start));
+    assert!(sends_start_directly(&mut leader, 5_000));
+}
+
+fn is_start(command: &Command) -> bool {
+    matches!(command, Command::Start { .. })
+}
+
+/// Whether the leader, after its next tick, sends a direct command that starts a task.
+fn sends_start_directly(leader: &mut Leader, now: u64) -> bool {
+    leader.tick(now, now);
+    let deliveries = leader.direct_deliveries(now);
+    let mut commands = deliveries.iter().flat_map(|d| &d.commands.commands);
+    commands.any(is_start)
+}
+
+/// Guards against a task that is placed and dropped again and again, or started a third time: the
+/// attempt that has its place ends while a duplicate is live, which has the place from then on.
+#[test]
+fn duplicate_takes_place_of_task_when_the_other_attempt_ends() {
+    let (mut leader, first, start) = leader_with_direct_start_among(3);
+    let second = (first + 1) % 3;
+    let running = status_of(second, 2, &start, TaskState::Running, None);
+    leader.on_heartbeat(&running, 1_000).unwrap();
+    let stopped = Some(ExitReason::Stopped);
+    let ended = status_of(first, 3, &start, TaskState::Exited, stopped);
+    leader.on_heartbeat(&ended, 1_200).unwrap();
+    let job = leader.cluster.job_handle(&id(1)).unwrap();
+    let machine = leader.cluster.machine_handle(&machine(second)).unwrap();
+    for now in (1_300..2_600).step_by(100) {
+        assert!(!sends_start_directly(&mut leader, now), "{now}");
+        let placement = leader.cluster.job(job).unwrap().placement(0);
+        assert_eq!(placement, Placement::On(machine), "{now}");
+    }
+    let ended = status_of(second, 3, &start, TaskState::Exited, stopped);
+    leader.on_heartbeat(&ended, 2_600).unwrap();
+    assert!(sends_start_directly(&mut leader, 2_600));
 }
 
 /// Guards against a team's limit that is exceeded: a copy starts an attempt that the leader has
@@ -773,6 +818,16 @@
     "leader after a warm failover lacks",
 ];
 
+/// Returns the tasks that run on more than one machine now.
+fn tasks_on_two_machines(sim: &Simulation) -> Vec<&str> {
+    let tasks = sim.workers.iter().flat_map(|w| &w.tasks);
+    let running = tasks.filter(|t| t.state == TaskState::Running);
+    let mut names: Vec<&str> = running.map(|t| t.name.as_str()).collect();
+    names.sort_unstable();
+    let repeated = names.windows(2).filter(|pair| pair[0] == pair[1]);
+    repeated.map(|pair| pair[0]).collect()
+}
+
 /// Guards against an attempt that stays where a copy has started it again, on a restarted agent
 /// before its first answer.
 #[test]
@@ -786,6 +841,7 @@
         };
         let (known, other): (Vec<_>, Vec<_>) = sim.violations.iter().partition(is_known);
         assert!(other.is_empty(), "seed {seed}: {other:?}");
+        assert_eq!(tasks_on_two_machines(&sim), [""; 0], "seed {seed}");
         days_with_second_attempt += u32::from(!known.is_empty());
         restarted += sim.duplicates.restarted_attempts;
     }
