Log and count renewals of workers' leases, and the tasks of ended jobs for which a lease is renewed

Need: a task of a cancelled job stood on its machine past its time. Its machine had four answers with status 200 from four terms, and no stop; the controllers' logs have no line on an answer without commands, so they don't say why each was given: whether the records had been read, whether the leader knew of the cancellation, and whether the machine counted as confirmed.

Change, no decision is influenced: - `lease of machine ... is renewed by the response to heartbeat ...`: one line for each renewal while the machine lists tasks of jobs that have ended or may have, with the token, what the renewal rests on, and whether the response stops them; at debug for renewals before the records are read - `lease_renewals_total{basis}`: confirmed, unconfirmed, records_unread - `ended_tasks_listed_seconds`: for how long a machine has listed tasks of ended jobs in this term

Who leads under which token, and from which revision on the records were read, have lines already.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -8,7 +8,7 @@
 
 use super::task_lines::for_each_line;
 use crate::{
-    protocol::workers::{Command, ExitReason},
+    protocol::workers::{Command, ExitReason, Heartbeat, TaskState, TaskStatus, parse_task_name},
     state::{
         cluster::{Assignment, ClusterState, Job, JobHandle, MachineHandle, Phase},
         slot_table::SlotTable,
@@ -232,6 +232,34 @@
     reason != ExitReason::Done || job.is_none_or(|job| !job.is_dirty() && !job.write_in_flight)
 }
 
+/// Returns the live tasks that the heartbeat lists although their jobs are unknown, and so over,
+/// or may be recorded as ended.
+pub fn listed_tasks_of_ended_jobs<'a>(
+    cluster: &ClusterState,
+    report: &'a Heartbeat,
+) -> impl Iterator<Item = &'a TaskStatus> {
+    let is_live = |listed: &&TaskStatus| listed.state != TaskState::Exited;
+    report.tasks.iter().filter(is_live).filter(|listed| {
+        let job = parse_task_name(&listed.task).and_then(|(id, _)| cluster.job_handle(id));
+        is_over(job, &cluster.jobs)
+    })
+}
+
+/// Whether the machine has a live task whose job is unknown, and so over, or may be recorded as
+/// ended.
+pub fn has_task_of_ended_job(cluster: &ClusterState, machine_handle: MachineHandle) -> bool {
+    let machine = cluster.machine(machine_handle);
+    machine.is_some_and(|machine| {
+        let mut live = machine.tasks.iter().filter(|a| a.is_live());
+        live.any(|assignment| is_over(assignment.job, &cluster.jobs))
+    })
+}
+
+fn is_over(job: Option<JobHandle>, jobs: &SlotTable<JobHandle, Job>) -> bool {
+    let job = job.and_then(|handle| jobs.get(handle));
+    job.is_none_or(Job::end_may_be_recorded)
+}
+
 /// Whether a task that ended on the machine is to be reaped, but could be started again by a
 /// direct command of before as long as the machine has seen no higher token than `token`.
 pub fn has_startable_ended_task(
--- a/src/control/leader/heartbeats.rs
+++ b/src/control/leader/heartbeats.rs
@@ -6,7 +6,7 @@
 //! lease, so before the records are read heartbeats are answered only for a
 //! bounded time, and a machine that has been released is never answered.
 
-use super::{Leader, partitions::HeartbeatHandling};
+use super::{Leader, lease_renewals::RenewalBasis, partitions::HeartbeatHandling};
 use crate::{
     control::{
         commands::{self, Carrier},
@@ -27,8 +27,13 @@
             // cancellations.
             let limit_ms = SafetyBounds::from_worker_settings(&self.settings.cluster.workers)
                 .max_unloaded_response_time();
-            return (now < self.recovery.elected_at + limit_ms).then(|| HeartbeatResponse {
-                fencing_token: self.term_token(),
+            if now >= self.recovery.elected_at + limit_ms {
+                return None;
+            }
+            let fencing_token = self.term_token();
+            self.note_unread_renewal(report, fencing_token);
+            return Some(HeartbeatResponse {
+                fencing_token,
                 commands: Vec::new(),
             });
         }
@@ -39,10 +44,13 @@
         match self.handling_of_heartbeat(machine_handle, report, now) {
             HeartbeatHandling::Apply => {}
             HeartbeatHandling::FenceAgent => {
-                return Some(HeartbeatResponse {
+                let response = HeartbeatResponse {
                     fencing_token: self.fencing_token(machine_handle),
                     commands: Vec::new(),
-                });
+                };
+                let basis = RenewalBasis::Unconfirmed;
+                self.note_renewal(machine_handle, report, basis, &response, now);
+                return Some(response);
             }
             HeartbeatHandling::LeaveUnanswered => return None,
         }
@@ -66,10 +74,16 @@
         } else {
             Vec::new()
         };
-        Some(HeartbeatResponse {
+        let basis = match is_latest {
+            true => RenewalBasis::Confirmed,
+            false => RenewalBasis::Unconfirmed,
+        };
+        let response = HeartbeatResponse {
             fencing_token: self.fencing_token(machine_handle),
             commands,
-        })
+        };
+        self.note_renewal(machine_handle, report, basis, &response, now);
+        Some(response)
     }
 
     pub(super) fn apply_heartbeat(
--- /dev/null
+++ b/src/control/leader/lease_renewals.rs
@@ -0,0 +1,138 @@
+//! Renewals of workers' leases: what each one rests on, and for how long machines have listed
+//! tasks that must be gone.
+//!
+//! Every response to a heartbeat renews the lease of the worker, and with it the life of all
+//! tasks that the worker lists.
+//!
+//! Owns `LeaseRenewals`. Called for each response to a heartbeat. This module never influences
+//! a decision of the leader.
+
+use super::Leader;
+use crate::{
+    control::{commands, task_lines::for_each_line},
+    protocol::workers::{Command, Heartbeat, HeartbeatResponse, TaskStatus},
+    state::{Millis, cluster::MachineHandle},
+};
+use std::{collections::BTreeMap, fmt};
+
+/// What the leader knows of a machine when it renews the machine's lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RenewalBasis {
+    /// The records are not read yet.
+    RecordsUnread,
+    /// The records are read. The machine has not acknowledged a token of this term yet, or the
+    /// heartbeat is not its latest.
+    Unconfirmed,
+    /// The heartbeat is the latest one of a machine that has acknowledged a token of this term.
+    Confirmed,
+}
+
+impl RenewalBasis {
+    /// Value of the metric's label.
+    pub fn name(self) -> &'static str {
+        match self {
+            RenewalBasis::RecordsUnread => "records_unread",
+            RenewalBasis::Unconfirmed => "unconfirmed",
+            RenewalBasis::Confirmed => "confirmed",
+        }
+    }
+}
+
+impl fmt::Display for RenewalBasis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RenewalBasis::RecordsUnread => "the records are not read yet",
+            RenewalBasis::Unconfirmed => "the machine is not confirmed by this heartbeat",
+            RenewalBasis::Confirmed => "the machine is confirmed",
+        })
+    }
+}
+
+/// Since when each machine has listed, in this term, tasks that must be gone.
+#[derive(Debug, Default)]
+pub(super) struct LeaseRenewals {
+    ended_tasks_since: BTreeMap<MachineHandle, Millis>,
+}
+
+impl Leader {
+    /// Counts a renewal before the records are read.
+    pub(super) fn note_unread_renewal(&mut self, report: &Heartbeat, token: u64) {
+        self.count_renewal(RenewalBasis::RecordsUnread);
+        log::debug!(
+            "lease of machine {} is renewed by the response to heartbeat {}.{} under token \
+             {token}, {}: the machine lists {} tasks",
+            report.machine,
+            report.incarnation,
+            report.seq,
+            RenewalBasis::RecordsUnread,
+            report.tasks.len(),
+        );
+    }
+
+    /// Counts a renewal, and logs the tasks of ended jobs for which the lease is renewed.
+    pub(super) fn note_renewal(
+        &mut self,
+        machine_handle: MachineHandle,
+        report: &Heartbeat,
+        basis: RenewalBasis,
+        response: &HeartbeatResponse,
+        now: Millis,
+    ) {
+        self.count_renewal(basis);
+        let lists_ended_tasks = match basis {
+            RenewalBasis::Confirmed => {
+                commands::has_task_of_ended_job(&self.cluster, machine_handle)
+            }
+            RenewalBasis::RecordsUnread | RenewalBasis::Unconfirmed => true,
+        };
+        let ended: Vec<&TaskStatus> = match lists_ended_tasks {
+            true => commands::listed_tasks_of_ended_jobs(&self.cluster, report).collect(),
+            false => Vec::new(),
+        };
+        let since = &mut self.lease_renewals.ended_tasks_since;
+        if ended.is_empty() {
+            since.remove(&machine_handle);
+            return;
+        }
+        since.entry(machine_handle).or_insert(now);
+        let entries: Vec<String> = ended
+            .into_iter()
+            .map(|listed| describe(listed, &response.commands))
+            .collect();
+        for_each_line(&entries, |tasks| {
+            log::info!(
+                "lease of machine {} is renewed by the response to heartbeat {}.{} under token \
+                 {}, {basis}; of its tasks these must be gone: {tasks}",
+                report.machine,
+                report.incarnation,
+                report.seq,
+                response.fencing_token,
+            );
+        });
+    }
+
+    fn count_renewal(&mut self, basis: RenewalBasis) {
+        let counts = &mut self.events.metric_counts.lease_renewals;
+        *counts.entry(basis).or_default() += 1;
+    }
+
+    /// Returns for how long a machine has listed tasks of ended jobs in this term, the longest
+    /// such time.
+    pub fn ended_tasks_listed_ms(&mut self, now: Millis) -> Millis {
+        let cluster = &self.cluster;
+        let since = &mut self.lease_renewals.ended_tasks_since;
+        since.retain(|handle, _| cluster.machine(*handle).is_some_and(|m| m.live_tasks() > 0));
+        let first = since.values().min();
+        first.map_or(0, |first| now.saturating_sub(*first))
+    }
+}
+
+/// Returns the task, and whether the commands stop it.
+fn describe(listed: &TaskStatus, commands: &[Command]) -> String {
+    let is_stopped = commands.iter().any(|command| {
+        matches!(command, Command::Stop { task, attempt, .. }
+            if *task == listed.task && *attempt == listed.attempt)
+    });
+    let outcome = if is_stopped { "stopped" } else { "not stopped" };
+    format!("{}@{}, {outcome} by it", listed.task, listed.attempt)
+}
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -19,6 +19,7 @@
 mod heartbeats;
 mod inventory;
 mod job_status;
+mod lease_renewals;
 mod loading;
 mod offload;
 mod partitions;
@@ -43,6 +44,7 @@
 pub use fencing::RaiseReason;
 pub use inventory::CloudOp;
 pub use job_status::Withheld;
+pub use lease_renewals::RenewalBasis;
 pub use partitions::UnansweredReason;
 pub use persistence::{WriteIntent, WritePlan, acceptance_with_feed_entry};
 pub use status::MetricCounts;
@@ -96,6 +98,7 @@
     write_queue: WriteQueue,
     events: Events,
     task_log: task_log::TaskLog,
+    lease_renewals: lease_renewals::LeaseRenewals,
     standbys: Standbys,
 }
 
@@ -141,6 +144,7 @@
             write_queue: WriteQueue::default(),
             events: Events::default(),
             task_log: task_log::TaskLog::default(),
+            lease_renewals: Default::default(),
             standbys,
         }
     }
--- a/src/control/leader/status.rs
+++ b/src/control/leader/status.rs
@@ -4,7 +4,10 @@
 //! is computed only on request. Responses must fit into a frame, so names are truncated and
 //! the number of rows is limited. This module never influences a decision of the leader.
 
-use super::{Leader, fencing::RaiseReason, millis, partitions::UnansweredReason};
+use super::{
+    Leader, fencing::RaiseReason, lease_renewals::RenewalBasis, millis,
+    partitions::UnansweredReason,
+};
 use crate::{
     control::{placement, reconciliation::UnassignedHandling},
     options::LoadResource,
@@ -75,6 +78,8 @@
     pub direct_commands: BTreeMap<&'static str, u64>,
     /// Number of raises of machines' fencing tokens, by reason.
     pub token_raises: BTreeMap<RaiseReason, u64>,
+    /// Number of responses to heartbeats, each of which renews a lease, by what they rest on.
+    pub lease_renewals: BTreeMap<RenewalBasis, u64>,
 }
 
 /// A failed task: the time of the failure, the task, the machine and the reason.
--- a/src/server/metrics.rs
+++ b/src/server/metrics.rs
@@ -102,6 +102,12 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct LeaseRenewalLabel {
+    /// `records_unread`, `unconfirmed` or `confirmed`.
+    basis: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct WithheldLabel {
     /// The reason why the state was withheld.
@@ -147,6 +153,8 @@
     unanswered_heartbeats: Family<UnansweredHeartbeatLabel, Counter>,
     direct_commands: Family<DirectCommandLabel, Counter>,
     token_raises: Family<TokenRaiseLabel, Counter>,
+    lease_renewals: Family<LeaseRenewalLabel, Counter>,
+    ended_tasks_listed_seconds: Gauge<f64, AtomicU64>,
     dependencies_unread_seconds: Gauge<f64, AtomicU64>,
 }
 
@@ -210,6 +218,8 @@
             unanswered_heartbeats: Family::default(),
             direct_commands: Family::default(),
             token_raises: Family::default(),
+            lease_renewals: Family::default(),
+            ended_tasks_listed_seconds: Gauge::default(),
             dependencies_unread_seconds: Gauge::default(),
         };
         let registry = &mut metrics.registry;
@@ -316,6 +326,12 @@
         registry.register("direct_commands", help, metrics.direct_commands.clone());
         let help = "Raises of the fencing tokens of single machines, by reason";
         registry.register("token_raises", help, metrics.token_raises.clone());
+        let help = "Responses to heartbeats, each of which renews a lease, by what they rest on";
+        registry.register("lease_renewals", help, metrics.lease_renewals.clone());
+        let help =
+            "Seconds for which a machine has listed tasks of ended jobs, while this node leads";
+        let listed = metrics.ended_tasks_listed_seconds.clone();
+        registry.register("ended_tasks_listed_seconds", help, listed);
         let help =
             "Seconds for which the final state of a dependency is unread, while this node leads";
         let unread = metrics.dependencies_unread_seconds.clone();
@@ -416,6 +432,11 @@
             let labels = TokenRaiseLabel { reason };
             self.token_raises.get_or_create(&labels).inc_by(count);
         }
+        for (basis, count) in metric_counts.lease_renewals {
+            let basis = basis.name();
+            let labels = LeaseRenewalLabel { basis };
+            self.lease_renewals.get_or_create(&labels).inc_by(count);
+        }
         for (phase, seconds) in metric_counts.phases {
             let phase = RecoveryPhaseLabel { phase };
             self.recovery_seconds.get_or_create(&phase).observe(seconds);
@@ -444,11 +465,13 @@
         let led = self.with_authority(|l, now| {
             let warm = l.warm_standbys(now);
             let unread_ms = l.dependencies_unread_ms(now);
+            let ended_tasks_ms = l.ended_tasks_listed_ms(now);
             (
                 l.cluster.live_jobs(),
                 l.cluster.machine_count(),
                 warm,
                 unread_ms,
+                ended_tasks_ms,
             )
         });
         let node_metrics = self.metrics.borrow();
@@ -458,7 +481,10 @@
             node_metrics.set_request_counts(priority, counts);
         }
         node_metrics.leading.set(i64::from(led.is_some()));
-        let (jobs, machines, warm, unread_ms) = led.unwrap_or_default();
+        let (jobs, machines, warm, unread_ms, ended_tasks_ms) = led.unwrap_or_default();
+        node_metrics
+            .ended_tasks_listed_seconds
+            .set(ended_tasks_ms as f64 / 1000.0);
         node_metrics
             .dependencies_unread_seconds
             .set(unread_ms as f64 / 1000.0);
--- a/src/state/cluster/job.rs
+++ b/src/state/cluster/job.rs
@@ -362,6 +362,15 @@
             || self.end_indeterminate
     }
 
+    /// Whether the record of the job may say that it has ended, so that any controller may have
+    /// told the user. None of its tasks may stay on a machine from then on.
+    pub fn end_may_be_recorded(&self) -> bool {
+        self.cancelled
+            || self.cancel_indeterminate
+            || self.ending_in_flight
+            || self.end_indeterminate
+    }
+
     /// Whether a command that starts the task on the machine may be sent now. Every start is
     /// checked here when it is issued, and direct starts once more when they are sent.
     pub fn may_start(&self, task: u32, machine: MachineHandle) -> bool {
--- a/tests/compatibility/operators.rs
+++ b/tests/compatibility/operators.rs
@@ -935,6 +935,7 @@
     // may be added or removed.
     for name in [
         "figures_later",
+        "figures_of_lease_renewals",
         "figures_of_request_budget",
         "figures_of_restarted_attempts",
         "figures_of_unread_dependencies",
