A cancelled task ran on under one leader after the other: every response stops the listed tasks of ended jobs

What callers saw: `ran_cancelled`. A user was told `withdrawn`; 35 s later the task still stood on its machine, which four leaders had answered in 24 s, none of them twice.

Cause: a machine that has not shown a token of the term yet is not confirmed, and reconciliation takes nothing from its report. So `on_heartbeat` answered it with the token alone, also where the leader had read that the job is cancelled and the report listed its task. The answer renewed the lease. Only the second answer of a term stopped the task, and no leader lasted until then. A check in one path and not in another.

Change: `renew_lease` makes every response of a leader that has read the records. What a machine does not list says nothing before it is confirmed, but a task of an ended job may be stopped wherever it is listed. Two more ways to a renewal without the stop, found by asking the same of confirmed machines: while the write that cancels the job is in flight, or is just applied and the next tick is to come (another controller may have told the user); and behind 300 other commands, as the response holds no more. Both pass `due_command` and `chosen_commands` now.

Why it works: a stop names task and attempt, so it needs no knowledge of the machine; a response is carried out whole or not at all, and without it there is no renewal either. No message, read or write more.

`tasks_stop_in_time_after_indeterminate_cancellation` took it as given that the tasks still run 0.6 s after the request, without an answer to the write. They are stopped before that now, so in the test no machine is reached until the outage begins; what it asserts is unchanged.

--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -71,6 +71,9 @@
         }
         (Phase::New, None) if !may_start(assignment, machine, jobs) => Some(DueCommand::DropStart),
         (Phase::New, None) => (assignment.change_number <= confirmed).then_some(DueCommand::Start),
+        // The stop may not be requested yet, and a response without it would renew the lease of a
+        // task whose user may have been told that it is cancelled.
+        _ if is_over(assignment.job, jobs) => Some(DueCommand::Stop { grace_s: 0.0 }),
         // The task is saving a checkpoint before it stops. A stop without grace ends it.
         (Phase::Saving, Some(grace_s)) if grace_s > 0.0 => None,
         (_, Some(grace_s)) => Some(DueCommand::Stop { grace_s }),
@@ -119,18 +122,8 @@
     };
     let is_logged = log::log_enabled!(log::Level::Info);
     let mut log_entries = Vec::new();
-    for assignment in &mut machine.tasks {
-        if commands.len() >= MAX_COMMANDS {
-            break;
-        }
-        let Some(due) = due_command(assignment, &context) else {
-            continue;
-        };
-        // A copy of a reap could remove a later start of the same attempt, of a gang that is
-        // completed, from the list that keeps copies of that start without effect.
-        if due == DueCommand::Reap && carrier == Carrier::DirectCommand {
-            continue;
-        }
+    for (index, due) in chosen_commands(&machine.tasks, &context, carrier) {
+        let assignment = &mut machine.tasks[index];
         if due == DueCommand::Start {
             latest_sent = latest_sent.max(assignment.change_number);
         }
@@ -150,6 +143,29 @@
     commands
 }
 
+/// Returns the due commands that fit into one message, with the indices of their assignments.
+/// Stops go before all others: a response without one of them would renew its task's lease.
+fn chosen_commands(
+    tasks: &[Assignment],
+    context: &MachineContext,
+    carrier: Carrier,
+) -> Vec<(usize, DueCommand)> {
+    // A copy of a reap could remove a later start of the same attempt, of a gang that is
+    // completed, from the list that keeps copies of that start without effect.
+    let may_carry =
+        |due: &DueCommand| *due != DueCommand::Reap || carrier != Carrier::DirectCommand;
+    let due = tasks.iter().enumerate().filter_map(|(index, assignment)| {
+        let due = due_command(assignment, context).filter(may_carry)?;
+        Some((index, due))
+    });
+    let mut chosen: Vec<(usize, DueCommand)> = due.collect();
+    if chosen.len() > MAX_COMMANDS {
+        chosen.sort_by_key(|(_, due)| !matches!(due, DueCommand::Stop { .. }));
+        chosen.truncate(MAX_COMMANDS);
+    }
+    chosen
+}
+
 /// Notes in the assignment that the command is sent, and returns the command.
 fn issue(assignment: &mut Assignment, due: DueCommand, carrier: Carrier, token: u64) -> Command {
     let (task, attempt) = (assignment.name.clone(), assignment.attempt);
@@ -175,6 +191,9 @@
             }
         }
         DueCommand::Stop { grace_s } => {
+            if grace_s == 0.0 {
+                assignment.stop.request_immediate();
+            }
             // A start that is still in flight may be carried out after this stop.
             if !matches!(assignment.phase, Phase::New | Phase::Sent) {
                 assignment.stop.mark_sent();
@@ -245,6 +264,18 @@
     })
 }
 
+/// Returns stops without grace of the live tasks that the heartbeat lists although their jobs have
+/// ended or may be recorded as ended.
+pub fn stops_of_ended_jobs(cluster: &ClusterState, report: &Heartbeat) -> Vec<Command> {
+    let ended = listed_tasks_of_ended_jobs(cluster, report);
+    let stops = ended.map(|listed| Command::Stop {
+        task: listed.task.clone(),
+        attempt: listed.attempt,
+        grace_s: 0.0,
+    });
+    stops.take(MAX_COMMANDS).collect()
+}
+
 /// Whether the machine has a live task whose job is unknown, and so over, or may be recorded as
 /// ended.
 pub fn has_task_of_ended_job(cluster: &ClusterState, machine_handle: MachineHandle) -> bool {
--- a/src/control/leader/heartbeats.rs
+++ b/src/control/leader/heartbeats.rs
@@ -9,7 +9,6 @@
 use super::{Leader, lease_renewals::RenewalBasis, partitions::HeartbeatHandling};
 use crate::{
     control::{
-        commands::{self, Carrier},
         reconciliation::{self, StatusSource},
         safety_bounds::SafetyBounds,
     },
@@ -41,49 +40,15 @@
             return None;
         }
         let machine_handle = self.cluster.insert_machine(report.into(), now)?;
-        match self.handling_of_heartbeat(machine_handle, report, now) {
-            HeartbeatHandling::Apply => {}
-            HeartbeatHandling::FenceAgent => {
-                let response = HeartbeatResponse {
-                    fencing_token: self.fencing_token(machine_handle),
-                    commands: Vec::new(),
-                };
-                let basis = RenewalBasis::Unconfirmed;
-                self.note_renewal(machine_handle, report, basis, &response, now);
-                return Some(response);
+        let basis = match self.handling_of_heartbeat(machine_handle, report, now) {
+            HeartbeatHandling::Apply => {
+                self.apply_heartbeat(machine_handle, report, StatusSource::Heartbeat, now);
+                self.renewal_basis(machine_handle, report)
             }
+            HeartbeatHandling::FenceAgent => RenewalBasis::Unconfirmed,
             HeartbeatHandling::LeaveUnanswered => return None,
-        }
-        self.apply_heartbeat(machine_handle, report, StatusSource::Heartbeat, now);
-        let machine = self.cluster.machine_mut(machine_handle)?;
-        let is_latest = machine.up
-            && (report.incarnation, report.seq) == (machine.incarnation, machine.heartbeat_seq);
-        let commands = if is_latest {
-            self.raise_token_for_tasks(machine_handle);
-            let confirmed = self.standbys.confirmed_change();
-            let token = self.fencing_token(machine_handle);
-            let commands = commands::due_commands(
-                &mut self.cluster,
-                machine_handle,
-                Carrier::Response(report.seq),
-                token,
-                confirmed,
-            );
-            self.count_commands(&commands);
-            commands
-        } else {
-            Vec::new()
-        };
-        let basis = match is_latest {
-            true => RenewalBasis::Confirmed,
-            false => RenewalBasis::Unconfirmed,
-        };
-        let response = HeartbeatResponse {
-            fencing_token: self.fencing_token(machine_handle),
-            commands,
         };
-        self.note_renewal(machine_handle, report, basis, &response, now);
-        Some(response)
+        Some(self.renew_lease(machine_handle, report, basis, now))
     }
 
     pub(super) fn apply_heartbeat(
--- a/src/control/leader/lease_renewals.rs
+++ b/src/control/leader/lease_renewals.rs
@@ -1,15 +1,18 @@
-//! Renewals of workers' leases: what each one rests on, and for how long machines have listed
-//! tasks that must be gone.
+//! Renewals of workers' leases: the response to a heartbeat, and what it rests on.
 //!
-//! Every response to a heartbeat renews the lease of the worker, and with it the life of all
-//! tasks that the worker lists.
+//! Every response renews the lease of the worker, and with it the life of all tasks that the
+//! worker lists. Invariant: a response of a leader that has read the records stops each listed
+//! task whose job has ended, or may be recorded as ended, whether the machine is confirmed or
+//! not. A worker that does not receive the response does not renew its lease either.
 //!
-//! Owns `LeaseRenewals`. Called for each response to a heartbeat. This module never influences
-//! a decision of the leader.
+//! Owns `LeaseRenewals`. Called for each heartbeat that is answered.
 
 use super::Leader;
 use crate::{
-    control::{commands, task_lines::for_each_line},
+    control::{
+        commands::{self, Carrier},
+        task_lines::for_each_line,
+    },
     protocol::workers::{Command, Heartbeat, HeartbeatResponse, TaskStatus},
     state::{Millis, cluster::MachineHandle},
 };
@@ -55,6 +58,61 @@
 }
 
 impl Leader {
+    /// Returns what the response to the heartbeat rests on, after the heartbeat was applied.
+    pub(super) fn renewal_basis(
+        &self,
+        machine_handle: MachineHandle,
+        report: &Heartbeat,
+    ) -> RenewalBasis {
+        let heartbeat_id = (report.incarnation, report.seq);
+        let is_latest = self.cluster.machine(machine_handle).is_some_and(|machine| {
+            machine.up && heartbeat_id == (machine.incarnation, machine.heartbeat_seq)
+        });
+        match is_latest {
+            true => RenewalBasis::Confirmed,
+            false => RenewalBasis::Unconfirmed,
+        }
+    }
+
+    /// Returns the response to the heartbeat, which renews the lease. Every response of a leader
+    /// that has read the records is made here.
+    pub(super) fn renew_lease(
+        &mut self,
+        machine_handle: MachineHandle,
+        report: &Heartbeat,
+        basis: RenewalBasis,
+        now: Millis,
+    ) -> HeartbeatResponse {
+        let commands = match basis {
+            RenewalBasis::Confirmed => self.commands_for_confirmed(machine_handle, report.seq),
+            // Nothing may be concluded from the tasks that are not listed, but a task of an ended
+            // job may be stopped wherever it is.
+            RenewalBasis::Unconfirmed | RenewalBasis::RecordsUnread => {
+                commands::stops_of_ended_jobs(&self.cluster, report)
+            }
+        };
+        self.count_commands(&commands);
+        let response = HeartbeatResponse {
+            fencing_token: self.fencing_token(machine_handle),
+            commands,
+        };
+        self.note_renewal(machine_handle, report, basis, &response, now);
+        response
+    }
+
+    fn commands_for_confirmed(&mut self, machine_handle: MachineHandle, seq: u64) -> Vec<Command> {
+        self.raise_token_for_tasks(machine_handle);
+        let token = self.fencing_token(machine_handle);
+        let confirmed = self.standbys.confirmed_change();
+        commands::due_commands(
+            &mut self.cluster,
+            machine_handle,
+            Carrier::Response(seq),
+            token,
+            confirmed,
+        )
+    }
+
     /// Counts a renewal before the records are read.
     pub(super) fn note_unread_renewal(&mut self, report: &Heartbeat, token: u64) {
         self.count_renewal(RenewalBasis::RecordsUnread);
@@ -70,7 +128,7 @@
     }
 
     /// Counts a renewal, and logs the tasks of ended jobs for which the lease is renewed.
-    pub(super) fn note_renewal(
+    fn note_renewal(
         &mut self,
         machine_handle: MachineHandle,
         report: &Heartbeat,
--- a/tests/lease_renewals.rs
+++ b/tests/lease_renewals.rs
@@ -1,9 +1,17 @@
 //! Leaders that end soon after they answered a machine, one after the other: each answer renews the
 //! machine's lease, and with it the life of the tasks that it lists.
 
+mod leader_fixtures;
 mod simulation;
 
-use pathwinch::protocol::users::Kind;
+use leader_fixtures::{accept, leader_without_heartbeats, record, report, report_in_term};
+use pathwinch::{
+    control::leader::Leader,
+    protocol::{
+        users::{JobState, JobStatus, Kind},
+        workers::{Command, ExitReason, Heartbeat, TaskState, TaskStatus},
+    },
+};
 use simulation::{CANCEL, Net, Simulation, id, job};
 
 /// Load time of leaders that end before they have read the records.
@@ -77,3 +85,125 @@
     crash_leaders_after_first_answer(&mut sim, 0, CANCEL + 10_000);
     sim.assert_no_violations();
 }
+
+/// Attempt number of every task in the heartbeats below: a start by an earlier leader.
+const ATTEMPT: u64 = 7;
+/// Number of commands that one response can hold.
+const MAX_COMMANDS: u32 = 300;
+
+fn listed(job: u32, task: u32, state: TaskState) -> TaskStatus {
+    TaskStatus {
+        task: format!("{}/{task}", id(job)),
+        attempt: ATTEMPT,
+        state,
+        exit_reason: (state == TaskState::Exited).then_some(ExitReason::Error),
+        checkpointed: false,
+    }
+}
+
+/// Returns the names of the tasks that the response to the heartbeat stops without grace.
+fn stopped_by_response(leader: &mut Leader, report: &Heartbeat) -> Vec<String> {
+    let response = leader.on_heartbeat(report, 1_000).expect("an answer");
+    let stops = response.commands.into_iter().filter_map(|command| {
+        let stop = matches!(&command, Command::Stop { attempt, grace_s, .. }
+            if *attempt == ATTEMPT && *grace_s == 0.0);
+        match command {
+            Command::Stop { task, .. } if stop => Some(task),
+            _ => None,
+        }
+    });
+    stops.collect()
+}
+
+/// The leader of term 2 with a machine, a service that is recorded as cancelled (1), and another
+/// one that is not (2).
+fn leader_with_cancelled_service() -> Leader {
+    let mut leader = leader_without_heartbeats(2, 1);
+    let mut cancelled = record(1, "standing", "normal", 1, 1.0);
+    cancelled.cancelled = true;
+    leader.load_job(cancelled, 1, 0);
+    leader.load_job(record(2, "standing", "normal", 1, 1.0), 1, 0);
+    leader.finish_loading(100);
+    leader
+}
+
+/// Guards against `ran_cancelled` on every path that answers without a confirmed machine, and
+/// against stops of tasks whose jobs go on.
+#[test]
+fn response_to_unconfirmed_machine_stops_tasks_of_ended_jobs_alone() {
+    let mut first = report_in_term(1, 0, 5);
+    let mut restarted = report_in_term(2, 0, 3);
+    let tasks: Vec<TaskStatus> = (1..=3)
+        .map(|job| listed(job, 0, TaskState::Running))
+        .collect();
+    (first.tasks, restarted.tasks) = (tasks.clone(), tasks);
+    let ended = [format!("{}/0", id(1)), format!("{}/0", id(3))];
+    let mut leader = leader_with_cancelled_service();
+    assert_eq!(stopped_by_response(&mut leader, &first), ended, "first");
+    // An agent that counts from one again, as far as the leader can tell.
+    let mut leader = leader_with_cancelled_service();
+    leader.on_heartbeat(&report_in_term(2, 0, 9), 150).unwrap();
+    assert!(leader.on_heartbeat(&report_in_term(2, 0, 2), 900).is_none());
+    assert_eq!(stopped_by_response(&mut leader, &restarted), ended, "older");
+}
+
+/// Guards against a lease that is renewed without a stop while the write that cancels the job is in
+/// flight, has no answer, or was just applied: another controller may have told the user.
+#[test]
+fn response_to_confirmed_machine_stops_task_at_any_stage_of_cancellation() {
+    type Stage = (&'static str, usize, fn(&mut Leader));
+    let stages: [Stage; 5] = [
+        ("not cancelled", 0, |_| {}),
+        ("being written", 1, |leader| {
+            leader.cancel(&id(1));
+            leader.plan_writes(10).unwrap();
+        }),
+        ("without an answer", 1, |leader| {
+            leader.cancel(&id(1));
+            let plan = leader.plan_writes(10).unwrap();
+            leader.on_outcome_unknown(&plan);
+        }),
+        ("written, before the next tick", 1, |leader| {
+            leader.cancel(&id(1));
+            let plan = leader.plan_writes(10).unwrap();
+            leader.writes_applied(&plan, 9, 350);
+        }),
+        ("read from its record", 1, |leader| {
+            let status = JobStatus {
+                id: id(1),
+                state: JobState::Cancelled,
+                done: 0,
+                running: 0,
+            };
+            leader.remember_final_state(&status, 350);
+        }),
+    ];
+    for (stage, stops, reach) in stages {
+        let mut leader = leader_without_heartbeats(1, 1);
+        leader.load_job(record(1, "standing", "normal", 1, 1.0), 1, 0);
+        leader.finish_loading(100);
+        let mut running = report(0, 1);
+        running.tasks = vec![listed(1, 0, TaskState::Running)];
+        leader.on_heartbeat(&running, 150).unwrap();
+        leader.tick(300, 300);
+        reach(&mut leader);
+        running.seq = 2;
+        let stopped = stopped_by_response(&mut leader, &running);
+        assert_eq!(stopped.len(), stops, "{stage}");
+    }
+}
+
+/// Guards against a lease that is renewed without a stop because other commands fill the response.
+#[test]
+fn stop_of_cancelled_task_goes_before_other_commands() {
+    let mut leader = leader_without_heartbeats(1, 1);
+    leader.finish_loading(100);
+    leader.on_heartbeat(&report(0, 1), 150).unwrap();
+    accept(&mut leader, 2, "array", MAX_COMMANDS + 1);
+    let mut full = report(0, 2);
+    let ended = (0..=MAX_COMMANDS).map(|task| listed(2, task, TaskState::Exited));
+    full.tasks = ended.collect();
+    full.tasks.push(listed(1, 0, TaskState::Running));
+    let stopped = stopped_by_response(&mut leader, &full);
+    assert_eq!(stopped, [format!("{}/0", id(1))]);
+}
--- a/tests/partitioned_leaders.rs
+++ b/tests/partitioned_leaders.rs
@@ -283,8 +283,8 @@
 }
 
 /// The write of a cancellation has no answer, a user is answered from the record
-/// at another node, and an outage begins before the leader can reread the record.
-/// All nodes grant promises, so the leader keeps its authority. Guards against
+/// at another node, and an outage begins before the leader can reread the record
+/// or any machine has heard of the cancellation. All nodes grant promises, so the leader keeps its authority. Guards against
 /// tasks that run on through the outage.
 #[test]
 fn tasks_stop_in_time_after_indeterminate_cancellation() {
@@ -292,8 +292,13 @@
         let (mut sim, leader) = with_long_running_tasks(seed, nodes);
         let other = other_nodes(&sim, leader)[0];
         sim.store.late_writes.push(200);
+        let machines = 0..sim.workers.len();
+        machines
+            .clone()
+            .for_each(|machine| sim.workers[machine].net = Net::Lose);
         sim.request_cancellation(&id(1));
         sim.run(600);
+        machines.for_each(|machine| sim.restore_network(machine));
         assert_eq!(sim.poll(other, &id(1)), Some(JobState::Cancelled));
         sim.store.unavailable = true;
         assert_eq!(sim.running(&id(1)), 4);
