Leaders without records kept a cancelled task alive in turn: one term at most renews a lease without knowing

Cause: a leader that has not read the records may answer workers until its start + `cancel_s` - 2 leases - 4 s, as "any machine that received a response later than that has been told to stop the task". The bound is counted anew from each election, while the user's clock runs on from the confirmation: a right that had lapsed with the first such leader was taken again by the next.

Change: such answers have the lowest token of the term, and all others are above it (`FIRST_TOKEN_EPOCH`). The worker reports the highest token that it has seen. If that is the lowest one of another term, a report that lists live tasks is not answered before the records are read.

Why it works: the worker itself carries what its last answer rested on, so nothing has to be remembered by controllers that end. An answer, or a direct command, of a leader that has read the records holds every stop that is due, so above a lowest token the worker has nothing that was cancelled before that answer. Between two of these one term renews, within the bound, and the bound then counts from an answer that knew. No time-out was changed, and no message, read or write is added; a worker takes the second token of a term with an answer that it gets anyway.

`unassigned_task_of_this_term_is_reaped_under_higher_token` names the first token of a term exactly, as before, which is one higher now.

--- a/src/control/leader/fencing.rs
+++ b/src/control/leader/fencing.rs
@@ -5,6 +5,10 @@
 //! lower token than the highest it has seen, so a raise is what ends the validity of commands
 //! that may still arrive. Epochs never wrap into the bits of the term: a machine that has used up
 //! most of its epochs gets no direct commands, so that none has to be revoked any more.
+//!
+//! Responses that are given before the records are read have an epoch of their own, so that the
+//! next leader can tell from a worker's token whether its last response stopped all tasks that
+//! had to be gone.
 
 use super::Leader;
 use crate::{control::commands, state::cluster::MachineHandle};
@@ -59,8 +63,14 @@
     }
 }
 
+/// Whether the token comes from a response of a leader that had not read the records. Versions
+/// that do not tell such responses apart give it with others as well.
+pub(super) fn is_token_before_records(token: u64) -> bool {
+    token.is_multiple_of(1 << MACHINE_TOKEN_BITS)
+}
+
 impl Leader {
-    /// Lowest fencing token of this term.
+    /// Lowest fencing token of this term, which responses have until the records are read.
     pub(super) fn term_token(&self) -> u64 {
         self.term << MACHINE_TOKEN_BITS
     }
--- a/src/control/leader/heartbeats.rs
+++ b/src/control/leader/heartbeats.rs
@@ -3,15 +3,11 @@
 //!
 //! Called by the server for each heartbeat, and by `direct_commands` for the
 //! status that comes back with a direct command. A response renews the worker's
-//! lease, so before the records are read heartbeats are answered only for a
-//! bounded time, and a machine that has been released is never answered.
+//! lease (`lease_renewals`); a machine that has been released is never answered.
 
 use super::{Leader, lease_renewals::RenewalBasis, partitions::HeartbeatHandling};
 use crate::{
-    control::{
-        reconciliation::{self, StatusSource},
-        safety_bounds::SafetyBounds,
-    },
+    control::reconciliation::{self, StatusSource},
     protocol::workers::{Command, Heartbeat, HeartbeatResponse},
     state::{Millis, cluster::MachineHandle},
 };
@@ -21,20 +17,7 @@
     /// answered.
     pub fn on_heartbeat(&mut self, report: &Heartbeat, now: Millis) -> Option<HeartbeatResponse> {
         if !self.recovery.loaded {
-            // Leases must not expire while the records are being read. They must not be
-            // renewed for long either, because the records that are still unread may hold
-            // cancellations.
-            let limit_ms = SafetyBounds::from_worker_settings(&self.settings.cluster.workers)
-                .max_unloaded_response_time();
-            if now >= self.recovery.elected_at + limit_ms {
-                return None;
-            }
-            let fencing_token = self.term_token();
-            self.note_unread_renewal(report, fencing_token);
-            return Some(HeartbeatResponse {
-                fencing_token,
-                commands: Vec::new(),
-            });
+            return self.renew_lease_before_records(report, now);
         }
         if self.scaling.released.contains_key(&report.machine) {
             return None;
--- a/src/control/leader/lease_renewals.rs
+++ b/src/control/leader/lease_renewals.rs
@@ -5,15 +5,21 @@
 //! task whose job has ended, or may be recorded as ended, whether the machine is confirmed or
 //! not. A worker that does not receive the response does not renew its lease either.
 //!
+//! A leader that has not read the records knows no such job. It renews the lease of a worker that
+//! lists live tasks only if the worker's last response came from a leader that had read them, or
+//! from itself, and for a bounded time. So between two responses that stop what has to be gone, one
+//! term at most renews the lease without knowing.
+//!
 //! Owns `LeaseRenewals`. Called for each heartbeat that is answered.
 
-use super::Leader;
+use super::{Leader, fencing, partitions::UnansweredReason};
 use crate::{
     control::{
         commands::{self, Carrier},
+        safety_bounds::SafetyBounds,
         task_lines::for_each_line,
     },
-    protocol::workers::{Command, Heartbeat, HeartbeatResponse, TaskStatus},
+    protocol::workers::{Command, Heartbeat, HeartbeatResponse, TaskState, TaskStatus},
     state::{Millis, cluster::MachineHandle},
 };
 use std::{collections::BTreeMap, fmt};
@@ -113,8 +119,51 @@
         )
     }
 
+    /// Returns the response to a heartbeat before the records are read; `None` if the lease must
+    /// not be renewed.
+    pub(super) fn renew_lease_before_records(
+        &mut self,
+        report: &Heartbeat,
+        now: Millis,
+    ) -> Option<HeartbeatResponse> {
+        let bounds = SafetyBounds::from_worker_settings(&self.settings.cluster.workers);
+        let renewals_end = self.recovery.elected_at + bounds.max_unloaded_response_time();
+        if now >= renewals_end || !self.may_renew_before_records(report) {
+            self.note_unread_heartbeat(report);
+            return None;
+        }
+        let fencing_token = self.term_token();
+        self.note_unread_renewal(report, fencing_token);
+        Some(HeartbeatResponse {
+            fencing_token,
+            commands: Vec::new(),
+        })
+    }
+
+    /// Whether no other term can have renewed the lease before it had read the records, since the
+    /// tasks that the worker lists were last compared with them.
+    fn may_renew_before_records(&self, report: &Heartbeat) -> bool {
+        let token = report.acknowledged_token;
+        let has_live_task = report.tasks.iter().any(|t| t.state != TaskState::Exited);
+        !has_live_task || token == self.term_token() || !fencing::is_token_before_records(token)
+    }
+
+    /// Logs and counts a heartbeat that is not answered because the records are not read yet.
+    fn note_unread_heartbeat(&mut self, report: &Heartbeat) {
+        let counts = &mut self.events.metric_counts.unanswered_heartbeats;
+        *counts.entry(UnansweredReason::RecordsUnread).or_default() += 1;
+        log::debug!(
+            "heartbeat {}.{} of machine {}, which has seen token {}, is not answered: {}",
+            report.incarnation,
+            report.seq,
+            report.machine,
+            report.acknowledged_token,
+            UnansweredReason::RecordsUnread,
+        );
+    }
+
     /// Counts a renewal before the records are read.
-    pub(super) fn note_unread_renewal(&mut self, report: &Heartbeat, token: u64) {
+    fn note_unread_renewal(&mut self, report: &Heartbeat, token: u64) {
         self.count_renewal(RenewalBasis::RecordsUnread);
         log::debug!(
             "lease of machine {} is renewed by the response to heartbeat {}.{} under token \
--- a/src/control/leader/partitions.rs
+++ b/src/control/leader/partitions.rs
@@ -32,6 +32,9 @@
     Stale,
     /// The machine sends heartbeats but does not seem to receive the responses.
     OneWayPartition,
+    /// The records are not read yet, and another leader without them may have renewed the lease
+    /// last, or the time for such renewals is over.
+    RecordsUnread,
 }
 
 impl UnansweredReason {
@@ -40,6 +43,7 @@
         match self {
             UnansweredReason::Stale => "stale",
             UnansweredReason::OneWayPartition => "one_way_partition",
+            UnansweredReason::RecordsUnread => "records_unread",
         }
     }
 }
@@ -49,6 +53,9 @@
         f.write_str(match self {
             UnansweredReason::Stale => "it is late, or from an agent that has just restarted",
             UnansweredReason::OneWayPartition => "the machine receives no responses",
+            UnansweredReason::RecordsUnread => {
+                "the records are not read yet, and the lease must not be renewed without them"
+            }
         })
     }
 }
--- a/src/control/safety_bounds.rs
+++ b/src/control/safety_bounds.rs
@@ -93,10 +93,12 @@
         min_local_duration(self.cancellation_deadline).saturating_sub(ANSWER_TIMEOUT_MS)
     }
 
-    /// How long a new leader may respond to workers before it has loaded the records. A
-    /// cancellation that the leader has not loaded may have been acknowledged to a user
-    /// up to one worker lease ago; any machine that received a response later than that
-    /// has been told to stop the task.
+    /// How long a new leader may renew workers' leases before it has loaded the records,
+    /// if the last response to the worker came from a leader that had loaded them
+    /// (`leader/lease_renewals.rs`). That response stopped every listed task whose
+    /// cancellation had been requested, so one that still runs was cancelled after it,
+    /// and the worker's lease has not expired since: at most one lease, and the time for
+    /// which a response is in transit, before this leader was elected.
     pub fn max_unloaded_response_time(&self) -> Millis {
         self.max_staleness().saturating_sub(self.lease_expiry())
     }
--- a/src/state/cluster/machine.rs
+++ b/src/state/cluster/machine.rs
@@ -19,6 +19,10 @@
 /// later than that: the connection is established or abandoned within this time.
 pub const DIRECT_COMMAND_TIMEOUT_MS: Millis = 2_000;
 
+/// Epoch of a machine's fencing token when a leader first knows the machine. Epoch 0 is left to
+/// the responses that a leader gives before it has read the records.
+pub const FIRST_TOKEN_EPOCH: u64 = 1;
+
 /// Progress of a task on a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -183,8 +187,8 @@
     pub min_incarnation: u64,
     /// Highest fencing token that the machine's heartbeats have acknowledged.
     pub acknowledged_token: u64,
-    /// How often the machine's fencing token was raised within the term: the low bits
-    /// of the token.
+    /// The low bits of the machine's fencing token: [`FIRST_TOKEN_EPOCH`], and one more for each
+    /// raise within the term.
     pub token_epoch: u64,
     /// Fencing token that the machine has to acknowledge before new tasks are placed on
     /// it; 0 if there is none. Set when a one-way partition is suspected, because
@@ -303,7 +307,7 @@
             heartbeat_seq: 0,
             min_incarnation: 0,
             acknowledged_token: 0,
-            token_epoch: 0,
+            token_epoch: FIRST_TOKEN_EPOCH,
             required_token: 0,
             restart_token: 0,
             min_token: 0,
--- a/tests/duplicate_commands.rs
+++ b/tests/duplicate_commands.rs
@@ -13,7 +13,7 @@
         users::{JobSpec, Kind, Priority},
         workers::{Command, DirectCommands, ExitReason, Heartbeat, TaskState, TaskStatus},
     },
-    state::cluster::Placement,
+    state::cluster::{FIRST_TOKEN_EPOCH, Placement},
 };
 use simulation::{CANCEL, LEASE, Net, Simulation, id, job, whole_machines};
 
@@ -676,9 +676,11 @@
     for (term, raise) in [(1, 1), (2, 0)] {
         let mut leader = leader_without_heartbeats(term, 1);
         leader.finish_loading(100);
-        leader
+        let first = leader
             .on_heartbeat(&report_in_term(term, 0, 1), 150)
             .unwrap();
+        let first_token = (term << 20) + FIRST_TOKEN_EPOCH;
+        assert_eq!(first.fencing_token, first_token, "term {term}");
         let mut ended = report_in_term(term, 0, 2);
         ended.tasks = vec![TaskStatus {
             task: format!("{}/0", id(7)),
@@ -689,7 +691,7 @@
         }];
         let response = leader.on_heartbeat(&ended, 1_000).unwrap();
         assert_eq!(reaps(&response.commands), 1, "term {term}");
-        assert_eq!(response.fencing_token, (term << 20) + raise, "term {term}");
+        assert_eq!(response.fencing_token, first_token + raise, "term {term}");
     }
 }
 
--- a/tests/lease_renewals.rs
+++ b/tests/lease_renewals.rs
@@ -12,7 +12,7 @@
         workers::{Command, ExitReason, Heartbeat, TaskState, TaskStatus},
     },
 };
-use simulation::{CANCEL, Net, Simulation, id, job};
+use simulation::{CANCEL, Net, Simulation, UserRequest, id, job};
 
 /// Load time of leaders that end before they have read the records.
 const NEVER_LOADED_MS: u64 = 600_000;
@@ -207,3 +207,135 @@
     let stopped = stopped_by_response(&mut leader, &full);
     assert_eq!(stopped, [format!("{}/0", id(1))]);
 }
+
+/// Number of jobs of a random run, of which one after the other is cancelled.
+const JOBS: u32 = 4;
+/// Longest time for which a leader lasts in a random run if it answers no machine.
+const MAX_TERM_MS: u64 = 15_000;
+
+/// A cluster of 3 or 7 controllers whose machines are filled by jobs that end only if cancelled,
+/// with heartbeats that arrive again, late.
+fn cluster_with_long_jobs(seed: u64) -> Simulation {
+    let nodes = [3, 7][(seed % 2) as usize];
+    let mut sim = Simulation::with_nodes(20_000 + seed, 3, 0.0, nodes);
+    sim.standbys = (seed / 2).is_multiple_of(2);
+    (sim.run_ms, sim.traffic.max_latency_ms, sim.write_latency_ms) = (900_000, 30, 150);
+    sim.run_until(10_000, "a leader", |sim| sim.leader().is_some());
+    for number in 1..=JOBS {
+        let kind = [Kind::Service, Kind::Array][number as usize % 2];
+        sim.submit(job(number, kind, 1 + number % 2));
+    }
+    sim.run_until(20_000, "machines filled", |sim| sim.running("j-") == 6);
+    (sim.duplicate_percent, sim.keep_for_next_leader) = (20, true);
+    sim
+}
+
+/// A user cancels the job, and repeats it at random nodes until it is confirmed, while a fault
+/// keeps commands from the machines. Leaders end at any moment meanwhile. Returns a machine that
+/// still runs a task of the job.
+fn cancel_unheard(sim: &mut Simulation, job: &str) -> Option<usize> {
+    let fault = [Net::Lose, Net::Lose, Net::SendOnly, Net::Hold][sim.rng.usize(..4)];
+    let machines = 0..sim.workers.len();
+    machines
+        .clone()
+        .for_each(|machine| sim.workers[machine].net = fault);
+    let leader_lasts_ms = sim.rng.u64(0..1_500);
+    let confirmed = |sim: &Simulation| sim.answered.contains_key(&format!("{job}!"));
+    for _ in 0..10 {
+        let node = sim.rng.usize(..sim.nodes.len());
+        sim.request_later(0, node, UserRequest::Cancel(job.to_owned()));
+        sim.run(350);
+        if confirmed(sim) {
+            break;
+        }
+    }
+    sim.run(leader_lasts_ms);
+    crash_whoever_leads(sim);
+    machines
+        .clone()
+        .for_each(|machine| sim.restore_network(machine));
+    let runs_job = |machine: &usize| {
+        let mut tasks = sim.workers[*machine].tasks.iter();
+        tasks.any(|task| task.state == TaskState::Running && task.name.starts_with(job))
+    };
+    machines
+        .clone()
+        .find(|machine| confirmed(sim) && runs_job(machine))
+}
+
+/// Changes how a machine is reached, and how long the next leader takes to read the records.
+fn change_links_and_load_time(sim: &mut Simulation, machine: usize) {
+    sim.load_ms = [0, 0, 400, 2_500, NEVER_LOADED_MS][sim.rng.usize(..5)];
+    sim.slow_links.clear();
+    match sim.rng.u8(..6) {
+        0 => sim.workers[machine].net = Net::DirectCommandsOnly,
+        1 => sim.workers[machine].net = Net::Lose,
+        2 => {
+            let latency_ms = sim.rng.u64(100..900);
+            sim.slow_links.insert(machine, latency_ms);
+        }
+        _ => sim.restore_network(machine),
+    }
+}
+
+/// Ends each leader once it has answered the machine, mostly at once, or after a while if it does
+/// not answer. Returns how many answered.
+fn end_leaders_after_answers(sim: &mut Simulation, machine: usize, ms: u64) -> u32 {
+    let end = sim.now + ms;
+    let (mut answered_term, mut answers) = (seen_term(sim, machine), 0);
+    let mut crash_at = sim.now + MAX_TERM_MS;
+    let mut restore_at = sim.now;
+    while sim.now < end {
+        sim.step();
+        if sim.now >= restore_at {
+            sim.restore_network(machine);
+        }
+        if seen_term(sim, machine) > answered_term {
+            answered_term = seen_term(sim, machine);
+            answers += 1;
+            let delay_ms = [0, 0, 0, sim.rng.u64(0..1_500)][sim.rng.usize(..4)];
+            crash_at = sim.now + delay_ms;
+        }
+        if sim.now >= crash_at {
+            crash_whoever_leads(sim);
+            change_links_and_load_time(sim, machine);
+            restore_at = sim.now + sim.rng.u64(0..5_000);
+            crash_at = sim.now + MAX_TERM_MS;
+        }
+    }
+    answers
+}
+
+/// Guards against `ran_cancelled` where leaders end at any moment after they answered a machine, one
+/// after the other, for longer than `cancel_s`. `SEEDS` and `FIRST` choose the runs.
+#[test]
+fn random_leaders_that_end_after_answers_leave_no_cancelled_task() {
+    let from_environment = |name: &str, default: u64| -> u64 {
+        std::env::var(name).map_or(default, |text| text.parse().unwrap())
+    };
+    let (first, seeds) = (from_environment("FIRST", 0), from_environment("SEEDS", 60));
+    let (mut answers, mut unheard) = (0, 0);
+    for seed in first..first + seeds {
+        let mut sim = cluster_with_long_jobs(seed);
+        for number in 1..=JOBS {
+            if let Some(machine) = cancel_unheard(&mut sim, &id(number)) {
+                unheard += 1;
+                answers += end_leaders_after_answers(&mut sim, machine, CANCEL + 5_000);
+            }
+            sim.load_ms = 0;
+            crash_whoever_leads(&mut sim);
+            (0..sim.workers.len()).for_each(|machine| sim.restore_network(machine));
+            sim.run_until(30_000, "a leader", |sim| sim.leader().is_some());
+            sim.run(3_000);
+        }
+        let first_violation = sim.violations.first();
+        assert!(
+            first_violation.is_none(),
+            "seed {seed}: {first_violation:?}"
+        );
+    }
+    eprintln!(
+        "{seeds} runs, {unheard} cancellations unheard, {answers} leaders ended after an answer"
+    );
+    assert!(unheard > seeds && u64::from(answers) > 4 * unheard);
+}
