Drawn leaders that never read the records follow each other, too

The drawn runs chose the time to read the records anew for each leader, so two leaders without records seldom followed each other: with that part of the mend taken out they passed.

--- a/tests/lease_renewals.rs
+++ b/tests/lease_renewals.rs
@@ -234,7 +234,7 @@
 /// keeps commands from the machines. Leaders end at any moment meanwhile. Returns a machine that
 /// still runs a task of the job.
 fn cancel_unheard(sim: &mut Simulation, job: &str) -> Option<usize> {
-    let fault = [Net::Lose, Net::Lose, Net::SendOnly, Net::Hold][sim.rng.usize(..4)];
+    let fault = draw(sim, &[Net::Lose, Net::Lose, Net::SendOnly, Net::Hold]);
     let machines = 0..sim.workers.len();
     machines
         .clone()
@@ -263,9 +263,21 @@
         .find(|machine| confirmed(sim) && runs_job(machine))
 }
 
+/// Times that leaders take to read the records, of which one set is drawn for each cancelled job.
+const LOAD_TIMES_MS: [&[u64]; 4] = [
+    &[0],
+    &[0, 400, 2_500],
+    &[NEVER_LOADED_MS],
+    &[0, 2_500, NEVER_LOADED_MS],
+];
+
+fn draw<T: Copy>(sim: &mut Simulation, choices: &[T]) -> T {
+    choices[sim.rng.usize(..choices.len())]
+}
+
 /// Changes how a machine is reached, and how long the next leader takes to read the records.
-fn change_links_and_load_time(sim: &mut Simulation, machine: usize) {
-    sim.load_ms = [0, 0, 400, 2_500, NEVER_LOADED_MS][sim.rng.usize(..5)];
+fn change_links_and_load_time(sim: &mut Simulation, machine: usize, load_times_ms: &[u64]) {
+    sim.load_ms = draw(sim, load_times_ms);
     sim.slow_links.clear();
     match sim.rng.u8(..6) {
         0 => sim.workers[machine].net = Net::DirectCommandsOnly,
@@ -282,6 +294,8 @@
 /// not answer. Returns how many answered.
 fn end_leaders_after_answers(sim: &mut Simulation, machine: usize, ms: u64) -> u32 {
     let end = sim.now + ms;
+    let load_times_ms = draw(sim, &LOAD_TIMES_MS);
+    sim.load_ms = draw(sim, load_times_ms);
     let (mut answered_term, mut answers) = (seen_term(sim, machine), 0);
     let mut crash_at = sim.now + MAX_TERM_MS;
     let mut restore_at = sim.now;
@@ -293,12 +307,13 @@
         if seen_term(sim, machine) > answered_term {
             answered_term = seen_term(sim, machine);
             answers += 1;
-            let delay_ms = [0, 0, 0, sim.rng.u64(0..1_500)][sim.rng.usize(..4)];
+            let later_ms = sim.rng.u64(0..1_500);
+            let delay_ms = draw(sim, &[0, 0, 0, later_ms]);
             crash_at = sim.now + delay_ms;
         }
         if sim.now >= crash_at {
             crash_whoever_leads(sim);
-            change_links_and_load_time(sim, machine);
+            change_links_and_load_time(sim, machine, load_times_ms);
             restore_at = sim.now + sim.rng.u64(0..5_000);
             crash_at = sim.now + MAX_TERM_MS;
         }
