Responses look a job up once for all of its tasks in a heartbeat; `limits first` counts a term's first heartbeats

Need: restarts of controllers with thousands of machines must not cost more. Each machine's first heartbeat in a term is now compared with the jobs, and was so twice, with a look-up by name for each task.

Change: tasks of one job, which mostly stand one after the other, are looked up once; the log line is made only where the response holds a stop. `examples/limits first MACHINES N` counts terms that read the records and answer a first heartbeat of each machine.

--- a/examples/limits/main.rs
+++ b/examples/limits/main.rs
@@ -2,6 +2,7 @@
 //! see docs/limits.md. Each call runs one operation N times:
 //!
 //!     limits reports MACHINES N   heartbeats without changes, parsed and answered
+//!     limits first MACHINES N     terms that answer a first heartbeat of each machine
 //!     limits polls MACHINES N     polls of live jobs
 //!     limits memory JOBS N        N finished jobs in memory in addition to JOBS live ones
 //!     limits told MACHINES N      changes of a machine, replicated to a standby
@@ -107,12 +108,13 @@
     Ok(leader)
 }
 
-/// Returns a leader whose machines have all reported 16 tasks each, and the heartbeats
-/// with the placeholder `TICK` for the sequence number.
-fn reporting_leader(machines: usize, jobs: usize) -> Result<(Leader, Vec<String>)> {
-    let mut leader = loaded_leader(machines, jobs)?;
-    let term = 1u64;
-    let token = term << 20;
+/// Fencing token of the term of `loaded_leader`, and one of an earlier term.
+const TOKEN: u64 = 1 << 20;
+const EARLIER_TOKEN: u64 = TOKEN - 1;
+
+/// Returns a heartbeat of each machine, which lists 16 tasks and acknowledges the token, with the
+/// placeholder `TICK` for the sequence number.
+fn heartbeats(machines: usize, token: u64) -> Vec<String> {
     let mut bodies = Vec::new();
     for n in 0..machines {
         let tasks: Vec<String> = (0..16)
@@ -128,6 +130,13 @@
             tasks.join(",")
         ));
     }
+    bodies
+}
+
+/// Returns a leader whose machines have all reported 16 tasks each, and their heartbeats.
+fn reporting_leader(machines: usize, jobs: usize) -> Result<(Leader, Vec<String>)> {
+    let mut leader = loaded_leader(machines, jobs)?;
+    let bodies = heartbeats(machines, TOKEN);
     for body in &bodies {
         let report: Heartbeat = serde_json::from_str(&body.replace("TICK", "1"))?;
         leader.on_heartbeat(&report, 1000);
@@ -155,6 +164,19 @@
                 std::hint::black_box(serde_json::to_vec(&reply)?);
             }
         }
+        "first" => {
+            let bodies = heartbeats(size, EARLIER_TOKEN);
+            for _ in 0..count {
+                let mut leader = loaded_leader(size, size / 5 + 1)?;
+                for body in &bodies {
+                    let report: Heartbeat = serde_json::from_str(&body.replace("TICK", "1"))?;
+                    let reply = leader
+                        .on_heartbeat(&report, 1000)
+                        .context("the leader did not answer the heartbeat")?;
+                    std::hint::black_box(serde_json::to_vec(&reply)?);
+                }
+            }
+        }
         "polls" => {
             let (leader, _) = reporting_leader(size, size / 5 + 1)?;
             for n in 0..count {
--- a/src/control/commands.rs
+++ b/src/control/commands.rs
@@ -8,7 +8,7 @@
 
 use super::task_lines::for_each_line;
 use crate::{
-    protocol::workers::{Command, ExitReason, Heartbeat, TaskState, TaskStatus, parse_task_name},
+    protocol::workers::{Command, ExitReason, Heartbeat, TaskState, TaskStatus},
     state::{
         cluster::{Assignment, ClusterState, Job, JobHandle, MachineHandle, Phase},
         slot_table::SlotTable,
@@ -256,19 +256,28 @@
 pub fn listed_tasks_of_ended_jobs<'a>(
     cluster: &ClusterState,
     report: &'a Heartbeat,
-) -> impl Iterator<Item = &'a TaskStatus> {
-    let is_live = |listed: &&TaskStatus| listed.state != TaskState::Exited;
-    report.tasks.iter().filter(is_live).filter(|listed| {
-        let job = parse_task_name(&listed.task).and_then(|(id, _)| cluster.job_handle(id));
-        is_over(job, &cluster.jobs)
-    })
+) -> Vec<&'a TaskStatus> {
+    // Tasks of one job mostly stand one after the other, so a job is looked up once.
+    let (mut job_id, mut job_is_over) = ("", true);
+    let mut ended = Vec::new();
+    let live = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
+    for listed in live {
+        let number = listed.task.strip_prefix(job_id);
+        if !number.is_some_and(|number| number.starts_with('/')) {
+            let split = listed.task.rsplit_once('/');
+            job_id = split.map_or(listed.task.as_str(), |(id, _)| id);
+            job_is_over = is_over(cluster.job_handle(job_id), &cluster.jobs);
+        }
+        if job_is_over {
+            ended.push(listed);
+        }
+    }
+    ended
 }
 
-/// Returns stops without grace of the live tasks that the heartbeat lists although their jobs have
-/// ended or may be recorded as ended.
-pub fn stops_of_ended_jobs(cluster: &ClusterState, report: &Heartbeat) -> Vec<Command> {
-    let ended = listed_tasks_of_ended_jobs(cluster, report);
-    let stops = ended.map(|listed| Command::Stop {
+/// Returns stops without grace of these tasks, as many as fit into one message.
+pub fn stops_of(tasks: &[&TaskStatus]) -> Vec<Command> {
+    let stops = tasks.iter().map(|listed| Command::Stop {
         task: listed.task.clone(),
         attempt: listed.attempt,
         grace_s: 0.0,
@@ -276,16 +285,6 @@
     stops.take(MAX_COMMANDS).collect()
 }
 
-/// Whether the machine has a live task whose job is unknown, and so over, or may be recorded as
-/// ended.
-pub fn has_task_of_ended_job(cluster: &ClusterState, machine_handle: MachineHandle) -> bool {
-    let machine = cluster.machine(machine_handle);
-    machine.is_some_and(|machine| {
-        let mut live = machine.tasks.iter().filter(|a| a.is_live());
-        live.any(|assignment| is_over(assignment.job, &cluster.jobs))
-    })
-}
-
 fn is_over(job: Option<JobHandle>, jobs: &SlotTable<JobHandle, Job>) -> bool {
     let job = job.and_then(|handle| jobs.get(handle));
     job.is_none_or(Job::end_may_be_recorded)
--- a/src/control/leader/lease_renewals.rs
+++ b/src/control/leader/lease_renewals.rs
@@ -94,7 +94,7 @@
             // Nothing may be concluded from the tasks that are not listed, but a task of an ended
             // job may be stopped wherever it is.
             RenewalBasis::Unconfirmed | RenewalBasis::RecordsUnread => {
-                commands::stops_of_ended_jobs(&self.cluster, report)
+                commands::stops_of(&commands::listed_tasks_of_ended_jobs(&self.cluster, report))
             }
         };
         self.count_commands(&commands);
@@ -102,7 +102,8 @@
             fencing_token: self.fencing_token(machine_handle),
             commands,
         };
-        self.note_renewal(machine_handle, report, basis, &response, now);
+        self.count_renewal(basis);
+        self.note_ended_tasks(machine_handle, report, basis, &response, now);
         response
     }
 
@@ -176,8 +177,9 @@
         );
     }
 
-    /// Counts a renewal, and logs the tasks of ended jobs for which the lease is renewed.
-    fn note_renewal(
+    /// Logs the tasks of ended jobs for which the response renews the lease. It stops at least one
+    /// of them if there are any.
+    fn note_ended_tasks(
         &mut self,
         machine_handle: MachineHandle,
         report: &Heartbeat,
@@ -185,15 +187,9 @@
         response: &HeartbeatResponse,
         now: Millis,
     ) {
-        self.count_renewal(basis);
-        let lists_ended_tasks = match basis {
-            RenewalBasis::Confirmed => {
-                commands::has_task_of_ended_job(&self.cluster, machine_handle)
-            }
-            RenewalBasis::RecordsUnread | RenewalBasis::Unconfirmed => true,
-        };
-        let ended: Vec<&TaskStatus> = match lists_ended_tasks {
-            true => commands::listed_tasks_of_ended_jobs(&self.cluster, report).collect(),
+        let is_stop = |command: &Command| matches!(command, Command::Stop { .. });
+        let ended = match response.commands.iter().any(is_stop) {
+            true => commands::listed_tasks_of_ended_jobs(&self.cluster, report),
             false => Vec::new(),
         };
         let since = &mut self.lease_renewals.ended_tasks_since;
