--- a/src/control/acceptance_feed/tests.rs
+++ b/src/control/acceptance_feed/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{AcceptanceFeed, Next};
 
 #[test]
 fn position_moves_to_the_list_revision_when_it_is_too_old_and_the_list_is_empty() {
--- a/src/control/dependency_evidence/tests.rs
+++ b/src/control/dependency_evidence/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of what a node may report, based on what it has read of dependencies.
 
-use super::*;
+use super::{DependencyEvidence, DependencyVerdict, JobState, Millis, SafetyBounds};
 use crate::protocol::settings::Workers;
 
 /// Maximum age of a read with a `cancel_s` of 35 s, of which 5 s are reserved for an
--- a/src/control/election/tests.rs
+++ b/src/control/election/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{Election, LEASE_TTL_MS, Millis, PromiseOutcome, PromiseResponse, SafetyBounds};
 
 fn bounds(cancel_s: f64) -> SafetyBounds {
     SafetyBounds::from_worker_settings(&crate::protocol::settings::Workers {
--- a/src/control/exclusions/tests.rs
+++ b/src/control/exclusions/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{Exclusions, FailureDetector, LEASE_TTL_MS, Step};
 use crate::control::failure_detector::PeerHealth;
 
 fn make_unresponsive(failure_detector: &mut FailureDetector, peer: usize) {
--- a/src/control/failure_detector/tests.rs
+++ b/src/control/failure_detector/tests.rs
@@ -1,4 +1,6 @@
-use super::*;
+use super::{
+    FailureDetector, PeerHealth, RedirectTarget, UNRESPONSIVE_AFTER_MS, UNRESPONSIVE_REQUEST_AGE_MS,
+};
 
 #[test]
 fn peer_is_unresponsive_before_its_request_times_out() {
--- a/src/control/final_states/tests.rs
+++ b/src/control/final_states/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{FinalStates, JobState, JobStatus, MAX_FINAL_STATES};
 
 #[test]
 fn only_final_states_are_kept_up_to_a_bound() {
--- a/src/control/heartbeat_relay/tests.rs
+++ b/src/control/heartbeat_relay/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::HeartbeatRelays;
 
 #[test]
 fn worker_is_redirected_unless_the_leader_requests_a_relay() {
--- a/src/control/key_pages/tests.rs
+++ b/src/control/key_pages/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{PageRequest, PrefixRead};
 use std::collections::BTreeSet;
 
 #[test]
--- a/src/control/leader/queue/tests.rs
+++ b/src/control/leader/queue/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the queue order of waiting jobs.
 
-use super::*;
+use super::{JobSpec, Objective, deadline_band};
 
 #[test]
 fn late_batch_yields_when_last_objective_is_not_near() {
--- a/src/control/polls/tests.rs
+++ b/src/control/polls/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::PollBatch;
 
 #[test]
 fn answer_is_shared_by_polls_that_arrived_before_its_round() {
--- a/src/control/provision/tests.rs
+++ b/src/control/provision/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the planning of new machines.
 
-use super::*;
+use super::{CapacityBin, Demand, Offer, Resources, plan, tasks_to_start};
 
 fn offer(type_index: usize, spot: bool, cpus: f64, price: f64) -> Offer {
     Offer {
--- a/src/control/safety_bounds/tests.rs
+++ b/src/control/safety_bounds/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{SafetyBounds, Workers, max_local_duration, min_local_duration};
 
 fn bounds(lease_s: f64, cancel_s: f64) -> SafetyBounds {
     SafetyBounds::from_worker_settings(&Workers {
--- a/src/control/standby/failover_checks/tests.rs
+++ b/src/control/standby/failover_checks/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the failover checks.
 
-use super::*;
+use super::{ColdReason, FailoverClaim, Replica, StandbyRecord, check_failover};
 
 #[test]
 fn failover_is_cold_when_any_check_fails() {
--- a/src/control/standby/replica/tests.rs
+++ b/src/control/standby/replica/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of receiving a replica.
 
-use super::*;
+use super::{ReplicaReceiver, ReplicatedTask, ReplicationPart};
 use crate::protocol::peers::{MachineTasks, ReplicatedPhase};
 
 fn part(stream: u64, part: u64, is_last: bool, machine: &str, task: u32) -> ReplicationPart {
--- a/src/server/upgrade/tests.rs
+++ b/src/server/upgrade/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{BTreeMap, FORMAT, Upgrade, VersionRecord};
 
 fn version_record(format: u32) -> VersionRecord {
     VersionRecord {
--- a/src/state/bounded_cache/tests.rs
+++ b/src/state/bounded_cache/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::BoundedCache;
 
 #[test]
 fn cache_keeps_latest_entries_when_its_bound_is_reached() {
--- a/src/state/dependencies/tests.rs
+++ b/src/state/dependencies/tests.rs
@@ -1,4 +1,6 @@
-use super::*;
+use super::{
+    DependencyGraph, DependencyState, DependentCancellation, JobHandle, Priority, Readiness,
+};
 use crate::state::slot_table::SlotTable;
 use Priority::*;
 use std::sync::LazyLock;
--- a/src/state/fault_attribution/tests.rs
+++ b/src/state/fault_attribution/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{JobFailures, MachineFailures, MachineHandle, QUARANTINE_RETRY_MS};
 use crate::state::slot_table::SlotTable;
 
 /// Returns the handle of the machine with this index.
--- a/src/state/request_budget/tests.rs
+++ b/src/state/request_budget/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of request priorities and of the guaranteed shares.
 
-use super::*;
+use super::{LOOKUP_SHARE, Millis, POLL_SHARE, RequestBudget, RequestPriority, Role};
 use crate::state::rate_limit::share;
 
 /// Roles and their request rates in deployments with 60, 200 and 700 requests per
--- a/src/state/resources/tests.rs
+++ b/src/state/resources/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::Resources;
 
 #[test]
 fn need_that_fits_any_machine_fits_the_widened_maximum() {
--- a/src/state/slot_table/tests.rs
+++ b/src/state/slot_table/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::{Handle, NonZeroU32, SlotTable};
 
 #[test]
 fn handle_of_removed_entry_finds_nothing_when_its_index_is_used_again() {
