--- a/tests/lease_renewals.rs
+++ b/tests/lease_renewals.rs
@@ -6,7 +6,7 @@
 
 use leader_fixtures::{accept, leader_without_heartbeats, record, report, report_in_term};
 use pathwinch::{
-    control::leader::Leader,
+    control::leader::{Leader, RenewalBasis},
     protocol::{
         users::{JobState, JobStatus, Kind},
         workers::{Command, ExitReason, Heartbeat, TaskState, TaskStatus},
@@ -208,6 +208,31 @@
     assert_eq!(stopped, [format!("{}/0", id(1))]);
 }
 
+/// Guards against metrics that don't show a lease which is renewed for a task of an ended job.
+#[test]
+fn renewals_and_listed_tasks_of_ended_jobs_are_counted() {
+    let mut leader = leader_without_heartbeats(2, 1);
+    leader.on_heartbeat(&report_in_term(1, 0, 1), 50).unwrap();
+    leader.finish_loading(100);
+    let mut listing = report_in_term(1, 0, 2);
+    listing.tasks = vec![listed(1, 0, TaskState::Running)];
+    leader.on_heartbeat(&listing, 1_000).unwrap();
+    (listing.seq, listing.acknowledged_token) = (3, 2 << 20);
+    leader.on_heartbeat(&listing, 3_000).unwrap();
+    assert_eq!(leader.ended_tasks_listed_ms(3_500), 2_500);
+    let renewals = leader.take_metric_counts().lease_renewals;
+    let expected = [
+        (RenewalBasis::RecordsUnread, 1),
+        (RenewalBasis::Unconfirmed, 1),
+        (RenewalBasis::Confirmed, 1),
+    ];
+    assert_eq!(renewals, expected.into());
+    leader
+        .on_heartbeat(&report_in_term(2, 0, 4), 4_000)
+        .unwrap();
+    assert_eq!(leader.ended_tasks_listed_ms(4_500), 0);
+}
+
 /// Number of jobs of a random run, of which one after the other is cancelled.
 const JOBS: u32 = 4;
 /// Longest time for which a leader lasts in a random run if it answers no machine.
