Ended tasks on machines that are not confirmed stay in the gauge; tests name the tokens exactly

It keeps a machine until its lease has expired now; the test of it reads it before the machine is confirmed, and fails without the change.

The token that `unassigned_task_of_this_term_is_reaped_under_higher_token` expects is a number again, not the constant of the code under test.

--- a/src/control/leader/lease_renewals.rs
+++ b/src/control/leader/lease_renewals.rs
@@ -224,7 +224,7 @@
     pub fn ended_tasks_listed_ms(&mut self, now: Millis) -> Millis {
         let cluster = &self.cluster;
         let since = &mut self.lease_renewals.ended_tasks_since;
-        since.retain(|handle, _| cluster.machine(*handle).is_some_and(|m| m.live_tasks() > 0));
+        since.retain(|handle, _| cluster.machine(*handle).is_some_and(|m| !m.lease_expired()));
         let first = since.values().min();
         first.map_or(0, |first| now.saturating_sub(*first))
     }
--- a/src/state/cluster/machine.rs
+++ b/src/state/cluster/machine.rs
@@ -21,7 +21,7 @@
 
 /// Epoch of a machine's fencing token when a leader first knows the machine. Epoch 0 is left to
 /// the responses that a leader gives before it has read the records.
-pub const FIRST_TOKEN_EPOCH: u64 = 1;
+const FIRST_TOKEN_EPOCH: u64 = 1;
 
 /// Progress of a task on a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/state/cluster/mod.rs
+++ b/src/state/cluster/mod.rs
@@ -29,8 +29,7 @@
 pub use interner::Interner;
 pub use job::{Job, NewJob, Placement};
 pub use machine::{
-    Assignment, DIRECT_COMMAND_TIMEOUT_MS, FIRST_TOKEN_EPOCH, Machine, NewMachine, Phase,
-    Registration,
+    Assignment, DIRECT_COMMAND_TIMEOUT_MS, Machine, NewMachine, Phase, Registration,
 };
 use stale::StaleMachines;
 pub use stop::StopRequest;
--- a/tests/duplicate_commands.rs
+++ b/tests/duplicate_commands.rs
@@ -13,7 +13,7 @@
         users::{JobSpec, Kind, Priority},
         workers::{Command, DirectCommands, ExitReason, Heartbeat, TaskState, TaskStatus},
     },
-    state::cluster::{FIRST_TOKEN_EPOCH, Placement},
+    state::cluster::Placement,
 };
 use simulation::{CANCEL, LEASE, Net, Simulation, id, job, whole_machines};
 
@@ -679,7 +679,7 @@
         let first = leader
             .on_heartbeat(&report_in_term(term, 0, 1), 150)
             .unwrap();
-        let first_token = (term << 20) + FIRST_TOKEN_EPOCH;
+        let first_token = (term << 20) + 1;
         assert_eq!(first.fencing_token, first_token, "term {term}");
         let mut ended = report_in_term(term, 0, 2);
         ended.tasks = vec![TaskStatus {
--- a/tests/lease_renewals.rs
+++ b/tests/lease_renewals.rs
@@ -208,6 +208,38 @@
     assert_eq!(stopped, [format!("{}/0", id(1))]);
 }
 
+/// Guards against renewals by one leader without records after the other, and against leases that end
+/// while records are read although nobody renewed them so.
+#[test]
+fn leader_without_records_answers_unless_another_one_did_so_last() {
+    let first_token = |term: u64| term << 20;
+    let later_token = |term: u64| (term << 20) + 1;
+    let live = vec![listed(1, 0, TaskState::Running)];
+    let ended = vec![listed(1, 0, TaskState::Exited)];
+    let cases = [
+        (later_token(1), &live, true),
+        (first_token(1), &live, false),
+        (first_token(1), &ended, true),
+        (first_token(1), &Vec::new(), true),
+        (first_token(2), &live, true),
+    ];
+    for (token, tasks, is_answered) in cases {
+        let mut leader = leader_without_heartbeats(2, 1);
+        let mut heartbeat = report(0, 1);
+        (heartbeat.acknowledged_token, heartbeat.tasks) = (token, tasks.clone());
+        let response = leader.on_heartbeat(&heartbeat, 50);
+        assert_eq!(response.is_some(), is_answered, "{token}, {tasks:?}");
+        if let Some(response) = response {
+            assert_eq!(response.fencing_token, first_token(2));
+            assert_eq!(response.commands, []);
+        }
+        leader.finish_loading(100);
+        heartbeat.seq = 2;
+        let response = leader.on_heartbeat(&heartbeat, 150).unwrap();
+        assert_eq!(response.fencing_token, later_token(2));
+    }
+}
+
 /// Guards against metrics that don't show a lease which is renewed for a task of an ended job.
 #[test]
 fn renewals_and_listed_tasks_of_ended_jobs_are_counted() {
@@ -217,6 +249,7 @@
     let mut listing = report_in_term(1, 0, 2);
     listing.tasks = vec![listed(1, 0, TaskState::Running)];
     leader.on_heartbeat(&listing, 1_000).unwrap();
+    assert_eq!(leader.ended_tasks_listed_ms(2_000), 1_000);
     (listing.seq, listing.acknowledged_token) = (3, 2 << 20);
     leader.on_heartbeat(&listing, 3_000).unwrap();
     assert_eq!(leader.ended_tasks_listed_ms(3_500), 2_500);
